--- /dev/null
+++ b/cmd/bramblespur/main.go
@@ -0,0 +1,90 @@
+// Command bramblespur is the cluster scheduler: one process per controller.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"bramblespur/internal/config"
+	"bramblespur/internal/controller"
+)
+
+// version is the program's version; releases set it at link time.
+var version = "0.1.0-dev"
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "bramblespur:", err)
+		os.Exit(2)
+	}
+}
+
+func command() *cobra.Command {
+	var path string
+	root := &cobra.Command{
+		Use:           "bramblespur --config FILE",
+		Short:         "A cluster scheduler: run one controller",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := load(path)
+			if err != nil {
+				return err
+			}
+			return run(cfg)
+		},
+	}
+	root.PersistentFlags().StringVar(&path, "config", "", "settings file (TOML)")
+	check := &cobra.Command{
+		Use:   "check --config FILE",
+		Short: "Check the settings file without starting",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := load(path); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return nil
+		},
+	}
+	ver := &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "bramblespur", version) },
+	}
+	root.AddCommand(check, ver)
+	return root
+}
+
+func load(path string) (*config.Settings, error) {
+	if path == "" {
+		return nil, fmt.Errorf("--config is missing")
+	}
+	return config.Load(path)
+}
+
+func run(cfg *config.Settings) error {
+	// The machines are small: one share of one core and a hard memory limit,
+	// so the runtime gets one processor and collects before the limit bites.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(cfg.Params.Resources.MemoryMB * 0.6 * (1 << 20)))
+	return controller.Run(cfg, logger(os.Getenv("LOG_LEVEL")))
+}
+
+func logger(level string) *slog.Logger {
+	l := slog.LevelInfo
+	switch level {
+	case "error":
+		l = slog.LevelError
+	case "debug":
+		l = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,188 @@
+// Package config reads and checks the settings file that the platform hands
+// over at start.
+package config
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Settings is the platform's file. Unknown fields are ignored.
+type Settings struct {
+	Label      string  `toml:"label"`
+	Zone       string  `toml:"zone"`
+	Listen     string  `toml:"public_addr"`
+	PeerListen string  `toml:"cluster_listen"`
+	Peers      []Peer  `toml:"seeds"`
+	Outside    Outside `toml:"outside"`
+	Params     Params  `toml:"params"`
+	// PolicyFile optionally names the operators' own policy file.
+	PolicyFile string `toml:"policy_file"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Label string `toml:"label"`
+	Zone  string `toml:"zone"`
+	Addr  string `toml:"peer_addr"`
+}
+
+// Outside names the services that controllers depend on.
+type Outside struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Params describes the deployment.
+type Params struct {
+	Count        int         `toml:"count"`
+	Zones        []string    `toml:"zones"`
+	ClockErrorMS float64     `toml:"clock_error_ms"`
+	Teams        []Team      `toml:"teams"`
+	Objectives   []Objective `toml:"objectives"`
+	Workers      Workers     `toml:"workers"`
+	State        State       `toml:"state"`
+	Cloud        Cloud       `toml:"cloud"`
+	Resources    Resources   `toml:"resources"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one aim at start or at finish.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers holds the workers' timing.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Resources holds what this process may use.
+type Resources struct {
+	CPUShare   float64 `toml:"cpu_share"`
+	MemoryMB   float64 `toml:"memory_mb"`
+	MaxSockets int     `toml:"max_sockets"`
+}
+
+// Seconds converts an amount of seconds.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(string(data))
+}
+
+// Parse decodes and checks settings.
+func Parse(text string) (*Settings, error) {
+	var s Settings
+	if _, err := toml.Decode(text, &s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	texts := []struct{ name, v string }{
+		{"label", s.Label}, {"zone", s.Zone}, {"public_addr", s.Listen}, {"cluster_listen", s.PeerListen},
+		{"outside.cloud", s.Outside.Cloud}, {"outside.state", s.Outside.State},
+	}
+	for _, t := range texts {
+		if t.v == "" {
+			return fmt.Errorf("settings: %s is missing", t.name)
+		}
+	}
+	p := &s.Params
+	amounts := []struct {
+		name string
+		v    float64
+	}{
+		{"params.workers.report_s", p.Workers.ReportS}, {"params.workers.lease_s", p.Workers.LeaseS},
+		{"params.workers.gang_wait_s", p.Workers.GangWaitS}, {"params.workers.gang_peer_s", p.Workers.GangPeerS},
+		{"params.workers.cancel_s", p.Workers.CancelS}, {"params.state.rps", p.State.RPS},
+		{"params.state.write_rps", p.State.WriteRPS}, {"params.state.value_kb", p.State.ValueKB},
+		{"params.state.txn_ops", float64(p.State.TxnOps)}, {"params.cloud.rps", p.Cloud.RPS},
+		{"params.resources.memory_mb", p.Resources.MemoryMB}, {"params.resources.max_sockets", float64(p.Resources.MaxSockets)},
+	}
+	for _, a := range amounts {
+		if !(a.v > 0) {
+			return fmt.Errorf("settings: %s must be above 0", a.name)
+		}
+	}
+	if p.Workers.LeaseS <= p.Workers.ReportS {
+		return fmt.Errorf("settings: params.workers.lease_s must be above params.workers.report_s")
+	}
+	if p.Count != len(s.Peers)+1 {
+		return fmt.Errorf("settings: params.count is %d, but seeds names %d other controllers", p.Count, len(s.Peers))
+	}
+	seen := map[string]bool{s.Label: true}
+	for _, q := range s.Peers {
+		if q.Label == "" || q.Addr == "" {
+			return fmt.Errorf("settings: seeds: an entry lacks label or peer_addr")
+		}
+		if seen[q.Label] {
+			return fmt.Errorf("settings: seeds: label %q is used twice", q.Label)
+		}
+		seen[q.Label] = true
+	}
+	teams := map[string]bool{}
+	for _, t := range p.Teams {
+		if t.Name == "" || teams[t.Name] {
+			return fmt.Errorf("settings: params.teams: name %q is missing or used twice", t.Name)
+		}
+		teams[t.Name] = true
+		if (t.CPUsMax > 0 && t.CPUs > t.CPUsMax) || (t.GPUsMax > 0 && t.GPUs > t.GPUsMax) {
+			return fmt.Errorf("settings: params.teams: %s is guaranteed more than its limit", t.Name)
+		}
+	}
+	return nil
+}
+
+// Labels returns every controller's label in order.
+func (s *Settings) Labels() []string {
+	out := []string{s.Label}
+	for _, p := range s.Peers {
+		out = append(out, p.Label)
+	}
+	sort.Strings(out)
+	return out
+}
