--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,118 @@
+// Package cloud is the client of the cloud that rents machines.
+package cloud
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/wire"
+)
+
+// ErrNoCapacity says that nothing of this type, zone and kind is to be had.
+var ErrNoCapacity = errors.New("cloud: no capacity")
+
+// API is what controllers need of the cloud.
+type API interface {
+	Types(ctx context.Context) ([]wire.MachineType, error)
+	Rent(ctx context.Context, r wire.Rental) ([]string, error)
+	Return(ctx context.Context, ids []string) error
+	List(ctx context.Context) ([]wire.Listed, error)
+}
+
+// Client is an API over HTTP.
+type Client struct {
+	http  *httpwire.Client
+	limit *rate.Limiter
+}
+
+// callTimeout bounds one call; connections can hang in silence.
+const callTimeout = 5 * time.Second
+
+// New returns a client keeping to rps calls a second. The cloud allows bursts
+// of two seconds' worth.
+func New(addr string, rps float64) *Client {
+	return &Client{http: httpwire.NewClient(addr, 2), limit: rate.NewLimiter(rate.Limit(rps), max(1, int(2*rps)))}
+}
+
+var _ API = (*Client)(nil)
+
+func (c *Client) do(ctx context.Context, method, target string, in, out any) error {
+	if err := c.limit.Wait(ctx); err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return fmt.Errorf("encode: %w", err)
+		}
+	}
+	resp, err := c.http.Do(ctx, method, target, body)
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	if resp.Status != 200 {
+		var e struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(resp.Body, &e) == nil && resp.Status == 503 && e.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("cloud: %s %s: status %d", method, target, resp.Status)
+	}
+	if out != nil {
+		if err := json.Unmarshal(resp.Body, out); err != nil {
+			return fmt.Errorf("cloud's answer: %w", err)
+		}
+	}
+	return nil
+}
+
+// Types returns the machine types on offer, with current prices.
+func (c *Client) Types(ctx context.Context) ([]wire.MachineType, error) {
+	var t wire.MachineTypes
+	if err := c.do(ctx, "GET", "/machine_types", nil, &t); err != nil {
+		return nil, err
+	}
+	return t.Types, nil
+}
+
+// Rent rents machines; repeating a request name rents nothing twice.
+func (c *Client) Rent(ctx context.Context, r wire.Rental) ([]string, error) {
+	var n wire.Names
+	if err := c.do(ctx, "POST", "/rentals", r, &n); err != nil {
+		return nil, err
+	}
+	return n.Machines, nil
+}
+
+// Return gives machines back. When it succeeds they are gone.
+func (c *Client) Return(ctx context.Context, ids []string) error {
+	return c.do(ctx, "POST", "/rentals/return", wire.Names{Machines: ids}, nil)
+}
+
+// List returns the cloud's (lagging) list of machines.
+func (c *Client) List(ctx context.Context) ([]wire.Listed, error) {
+	var all []wire.Listed
+	target := "/rentals?page=500"
+	for {
+		var p wire.MachineList
+		if err := c.do(ctx, "GET", target, nil, &p); err != nil {
+			return nil, err
+		}
+		all = append(all, p.Machines...)
+		if !p.More || len(p.Machines) == 0 {
+			return all, nil
+		}
+		target = "/rentals?page=500&since=" + url.QueryEscape(p.Machines[len(p.Machines)-1].ID)
+	}
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,668 @@
+// Package controller is the shell round the pure cores: gnet's event loop for
+// users and workers, net/rpc between controllers, the state service, the cloud
+// and the timers. Shared state sits behind one short lock, which is never held
+// across input or output.
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"bramblespur/internal/cloud"
+	"bramblespur/internal/config"
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/sched"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// Defaults of the shell, each a compromise named here.
+const (
+	leaseTTL     = 4 * time.Second        // a dead controller's parts are free after this
+	tickEvery    = 200 * time.Millisecond // timers of the cores
+	watchWait    = 4 * time.Second        // how long a watch may be silent
+	watchPause   = 150 * time.Millisecond // changes this close together share one answer
+	syncEvery    = time.Second            // the leader asks every controller
+	syncTimeout  = 1500 * time.Millisecond
+	unreachable  = 6 * time.Second  // the leader has an unreachable owner's parts claimed
+	homeStable   = 20 * time.Second // a returned controller answers this long before its part goes home
+	listFactor   = 1.0              // the cloud's list is read once in this many of its lags
+	relayTimeout = 1200 * time.Millisecond
+	finalsKept   = 20000 // final states held in memory
+)
+
+// Controller is one process of the service.
+type Controller struct {
+	cfg   *config.Settings
+	log   *slog.Logger
+	store statestore.Store
+	cloud cloud.API
+	peers map[string]*peer.Client
+	teams []string // names in order
+
+	mu         sync.Mutex
+	schedCfg   *sched.Config // nil until the machine types are known
+	types      []wire.MachineType
+	parts      map[int]*sched.Part
+	claiming   map[int]bool
+	partRecs   map[int]versioned[record.Part]
+	machines   map[string]versioned[record.Machine]
+	members    map[string]record.Member
+	leader     versioned[record.Head]
+	typesSeen  bool
+	viewAt     time.Time // the cluster view was true at this time or later
+	jobsAt     time.Time // so was the view of open jobs
+	lease      uint64
+	leaseAt    time.Time // last renewal's request
+	inc        uint64
+	finals     map[string]string
+	redirected map[string]redirect
+	peerOK     map[string]time.Time // last answer
+	peerSince  map[string]time.Time // answers without a gap since
+	peerState  map[string]time.Time // last time the peer said it reached the state service
+	heardAny   time.Time
+	lead       *leading
+	quietUntil time.Time // not to lead before
+	started    time.Time
+	kept       map[string]kept
+}
+
+type versioned[T any] struct {
+	rec     T
+	version uint64
+}
+
+type redirect struct {
+	label string
+	at    time.Time
+}
+
+// Run runs a controller until its server fails.
+func Run(cfg *config.Settings, log *slog.Logger) error {
+	p := cfg.Params
+	n := float64(p.Count)
+	c := &Controller{
+		cfg: cfg, log: log,
+		store:    statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n, p.State.TxnOps),
+		cloud:    cloud.New(cfg.Outside.Cloud, p.Cloud.RPS/2),
+		peers:    map[string]*peer.Client{},
+		parts:    map[int]*sched.Part{},
+		claiming: map[int]bool{}, partRecs: map[int]versioned[record.Part]{}, machines: map[string]versioned[record.Machine]{},
+		members: map[string]record.Member{}, finals: map[string]string{}, redirected: map[string]redirect{}, kept: map[string]kept{},
+		peerOK: map[string]time.Time{}, peerSince: map[string]time.Time{}, peerState: map[string]time.Time{},
+	}
+	for _, q := range cfg.Peers {
+		c.peers[q.Label] = peer.NewClient(q.Addr)
+	}
+	for _, t := range p.Teams {
+		c.teams = append(c.teams, t.Name)
+	}
+	sort.Strings(c.teams)
+
+	ln, err := net.Listen("tcp4", cfg.PeerListen)
+	if err != nil {
+		return fmt.Errorf("listen for controllers: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	errs := make(chan error, 2)
+	go func() { errs <- peer.Serve(ln, c) }()
+	srv := &server{handle: c.handle, log: log, maxConn: p.Resources.MaxSockets * 3 / 4, booted: make(chan struct{})}
+	go func() {
+		errs <- gnet.Run(srv, "tcp4://"+cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(16<<10),
+			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogLevel(logging.ErrorLevel))
+	}()
+	go c.leaseLoop(ctx)
+	go c.watchLoop(ctx, record.ClusterPrefix, c.resetCluster, c.changeCluster)
+	go c.watchLoop(ctx, record.MachinePrefix, c.resetMachines, c.changeMachine)
+	go c.watchLoop(ctx, record.OpenPrefix, c.resetOpen, c.changeOpen)
+	go c.typesLoop(ctx)
+	go c.tickLoop(ctx)
+	go c.leadLoop(ctx)
+	log.Info("controller started", "label", cfg.Label, "zone", cfg.Zone)
+	return fmt.Errorf("server: %w", <-errs)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// jitter spreads retries of several controllers.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+// leaseLoop keeps this controller's lease and its member record.
+func (c *Controller) leaseLoop(ctx context.Context) {
+	for {
+		sent := time.Now()
+		if err := c.keepLease(ctx, sent); err != nil {
+			c.log.Debug("lease", "err", err)
+			if !sleep(ctx, jitter(400*time.Millisecond)) {
+				return
+			}
+			continue
+		}
+		if !sleep(ctx, leaseTTL/4) {
+			return
+		}
+	}
+}
+
+func (c *Controller) keepLease(ctx context.Context, sent time.Time) error {
+	c.mu.Lock()
+	lease := c.lease
+	c.mu.Unlock()
+	if lease != 0 {
+		err := c.store.Renew(ctx, lease)
+		if err == nil {
+			c.mu.Lock()
+			c.leaseAt = sent
+			c.mu.Unlock()
+			return nil
+		}
+		if !errors.Is(err, statestore.ErrNoLease) {
+			return err
+		}
+	}
+	lease, err := c.store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	inc := c.inc
+	c.mu.Unlock()
+	if inc == 0 {
+		inc = lease // leases are never given twice, so neither are incarnations
+	}
+	key := record.MemberPrefix + c.cfg.Label
+	put := wire.Op{Put: key, Value: record.Encode(record.Member{Inc: inc}), Lease: lease}
+	if _, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{Then: []wire.Op{put}}); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.lease, c.inc, c.leaseAt = lease, inc, sent
+	c.mu.Unlock()
+	return nil
+}
+
+// sure reports whether the lease certainly stands.
+func (c *Controller) sure(now time.Time) bool {
+	return c.lease != 0 && now.Sub(c.leaseAt) < leaseTTL*9/10
+}
+
+// watchLoop keeps a view of the keys with a prefix: all of them first, then
+// each change.
+func (c *Controller) watchLoop(ctx context.Context, prefix string, reset func([]wire.Entry, time.Time), change func(wire.Change, time.Time)) {
+	for ctx.Err() == nil {
+		at := time.Now()
+		entries, rev, err := c.store.List(ctx, prefix)
+		if err != nil {
+			sleep(ctx, jitter(400*time.Millisecond))
+			continue
+		}
+		reset(entries, at)
+		for ctx.Err() == nil {
+			at := time.Now()
+			ch, err := c.store.Watch(ctx, prefix, rev, watchWait)
+			if errors.Is(err, statestore.ErrTooOld) {
+				break
+			}
+			if err != nil {
+				sleep(ctx, jitter(400*time.Millisecond))
+				continue
+			}
+			for _, e := range ch.Events {
+				change(e, at)
+			}
+			rev = max(rev, ch.Revision)
+			c.viewed(prefix, at)
+			if len(ch.Events) > 0 {
+				sleep(ctx, watchPause)
+			}
+		}
+	}
+}
+
+func (c *Controller) viewed(prefix string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch prefix {
+	case record.ClusterPrefix:
+		c.viewAt = at
+	case record.OpenPrefix:
+		c.jobsAt = at
+	}
+}
+
+func (c *Controller) resetCluster(entries []wire.Entry, at time.Time) {
+	c.mu.Lock()
+	c.partRecs = map[int]versioned[record.Part]{}
+	c.members = map[string]record.Member{}
+	c.leader = versioned[record.Head]{}
+	c.mu.Unlock()
+	for _, e := range entries {
+		c.changeCluster(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
+	}
+	c.viewed(record.ClusterPrefix, at)
+}
+
+func (c *Controller) changeCluster(e wire.Change, _ time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := e.Put + e.Delete
+	gone := e.Put == ""
+	var err error
+	switch {
+	case key == record.Leader:
+		c.leader = versioned[record.Head]{version: e.Version}
+		if gone {
+			c.leader = versioned[record.Head]{}
+		} else {
+			err = decode(e.Value, &c.leader.rec)
+		}
+	case key == record.Types:
+		if !gone && !c.typesSeen {
+			var t []wire.MachineType
+			if err = decode(e.Value, &t); err == nil {
+				c.setTypes(t)
+			}
+		}
+	case hasPrefix(key, record.MemberPrefix):
+		label := record.Last(key)
+		if gone {
+			delete(c.members, label)
+		} else {
+			var m record.Member
+			if err = decode(e.Value, &m); err == nil {
+				c.members[label] = m
+			}
+		}
+	case hasPrefix(key, record.PartPrefix):
+		id, ok := atoi(record.Last(key))
+		if !ok || gone {
+			break
+		}
+		var r record.Part
+		if err = decode(e.Value, &r); err == nil {
+			c.setPart(id, r, e.Version)
+		}
+	}
+	if err != nil {
+		c.log.Error("cluster record", "key", key, "err", err)
+	}
+}
+
+// setPart takes in who owns a part. A claim by somebody else ends ours.
+func (c *Controller) setPart(id int, r record.Part, version uint64) {
+	if old := c.partRecs[id]; version < old.version {
+		return
+	}
+	c.partRecs[id] = versioned[record.Part]{r, version}
+	if p := c.parts[id]; p != nil && version > p.Token() {
+		c.log.Info("part lost", "part", id, "to", r.Owner)
+		delete(c.parts, id)
+	}
+}
+
+func (c *Controller) resetMachines(entries []wire.Entry, at time.Time) {
+	keep := map[string]bool{}
+	for _, e := range entries {
+		keep[record.Last(e.Key)] = true
+	}
+	c.mu.Lock()
+	var gone []string
+	for id := range c.machines {
+		if !keep[id] {
+			gone = append(gone, id)
+		}
+	}
+	c.mu.Unlock()
+	for _, id := range gone {
+		c.changeMachine(wire.Change{Delete: record.MachineKey(id)}, at)
+	}
+	for _, e := range entries {
+		c.changeMachine(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
+	}
+}
+
+func (c *Controller) changeMachine(e wire.Change, _ time.Time) {
+	now := time.Now()
+	id := record.Last(e.Put + e.Delete)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e.Put == "" {
+		delete(c.machines, id)
+		for _, p := range c.parts {
+			p.DropMachine(id, now)
+			c.pump(p, now)
+		}
+		return
+	}
+	var r record.Machine
+	if err := decode(e.Value, &r); err != nil {
+		c.log.Error("machine record", "machine", id, "err", err)
+		return
+	}
+	if old := c.machines[id]; e.Version < old.version {
+		return
+	}
+	c.machines[id] = versioned[record.Machine]{r, e.Version}
+	entry := wire.Entry{Key: e.Put, Value: e.Value, Version: e.Version}
+	for _, p := range c.parts {
+		if p.ID() != r.Part && !p.HasMachine(id) {
+			continue
+		}
+		if err := p.SetMachine(entry, now); err != nil {
+			c.log.Error("machine record", "machine", id, "err", err)
+		}
+		c.pump(p, now)
+	}
+}
+
+func (c *Controller) resetOpen(entries []wire.Entry, at time.Time) {
+	for _, e := range entries {
+		c.changeOpen(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
+	}
+	c.viewed(record.OpenPrefix, at)
+}
+
+func (c *Controller) changeOpen(e wire.Change, _ time.Time) {
+	if e.Put == "" {
+		return // the owner ends jobs itself
+	}
+	part, ok := openPart(e.Put)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.parts[part]
+	if p == nil {
+		return
+	}
+	if err := p.SetJob(wire.Entry{Key: e.Put, Value: e.Value, Version: e.Version}, now); err != nil {
+		c.log.Error("job record", "key", e.Put, "err", err)
+	}
+	c.pump(p, now)
+}
+
+// typesLoop learns the machine types: from the state service, where the first
+// controller to hear from the cloud put them, or from the cloud. Prices move,
+// so they are asked again now and then by the leader.
+func (c *Controller) typesLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if e, err := c.store.Get(ctx, statestore.Urgent, record.Types); err == nil {
+			var t []wire.MachineType
+			if decode(e.Value, &t) == nil && len(t) > 0 {
+				c.mu.Lock()
+				c.setTypes(t)
+				c.mu.Unlock()
+				return
+			}
+		}
+		t, err := c.cloud.Types(ctx)
+		if err != nil || len(t) == 0 {
+			c.log.Debug("machine types", "err", err)
+			sleep(ctx, jitter(time.Second))
+			continue
+		}
+		c.mu.Lock()
+		c.setTypes(t)
+		c.mu.Unlock()
+		for range 5 {
+			_, err := c.store.Txn(ctx, statestore.Routine, wire.Txn{
+				If:   []wire.Cond{{Key: record.Types}},
+				Then: []wire.Op{{Put: record.Types, Value: record.Encode(t)}},
+			})
+			var conflict *statestore.ConflictError
+			if err == nil || errors.As(err, &conflict) {
+				return
+			}
+			sleep(ctx, jitter(time.Second))
+		}
+		return
+	}
+}
+
+func (c *Controller) setTypes(t []wire.MachineType) {
+	if c.typesSeen || len(t) == 0 {
+		return
+	}
+	c.typesSeen = true
+	c.types = t
+	c.schedCfg = c.newSchedConfig(t)
+}
+
+// tickLoop drives the timers of the cores and the claims.
+func (c *Controller) tickLoop(ctx context.Context) {
+	for sleep(ctx, tickEvery) {
+		now := time.Now()
+		c.mu.Lock()
+		for _, p := range c.parts {
+			c.pump(p, now)
+		}
+		c.considerClaims(ctx, now)
+		for id, r := range c.redirected {
+			if now.Sub(r.at) > time.Minute {
+				delete(c.redirected, id)
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *Controller) home(part int) string { return c.cfg.Labels()[part%c.cfg.Params.Count] }
+
+func (c *Controller) live() []string {
+	var out []string
+	for l := range c.members {
+		out = append(out, l)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// considerClaims claims what is this controller's to claim: its own parts after
+// a restart, parts offered to it, and those of owners that are gone.
+func (c *Controller) considerClaims(ctx context.Context, now time.Time) {
+	if c.schedCfg == nil || !c.sure(now) || c.viewAt.IsZero() {
+		return
+	}
+	owners := map[int]string{}
+	for id, r := range c.partRecs {
+		owners[id] = r.rec.Owner
+	}
+	for id := range c.cfg.Params.Count {
+		if c.parts[id] != nil || c.claiming[id] {
+			continue
+		}
+		r, known := c.partRecs[id]
+		_, ownerLives := c.members[r.rec.Owner]
+		mine := false
+		switch {
+		case known && r.rec.To == c.cfg.Label:
+			mine = true
+		case known && r.rec.Owner == c.cfg.Label:
+			mine = true // a restart, or records read back after an outage
+		case !known && c.home(id) == c.cfg.Label:
+			mine = true
+		case !ownerLives && now.Sub(c.viewAt) < 2*watchWait && len(c.members) > 0:
+			home := c.home(id)
+			if !known && now.Sub(c.leaseAt) < leaseTTL && c.firstSeen(home, now) {
+				continue // it is probably about to start
+			}
+			mine = fleet.Claimant(c.live(), owners, home) == c.cfg.Label
+		}
+		if mine {
+			c.claim(ctx, id)
+		}
+	}
+}
+
+// firstSeen reports whether a controller may still be on its first start: no
+// part record of its own exists and this one has run only for a short time.
+func (c *Controller) firstSeen(label string, now time.Time) bool {
+	if c.started.IsZero() {
+		c.started = now
+	}
+	return now.Sub(c.started) < 2*leaseTTL
+}
+
+// claim takes a part over: the claim's revision becomes its token, then the
+// records are read. The lock is held by the caller.
+func (c *Controller) claim(ctx context.Context, id int) {
+	c.claiming[id] = true
+	r := c.partRecs[id]
+	inc := c.inc
+	go func() {
+		err := c.takeOver(ctx, id, r, inc)
+		c.mu.Lock()
+		delete(c.claiming, id)
+		c.mu.Unlock()
+		if err != nil {
+			c.log.Info("claim failed", "part", id, "err", err)
+		}
+	}()
+}
+
+func (c *Controller) takeOver(ctx context.Context, id int, r versioned[record.Part], inc uint64) error {
+	key := record.PartKey(id)
+	rec := record.Part{Owner: c.cfg.Label, Inc: inc}
+	token, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: r.version}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
+	})
+	if err != nil {
+		if e, gerr := c.store.Get(ctx, statestore.Urgent, key); gerr == nil {
+			var cur record.Part
+			if decode(e.Value, &cur) == nil {
+				c.mu.Lock()
+				c.setPart(id, cur, e.Version)
+				c.mu.Unlock()
+			}
+		}
+		return fmt.Errorf("claim: %w", err)
+	}
+	c.mu.Lock()
+	c.setPart(id, rec, token)
+	cfg := c.schedCfg
+	c.mu.Unlock()
+	for ctx.Err() == nil {
+		p, err := c.load(ctx, cfg, id, token)
+		if err == nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.partRecs[id].version > token {
+				return fmt.Errorf("claim: part claimed by %s meanwhile", c.partRecs[id].rec.Owner)
+			}
+			c.parts[id] = p
+			now := time.Now()
+			// Views may have moved on while the records were read.
+			for mid, m := range c.machines {
+				if m.rec.Part == id {
+					if err := p.SetMachine(wire.Entry{Key: record.MachineKey(mid), Value: record.Encode(m.rec), Version: m.version}, now); err != nil {
+						c.log.Error("machine record", "machine", mid, "err", err)
+					}
+				}
+			}
+			c.log.Info("part claimed", "part", id, "token", token)
+			c.pump(p, now)
+			go c.rereadOpen(ctx, p)
+			return nil
+		}
+		c.log.Info("loading part", "part", id, "err", err)
+		if !sleep(ctx, jitter(300*time.Millisecond)) {
+			break
+		}
+		c.mu.Lock()
+		lost := c.partRecs[id].version > token
+		c.mu.Unlock()
+		if lost {
+			return errors.New("claim: part lost while loading")
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *Controller) load(ctx context.Context, cfg *sched.Config, id int, token uint64) (*sched.Part, error) {
+	machines, _, err := c.store.List(ctx, record.MachinePrefix)
+	if err != nil {
+		return nil, err
+	}
+	open, _, err := c.store.List(ctx, fmt.Sprintf("%s%d/", record.OpenPrefix, id))
+	if err != nil {
+		return nil, err
+	}
+	runs, _, err := c.store.List(ctx, fmt.Sprintf("%s%d/", record.RunPrefix, id))
+	if err != nil {
+		return nil, err
+	}
+	p := sched.New(cfg, id, token)
+	return p, p.Load(machines, open, runs, time.Now())
+}
+
+// rereadOpen reads the open jobs once more after a claim: one accepted between
+// the first reading and the part's being there was told to nobody.
+func (c *Controller) rereadOpen(ctx context.Context, p *sched.Part) {
+	for ctx.Err() == nil {
+		open, _, err := c.store.List(ctx, fmt.Sprintf("%s%d/", record.OpenPrefix, p.ID()))
+		if err != nil {
+			sleep(ctx, jitter(300*time.Millisecond))
+			continue
+		}
+		now := time.Now()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.parts[p.ID()] != p {
+			return
+		}
+		for _, e := range open {
+			if err := p.SetJob(e, now); err != nil {
+				c.log.Error("job record", "key", e.Key, "err", err)
+			}
+		}
+		c.pump(p, now)
+		return
+	}
+}
+
+func (c *Controller) handle(req httpwire.Request, answer func(reply)) {
+	switch {
+	case req.Path == wire.ReportPath:
+		if req.Method != "POST" {
+			answer(reply{status: 405})
+			return
+		}
+		c.handleReport(req, answer)
+	case req.Path == wire.ReadyPath:
+		if req.Method != "GET" {
+			answer(reply{status: 405})
+			return
+		}
+		answer(c.ready())
+	default:
+		c.handleUser(req, answer)
+	}
+}
--- /dev/null
+++ b/internal/controller/lead.go
@@ -0,0 +1,500 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"bramblespur/internal/cloud"
+	"bramblespur/internal/config"
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// Defaults of the leader's choices.
+const (
+	balanceEvery = 30 * time.Second // DESIGN's starting value
+	moveAfter    = 0 * time.Second  // work that fits nowhere gets a free machine at once
+	takeAfter    = 3 * time.Second  // or one with lower work after this
+	idleSpot     = 45 * time.Second
+	idleOrdinary = 30 * time.Second
+	refusedPause = 8 * time.Second
+	standAside   = 4 * time.Second  // a leader that reaches nobody gives up after this
+	quietAfter   = 15 * time.Second // and does not lead for this long
+)
+
+// leading is what a leader holds.
+type leading struct {
+	plan     *fleet.Leader
+	rentals  map[string]record.Rental // under way
+	fresh    map[string]time.Time     // machines recorded but perhaps in no summary yet
+	strange  map[string]int           // listed, but unknown to us, so many times
+	known    map[string]time.Time     // machines known at this time
+	started  time.Time
+	seq      int
+	resumed  bool
+	nextList time.Time
+	prices   time.Time
+}
+
+func (c *Controller) leads(now time.Time) bool {
+	return c.leader.rec.Label == c.cfg.Label && c.leader.rec.Inc == c.inc && c.inc != 0 && c.sure(now)
+}
+
+// leadLoop leads when this controller is the leader, and otherwise stands for
+// it when there is none.
+func (c *Controller) leadLoop(ctx context.Context) {
+	for sleep(ctx, syncEvery) {
+		now := time.Now()
+		c.mu.Lock()
+		leads, sure, types := c.leads(now), c.sure(now), c.types
+		cur := c.leader
+		stand := !leads && sure && types != nil && now.After(c.quietUntil) && !c.viewAt.IsZero() &&
+			(cur.version == 0 || cur.rec.Label == c.cfg.Label)
+		if !leads {
+			c.lead = nil
+		}
+		c.mu.Unlock()
+		switch {
+		case leads:
+			c.leadStep(ctx)
+		case stand:
+			c.stand(ctx, cur)
+		case !sure:
+			c.syncPeers(nil, nil, nil) // to learn whether they reach the state service
+		}
+	}
+}
+
+func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
+	c.mu.Lock()
+	head := record.Head{Label: c.cfg.Label, Inc: c.inc}
+	lease := c.lease
+	c.mu.Unlock()
+	rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+		If:   []wire.Cond{{Key: record.Leader, Version: cur.version}},
+		Then: []wire.Op{{Put: record.Leader, Value: record.Encode(head), Lease: lease}},
+	})
+	if err != nil {
+		return
+	}
+	c.log.Info("leading")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rev > c.leader.version {
+		c.leader = versioned[record.Head]{head, rev}
+	}
+}
+
+// syncPeers asks every other controller for its parts, handing over orders,
+// claims and hand-overs by label.
+func (c *Controller) syncPeers(orders map[string][]fleet.Order, claims map[string][]int, hand map[string][]int) []fleet.Summary {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var sums []fleet.Summary
+	for label, p := range c.peers {
+		wg.Go(func() {
+			var r peer.SyncReply
+			a := peer.SyncArgs{From: c.cfg.Label, Orders: orders[label], Claim: claims[label], HandHome: hand[label]}
+			err := p.Call("Sync", a, &r, syncTimeout)
+			now := time.Now()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if err != nil {
+				delete(c.peerSince, label)
+				return
+			}
+			c.peerOK[label] = now
+			if _, ok := c.peerSince[label]; !ok {
+				c.peerSince[label] = now
+			}
+			if r.StateOK {
+				c.peerState[label] = now
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sums = append(sums, r.Summaries...)
+		})
+	}
+	wg.Wait()
+	return sums
+}
+
+// Sync implements peer.Handler.
+func (c *Controller) Sync(a peer.SyncArgs) peer.SyncReply {
+	ctx := context.Background()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, o := range a.Orders {
+		if p := c.parts[o.Part]; p != nil {
+			p.Order(o, now)
+		}
+	}
+	for _, id := range a.Claim {
+		if c.parts[id] == nil && !c.claiming[id] && c.schedCfg != nil && c.sure(now) {
+			c.claim(ctx, id)
+		}
+	}
+	for _, id := range a.HandHome {
+		c.handHome(ctx, id)
+	}
+	return peer.SyncReply{Summaries: c.summaries(now), StateOK: c.sure(now)}
+}
+
+func (c *Controller) summaries(now time.Time) []fleet.Summary {
+	var out []fleet.Summary
+	for _, p := range c.parts {
+		c.pump(p, now)
+	}
+	for _, p := range c.parts {
+		out = append(out, p.Summary(now))
+	}
+	return out
+}
+
+// handHome gives a part back to its home: whoever writes the record loses the
+// token with it, so the core is dropped first. The lock is held.
+func (c *Controller) handHome(ctx context.Context, id int) {
+	r := c.partRecs[id]
+	home := c.home(id)
+	if c.parts[id] == nil || home == c.cfg.Label {
+		return
+	}
+	go func() {
+		_, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+			If:   []wire.Cond{{Key: record.PartKey(id), Version: r.version}},
+			Then: []wire.Op{{Put: record.PartKey(id), Value: record.Encode(record.Part{To: home})}},
+		})
+		c.log.Info("part handed home", "part", id, "to", home, "err", err)
+		c.rereadPart(id)
+	}()
+}
+
+func (c *Controller) leadStep(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	if c.lead == nil {
+		c.lead = &leading{
+			plan: fleet.NewLeader(fleet.Config{
+				Types: c.types, Zones: c.cfg.Params.Zones, Interval: balanceEvery, MoveAfter: moveAfter, TakeAfter: takeAfter,
+				IdleSpot: idleSpot, IdleOrdinary: idleOrdinary, Headroom: 1, Refused: refusedPause,
+			}),
+			rentals: map[string]record.Rental{}, fresh: map[string]time.Time{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
+		}
+		for label := range c.peers {
+			c.peerOK[label] = now // their time starts with the lead
+		}
+	}
+	l := c.lead
+	c.mu.Unlock()
+	if !l.resumed {
+		if err := c.resumeRentals(ctx, l); err != nil {
+			return
+		}
+		l.resumed = true
+	}
+	claims, hand, alone := c.owners(ctx, now)
+	if alone {
+		c.standAside(ctx)
+		return
+	}
+	sums := c.syncPeers(nil, claims, hand)
+
+	c.mu.Lock()
+	now = time.Now()
+	sums = append(sums, c.summaries(now)...)
+	c.complete(l, sums, now)
+	orders, rents := l.plan.Plan(sums, now)
+	byOwner := map[string][]fleet.Order{}
+	for _, o := range orders {
+		if p := c.parts[o.Part]; p != nil {
+			p.Order(o, now)
+			c.pump(p, now)
+			continue
+		}
+		owner := c.partRecs[o.Part].rec.Owner
+		byOwner[owner] = append(byOwner[owner], o)
+	}
+	for _, r := range rents {
+		c.rent(ctx, l, r)
+	}
+	c.mu.Unlock()
+	for owner, os := range byOwner {
+		if p := c.peers[owner]; p != nil {
+			go func() {
+				if err := p.Call("Sync", peer.SyncArgs{From: c.cfg.Label, Orders: os}, new(peer.SyncReply), syncTimeout); err != nil {
+					c.log.Debug("orders", "to", owner, "err", err)
+				}
+			}()
+		}
+	}
+	if now.After(l.nextList) {
+		l.nextList = now.Add(time.Duration(listFactor * float64(config.Seconds(c.cfg.Params.Cloud.ListLagS))))
+		go c.lookForStrangers(ctx, l)
+	}
+}
+
+// owners looks at who owns what: parts of owners that can't be reached are to
+// be claimed by somebody who can, parts away from a stable home go back.
+func (c *Controller) owners(ctx context.Context, now time.Time) (claims, hand map[string][]int, alone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	claims, hand = map[string][]int{}, map[string][]int{}
+	reach := []string{c.cfg.Label}
+	others := 0
+	for label := range c.members {
+		if label == c.cfg.Label {
+			continue
+		}
+		others++
+		if now.Sub(c.peerOK[label]) < standAside {
+			reach = append(reach, label)
+		}
+	}
+	owners := map[int]string{}
+	for id, r := range c.partRecs {
+		owners[id] = r.rec.Owner
+	}
+	heard := now.Sub(c.heardAny) < config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
+	if others > 0 && len(reach) == 1 && !heard {
+		return nil, nil, true
+	}
+	for id, r := range c.partRecs {
+		owner, home := r.rec.Owner, c.home(id)
+		_, lives := c.members[owner]
+		switch {
+		case owner == c.cfg.Label || !lives:
+		case now.Sub(c.peerOK[owner]) > unreachable && (len(reach) > 1 || heard):
+			to := fleet.Claimant(reach, owners, "")
+			if to == c.cfg.Label {
+				if !c.claiming[id] {
+					c.claim(ctx, id)
+				}
+			} else {
+				claims[to] = append(claims[to], id)
+			}
+			continue
+		}
+		if owner == home || !lives {
+			continue
+		}
+		if home == c.cfg.Label {
+			if now.Sub(c.lead.started) > homeStable {
+				hand[owner] = append(hand[owner], id)
+			}
+		} else if since, ok := c.peerSince[home]; ok && now.Sub(since) > homeStable && now.Sub(c.peerOK[home]) < 2*syncEvery+syncTimeout {
+			if owner == c.cfg.Label {
+				c.handHome(ctx, id)
+			} else {
+				hand[owner] = append(hand[owner], id)
+			}
+		}
+	}
+	return claims, hand, false
+}
+
+// standAside gives the lead up: nobody can be reached from here.
+func (c *Controller) standAside(ctx context.Context) {
+	c.mu.Lock()
+	version := c.leader.version
+	c.quietUntil = time.Now().Add(quietAfter)
+	c.lead = nil
+	c.mu.Unlock()
+	c.log.Info("standing aside as leader")
+	if _, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+		If: []wire.Cond{{Key: record.Leader, Version: version}}, Then: []wire.Op{{Delete: record.Leader}},
+	}); err != nil {
+		c.log.Info("give up lead", "err", err)
+	}
+}
+
+// complete adds to the summaries what is rented but not yet told by owners.
+func (c *Controller) complete(l *leading, sums []fleet.Summary, now time.Time) {
+	at := map[int]int{}
+	told := map[string]bool{}
+	for i, s := range sums {
+		at[s.Part] = i
+		for _, m := range s.Machines {
+			told[m.ID] = true
+		}
+	}
+	coming := func(id, typ, zone string, spot bool, part int) {
+		i, ok := at[part]
+		if !ok {
+			return
+		}
+		for _, t := range c.types {
+			if t.Name == typ {
+				sums[i].Machines = append(sums[i].Machines, fleet.Machine{
+					ID: id, Type: typ, Zone: zone, Spot: spot, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB,
+				})
+			}
+		}
+	}
+	for id, m := range c.machines {
+		l.known[id] = now
+		if !told[id] && m.rec.Phase == record.InUse {
+			coming(id, m.rec.Type, m.rec.Zone, m.rec.Spot, m.rec.Part)
+		}
+	}
+	for _, r := range l.rentals {
+		for range r.Count {
+			coming("", r.Type, r.Zone, r.Spot, r.Part)
+		}
+	}
+}
+
+// rent begins a rental. The lock is held.
+func (c *Controller) rent(ctx context.Context, l *leading, r fleet.Rent) {
+	l.seq++
+	name := fmt.Sprintf("%s-%d-%d", c.cfg.Label, c.leader.version, l.seq)
+	rec := record.Rental{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: min(r.Count, c.cfg.Params.State.TxnOps-1), Part: r.Part}
+	l.rentals[name] = rec
+	leader := c.leader.version
+	go func() {
+		// The record comes first, under the lead it was decided under: a name
+		// is never used again, and whoever leads next repeats the request.
+		rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+			If:   []wire.Cond{{Key: record.RentalPrefix + name}, {Key: record.Leader, Version: leader}},
+			Then: []wire.Op{{Put: record.RentalPrefix + name, Value: record.Encode(rec)}},
+		})
+		if err != nil {
+			// Perhaps written all the same: then the next leader finishes it.
+			c.dropRental(l, name)
+			return
+		}
+		c.finishRental(ctx, l, name, rec, rev)
+	}()
+}
+
+func (c *Controller) dropRental(l *leading, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(l.rentals, name)
+}
+
+func (c *Controller) finishRental(ctx context.Context, l *leading, name string, rec record.Rental, version uint64) {
+	defer c.dropRental(l, name)
+	key := record.RentalPrefix + name
+	cond := []wire.Cond{{Key: key, Version: version}}
+	for ctx.Err() == nil {
+		ids, err := c.cloud.Rent(ctx, wire.Rental{Request: name, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Count: rec.Count})
+		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+			c.log.Info("rental", "name", name, "err", err)
+			c.mu.Lock()
+			leads := c.lead == l
+			c.mu.Unlock()
+			if !leads {
+				return // the record stays for the next leader
+			}
+			sleep(ctx, jitter(time.Second))
+			continue
+		}
+		ops := []wire.Op{{Delete: key}}
+		now := time.Now()
+		if err != nil || len(ids) < rec.Count {
+			c.mu.Lock()
+			l.plan.Refused(fleet.Rent{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}, now)
+			c.mu.Unlock()
+		}
+		for _, id := range ids {
+			m := record.Machine{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Part: rec.Part, Born: now.UnixMilli()}
+			ops = append(ops, wire.Op{Put: record.MachineKey(id), Value: record.Encode(m)})
+		}
+		c.log.Info("rented", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "part", rec.Part, "asked", rec.Count, "got", len(ids))
+		for ctx.Err() == nil {
+			rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{If: cond, Then: ops})
+			var conflict *statestore.ConflictError
+			if err == nil {
+				for _, op := range ops[1:] {
+					c.changeMachine(wire.Change{Put: op.Put, Value: op.Value, Version: rev}, now)
+				}
+				return
+			}
+			if errors.As(err, &conflict) {
+				return // done by us with no answer, or by another leader
+			}
+			sleep(ctx, jitter(500*time.Millisecond))
+		}
+	}
+}
+
+// resumeRentals takes up what an earlier leader began.
+func (c *Controller) resumeRentals(ctx context.Context, l *leading) error {
+	entries, _, err := c.store.List(ctx, record.RentalPrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		var r record.Rental
+		if err := decode(e.Value, &r); err != nil {
+			c.log.Error("rental record", "key", e.Key, "err", err)
+			continue
+		}
+		name := record.Last(e.Key)
+		c.mu.Lock()
+		l.rentals[name] = r
+		c.mu.Unlock()
+		go c.finishRental(ctx, l, name, r, e.Version)
+	}
+	return nil
+}
+
+// lookForStrangers reads the cloud's list for machines that nobody recorded,
+// as a request executed late leaves them, and gives them back.
+func (c *Controller) lookForStrangers(ctx context.Context, l *leading) {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	list, err := c.cloud.List(ctx)
+	if err != nil {
+		c.log.Debug("machine list", "err", err)
+		return
+	}
+	c.mu.Lock()
+	var odd []string
+	for _, m := range list {
+		if _, ok := c.machines[m.ID]; ok {
+			delete(l.strange, m.ID)
+			continue
+		}
+		if _, ok := l.known[m.ID]; ok {
+			continue // ours until lately: the list lags
+		}
+		l.strange[m.ID]++
+		if l.strange[m.ID] >= 3 && len(odd) < 100 {
+			odd = append(odd, m.ID)
+		}
+	}
+	busy := len(l.rentals) > 0
+	c.mu.Unlock()
+	if len(odd) == 0 || busy {
+		return
+	}
+	if rentals, _, err := c.store.List(ctx, record.RentalPrefix); err != nil || len(rentals) > 0 {
+		return
+	}
+	machines, _, err := c.store.List(ctx, record.MachinePrefix)
+	if err != nil {
+		return
+	}
+	recorded := map[string]bool{}
+	for _, e := range machines {
+		recorded[record.Last(e.Key)] = true
+	}
+	var back []string
+	for _, id := range odd {
+		if !recorded[id] {
+			back = append(back, id)
+		}
+	}
+	if len(back) > 0 {
+		err := c.cloud.Return(ctx, back)
+		c.log.Info("unexpected machines returned", "machines", back, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/controller/workers.go
@@ -0,0 +1,146 @@
+package controller
+
+import (
+	"encoding/json"
+	"time"
+
+	"bramblespur/internal/config"
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/sched"
+	"bramblespur/internal/wire"
+)
+
+func (c *Controller) handleReport(req httpwire.Request, answer func(reply)) {
+	var r wire.Report
+	if err := json.Unmarshal(req.Body, &r); err != nil || r.Machine == "" {
+		answer(reply{status: 400})
+		return
+	}
+	c.mu.Lock()
+	now := time.Now()
+	c.heardAny = now
+	m, known := c.machines[r.Machine]
+	p := c.parts[m.rec.Part]
+	if known && p != nil {
+		rep := c.ownReport(p, &r, now)
+		c.mu.Unlock()
+		answer(rep)
+		return
+	}
+	part := c.partRecs[m.rec.Part]
+	owner := part.rec.Owner
+	peerc := c.peers[owner]
+	if !known || peerc == nil {
+		c.mu.Unlock()
+		answer(reply{status: 503, retryAfter: 1})
+		return
+	}
+	before, sent := c.redirected[r.Machine]
+	if !sent || before.label != owner || now.Sub(before.at) > config.Seconds(c.cfg.Params.Workers.LeaseS) {
+		c.redirected[r.Machine] = redirect{owner, now}
+		c.mu.Unlock()
+		answer(reply{status: 421, body: wire.Redirect{Label: owner}})
+		return
+	}
+	token := max(part.version, m.version)
+	c.mu.Unlock()
+	// It was sent to its owner and has come back: relay.
+	go func() {
+		var rr peer.ReportReply
+		if err := peerc.Call("Report", r, &rr, relayTimeout); err == nil && rr.Status != 0 {
+			switch rr.Status {
+			case 200:
+				answer(reply{status: 200, body: rr.Orders})
+			default:
+				answer(reply{status: rr.Status, retryAfter: 1})
+			}
+			return
+		}
+		answer(c.keepAlive(&r, token))
+	}()
+}
+
+// keepAlive answers for an owner that can't be reached from here, as when two
+// zones are cut off from each other: the same token is accepted from any
+// controller, so the worker's lease is renewed and its tasks live. No commands
+// are given. It ends early enough that a cancelled job's tasks, of which the
+// owner can't tell this worker, are gone by their leases in time.
+func (c *Controller) keepAlive(r *wire.Report, token uint64) reply {
+	w := c.cfg.Params.Workers
+	lease := config.Seconds(w.LeaseS)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if r.Token > token || !c.sure(now) || now.Sub(c.viewAt) > 2*watchWait {
+		return reply{status: 503, retryAfter: 1}
+	}
+	k := c.kept[r.Machine]
+	if now.Sub(k.last) > lease {
+		k.since = now
+	}
+	k.last = now
+	c.kept[r.Machine] = k
+	if now.Sub(k.since) > config.Seconds(w.CancelS)-lease-keepMargin {
+		return reply{status: 503, retryAfter: 1}
+	}
+	return reply{status: 200, body: wire.Orders{Token: token, Commands: []wire.Command{}}}
+}
+
+// keepMargin is what is left over between leases and cancellations.
+const keepMargin = 2 * time.Second
+
+type kept struct{ since, last time.Time }
+
+// ownReport answers a report of one of our machines. The lock is held.
+func (c *Controller) ownReport(p *sched.Part, r *wire.Report, now time.Time) reply {
+	if !c.mayAnswer(now) {
+		return reply{status: 503, retryAfter: 1}
+	}
+	orders, verdict := p.Report(r, false, now)
+	c.pump(p, now)
+	switch verdict {
+	case sched.Answered:
+		return reply{status: 200, body: orders}
+	case sched.Deposed:
+		// A 200 would be dropped by the worker while its lease runs out.
+		go c.rereadPart(p.ID())
+		return reply{status: 421, body: wire.Redirect{}}
+	}
+	return reply{status: 503, retryAfter: 1}
+}
+
+// mayAnswer reports whether leases may still be renewed. Without the state
+// service we do not hear of cancellations, so a worker's tasks must be able to
+// end by their lease in time, unless every other controller is as cut off and
+// can't have told a user anything.
+func (c *Controller) mayAnswer(now time.Time) bool {
+	w := c.cfg.Params.Workers
+	if now.Sub(c.jobsAt) < config.Seconds(w.CancelS-w.LeaseS)-keepMargin {
+		return true
+	}
+	for label := range c.peers {
+		if now.Sub(c.peerOK[label]) > 3*time.Second || now.Sub(c.peerState[label]) < 3*time.Second {
+			return false
+		}
+	}
+	return true
+}
+
+// Report implements peer.Handler: a report relayed by another controller.
+func (c *Controller) Report(r wire.Report) peer.ReportReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	m, known := c.machines[r.Machine]
+	p := c.parts[m.rec.Part]
+	if !known || p == nil {
+		return peer.ReportReply{Status: 503}
+	}
+	rep := c.ownReport(p, &r, now)
+	out := peer.ReportReply{Status: rep.status}
+	if o, ok := rep.body.(wire.Orders); ok {
+		out.Orders = o
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/leader.go
@@ -0,0 +1,365 @@
+package fleet
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// Config is what the leader's choices depend on.
+type Config struct {
+	Types []wire.MachineType
+	Zones []string
+	// Interval is DESIGN's interval of demand-led balancing.
+	Interval time.Duration
+	// MoveAfter and TakeAfter are how long work waits before a free machine,
+	// or one with lower work, is brought to it from another part at once.
+	MoveAfter time.Duration
+	TakeAfter time.Duration
+	// IdleSpot and IdleOrdinary are how long unused machines are kept.
+	IdleSpot     time.Duration
+	IdleOrdinary time.Duration
+	// Headroom is how many unused ordinary machines are kept whatever their age.
+	Headroom int
+	// Refused is the pause after the cloud had nothing of a kind.
+	Refused time.Duration
+}
+
+// Rent is a wish for new machines for a part.
+type Rent struct {
+	Part  int
+	Type  string
+	Zone  string
+	Spot  bool
+	Count int
+}
+
+// pool is what the cloud rents from.
+type pool struct {
+	typ, zone string
+	spot      bool
+}
+
+// Leader holds what the leader remembers between plans. A new leader starts
+// without memory and learns it again.
+type Leader struct {
+	cfg     Config
+	refused map[pool]time.Time
+	balance time.Time
+}
+
+// NewLeader returns a leader's memory.
+func NewLeader(cfg Config) *Leader {
+	return &Leader{cfg: cfg, refused: map[pool]time.Time{}}
+}
+
+// Refused takes in that the cloud had no capacity.
+func (l *Leader) Refused(r Rent, now time.Time) {
+	l.refused[pool{r.Type, r.Zone, r.Spot}] = now.Add(l.cfg.Refused)
+}
+
+// bin is a machine in the plan.
+type bin struct {
+	Machine
+	part  int
+	taken bool // promised to waiting work
+}
+
+func (b *bin) fits(n *Need) bool {
+	const slack = 1e-6
+	return (!b.Spot || n.Spot) && (n.Zone == "" || n.Zone == b.Zone) && (n.Types == nil || slices.Contains(n.Types, b.Type)) &&
+		n.CPUs <= b.CPUs+slack && n.GPUs <= b.GPUs+slack && n.MemoryGB <= b.MemoryGB+slack
+}
+
+func (b *bin) use(n *Need) {
+	b.CPUs -= n.CPUs
+	b.GPUs -= n.GPUs
+	b.MemoryGB -= n.MemoryGB
+	b.taken = true
+}
+
+type waiting struct {
+	Need
+	part int
+}
+
+// Plan decides from the parts' summaries. Machines already rented but not yet
+// in a summary must have been added to it, so that nothing is rented twice.
+func (l *Leader) Plan(sums []Summary, now time.Time) (orders []Order, rents []Rent) {
+	var bins []*bin
+	var needs []*waiting
+	for _, s := range sums {
+		for _, m := range s.Machines {
+			if !m.Leaving && (m.Usable || !m.Up) {
+				bins = append(bins, &bin{Machine: m, part: s.Part})
+			}
+		}
+		for _, n := range s.Needs {
+			needs = append(needs, &waiting{n, s.Part})
+		}
+	}
+	sort.SliceStable(needs, func(a, b int) bool {
+		if needs[a].Rank != needs[b].Rank {
+			return needs[a].Rank > needs[b].Rank
+		}
+		return needs[a].Waited > needs[b].Waited
+	})
+	due := !now.Before(l.balance)
+	if due {
+		l.balance = now.Add(l.cfg.Interval)
+	}
+	var fresh []*bin
+	for _, n := range needs {
+		own := filter(bins, func(b *bin) bool { return b.part == n.part })
+		if l.cover(n, own) {
+			continue
+		}
+		// Free machines of parts that have no use for them come first.
+		if due || n.Waited >= l.cfg.MoveAfter {
+			spare := filter(bins, func(b *bin) bool {
+				return b.part != n.part && b.Up && b.Usable && b.Tasks == 0 && !b.taken && !wanted(needs, b)
+			})
+			orders = append(orders, l.bring(n, own, spare, 0)...)
+		}
+		if n.Count == 0 {
+			continue
+		}
+		if n.Rank >= takingRank && n.Waited >= l.cfg.TakeAfter {
+			lower := filter(bins, func(b *bin) bool {
+				return b.part != n.part && b.Up && b.Usable && !b.taken && b.TopRank < n.Rank
+			})
+			for _, b := range lower { // emptied, the whole machine is there
+				if t := l.typ(b.Type); t != nil {
+					b.CPUs, b.GPUs, b.MemoryGB = t.CPUs, t.GPUs, t.MemoryGB
+				}
+			}
+			sort.SliceStable(lower, func(a, b int) bool { return lower[a].Tasks < lower[b].Tasks })
+			orders = append(orders, l.bring(n, own, lower, n.Rank)...)
+		}
+		l.rent(n, &fresh, now)
+	}
+	counts := map[Rent]int{}
+	for _, b := range fresh {
+		counts[Rent{Part: b.part, Type: b.Type, Zone: b.Zone, Spot: b.Spot}]++
+	}
+	for r, c := range counts {
+		r.Count = min(c, maxRental)
+		rents = append(rents, r)
+	}
+	sort.Slice(rents, func(a, b int) bool {
+		x, y := rents[a], rents[b]
+		if x.Part != y.Part {
+			return x.Part < y.Part
+		}
+		if x.Zone != y.Zone {
+			return x.Zone < y.Zone
+		}
+		return x.Type < y.Type || (x.Type == y.Type && x.Spot && !y.Spot)
+	})
+	return append(orders, l.returns(bins)...), rents
+}
+
+const (
+	// maxRental is the protocol's bound of one rental request.
+	maxRental = 50
+	// takingRank is the priority from which work of other parts gives way.
+	takingRank = 2
+)
+
+// wanted reports whether a machine's own part has work waiting that fits it.
+func wanted(needs []*waiting, b *bin) bool {
+	for _, n := range needs {
+		if n.part == b.part && n.Count > 0 && b.fits(&n.Need) {
+			return true
+		}
+	}
+	return false
+}
+
+func filter(bins []*bin, keep func(*bin) bool) []*bin {
+	var out []*bin
+	for _, b := range bins {
+		if keep(b) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// cover promises room on bins to a need and lowers its Count by what found
+// some; for a gang it is all in one go. It reports whether nothing is left.
+func (l *Leader) cover(n *waiting, bins []*bin) bool {
+	if got := l.assign(n, bins); got != nil {
+		for _, b := range got {
+			b.use(&n.Need)
+		}
+		n.Count -= len(got)
+	}
+	return n.Count == 0
+}
+
+// assign finds bins for as many of a need's tasks as possible, or for a gang
+// for all of them or none; one bin is named once for each task.
+func (l *Leader) assign(n *waiting, bins []*bin) []*bin {
+	zones := []string{""}
+	if n.OneZone {
+		zones = l.cfg.Zones
+	}
+	var best []*bin
+	for _, z := range zones {
+		var got []*bin
+		for _, b := range bins {
+			if z != "" && b.Zone != z {
+				continue
+			}
+			c := *b
+			for len(got) < n.Count && c.fits(&n.Need) {
+				got = append(got, b)
+				c.use(&n.Need)
+			}
+		}
+		if len(got) > len(best) {
+			best = got
+		}
+	}
+	if n.Gang && len(best) < n.Count {
+		return nil
+	}
+	return best
+}
+
+// bring orders machines of other parts to a need's part. A gang may be served
+// by its own part's machines and others' together.
+func (l *Leader) bring(n *waiting, own, others []*bin, below int) []Order {
+	got := l.assign(n, append(slices.Clone(own), others...))
+	var orders []Order
+	for _, b := range got {
+		b.use(&n.Need)
+		if b.part != n.part {
+			orders = append(orders, Order{Part: b.part, Machine: b.ID, To: n.part, Below: below})
+			b.part = n.part // what is left of it serves the same part
+		}
+	}
+	n.Count -= len(got)
+	return orders
+}
+
+func (l *Leader) typ(name string) *wire.MachineType {
+	for i := range l.cfg.Types {
+		if l.cfg.Types[i].Name == name {
+			return &l.cfg.Types[i]
+		}
+	}
+	return nil
+}
+
+// SetTypes takes in the cloud's current offer.
+func (l *Leader) SetTypes(t []wire.MachineType) { l.cfg.Types = t }
+
+// rent adds new machines for what is left of a need, cheapest kind first.
+func (l *Leader) rent(n *waiting, fresh *[]*bin, now time.Time) {
+	mine := filter(*fresh, func(b *bin) bool { return b.part == n.part })
+	if l.cover(n, mine) {
+		return
+	}
+	type offer struct {
+		pool
+		t     *wire.MachineType
+		price float64
+		have  int
+	}
+	var offers []offer
+	for i := range l.cfg.Types {
+		t := &l.cfg.Types[i]
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				p := pool{t.Name, z, spot}
+				b := &bin{Machine: Machine{Type: t.Name, Zone: z, Spot: spot, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}}
+				if !b.fits(&n.Need) || now.Before(l.refused[p]) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				have := 0
+				for _, f := range *fresh {
+					if f.Zone == z {
+						have++
+					}
+				}
+				offers = append(offers, offer{p, t, price, have})
+			}
+		}
+	}
+	sort.SliceStable(offers, func(a, b int) bool {
+		if offers[a].price != offers[b].price {
+			return offers[a].price < offers[b].price
+		}
+		return offers[a].have < offers[b].have
+	})
+	for i := 0; n.Count > 0 && len(offers) > 0; i++ {
+		o := offers[0]
+		if !n.OneZone {
+			// Spread over the zones of the cheapest kind.
+			same := 1
+			for same < len(offers) && offers[same].price == o.price {
+				same++
+			}
+			o = offers[i%same]
+		}
+		b := &bin{Machine: Machine{Type: o.typ, Zone: o.zone, Spot: o.spot, CPUs: o.t.CPUs, GPUs: o.t.GPUs, MemoryGB: o.t.MemoryGB}, part: n.part}
+		*fresh = append(*fresh, b)
+		for n.Count > 0 && b.fits(&n.Need) {
+			b.use(&n.Need)
+			n.Count--
+		}
+	}
+}
+
+// returns gives back machines unused for long, keeping the headroom.
+func (l *Leader) returns(bins []*bin) []Order {
+	var idle []*bin
+	for _, b := range bins {
+		if b.Up && b.Tasks == 0 && !b.taken {
+			idle = append(idle, b)
+		}
+	}
+	sort.SliceStable(idle, func(a, b int) bool { return idle[a].Idle < idle[b].Idle })
+	kept := 0
+	var orders []Order
+	for _, b := range idle {
+		limit := l.cfg.IdleOrdinary
+		if b.Spot {
+			limit = l.cfg.IdleSpot
+		} else if kept < l.cfg.Headroom {
+			kept++
+			continue
+		}
+		if b.Idle > limit {
+			orders = append(orders, Order{Part: b.part, Machine: b.ID, To: Back})
+		}
+	}
+	return orders
+}
+
+// Claimant says which live controller takes a part whose owner is gone: its
+// home if that lives, else the one with the fewest parts.
+func Claimant(live []string, owners map[int]string, home string) string {
+	if slices.Contains(live, home) {
+		return home
+	}
+	load := map[string]int{}
+	for _, o := range owners {
+		load[o]++
+	}
+	best := ""
+	for _, l := range live {
+		if best == "" || load[l] < load[best] || (load[l] == load[best] && l < best) {
+			best = l
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,59 @@
+// Package fleet is pure: the leader's choices over all parts. It says which
+// machines change parts, what is rented and what is given back, and who claims
+// the parts of a controller that is gone.
+package fleet
+
+import "time"
+
+// Need is work of one part that waits and fits on none of its machines now.
+type Need struct {
+	Job      string
+	CPUs     float64
+	GPUs     float64
+	MemoryGB float64
+	Types    []string // nil: any
+	Zone     string   // empty: any
+	Spot     bool     // may use spot machines
+	OneZone  bool
+	Gang     bool // all of Count or none
+	Count    int
+	Rank     int // priority
+	Waited   time.Duration
+}
+
+// Machine is a machine as its part's owner sees it.
+type Machine struct {
+	ID       string
+	Type     string
+	Zone     string
+	Spot     bool
+	Up       bool    // its worker was heard
+	Usable   bool    // new work may be placed on it
+	Leaving  bool    // being moved or returned
+	CPUs     float64 // free
+	GPUs     float64
+	MemoryGB float64
+	Tasks    int
+	TopRank  int // highest priority of its tasks
+	Idle     time.Duration
+	Age      time.Duration
+}
+
+// Summary is one part's state for the leader.
+type Summary struct {
+	Part     int
+	Needs    []Need
+	Machines []Machine
+}
+
+// Order tells a part's owner what to do with a machine.
+type Order struct {
+	Part    int
+	Machine string
+	To      int // the part it goes to, or Back
+	// Below lets tasks of lower priority be stopped to free the machine.
+	Below int
+}
+
+// Back, as an Order's To, gives the machine back to the cloud.
+const Back = -1
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,161 @@
+// Package peer is what controllers say to each other, over net/rpc.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/wire"
+)
+
+// SyncArgs goes from the leader to every controller: orders for its parts, and
+// parts that it should claim because their owner can't be reached.
+type SyncArgs struct {
+	From   string
+	Orders []fleet.Order
+	Claim  []int
+	// HandHome are parts to be handed to their home controllers.
+	HandHome []int
+}
+
+// SyncReply tells a controller's parts.
+type SyncReply struct {
+	Summaries []fleet.Summary
+	StateOK   bool // the sender has lately reached the state service
+}
+
+// NudgeArgs tells an owner that a job's records changed.
+type NudgeArgs struct {
+	Part int
+	Ref  string
+}
+
+// ReportReply answers a relayed report.
+type ReportReply struct {
+	Status int
+	Orders wire.Orders
+}
+
+// Handler carries out what peers ask.
+type Handler interface {
+	Sync(SyncArgs) SyncReply
+	Nudge(NudgeArgs)
+	Report(wire.Report) ReportReply
+	Status(ref string) (wire.Status, bool)
+}
+
+// Service is the net/rpc side of a Handler.
+type Service struct{ h Handler }
+
+// Sync serves Handler.Sync.
+func (s *Service) Sync(a SyncArgs, r *SyncReply) error {
+	*r = s.h.Sync(a)
+	return nil
+}
+
+// Nudge serves Handler.Nudge.
+func (s *Service) Nudge(a NudgeArgs, _ *struct{}) error {
+	s.h.Nudge(a)
+	return nil
+}
+
+// Report serves Handler.Report.
+func (s *Service) Report(a wire.Report, r *ReportReply) error {
+	*r = s.h.Report(a)
+	return nil
+}
+
+// ErrNotHere says that a controller does not hold a job.
+var ErrNotHere = errors.New("peer: job not held here")
+
+// Status serves Handler.Status.
+func (s *Service) Status(ref string, r *wire.Status) error {
+	st, ok := s.h.Status(ref)
+	if !ok {
+		return ErrNotHere
+	}
+	*r = st
+	return nil
+}
+
+// Serve answers peers until the listener fails.
+func Serve(l net.Listener, h Handler) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("Controller", &Service{h}); err != nil {
+		return fmt.Errorf("register peer service: %w", err)
+	}
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return fmt.Errorf("accept peer: %w", err)
+		}
+		go srv.ServeConn(c)
+	}
+}
+
+// ErrTimeout says that a peer did not answer in time.
+var ErrTimeout = errors.New("peer: no answer in time")
+
+// Client calls one peer over one connection, made again after a failure.
+type Client struct {
+	addr string
+	mu   sync.Mutex
+	c    *rpc.Client
+}
+
+// NewClient returns a client; it connects when it is first used.
+func NewClient(addr string) *Client { return &Client{addr: addr} }
+
+func (c *Client) conn(timeout time.Duration) (*rpc.Client, error) {
+	c.mu.Lock()
+	k := c.c
+	c.mu.Unlock()
+	if k != nil {
+		return k, nil
+	}
+	nc, err := net.DialTimeout("tcp4", c.addr, timeout)
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", c.addr, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.c != nil {
+		nc.Close()
+		return c.c, nil
+	}
+	c.c = rpc.NewClient(nc)
+	return c.c, nil
+}
+
+// Call calls a method of the peer's service. A peer that does not answer in
+// time loses its connection, which may hang in silence.
+func (c *Client) Call(method string, args, reply any, timeout time.Duration) error {
+	k, err := c.conn(timeout)
+	if err != nil {
+		return err
+	}
+	call := k.Go("Controller."+method, args, reply, make(chan *rpc.Call, 1))
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-t.C:
+		err = ErrTimeout
+	}
+	var answered rpc.ServerError
+	if err != nil && !errors.As(err, &answered) {
+		c.mu.Lock()
+		if c.c == k {
+			c.c = nil
+		}
+		c.mu.Unlock()
+		k.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sched/report.go
@@ -0,0 +1,279 @@
+package sched
+
+import (
+	"encoding/json"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+func unmarshal(b json.RawMessage, v any) error { return json.Unmarshal(b, v) }
+
+// Verdict says how to answer a report.
+type Verdict int
+
+// Verdicts of Report.
+const (
+	Answered Verdict = iota // 200 with the orders
+	Deposed                 // the worker has seen a higher token: not ours
+	NotMine                 // no such machine in this part
+)
+
+// Report takes in a worker's report and returns the answer. A direct report is
+// the answer to a command; it gets no orders.
+func (p *Part) Report(r *wire.Report, direct bool, now time.Time) (wire.Orders, Verdict) {
+	m := p.machines[r.Machine]
+	if m == nil {
+		return wire.Orders{}, NotMine
+	}
+	token := m.token(p)
+	if r.Token > token {
+		return wire.Orders{}, Deposed
+	}
+	orders := wire.Orders{Token: token, Commands: []wire.Command{}}
+	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		return orders, Answered // late: its news is old, its worker has gone on
+	}
+	m.session, m.seq = r.Session, r.Seq
+	m.heard = now
+	m.Addr = r.Addr
+	if !m.up {
+		m.up = true
+		p.changed = true
+	}
+	p.notice(m, r, now)
+	if r.Token < token {
+		// What is on the machine may still change by the hand of an earlier
+		// owner; the next report, under our token, is proof.
+		if !direct {
+			return orders, Answered
+		}
+		return orders, Answered
+	}
+	if !m.fenced {
+		m.fenced = true
+		p.changed = true
+	}
+	reported := make(map[key]*wire.ReportTask, len(r.Tasks))
+	for i := range r.Tasks {
+		rt := &r.Tasks[i]
+		ref, n, ok := SplitTask(rt.Task)
+		j := p.jobs[ref]
+		if !ok || j == nil || n >= len(j.tasks) {
+			orders.Commands = append(orders.Commands, p.stray(rt)...)
+			continue
+		}
+		k := key{j, n}
+		t := &j.tasks[n]
+		if t.state == placed && t.machine == m && t.attempt == rt.Attempt {
+			reported[k] = rt
+			continue
+		}
+		p.other(k, rt, m, now)
+		switch {
+		case rt.State != wire.Exited:
+			orders.Commands = append(orders.Commands, halt(rt.Task, rt.Attempt, 0))
+		case rt.Why != wire.Done || t.durable:
+			orders.Commands = append(orders.Commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
+		}
+	}
+	for k, t := range m.on {
+		rt := reported[k]
+		if rt == nil {
+			p.absent(k, t, m, now)
+			continue
+		}
+		p.present(k, t, rt, m, now)
+		if rt.State == wire.Exited && rt.Why != wire.Done {
+			// Its place is free already and its attempt is never started again.
+			orders.Commands = append(orders.Commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
+		}
+	}
+	if direct {
+		return orders, Answered
+	}
+	for k, t := range m.on {
+		orders.Commands = append(orders.Commands, p.commands(k, t, m, now)...)
+	}
+	if len(orders.Commands) > maxCommands {
+		orders.Commands = orders.Commands[:maxCommands]
+	}
+	return orders, Answered
+}
+
+// maxCommands keeps an answer's line well below 64 KiB; the rest goes with the
+// next report.
+const maxCommands = 300
+
+func halt(name string, attempt uint64, grace time.Duration) wire.Command {
+	g := grace.Seconds()
+	return wire.Command{Op: wire.Stop, Task: name, Attempt: attempt, GraceS: &g}
+}
+
+// stray answers a task of a job that this part does not hold: finished, or not
+// ours. A finished job's record says so for ever, so its tasks may be ended.
+func (p *Part) stray(rt *wire.ReportTask) []wire.Command {
+	if rt.State == wire.Exited {
+		return []wire.Command{{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt}}
+	}
+	return []wire.Command{halt(rt.Task, rt.Attempt, 0)}
+}
+
+// other takes in an attempt that is not the one in the ledger. Its completion
+// counts all the same: the result is kept.
+func (p *Part) other(k key, rt *wire.ReportTask, m *Machine, now time.Time) {
+	if rt.State == wire.Exited && rt.Why == wire.Done && k.job.tasks[k.i].state == idle {
+		p.complete(k, now)
+	}
+}
+
+func (p *Part) complete(k key, now time.Time) {
+	if k.job.spec.Kind == wire.Service {
+		return // a service has no end of its own
+	}
+	if k.job.spec.Kind != wire.Gang {
+		p.finish(k, now)
+		return
+	}
+	// A gang's tasks complete together: where one is done, all are. Their
+	// machines keep their places until they report so themselves.
+	for i := range k.job.tasks {
+		p.finish(key{k.job, i}, now)
+	}
+}
+
+func (p *Part) absent(k key, t *task, m *Machine, now time.Time) {
+	switch {
+	case !t.recorded || t.inTxn:
+		return // not told to the worker yet
+	case t.inherited || t.seen:
+		p.lose(k, now)
+	case t.stop:
+		// A start that was never seen, then a stop: this report is newer than
+		// the start's answer, so it was dropped and will not come back.
+		p.lose(k, now)
+	case t.sent && t.sentSess != m.session:
+		p.lose(k, now)
+	}
+	// Otherwise the start got lost on its way: commands repeats it.
+}
+
+func (p *Part) present(k key, t *task, rt *wire.ReportTask, m *Machine, now time.Time) {
+	j := k.job
+	t.seen = true
+	if rt.State == wire.Running && t.phase != wire.Running {
+		t.runSince = now
+	}
+	t.phase = rt.State
+	if rt.State == wire.Running || rt.State == wire.Gathering {
+		m.images[j.spec.Image] = now
+	}
+	if rt.State != wire.Exited {
+		return
+	}
+	switch rt.Why {
+	case wire.Done:
+		m.errors = 0
+		p.complete(k, now)
+		if t.state == placed { // a service's task that ended all the same
+			p.lose(k, now)
+		}
+		return
+	case wire.WhyError:
+		p.failed(j, m, now)
+	case wire.WhyUnknown:
+		j.hold = now.Add(p.backoff(j))
+	case wire.WhyNoRoom, wire.WhyBusy:
+		j.hold = now.Add(p.cfg.Report)
+	}
+	p.lose(k, now)
+}
+
+// failed takes in an error. Several on one machine put the blame on it, errors
+// of one job on several machines put it on the job, which then backs off and
+// burns no more machines.
+func (p *Part) failed(j *Job, m *Machine, now time.Time) {
+	if j.failedOn == nil {
+		j.failedOn = map[string]bool{}
+	}
+	j.failedOn[m.ID] = true
+	if len(j.failedOn) >= badJobMachines {
+		j.fails++
+		j.hold = now.Add(p.backoff(j))
+		return
+	}
+	m.errors++
+	if m.errors >= badMachineErrors {
+		m.drain = true
+	}
+}
+
+const (
+	// badJobMachines is on how many machines a job must fail to be at fault.
+	badJobMachines = 3
+	// badMachineErrors is how many errors in a row give a machine up.
+	badMachineErrors = 2
+	maxBackoff       = 60 * time.Second
+)
+
+func (p *Part) backoff(j *Job) time.Duration {
+	d := p.cfg.Report << min(j.fails, 6)
+	return min(d, maxBackoff)
+}
+
+// commands returns what a report's answer carries for a task in the ledger.
+func (p *Part) commands(k key, t *task, m *Machine, now time.Time) []wire.Command {
+	if !t.recorded {
+		return nil
+	}
+	if t.stop {
+		if t.phase == wire.Saving && t.grace > 0 {
+			return nil
+		}
+		return []wire.Command{halt(k.name(), t.attempt, t.grace)}
+	}
+	if t.seen || t.inherited || p.lost || k.job.cancelled || !k.job.wholeRecorded() {
+		return nil
+	}
+	t.sent, t.sentSeq, t.sentSess = true, m.seq, m.session
+	return []wire.Command{{Op: wire.Start, Task: k.name(), Attempt: t.attempt}}
+}
+
+// wholeRecorded reports whether all that must run together is recorded: a
+// gang's tasks start only when every one of them is.
+func (j *Job) wholeRecorded() bool {
+	if j.spec.Kind != wire.Gang {
+		return true
+	}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == idle || (t.state == placed && !t.recorded) {
+			return false
+		}
+	}
+	return true
+}
+
+// notice takes in that the cloud will take a machine back.
+func (p *Part) notice(m *Machine, r *wire.Report, now time.Time) {
+	if r.NoticeS == nil || !m.taken.IsZero() {
+		return
+	}
+	left := time.Duration(*r.NoticeS * float64(time.Second))
+	m.taken = now.Add(left)
+	m.drain = true
+	p.changed = true
+}
+
+// Fence returns the commands that make every machine answer under our token.
+func (p *Part) Fence(addr func(id string) string) []Direct {
+	var out []Direct
+	for _, m := range p.machines {
+		if m.fenced {
+			continue
+		}
+		if a := addr(m.ID); a != "" {
+			out = append(out, Direct{Machine: m.ID, Addr: a, Orders: wire.DirectOrders{Token: m.token(p), Session: m.session, Commands: []wire.Command{}}})
+		}
+	}
+	return out
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -263,3 +263,7 @@
 	Revision uint64   `json:"ring"`
 	Events   []Change `json:"news"`
 }
+
+// RequiredFields are the fields of a Spec that may be neither missing nor null.
+var RequiredFields = []string{"ref", "thicket", "keeper", "habit", "rank", "berries", "cores", "cards", "ram_gb",
+	"same_place", "scatter", "windfall", "seedling", "pull_gb", "ripen_s", "graft_s", "press_s"}
