--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+label = "c-0"
+zone = "z"
+public_addr = "127.0.0.1:1"
+cluster_listen = "127.0.0.1:2"
+unknown = 1
+[[seeds]]
+label = "c-1"
+zone = "z"
+peer_addr = "127.0.0.1:3"
+[outside]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[params]
+count = 2
+zones = ["z"]
+[[params.teams]]
+name = "a"
+gpus = 2.0
+gpus_max = 4.0
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 10.0
+gang_peer_s = 4.0
+cancel_s = 30.0
+[params.state]
+rps = 10.0
+write_rps = 10.0
+value_kb = 16.0
+txn_ops = 16
+[params.cloud]
+rps = 1.0
+[params.resources]
+memory_mb = 100.0
+max_sockets = 100
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Labels(); len(got) != 2 || got[0] != "c-0" {
+		t.Fatalf("labels %v", got)
+	}
+}
+
+// A refusal names the field at fault, in one line.
+func TestParseNamesTheField(t *testing.T) {
+	for _, c := range []struct{ old, new, field string }{
+		{`label = "c-0"`, ``, "label"},
+		{`state = "127.0.0.1:5"`, ``, "outside.state"},
+		{`lease_s = 10.0`, `lease_s = 0.5`, "lease_s"},
+		{`count = 2`, `count = 3`, "params.count"},
+		{`txn_ops = 16`, ``, "txn_ops"},
+		{`gpus_max = 4.0`, `gpus_max = 1.0`, "params.teams"},
+		{`label = "c-1"`, `label = "c-0"`, "seeds"},
+		{`rps = 1.0`, `rps = "x"`, "rps"},
+	} {
+		_, err := Parse(strings.Replace(good, c.old, c.new, 1))
+		if err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("without %q: err %v, want one naming %s", c.old, err, c.field)
+		}
+	}
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -188,7 +188,10 @@
 			rentals: map[string]record.Rental{}, fresh: map[string]time.Time{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
 		}
 		for label := range c.peers {
-			c.peerOK[label] = now // their time starts with the lead
+			// What was learned of others in an earlier lead is out of date;
+			// their time starts with this one.
+			c.peerOK[label] = now
+			delete(c.peerSince, label)
 		}
 	}
 	l := c.lead
--- /dev/null
+++ b/internal/fleet/leader_test.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+var testTypes = []wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, Price: 5, SpotPrice: 1, Zones: []string{"z1", "z2"}}}
+
+func newLeader() *Leader {
+	return NewLeader(Config{Types: testTypes, Zones: []string{"z1", "z2"}, Interval: 30 * time.Second, TakeAfter: 3 * time.Second,
+		IdleSpot: 40 * time.Second, IdleOrdinary: 30 * time.Second, Headroom: 1, Refused: 10 * time.Second})
+}
+
+func idleMachine(id, zone string, spot bool) Machine {
+	return Machine{ID: id, Type: "big", Zone: zone, Spot: spot, Up: true, Usable: true, CPUs: 16, GPUs: 2, MemoryGB: 64, Idle: time.Second}
+}
+
+func need(spot bool, count int, waited time.Duration) Need {
+	return Need{Job: "j", CPUs: 6, GPUs: 1, MemoryGB: 20, Spot: spot, Count: count, Rank: 1, Waited: waited}
+}
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func TestRentsWhatIsMissing(t *testing.T) {
+	l := newLeader()
+	_, rents := l.Plan([]Summary{{Part: 0, Needs: []Need{need(true, 5, 0)}}}, start)
+	n := 0
+	for _, r := range rents {
+		if !r.Spot {
+			t.Errorf("rented %+v, though spot would do", r)
+		}
+		n += r.Count
+	}
+	if n != 3 {
+		t.Fatalf("%d machines for 5 tasks of half a machine, want 3", n)
+	}
+	// What is booting counts.
+	booting := Machine{Type: "big", Zone: "z1", CPUs: 16, GPUs: 2, MemoryGB: 64}
+	if _, rents := l.Plan([]Summary{{Part: 0, Needs: []Need{need(true, 2, 0)}, Machines: []Machine{booting}}}, start); len(rents) != 0 {
+		t.Fatalf("rented %v with a machine on its way", rents)
+	}
+}
+
+func TestRefusedPoolIsLeftAlone(t *testing.T) {
+	l := newLeader()
+	l.Refused(Rent{Type: "big", Zone: "z1", Spot: true}, start)
+	l.Refused(Rent{Type: "big", Zone: "z2", Spot: true}, start)
+	_, rents := l.Plan([]Summary{{Part: 0, Needs: []Need{need(true, 1, 0)}}}, start.Add(time.Second))
+	if len(rents) != 1 || rents[0].Spot {
+		t.Fatalf("rents %v, want an ordinary machine", rents)
+	}
+}
+
+func TestFreeMachineMovesToDemand(t *testing.T) {
+	l := newLeader()
+	sums := []Summary{{Part: 0, Needs: []Need{need(false, 1, time.Second)}}, {Part: 1, Machines: []Machine{idleMachine("m", "z1", false)}}}
+	orders, rents := l.Plan(sums, start)
+	if len(rents) != 0 || len(orders) != 1 || orders[0] != (Order{Part: 1, Machine: "m", To: 0}) {
+		t.Fatalf("orders %v, rents %v", orders, rents)
+	}
+	// A part that needs it itself keeps it.
+	sums[1].Needs = []Need{need(false, 1, time.Second)}
+	sums[1].Needs[0].Rank = 0
+	orders, _ = l.Plan(sums, start.Add(time.Second))
+	for _, o := range orders {
+		if o.To == 0 {
+			t.Fatalf("took a machine its part waits for: %v", o)
+		}
+	}
+}
+
+func TestGangNeedsOneZone(t *testing.T) {
+	l := newLeader()
+	n := Need{Job: "g", CPUs: 14, GPUs: 2, MemoryGB: 50, OneZone: true, Gang: true, Count: 2, Rank: 2, Waited: time.Second}
+	sums := []Summary{{Part: 0, Needs: []Need{n}, Machines: []Machine{idleMachine("a", "z1", false), idleMachine("b", "z2", false)}}}
+	_, rents := l.Plan(sums, start)
+	zones := map[string]int{}
+	for _, r := range rents {
+		zones[r.Zone] += r.Count
+	}
+	if len(zones) != 1 {
+		t.Fatalf("rents %v, want one zone", rents)
+	}
+}
+
+func TestReturnsIdleButHeadroom(t *testing.T) {
+	l := newLeader()
+	a, b, c := idleMachine("a", "z1", false), idleMachine("b", "z1", false), idleMachine("c", "z1", true)
+	a.Idle, b.Idle, c.Idle = time.Hour, time.Hour+1, time.Second
+	orders, _ := l.Plan([]Summary{{Part: 0, Machines: []Machine{a, b, c}}}, start)
+	if len(orders) != 1 || orders[0] != (Order{Part: 0, Machine: "b", To: Back}) {
+		t.Fatalf("orders %v, want b back", orders)
+	}
+}
+
+func TestClaimant(t *testing.T) {
+	owners := map[int]string{0: "a", 1: "b", 2: "c"}
+	if got := Claimant([]string{"a", "b"}, owners, "c"); got != "a" {
+		t.Errorf("got %s", got)
+	}
+	if got := Claimant([]string{"a", "c"}, owners, "c"); got != "c" {
+		t.Errorf("home is live, got %s", got)
+	}
+	owners[2] = "a"
+	if got := Claimant([]string{"a", "b"}, owners, "c"); got != "b" {
+		t.Errorf("want the least loaded, got %s", got)
+	}
+}
--- /dev/null
+++ b/internal/fragment/fragment_test.go
@@ -0,0 +1,136 @@
+package fragment
+
+import (
+	"slices"
+	"testing"
+)
+
+// figure2 is the paper's Fig. 2: t1, an AND-split t2 into t3 and t4, their join
+// t5, and a choice between t6 and t7.
+func figure2(t *testing.T) *Net {
+	t.Helper()
+	n, err := NewNet([]Place{
+		{Out: []string{"t1"}},
+		{In: []string{"t1"}, Out: []string{"t2"}},
+		{In: []string{"t2"}, Out: []string{"t3"}},
+		{In: []string{"t2"}, Out: []string{"t4"}},
+		{In: []string{"t3"}, Out: []string{"t5"}},
+		{In: []string{"t4"}, Out: []string{"t5"}},
+		{In: []string{"t5"}, Out: []string{"t6", "t7"}},
+		{In: []string{"t6", "t7"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func jobs(f Fragment) []string {
+	var out []string
+	for j := range f.Jobs {
+		out = append(out, j)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// The join and all behind it travel in the first branch only (F3); the other
+// is cut off before it (F4).
+func TestOneBranchCarriesTheJoin(t *testing.T) {
+	p := Begin(figure2(t))
+	for _, j := range []string{"t1", "t2"} {
+		if !p.Finish(j, "") {
+			t.Fatalf("%s was not ready", j)
+		}
+	}
+	if len(p.pool) != 2 {
+		t.Fatalf("%d fragments after the split, want 2", len(p.pool))
+	}
+	if got := jobs(p.pool[0]); !slices.Equal(got, []string{"t3", "t5", "t6", "t7"}) {
+		t.Errorf("F3 holds %v", got)
+	}
+	if got := jobs(p.pool[1]); !slices.Equal(got, []string{"t4"}) {
+		t.Errorf("F4 holds %v", got)
+	}
+}
+
+func TestJoinWaitsForAllBranches(t *testing.T) {
+	for _, order := range [][]string{{"t3", "t4"}, {"t4", "t3"}} {
+		p := Begin(figure2(t))
+		p.Finish("t1", "")
+		p.Finish("t2", "")
+		p.Finish(order[0], "")
+		if got := p.Ready(); !slices.Equal(got, order[1:]) {
+			t.Fatalf("ready %v after %s, want only %s", got, order[0], order[1])
+		}
+		if p.Finish("t5", "") {
+			t.Fatal("join ran early")
+		}
+		p.Finish(order[1], "")
+		if got := p.Ready(); !slices.Equal(got, []string{"t5"}) {
+			t.Fatalf("ready %v after both branches", got)
+		}
+	}
+}
+
+func TestChoiceTakesOneBranch(t *testing.T) {
+	p := Begin(figure2(t))
+	for _, j := range []string{"t1", "t2", "t3", "t4"} {
+		p.Finish(j, "")
+	}
+	p.Finish("t5", "t7")
+	if got := p.Ready(); !slices.Equal(got, []string{"t7"}) {
+		t.Fatalf("ready %v, want the picked branch", got)
+	}
+	p.Finish("t7", "")
+	if !p.Over() {
+		t.Fatal("not over")
+	}
+	if p.Finish("t7", "") {
+		t.Fatal("a job finished twice")
+	}
+}
+
+// A split of three of which two meet early: the partial join is carried once.
+func TestPartialJoinIsCarriedOnce(t *testing.T) {
+	n, err := NewNet([]Place{
+		{Out: []string{"s"}},
+		{In: []string{"s"}, Out: []string{"a"}},
+		{In: []string{"s"}, Out: []string{"b"}},
+		{In: []string{"s"}, Out: []string{"c"}},
+		{In: []string{"a"}, Out: []string{"ab"}},
+		{In: []string{"b"}, Out: []string{"ab"}},
+		{In: []string{"ab"}, Out: []string{"end"}},
+		{In: []string{"c"}, Out: []string{"end"}},
+		{In: []string{"end"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := Begin(n)
+	ran := map[string]int{}
+	for range 10 {
+		for _, j := range p.Ready() {
+			ran[j]++
+			p.Finish(j, "")
+		}
+	}
+	for _, j := range []string{"s", "a", "b", "c", "ab", "end"} {
+		if ran[j] != 1 {
+			t.Errorf("%s ran %d times", j, ran[j])
+		}
+	}
+	if !p.Over() {
+		t.Error("not over")
+	}
+}
+
+func TestSingle(t *testing.T) {
+	p := Begin(Single("j"))
+	if got := p.Ready(); !slices.Equal(got, []string{"j"}) {
+		t.Fatalf("ready %v", got)
+	}
+	if p.Finish("j", ""); !p.Over() {
+		t.Fatal("not over")
+	}
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -381,6 +381,9 @@
 		if !allows(s, m) || !p.usable(m, now) || !roomFor(s, free(m).cpus, free(m).gpus, free(m).mem) {
 			continue
 		}
+		if j.failedOn[m.ID] && !j.atFault() {
+			continue
+		}
 		if m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT) {
 			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && o.rank >= j.rank {
 				continue
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -173,7 +173,7 @@
 	}
 	switch rt.Why {
 	case wire.Done:
-		m.errors = 0
+		m.failed = nil
 		p.complete(k, now)
 		if t.state == placed { // a service's task that ended all the same
 			p.lose(k, now)
@@ -189,31 +189,36 @@
 	p.lose(k, now)
 }
 
-// failed takes in an error. Several on one machine put the blame on it, errors
-// of one job on several machines put it on the job, which then backs off and
-// burns no more machines.
+// failed takes in an error. Errors of several jobs on one machine put the blame
+// on it; a job failing on several machines is at fault itself, backs off and
+// burns no more machines. Until that is settled a job avoids where it failed.
 func (p *Part) failed(j *Job, m *Machine, now time.Time) {
 	if j.failedOn == nil {
 		j.failedOn = map[string]bool{}
 	}
 	j.failedOn[m.ID] = true
-	if len(j.failedOn) >= badJobMachines {
+	if j.atFault() {
 		j.fails++
 		j.hold = now.Add(p.backoff(j))
 		return
 	}
-	m.errors++
-	if m.errors >= badMachineErrors {
+	if m.failed == nil {
+		m.failed = map[string]bool{}
+	}
+	m.failed[j.ref] = true
+	if len(m.failed) >= badMachineJobs {
 		m.drain = true
 	}
 }
 
+func (j *Job) atFault() bool { return len(j.failedOn) >= badJobMachines }
+
 const (
 	// badJobMachines is on how many machines a job must fail to be at fault.
 	badJobMachines = 3
-	// badMachineErrors is how many errors in a row give a machine up.
-	badMachineErrors = 2
-	maxBackoff       = 60 * time.Second
+	// badMachineJobs is how many jobs must fail in a row to give a machine up.
+	badMachineJobs = 2
+	maxBackoff     = 60 * time.Second
 )
 
 func (p *Part) backoff(j *Job) time.Duration {
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,661 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// rig plays one part against a scripted state service, cloud and workers.
+type rig struct {
+	t       *testing.T
+	clock   *testkit.Clock
+	state   *testkit.State
+	cloud   *testkit.Cloud
+	cfg     *Config
+	part    *Part
+	workers map[string]*testkit.Worker
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, clock: testkit.NewClock(), state: testkit.NewState(), cloud: &testkit.Cloud{}, workers: map[string]*testkit.Worker{}}
+	r.cfg = &Config{
+		Teams:  map[string]Team{"a": {Name: "a", GPUs: 2, MaxGPUs: 4}, "b": {Name: "b"}},
+		Types:  map[string]wire.MachineType{"big": {Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, BootS: 20, CacheGB: 50}},
+		Report: 2 * time.Second, Lease: 20 * time.Second, SilentAfter: 8 * time.Second, BootFactor: 3,
+		PreemptAfter: 2 * time.Second, TxnOps: 16, ChunkTasks: 8,
+		Urgency: func(s *wire.Spec, waited time.Duration) float64 { return -waited.Seconds() },
+	}
+	r.claim()
+	return r
+}
+
+// claim makes a new owner: a new token and only what the records hold.
+func (r *rig) claim() {
+	r.t.Helper()
+	e := r.state.Put(record.PartKey(0), record.Part{Owner: "x"})
+	r.part = New(r.cfg, 0, e.Version)
+	ctx := context.Background()
+	var lists [3][]wire.Entry
+	for i, prefix := range []string{record.MachinePrefix, record.OpenPrefix + "0/", record.RunPrefix + "0/"} {
+		l, _, err := r.state.List(ctx, prefix)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		lists[i] = l
+	}
+	if err := r.part.Load(lists[0], lists[1], lists[2], r.clock.Now()); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rig) machine(id, zone string, spot bool) *testkit.Worker {
+	e := r.state.Put(record.MachineKey(id), record.Machine{Type: "big", Zone: zone, Spot: spot, Born: r.clock.Now().UnixMilli()})
+	if err := r.part.SetMachine(e, r.clock.Now()); err != nil {
+		r.t.Fatal(err)
+	}
+	w := testkit.NewWorker(id, "big", zone, spot)
+	r.workers[id] = w
+	return w
+}
+
+func spec(ref, team, kind, priority string, tasks int, gpus float64) wire.Spec {
+	return wire.Spec{Ref: ref, Class: "c", Team: team, Kind: kind, Priority: priority, Tasks: tasks,
+		CPUs: 4, GPUs: gpus, MemoryGB: 10, Image: "img", ImageGB: 4, EstimateS: 60, CheckpointS: 10, SaveS: 2}
+}
+
+func (r *rig) submit(s wire.Spec) {
+	r.state.Put(record.JobKey(s.Ref), record.Job{State: wire.Pending})
+	e := r.state.Put(record.OpenKey(0, s.Ref), record.Open{Spec: s, At: r.clock.Now().UnixMilli()})
+	if err := r.part.SetJob(e, r.clock.Now()); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// cancel writes a cancellation as any controller does; tell brings it to the owner.
+func (r *rig) cancel(s wire.Spec) (tell func()) {
+	r.state.Put(record.JobKey(s.Ref), record.Job{State: wire.Cancelled})
+	e := r.state.Put(record.OpenKey(0, s.Ref), record.Open{Spec: s, Cancelled: true})
+	return func() {
+		if err := r.part.SetJob(e, r.clock.Now()); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+}
+
+// settle carries out all effects until there are none.
+func (r *rig) settle() {
+	ctx := context.Background()
+	for range 50 {
+		now := r.clock.Now()
+		eff := r.part.Step(now)
+		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadMachines)+len(eff.Return)+len(eff.Direct) == 0 {
+			return
+		}
+		for _, t := range eff.Txns {
+			rev, err := r.state.Txn(ctx, statestore.Urgent, t.Body)
+			var conflict *statestore.ConflictError
+			switch {
+			case err == nil:
+				r.part.Applied(t, rev, now)
+			case errors.As(err, &conflict):
+				r.part.Conflict(t, conflict.Keys, now)
+			case errors.Is(err, statestore.ErrRefused):
+				r.part.Refused(t, now)
+			default:
+				r.part.Unknown(t, now)
+			}
+		}
+		for _, ref := range eff.RereadJobs {
+			var open *wire.Entry
+			if e, err := r.state.Get(ctx, statestore.Urgent, record.OpenKey(0, ref)); err == nil {
+				open = &e
+			}
+			runs, _, _ := r.state.List(ctx, record.RunsOf(0, ref))
+			if err := r.part.JobRead(ref, open, runs, now); err != nil {
+				r.t.Fatal(err)
+			}
+		}
+		for _, id := range eff.RereadMachines {
+			var e *wire.Entry
+			if got, err := r.state.Get(ctx, statestore.Urgent, record.MachineKey(id)); err == nil {
+				e = &got
+			}
+			if err := r.part.MachineRead(id, e, now); err != nil {
+				r.t.Fatal(err)
+			}
+		}
+		for _, id := range eff.Return {
+			if err := r.cloud.Return(ctx, []string{id}); err != nil {
+				r.t.Fatal(err)
+			}
+			r.part.Returned(id, now)
+		}
+		for _, d := range eff.Direct {
+			w := r.workers[d.Machine]
+			if w == nil || w.Session != d.Orders.Session {
+				continue
+			}
+			w.Obey(wire.Orders{Token: d.Orders.Token, Commands: d.Orders.Commands})
+			rep := w.Report()
+			r.part.Report(&rep, true, now)
+		}
+	}
+	r.t.Fatal("effects never end")
+}
+
+// beat lets workers report once, and carries out what follows.
+func (r *rig) beat(ws ...*testkit.Worker) {
+	r.clock.Advance(r.cfg.Report)
+	if len(ws) == 0 {
+		for _, w := range r.workers {
+			ws = append(ws, w)
+		}
+	}
+	for _, w := range ws {
+		rep := w.Report()
+		o, v := r.part.Report(&rep, false, r.clock.Now())
+		if v == Answered {
+			w.Obey(o)
+		}
+	}
+	r.settle()
+}
+
+func (r *rig) beats(n int, ws ...*testkit.Worker) {
+	for range n {
+		r.beat(ws...)
+	}
+}
+
+// on returns where a task runs, asserting that it is in one place at most.
+func (r *rig) on(task string) string {
+	r.t.Helper()
+	at := ""
+	for id, w := range r.workers {
+		if t := w.Tasks[task]; t != nil && t.State != wire.Exited {
+			if at != "" {
+				r.t.Fatalf("%s runs on %s and on %s", task, at, id)
+			}
+			at = id
+		}
+	}
+	return at
+}
+
+func (r *rig) jobState(ref string) string {
+	e, err := r.state.Get(context.Background(), statestore.Urgent, record.JobKey(ref))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	j, err := decode[record.Job](e)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return j.State
+}
+
+func TestArrayRunsToItsEnd(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 3, 1))
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" || r.on("run-000001/1") != "m1" || r.on("run-000001/2") != "" {
+		t.Fatalf("want two tasks on the machine's two cards, got %v", w.Started)
+	}
+	w.End("run-000001/0", wire.Done)
+	w.End("run-000001/1", wire.Done)
+	r.beats(3)
+	if got := r.jobState("run-000001"); got != wire.Pending {
+		t.Fatalf("state %q with a task left", got)
+	}
+	w.End("run-000001/2", wire.Done)
+	r.beats(3)
+	if got := r.jobState("run-000001"); got != wire.Done {
+		t.Fatalf("state %q, want done", got)
+	}
+	if len(w.Tasks) != 0 {
+		t.Fatalf("not forgotten: %v", w.Tasks)
+	}
+}
+
+// A start goes out only after its record: nothing runs while the state service
+// refuses, and a start whose transaction failed is never sent.
+func TestNoStartWithoutRecord(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.state.Down = true
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(4)
+	if len(w.Started) != 0 {
+		t.Fatalf("started without a record: %v", w.Started)
+	}
+	r.state.Down = false
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started after the outage")
+	}
+}
+
+// A start given up for want of an answer must not be applied later.
+func TestLateTransactionStartsNothing(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.state.HoldTxns = 1
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle() // its start is held, given up, and placed anew
+	r.beats(3)
+	if got := r.state.Release(); len(got) != 1 || got[0] == nil {
+		t.Fatalf("a late start was still applied: %v", got)
+	}
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v, want one", w.Started)
+	}
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.state.LoseAnswers = 1
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	r.beats(2)
+	if !slices.Equal(w.Started, []string{"run-000001/0#1"}) {
+		t.Fatalf("starts %v, want the recorded first attempt", w.Started)
+	}
+	w.End("run-000001/0", wire.Done)
+	r.state.LoseAnswers = 1
+	r.beats(2)
+	if got := r.jobState("run-000001"); got != wire.Done {
+		t.Fatalf("state %q, want done", got)
+	}
+}
+
+// A new owner knows from the records what may run where, and starts nothing
+// twice even when the machine is silent for long.
+func TestTakeOverKeepsPlaces(t *testing.T) {
+	r := newRig(t)
+	w1 := r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started")
+	}
+	w2 := r.machine("m2", "z1", false)
+	r.claim()
+	r.beats(20, w2)
+	if len(w2.Started) != 0 {
+		t.Fatalf("started on a second machine: %v", w2.Started)
+	}
+	r.beats(2, w1)
+	if r.on("run-000001/0") != "m1" || len(w1.Started) != 1 {
+		t.Fatalf("task did not go on where it was: %v", w1.Started)
+	}
+}
+
+// Crash between record and command: the next owner sees that the task never
+// arrived, and starts it under a new attempt.
+func TestCrashBetweenRecordAndCommand(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	if len(w.Started) != 0 {
+		t.Fatal("started too early for this test")
+	}
+	r.claim()
+	r.beats(4)
+	if !slices.Equal(w.Started, []string{"run-000001/0#2"}) {
+		t.Fatalf("starts %v, want attempt 2 only", w.Started)
+	}
+}
+
+// The late answer of a deposed owner carries a lower token and does nothing;
+// its late write fails on the part's record.
+func TestDeposedOwnerDoesNothing(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	old := r.part
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	rep := w.Report()
+	late, _ := old.Report(&rep, false, r.clock.Now())
+	if len(late.Commands) == 0 {
+		t.Fatal("no start to be late")
+	}
+	r.claim()
+	r.beats(1)
+	if w.Obey(late) {
+		t.Fatal("the worker took an answer under the old token")
+	}
+	r.beats(3)
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v, want one", w.Started)
+	}
+	rep = w.Report()
+	if _, v := old.Report(&rep, false, r.clock.Now()); v != Deposed {
+		t.Fatalf("old owner's verdict %v, want Deposed", v)
+	}
+}
+
+// A cancellation that came while nobody owned the part: its record is read
+// before the placements are, and they must be stopped all the same.
+func TestCancelWhileUnowned(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	s := spec("run-000001", "b", wire.Service, "prod", 1, 1)
+	r.submit(s)
+	r.beats(3)
+	r.cancel(s)
+	r.claim()
+	r.beats(3)
+	if at := r.on(s.Ref + "/0"); at != "" {
+		t.Fatalf("still on %s", at)
+	}
+	r.beats(2)
+	if r.part.HasJob(s.Ref) {
+		t.Fatal("cancelled job never ends")
+	}
+}
+
+// A cancellation the owner has not heard of makes its start fail.
+func TestCancelRacesStart(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
+	r.submit(s)
+	r.cancel(s) // not told: the part is about to record a start
+	r.beats(4)
+	if len(w.Started) != 0 {
+		t.Fatalf("started after the cancellation: %v", w.Started)
+	}
+	if r.jobState(s.Ref) != wire.Cancelled {
+		t.Fatal("cancellation undone")
+	}
+}
+
+// Reports order by session and sequence: an old one proves nothing.
+func TestLateReportIsIgnored(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	empty := w.Report()
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	r.part.Report(&empty, false, r.clock.Now())
+	r.beats(3)
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v, want one", w.Started)
+	}
+}
+
+// A start whose answer was lost is repeated under the same attempt.
+func TestLostStartIsRepeated(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	rep := w.Report()
+	r.part.Report(&rep, false, r.clock.Now()) // the answer is lost
+	r.beats(2)
+	if !slices.Equal(w.Started, []string{"run-000001/0#1"}) {
+		t.Fatalf("starts %v", w.Started)
+	}
+}
+
+// An expired session proves its tasks gone.
+func TestNewSessionFreesTasks(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	w.Expire()
+	r.beats(3)
+	if !slices.Equal(w.Started, []string{"run-000001/0#1", "run-000001/0#2"}) {
+		t.Fatalf("starts %v, want a second attempt", w.Started)
+	}
+}
+
+// A silent machine is given back while others are heard, and only that frees
+// its tasks; when all are silent, none is.
+func TestSilentMachine(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	w2 := r.machine("m2", "z1", false)
+	r.beats(2)
+	r.clock.Advance(10 * time.Second)
+	r.settle()
+	if len(r.cloud.Returned) != 0 {
+		t.Fatalf("returned %v though all were silent", r.cloud.Returned)
+	}
+	r.beats(8, w2)
+	if !slices.Equal(r.cloud.Returned, []string{"m1"}) {
+		t.Fatalf("returned %v, want m1", r.cloud.Returned)
+	}
+	delete(r.workers, "m1")
+	r.beats(2)
+	if r.on("run-000001/0") != "m2" {
+		t.Fatal("not started again after the return")
+	}
+}
+
+// The team's limit counts tasks that can't be reached.
+func TestLimitCountsUnreachable(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.submit(spec("run-000001", "a", wire.Array, "normal", 4, 1))
+	r.beats(3)
+	w3 := r.machine("m3", "z2", false)
+	r.submit(spec("run-000002", "a", wire.Array, "prod", 2, 1))
+	r.beats(3, w3)
+	if len(w3.Started) != 0 {
+		t.Fatalf("over the limit: %v", w3.Started)
+	}
+}
+
+func TestGangStartsWhole(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	s.OneZone = true
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z2", false)
+	r.beats(4)
+	if r.on("run-000001/0") != "" || r.on("run-000001/1") != "" {
+		t.Fatal("gang started over two zones")
+	}
+	r.machine("m3", "z2", false)
+	r.beats(4)
+	a, b := r.on("run-000001/0"), r.on("run-000001/1")
+	if a == b || a == "m1" || b == "m1" || a == "" || b == "" {
+		t.Fatalf("gang on %q and %q, want m2 and m3", a, b)
+	}
+	// One machine's session ends: the whole attempt must go before the next.
+	lost := r.workers[a]
+	lost.Expire()
+	r.beats(5)
+	x, y := r.workers[a].Tasks["run-000001/0"], r.workers[b].Tasks["run-000001/1"]
+	if x == nil {
+		x, y = r.workers[b].Tasks["run-000001/0"], r.workers[a].Tasks["run-000001/1"]
+	}
+	if x == nil || y == nil || x.Attempt != 2 || y.Attempt != 2 {
+		t.Fatalf("want both tasks under attempt 2, got %+v and %+v", x, y)
+	}
+}
+
+// A gang is done when one of its tasks is: they complete together.
+func TestGangDoneTogether(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.beats(4)
+	w := r.workers[r.on("run-000001/0")]
+	w.End("run-000001/0", wire.Done)
+	r.beats(1, w)
+	if r.jobState(s.Ref) != wire.Done {
+		t.Fatal("gang not done")
+	}
+}
+
+func TestSpreadOverZones(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Service, "prod", 3, 1)
+	s.Spread = true
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.beats(4)
+	n := 0
+	for i := range 3 {
+		if r.on(fmt.Sprintf("run-000001/%d", i)) != "" {
+			n++
+		}
+	}
+	if n != 2 {
+		t.Fatalf("%d of 3 in one zone, want 2", n)
+	}
+}
+
+func TestKindsOfMachine(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", true)
+	zone := "z2"
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1) // no spot
+	z := spec("run-000002", "b", wire.Array, "normal", 1, 1)
+	z.Spot, z.Zone = true, &zone // wrong zone
+	r.submit(s)
+	r.submit(z)
+	r.beats(4)
+	if got := r.workers["m1"].Started; len(got) != 0 {
+		t.Fatalf("started %v on a machine that no job allows", got)
+	}
+}
+
+// Higher work takes the place of lower, which saves first.
+func TestPreemption(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
+	r.beats(3)
+	r.submit(spec("run-000002", "b", wire.Service, "prod", 1, 1))
+	r.beats(6)
+	if r.on("run-000002/0") != "m1" {
+		t.Fatalf("prod task waits: %v", w.Started)
+	}
+	if r.on("run-000001/0") != "" && r.on("run-000001/1") != "" {
+		t.Fatal("nothing gave way")
+	}
+	// Its equal does not.
+	r.submit(spec("run-000003", "b", wire.Service, "prod", 2, 1))
+	r.beats(6)
+	if r.on("run-000002/0") != "m1" {
+		t.Fatal("equal priority was preempted")
+	}
+}
+
+// Errors on one machine end it; errors of one job everywhere hold the job back.
+func TestErrorsFindTheirCause(t *testing.T) {
+	r := newRig(t)
+	for _, id := range []string{"m1", "m2", "m3", "m4", "m5"} {
+		r.machine(id, "z1", false)
+	}
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	for range 30 {
+		for _, w := range r.workers {
+			w.End("run-000001/0", wire.WhyError)
+		}
+		r.beat()
+	}
+	if len(r.cloud.Returned) > 0 {
+		t.Fatalf("a bad job burned machines: %v", r.cloud.Returned)
+	}
+	n := 0
+	for _, w := range r.workers {
+		n += len(w.Started)
+	}
+	if n > 12 {
+		t.Fatalf("%d tries of a job failing everywhere", n)
+	}
+	r = newRig(t)
+	bad := r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	for i := range 4 {
+		r.submit(spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 1, 1))
+	}
+	for range 8 {
+		for name := range bad.Tasks {
+			bad.End(name, wire.WhyError)
+		}
+		r.beat()
+	}
+	if !slices.Equal(r.cloud.Returned, []string{"m1"}) {
+		t.Fatalf("returned %v, want the faulty machine", r.cloud.Returned)
+	}
+}
+
+// Only an empty machine moves, and its record goes with conditions.
+func TestNoticeSavesAndReturns(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", true)
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
+	s.Spot = true
+	r.submit(s)
+	r.beats(3)
+	left := 10.0
+	w.Notice = &left
+	r.beats(4)
+	if len(w.Tasks) != 0 || !slices.Equal(r.cloud.Returned, []string{"m1"}) {
+		t.Fatalf("tasks %v, returned %v", w.Tasks, r.cloud.Returned)
+	}
+}
+
+// The order in which a team is served: a guarantee before borrowing.
+func TestGuaranteeGoesFirst(t *testing.T) {
+	r := newRig(t)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
+	r.submit(spec("run-000002", "a", wire.Array, "normal", 2, 1))
+	w := r.machine("m1", "z1", false)
+	r.beats(3)
+	if r.on("run-000002/0") == "" || r.on("run-000002/1") == "" {
+		t.Fatalf("guaranteed team waits: %v", w.Started)
+	}
+}
+
+// A job of many ranges ends in one piece and keeps to the limits of records.
+func TestLargeArray(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Array, "normal", 40, 0)
+	s.CPUs, s.MemoryGB = 1, 1
+	r.submit(s)
+	w := r.machine("m1", "z1", false)
+	for range 30 {
+		r.beat()
+		for name := range w.Tasks {
+			w.End(name, wire.Done)
+		}
+		if r.jobState(s.Ref) == wire.Done {
+			return
+		}
+	}
+	t.Fatal("never done")
+}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -136,8 +136,8 @@
 	on        map[key]*task
 	images    map[string]time.Time
 	idleSince time.Time
-	errors    int
-	moveTo    int // -1: stays
+	failed    map[string]bool // jobs that failed here in a row
+	moveTo    int             // -1: stays
 	drain     bool
 	txn       *Txn
 	unsure    bool
@@ -396,6 +396,11 @@
 		}
 		t := p.put(key{j, i}, m, pl.Attempt, now)
 		t.recorded, t.inherited = true, true
+		if j.cancelled {
+			// The cancellation came while nobody owned the part: its record
+			// was read before these placements were.
+			p.stop(key{j, i}, 0, now)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,321 @@
+// Package testkit holds scripted peers for tests: a clock, the state service,
+// the cloud and workers, all in memory and under the test's control.
+package testkit
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"bramblespur/internal/cloud"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// Clock is a clock that moves only when told.
+type Clock struct{ T time.Time }
+
+// NewClock returns a clock at a fixed time.
+func NewClock() *Clock { return &Clock{time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)} }
+
+// Now returns the clock's time.
+func (c *Clock) Now() time.Time { return c.T }
+
+// Advance moves the clock.
+func (c *Clock) Advance(d time.Duration) { c.T = c.T.Add(d) }
+
+// ErrLost is an answer that never came.
+var ErrLost = errors.New("testkit: no answer")
+
+// State is a state service in memory. It implements statestore.Store.
+type State struct {
+	mu      sync.Mutex
+	rev     uint64
+	leases  uint64
+	entries map[string]wire.Entry
+	log     []wire.Change
+	held    []wire.Txn
+
+	Down        bool // every request is refused
+	LoseAnswers int  // so many transactions are applied but not answered
+	HoldTxns    int  // so many transactions are neither applied nor answered, until Release
+}
+
+// NewState returns an empty state service.
+func NewState() *State { return &State{entries: map[string]wire.Entry{}, rev: 1} }
+
+var _ statestore.Store = (*State)(nil)
+
+// Get implements statestore.Store.
+func (s *State) Get(_ context.Context, _ statestore.Urgency, key string) (wire.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return wire.Entry{}, statestore.ErrRefused
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return e, statestore.ErrNotFound
+	}
+	return e, nil
+}
+
+// List implements statestore.Store.
+func (s *State) List(_ context.Context, prefix string) ([]wire.Entry, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return nil, 0, statestore.ErrRefused
+	}
+	var out []wire.Entry
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
+	return out, s.rev, nil
+}
+
+// Txn implements statestore.Store.
+func (s *State) Txn(_ context.Context, _ statestore.Urgency, t wire.Txn) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.Down:
+		return 0, statestore.ErrRefused
+	case s.HoldTxns > 0:
+		s.HoldTxns--
+		s.held = append(s.held, t)
+		return 0, ErrLost
+	}
+	rev, err := s.apply(t)
+	if err == nil && s.LoseAnswers > 0 {
+		s.LoseAnswers--
+		return 0, ErrLost
+	}
+	return rev, err
+}
+
+// Release carries out the held transactions and returns their outcomes.
+func (s *State) Release() []error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []error
+	for _, t := range s.held {
+		_, err := s.apply(t)
+		out = append(out, err)
+	}
+	s.held = nil
+	return out
+}
+
+func (s *State) apply(t wire.Txn) (uint64, error) {
+	var failed []string
+	for _, c := range t.If {
+		if s.entries[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return 0, &statestore.ConflictError{Keys: failed}
+	}
+	s.rev++
+	for _, op := range t.Then {
+		if op.Delete != "" {
+			delete(s.entries, op.Delete)
+			s.log = append(s.log, wire.Change{Delete: op.Delete, Version: s.rev})
+			continue
+		}
+		s.entries[op.Put] = wire.Entry{Key: op.Put, Value: op.Value, Version: s.rev, Lease: op.Lease}
+		s.log = append(s.log, wire.Change{Put: op.Put, Value: op.Value, Version: s.rev})
+	}
+	return s.rev, nil
+}
+
+// Put writes a key without conditions and returns its entry.
+func (s *State) Put(key string, v any) wire.Entry {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := s.apply(wire.Txn{Then: []wire.Op{{Put: key, Value: b}}}); err != nil {
+		panic(err)
+	}
+	return s.entries[key]
+}
+
+// Grant implements statestore.Store.
+func (s *State) Grant(context.Context, time.Duration) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return 0, statestore.ErrRefused
+	}
+	s.leases++
+	return s.leases, nil
+}
+
+// Renew implements statestore.Store.
+func (s *State) Renew(_ context.Context, lease uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return statestore.ErrRefused
+	}
+	if lease == 0 || lease > s.leases {
+		return statestore.ErrNoLease
+	}
+	return nil
+}
+
+// Watch implements statestore.Store; it answers at once with what is there.
+func (s *State) Watch(_ context.Context, prefix string, since uint64, _ time.Duration) (wire.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return wire.Changes{}, statestore.ErrRefused
+	}
+	ch := wire.Changes{Revision: s.rev}
+	for _, e := range s.log {
+		if e.Version > since && strings.HasPrefix(e.Put+e.Delete, prefix) {
+			ch.Events = append(ch.Events, e)
+		}
+	}
+	return ch, nil
+}
+
+// Cloud rents without limit, or as scripted. It implements cloud.API.
+type Cloud struct {
+	mu       sync.Mutex
+	n        int
+	Rentals  map[string][]string
+	Returned []string
+	Full     bool // no capacity
+	Offer    []wire.MachineType
+}
+
+var _ cloud.API = (*Cloud)(nil)
+
+// Types implements cloud.API.
+func (c *Cloud) Types(context.Context) ([]wire.MachineType, error) { return c.Offer, nil }
+
+// Rent implements cloud.API: a repeated name gives the same machines.
+func (c *Cloud) Rent(_ context.Context, r wire.Rental) ([]string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ids, ok := c.Rentals[r.Request]; ok {
+		return ids, nil
+	}
+	if c.Full {
+		return nil, cloud.ErrNoCapacity
+	}
+	var ids []string
+	for range r.Count {
+		c.n++
+		ids = append(ids, fmt.Sprintf("i-%06d", c.n))
+	}
+	if c.Rentals == nil {
+		c.Rentals = map[string][]string{}
+	}
+	c.Rentals[r.Request] = ids
+	return ids, nil
+}
+
+// Return implements cloud.API.
+func (c *Cloud) Return(_ context.Context, ids []string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Returned = append(c.Returned, ids...)
+	return nil
+}
+
+// List implements cloud.API.
+func (c *Cloud) List(context.Context) ([]wire.Listed, error) { return nil, nil }
+
+// WorkerTask is a task on a scripted worker.
+type WorkerTask struct {
+	Attempt uint64
+	State   string
+	Why     string
+	Saved   bool
+}
+
+// Worker keeps the protocol's rules of tokens, sessions and commands. What its
+// tasks do is the test's choice.
+type Worker struct {
+	ID, Type, Zone string
+	Spot           bool
+	Session, Seq   uint64
+	Token          uint64
+	Notice         *float64
+	Tasks          map[string]*WorkerTask
+	Started        []string // every start carried out, as task#attempt
+}
+
+// NewWorker returns an empty worker in its first session.
+func NewWorker(id, typ, zone string, spot bool) *Worker {
+	return &Worker{ID: id, Type: typ, Zone: zone, Spot: spot, Session: 1, Tasks: map[string]*WorkerTask{}}
+}
+
+// Report makes the next report.
+func (w *Worker) Report() wire.Report {
+	w.Seq++
+	r := wire.Report{
+		Machine: w.ID, Addr: "10.1.0.1:9000", Type: w.Type, Zone: w.Zone, Spot: w.Spot,
+		Session: w.Session, Seq: w.Seq, Token: w.Token, NoticeS: w.Notice,
+	}
+	for name, t := range w.Tasks {
+		r.Tasks = append(r.Tasks, wire.ReportTask{Task: name, Attempt: t.Attempt, State: t.State, Why: t.Why, Saved: t.Saved})
+	}
+	sort.Slice(r.Tasks, func(a, b int) bool { return r.Tasks[a].Task < r.Tasks[b].Task })
+	return r
+}
+
+// Obey carries out an answer, unless its token is too low.
+func (w *Worker) Obey(o wire.Orders) bool {
+	if o.Token < w.Token {
+		return false
+	}
+	w.Token = o.Token
+	for _, c := range o.Commands {
+		t := w.Tasks[c.Task]
+		switch c.Op {
+		case wire.Start:
+			if t != nil && t.Attempt == c.Attempt {
+				continue
+			}
+			w.Tasks[c.Task] = &WorkerTask{Attempt: c.Attempt, State: wire.Running}
+			w.Started = append(w.Started, fmt.Sprintf("%s#%d", c.Task, c.Attempt))
+		case wire.Stop:
+			if t != nil && t.Attempt == c.Attempt && t.State != wire.Exited {
+				t.State, t.Why, t.Saved = wire.Exited, wire.WhyStopped, c.GraceS != nil && *c.GraceS > 0
+			}
+		case wire.Forget:
+			if t != nil && t.Attempt == c.Attempt && t.State == wire.Exited {
+				delete(w.Tasks, c.Task)
+			}
+		}
+	}
+	return true
+}
+
+// End makes a task exit.
+func (w *Worker) End(task, why string) {
+	if t := w.Tasks[task]; t != nil {
+		t.State, t.Why = wire.Exited, why
+	}
+}
+
+// Expire ends the session: the lease ran out.
+func (w *Worker) Expire() {
+	w.Session++
+	w.Tasks = map[string]*WorkerTask{}
+}
