Answer reports where lease and cancellation are close; rebind at once

Seen with real processes on loopback: with a lease nearly as long as the time of a cancellation no report was answered at all, and a restarted controller could not take its address over while old connections lingered.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"bramblespur/internal/cloud"
 	"bramblespur/internal/config"
@@ -31,17 +30,18 @@
 
 // Defaults of the shell, each a compromise named here.
 const (
-	leaseTTL     = 4 * time.Second        // a dead controller's parts are free after this
-	tickEvery    = 200 * time.Millisecond // timers of the cores
-	watchWait    = 4 * time.Second        // how long a watch may be silent
-	watchPause   = 150 * time.Millisecond // changes this close together share one answer
-	syncEvery    = time.Second            // the leader asks every controller
-	syncTimeout  = 1500 * time.Millisecond
-	unreachable  = 6 * time.Second  // the leader has an unreachable owner's parts claimed
-	homeStable   = 20 * time.Second // a returned controller answers this long before its part goes home
-	listFactor   = 1.0              // the cloud's list is read once in this many of its lags
-	relayTimeout = 1200 * time.Millisecond
-	finalsKept   = 20000 // final states held in memory
+	leaseTTL      = 4 * time.Second        // a dead controller's parts are free after this
+	tickEvery     = 200 * time.Millisecond // timers of the cores
+	longestWatch  = 4 * time.Second        // how long a watch may be silent
+	shortestWatch = 500 * time.Millisecond
+	watchPause    = 150 * time.Millisecond // changes this close together share one answer
+	syncEvery     = time.Second            // the leader asks every controller
+	syncTimeout   = 1500 * time.Millisecond
+	unreachable   = 6 * time.Second  // the leader has an unreachable owner's parts claimed
+	homeStable    = 20 * time.Second // a returned controller answers this long before its part goes home
+	listFactor    = 1.0              // the cloud's list is read once in this many of its lags
+	relayTimeout  = 1200 * time.Millisecond
+	finalsKept    = 20000 // final states held in memory
 )
 
 // Controller is one process of the service.
@@ -96,14 +96,10 @@
 	n := float64(p.Count)
 	c := &Controller{
 		cfg: cfg, log: log,
-		store:    statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n, p.State.TxnOps),
-		cloud:    cloud.New(cfg.Outside.Cloud, p.Cloud.RPS/2),
-		peers:    map[string]*peer.Client{},
-		parts:    map[int]*sched.Part{},
-		claiming: map[int]bool{}, partRecs: map[int]versioned[record.Part]{}, machines: map[string]versioned[record.Machine]{},
-		members: map[string]record.Member{}, finals: map[string]string{}, redirected: map[string]redirect{}, kept: map[string]kept{},
-		peerOK: map[string]time.Time{}, peerSince: map[string]time.Time{}, peerState: map[string]time.Time{},
+		store: statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n, p.State.TxnOps),
+		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS/2),
 	}
+	c.init()
 	for _, q := range cfg.Peers {
 		c.peers[q.Label] = peer.NewClient(q.Addr)
 	}
@@ -123,7 +119,10 @@
 	srv := &server{handle: c.handle, log: log, maxConn: p.Resources.MaxSockets * 3 / 4, booted: make(chan struct{})}
 	go func() {
 		errs <- gnet.Run(srv, "tcp4://"+cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(16<<10),
-			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogLevel(logging.ErrorLevel))
+			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			// A restarted controller takes its address over at once, though
+			// connections of the one before still linger on it.
+			gnet.WithReuseAddr(true), gnet.WithLogger(gnetLog{log}))
 	}()
 	go c.leaseLoop(ctx)
 	go c.watchLoop(ctx, record.ClusterPrefix, c.resetCluster, c.changeCluster)
@@ -136,6 +135,21 @@
 	return fmt.Errorf("server: %w", <-errs)
 }
 
+func (c *Controller) init() {
+	c.peers = map[string]*peer.Client{}
+	c.parts = map[int]*sched.Part{}
+	c.claiming = map[int]bool{}
+	c.partRecs = map[int]versioned[record.Part]{}
+	c.machines = map[string]versioned[record.Machine]{}
+	c.members = map[string]record.Member{}
+	c.finals = map[string]string{}
+	c.redirected = map[string]redirect{}
+	c.kept = map[string]kept{}
+	c.peerOK = map[string]time.Time{}
+	c.peerSince = map[string]time.Time{}
+	c.peerState = map[string]time.Time{}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -224,7 +238,7 @@
 		reset(entries, at)
 		for ctx.Err() == nil {
 			at := time.Now()
-			ch, err := c.store.Watch(ctx, prefix, rev, watchWait)
+			ch, err := c.store.Watch(ctx, prefix, rev, c.watchWait())
 			if errors.Is(err, statestore.ErrTooOld) {
 				break
 			}
@@ -508,7 +522,7 @@
 			mine = true // a restart, or records read back after an outage
 		case !known && c.home(id) == c.cfg.Label:
 			mine = true
-		case !ownerLives && now.Sub(c.viewAt) < 2*watchWait && len(c.members) > 0:
+		case !ownerLives && now.Sub(c.viewAt) < 2*c.watchWait() && len(c.members) > 0:
 			home := c.home(id)
 			if !known && now.Sub(c.leaseAt) < leaseTTL && c.firstSeen(home, now) {
 				continue // it is probably about to start
--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,229 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"time"
+
+	"bramblespur/internal/config"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// newTest returns a controller on scripted peers, without loops or sockets.
+func newTest(t *testing.T, state *testkit.State) *Controller {
+	t.Helper()
+	cfg := &config.Settings{Label: "c-0", Params: config.Params{
+		Count: 1, Zones: []string{"z"}, Teams: []config.Team{{Name: "a", GPUsMax: 4}},
+		Workers: config.Workers{ReportS: 2, LeaseS: 20, CancelS: 40},
+		State:   config.State{ValueKB: 16, TxnOps: 16},
+	}}
+	c := &Controller{cfg: cfg, log: slog.New(slog.DiscardHandler), store: state, teams: []string{"a"}}
+	c.init()
+	c.setTypes([]wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, Zones: []string{"z"}}})
+	c.lease, c.leaseAt = 1, time.Now()
+	return c
+}
+
+func body(t *testing.T, change func(map[string]any)) []byte {
+	t.Helper()
+	m := map[string]any{}
+	text := `{"ref":"run-000412","thicket":"train","keeper":"a","habit":"batch","rank":"normal","berries":2,
+	 "cores":8.0,"cards":1.0,"ram_gb":16.0,"seedling":"img","pull_gb":6.2,"stocks":null,"patch":null,
+	 "same_place":false,"scatter":false,"windfall":true,"ripen_s":240.0,"graft_s":30.0,"press_s":4.0,"harvest_s":null}`
+	if err := json.Unmarshal([]byte(text), &m); err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(m)
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func set(k string, v any) func(map[string]any) { return func(m map[string]any) { m[k] = v } }
+
+func drop(k string) func(map[string]any) { return func(m map[string]any) { delete(m, k) } }
+
+func TestSubmissions(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	for name, x := range map[string]struct {
+		body []byte
+		want int
+	}{
+		"not JSON":        {[]byte("{"), 400},
+		"not an object":   {[]byte("[]"), 400},
+		"null":            {[]byte("null"), 400},
+		"field missing":   {body(t, drop("rank")), 400},
+		"field null":      {body(t, set("berries", nil)), 400},
+		"wrong type":      {body(t, set("cores", "8")), 400},
+		"unknown kind":    {body(t, set("habit", "x")), 400},
+		"bad id":          {body(t, set("ref", "job-1")), 400},
+		"no tasks":        {body(t, set("berries", 0)), 400},
+		"too many tasks":  {body(t, set("berries", 100001)), 400},
+		"negative amount": {body(t, set("cards", -1)), 400},
+		"unknown team":    {body(t, set("keeper", "zz")), 422},
+		"fits no machine": {body(t, set("cores", 17)), 422},
+		"unknown type":    {body(t, set("stocks", []string{"x"})), 422},
+		"above the limit": {body(t, func(m map[string]any) { m["habit"], m["berries"] = "ensemble", 5 }), 422},
+		"null may be missing": {body(t, func(m map[string]any) {
+			delete(m, "stocks")
+			m["ref"] = "run-000001"
+		}), 201},
+	} {
+		if got := c.submit(x.body); got.status != x.want {
+			t.Errorf("%s: status %d, want %d", name, got.status, x.want)
+		}
+	}
+	if got := c.submit(body(t, nil)); got.status != 201 {
+		t.Errorf("new: status %d, want 201", got.status)
+	}
+	if got := c.submit(body(t, nil)); got.status != 200 {
+		t.Errorf("repeat: status %d, want 200", got.status)
+	}
+	// A known job's repeat is never refused, whatever the settings say by now.
+	c.cfg.Params.Teams[0].GPUsMax = 0.5
+	if got := c.submit(body(t, nil)); got.status != 200 {
+		t.Errorf("repeat under new limits: status %d, want 200", got.status)
+	}
+}
+
+func TestSubmissionOutcomes(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	state.Down = true
+	if got := c.submit(body(t, nil)); got.status != 503 || got.retryAfter == 0 {
+		t.Fatalf("in an outage: %+v, want 503 with a time to come back", got)
+	}
+	state.Down = false
+	state.LoseAnswers = 1
+	if got := c.submit(body(t, nil)); got.status != 503 {
+		t.Fatalf("without the state service's answer: %+v, want 503", got)
+	}
+	if got := c.submit(body(t, nil)); got.status != 200 {
+		t.Fatalf("repeat: %+v, want 200", got)
+	}
+	c.leaseAt = time.Now().Add(-time.Minute)
+	if got := c.submit(body(t, set("ref", "run-000777"))); got.status != 503 {
+		t.Fatalf("long without the state service: %+v, want 503 at once", got)
+	}
+}
+
+func TestPollAndCancel(t *testing.T) {
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	if got := c.poll("run-000412"); got.status != 404 {
+		t.Fatalf("unknown job: %+v", got)
+	}
+	if got := c.cancel("run-000412"); got.status != 404 {
+		t.Fatalf("cancel of an unknown job: %+v", got)
+	}
+	c.submit(body(t, nil))
+	if got := other.poll("run-000412"); got.status != 200 || got.body.(wire.Status).State != wire.Pending {
+		t.Fatalf("accepted job elsewhere: %+v", got)
+	}
+	if got := c.cancel("run-000412"); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
+		t.Fatalf("cancel: %+v", got)
+	}
+	// No controller says anything older from now on.
+	if got := other.poll("run-000412"); got.body.(wire.Status).State != wire.Cancelled {
+		t.Fatalf("poll elsewhere after the cancellation: %+v", got)
+	}
+	if got := other.submit(body(t, nil)); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
+		t.Fatalf("repeat after the cancellation: %+v", got)
+	}
+	state.Down = true
+	if got := other.poll("run-000412"); got.status != 200 {
+		t.Fatalf("final states are kept: %+v", got)
+	}
+}
+
+// A done job stays done: its cancellation answers so and changes nothing.
+func TestCancelOfDone(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	state.Put(record.JobKey("run-000009"), record.Job{State: wire.Done, Tasks: 2})
+	if got := c.cancel("run-000009"); got.body.(wire.Brief).State != wire.Done {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// Leases may be renewed without news of cancellations only as long as they can
+// still run out in time; where lease and cancellation are close together that
+// must not come to nothing, or no report is ever answered.
+func TestBlindTime(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	for _, x := range []struct{ lease, cancel, most float64 }{{20, 40, 18}, {12, 32, 18}, {4, 5, 2}} {
+		c.cfg.Params.Workers.LeaseS, c.cfg.Params.Workers.CancelS = x.lease, x.cancel
+		got := c.blindFor()
+		if got > config.Seconds(x.most) || got < 2*c.watchWait() {
+			t.Errorf("lease %v, cancellation %v: blind for %v with a watch of %v", x.lease, x.cancel, got, c.watchWait())
+		}
+	}
+	now := time.Now()
+	c.peers["c-1"] = peer.NewClient("127.0.0.1:1")
+	c.jobsAt = now.Add(-time.Hour)
+	if c.mayAnswer(now) {
+		t.Error("renews leases though another controller may have told a user of a cancellation")
+	}
+	c.peerOK["c-1"] = now
+	if !c.mayAnswer(now) {
+		t.Error("lets leases run out though every controller is without the state service")
+	}
+}
+
+// A controller answers for an owner that can't be reached, under the same
+// token and without commands, and not for ever.
+func TestKeepAlive(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	c.viewAt = time.Now()
+	r := &wire.Report{Machine: "m"}
+	got := c.keepAlive(r, 7)
+	if o, ok := got.body.(wire.Orders); got.status != 200 || !ok || o.Token != 7 || len(o.Commands) != 0 {
+		t.Fatalf("got %+v", got)
+	}
+	k := c.kept["m"]
+	k.since = time.Now().Add(-time.Hour)
+	c.kept["m"] = k
+	if got := c.keepAlive(r, 7); got.status == 200 {
+		t.Fatal("keeps a lease alive for ever")
+	}
+	if got := c.keepAlive(&wire.Report{Machine: "n", Token: 9}, 7); got.status == 200 {
+		t.Fatal("answers a worker that has seen a higher token")
+	}
+}
+
+// A claim makes this controller the owner under a new token; a claim by
+// somebody else ends that.
+func TestClaimAndLoss(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.submit(body(t, nil))
+	if err := c.takeOver(context.Background(), 0, versioned[record.Part]{}, 1); err != nil {
+		t.Fatal(err)
+	}
+	p := c.parts[0]
+	if p == nil || !p.HasJob("run-000412") {
+		t.Fatal("part not loaded")
+	}
+	e := state.Put(record.PartKey(0), record.Part{Owner: "c-1"})
+	c.changeCluster(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	if c.parts[0] != nil {
+		t.Fatal("still owner after another's claim")
+	}
+	// A claim on an outdated view fails.
+	if err := c.takeOver(context.Background(), 0, versioned[record.Part]{}, 1); err == nil {
+		t.Fatal("claimed under a version that is gone")
+	}
+	if got, err := state.Get(context.Background(), statestore.Urgent, record.PartKey(0)); err != nil || got.Version != e.Version {
+		t.Fatalf("record %+v, %v", got, err)
+	}
+}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,7 @@
 	buf, _ := c.Peek(-1)
 	req, n, err := httpwire.ParseRequest(buf)
 	if err != nil {
+		s.log.Debug("malformed request", "from", c.RemoteAddr(), "err", err)
 		c.Write(httpwire.AppendResponse(nil, 400, nil, 0, true))
 		return gnet.Close
 	}
@@ -99,3 +101,12 @@
 	})
 	return gnet.None
 }
+
+// gnetLog brings gnet's own messages into the project's log.
+type gnetLog struct{ log *slog.Logger }
+
+func (g gnetLog) Debugf(format string, args ...any) { g.log.Debug(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Infof(format string, args ...any)  { g.log.Debug(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Warnf(format string, args ...any)  { g.log.Info(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Errorf(format string, args ...any) { g.log.Error(fmt.Sprintf(format, args...)) }
+func (g gnetLog) Fatalf(format string, args ...any) { g.log.Error(fmt.Sprintf(format, args...)) }
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -33,6 +33,7 @@
 	peerc := c.peers[owner]
 	if !known || peerc == nil {
 		c.mu.Unlock()
+		c.log.Debug("report not placed", "machine", r.Machine, "known", known, "owner", owner)
 		answer(reply{status: 503, retryAfter: 1})
 		return
 	}
@@ -67,12 +68,11 @@
 // are given. It ends early enough that a cancelled job's tasks, of which the
 // owner can't tell this worker, are gone by their leases in time.
 func (c *Controller) keepAlive(r *wire.Report, token uint64) reply {
-	w := c.cfg.Params.Workers
-	lease := config.Seconds(w.LeaseS)
+	lease := config.Seconds(c.cfg.Params.Workers.LeaseS)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if r.Token > token || !c.sure(now) || now.Sub(c.viewAt) > 2*watchWait {
+	if r.Token > token || !c.sure(now) || now.Sub(c.viewAt) > 2*c.watchWait() {
 		return reply{status: 503, retryAfter: 1}
 	}
 	k := c.kept[r.Machine]
@@ -81,14 +81,26 @@
 	}
 	k.last = now
 	c.kept[r.Machine] = k
-	if now.Sub(k.since) > config.Seconds(w.CancelS)-lease-keepMargin {
+	if now.Sub(k.since) > c.blindFor() {
 		return reply{status: 503, retryAfter: 1}
 	}
 	return reply{status: 200, body: wire.Orders{Token: token, Commands: []wire.Command{}}}
 }
 
-// keepMargin is what is left over between leases and cancellations.
-const keepMargin = 2 * time.Second
+// blindFor is how long leases may be renewed without hearing of cancellations:
+// a lease must still be able to run out before a cancellation's time is over.
+// Where the two are close together it is at least a few turns of the watch.
+func (c *Controller) blindFor() time.Duration {
+	spare := config.Seconds(c.cfg.Params.Workers.CancelS - c.cfg.Params.Workers.LeaseS)
+	return max(spare-min(spare/4, 2*time.Second), 3*c.watchWait())
+}
+
+// watchWait is how long a watch may be silent: short where cancellations must
+// be known soon.
+func (c *Controller) watchWait() time.Duration {
+	spare := config.Seconds(c.cfg.Params.Workers.CancelS - c.cfg.Params.Workers.LeaseS)
+	return max(min(spare/4, longestWatch), shortestWatch)
+}
 
 type kept struct{ since, last time.Time }
 
@@ -115,8 +127,7 @@
 // end by their lease in time, unless every other controller is as cut off and
 // can't have told a user anything.
 func (c *Controller) mayAnswer(now time.Time) bool {
-	w := c.cfg.Params.Workers
-	if now.Sub(c.jobsAt) < config.Seconds(w.CancelS-w.LeaseS)-keepMargin {
+	if now.Sub(c.jobsAt) < c.blindFor() {
 		return true
 	}
 	for label := range c.peers {
