--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -97,7 +97,7 @@
 	c := &Controller{
 		cfg: cfg, log: log,
 		store: statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n, p.State.TxnOps),
-		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS/2),
+		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*cloudShare),
 	}
 	c.init()
 	for _, q := range cfg.Peers {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -24,6 +24,7 @@
 	idleSpot     = 45 * time.Second
 	idleOrdinary = 30 * time.Second
 	refusedPause = 8 * time.Second
+	cloudShare   = 0.6              // of the cloud's calls: the leader rents, the others only return
 	standAside   = 4 * time.Second  // a leader that reaches nobody gives up after this
 	quietAfter   = 15 * time.Second // and does not lead for this long
 )
@@ -214,6 +215,12 @@
 	sums = append(sums, c.summaries(now)...)
 	c.complete(l, sums, now)
 	orders, rents := l.plan.Plan(sums, now)
+	for _, s := range sums {
+		c.log.Debug("plan", "part", s.Part, "state", s, "rentals", len(l.rentals))
+	}
+	if len(orders) > 0 {
+		c.log.Debug("orders", "orders", orders)
+	}
 	byOwner := map[string][]fleet.Order{}
 	for _, o := range orders {
 		if p := c.parts[o.Part]; p != nil {
@@ -347,8 +354,8 @@
 		}
 	}
 	for _, r := range l.rentals {
-		for range r.Count {
-			coming("", r.Type, r.Zone, r.Spot, r.Part)
+		for _, part := range r.Parts {
+			coming("", r.Type, r.Zone, r.Spot, part)
 		}
 	}
 }
@@ -357,7 +364,10 @@
 func (c *Controller) rent(ctx context.Context, l *leading, r fleet.Rent) {
 	l.seq++
 	name := fmt.Sprintf("%s-%d-%d", c.cfg.Label, c.leader.version, l.seq)
-	rec := record.Rental{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: min(r.Count, c.cfg.Params.State.TxnOps-1), Part: r.Part}
+	rec := record.Rental{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Parts: r.Parts}
+	if most := c.cfg.Params.State.TxnOps - 1; len(rec.Parts) > most {
+		rec.Parts = rec.Parts[:most] // one transaction records them; the rest is asked for next
+	}
 	l.rentals[name] = rec
 	leader := c.leader.version
 	go func() {
@@ -387,7 +397,7 @@
 	key := record.RentalPrefix + name
 	cond := []wire.Cond{{Key: key, Version: version}}
 	for ctx.Err() == nil {
-		ids, err := c.cloud.Rent(ctx, wire.Rental{Request: name, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Count: rec.Count})
+		ids, err := c.cloud.Rent(ctx, wire.Rental{Request: name, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Count: len(rec.Parts)})
 		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
 			c.log.Info("rental", "name", name, "err", err)
 			c.mu.Lock()
@@ -401,16 +411,19 @@
 		}
 		ops := []wire.Op{{Delete: key}}
 		now := time.Now()
-		if err != nil || len(ids) < rec.Count {
-			c.mu.Lock()
-			l.plan.Refused(fleet.Rent{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}, now)
-			c.mu.Unlock()
+		pool := fleet.Rent{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
+		c.mu.Lock()
+		if err != nil || len(ids) < len(rec.Parts) {
+			l.plan.Refused(pool, now)
+		} else {
+			l.plan.Granted(pool)
 		}
-		for _, id := range ids {
-			m := record.Machine{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Part: rec.Part, Born: now.UnixMilli()}
+		c.mu.Unlock()
+		for i, id := range ids[:min(len(ids), len(rec.Parts))] {
+			m := record.Machine{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Part: rec.Parts[i], Born: now.UnixMilli()}
 			ops = append(ops, wire.Op{Put: record.MachineKey(id), Value: record.Encode(m)})
 		}
-		c.log.Info("rented", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "part", rec.Part, "asked", rec.Count, "got", len(ids))
+		c.log.Info("rented", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "parts", rec.Parts, "got", len(ids))
 		for ctx.Err() == nil {
 			rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{If: cond, Then: ops})
 			var conflict *statestore.ConflictError
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -27,13 +27,13 @@
 	Refused time.Duration
 }
 
-// Rent is a wish for new machines for a part.
+// Rent is a wish for new machines of one kind, one for each of Parts. Parts
+// share a request, since the cloud's calls are few.
 type Rent struct {
-	Part  int
 	Type  string
 	Zone  string
 	Spot  bool
-	Count int
+	Parts []int
 }
 
 // pool is what the cloud rents from.
@@ -46,20 +46,35 @@
 // without memory and learns it again.
 type Leader struct {
 	cfg     Config
-	refused map[pool]time.Time
+	refused map[pool]refusal
 	balance time.Time
 }
 
 // NewLeader returns a leader's memory.
 func NewLeader(cfg Config) *Leader {
-	return &Leader{cfg: cfg, refused: map[pool]time.Time{}}
+	return &Leader{cfg: cfg, refused: map[pool]refusal{}}
 }
 
-// Refused takes in that the cloud had no capacity.
+// refusal is how long a pool is left alone, and the pause that led to it.
+type refusal struct {
+	until time.Time
+	pause time.Duration
+}
+
+// Refused takes in that the cloud had no capacity: the pool is left alone for
+// longer each time, as a call to it costs one that could succeed elsewhere.
 func (l *Leader) Refused(r Rent, now time.Time) {
-	l.refused[pool{r.Type, r.Zone, r.Spot}] = now.Add(l.cfg.Refused)
+	p := pool{r.Type, r.Zone, r.Spot}
+	pause := min(max(2*l.refused[p].pause, l.cfg.Refused), maxRefused*l.cfg.Refused)
+	l.refused[p] = refusal{now.Add(pause), pause}
 }
 
+// Granted takes in that a pool had machines.
+func (l *Leader) Granted(r Rent) { delete(l.refused, pool{r.Type, r.Zone, r.Spot}) }
+
+// maxRefused bounds the pause, in first pauses.
+const maxRefused = 4
+
 // bin is a machine in the plan.
 type bin struct {
 	Machine
@@ -140,24 +155,17 @@
 		}
 		l.rent(n, &fresh, now)
 	}
-	counts := map[Rent]int{}
+	at := map[pool]int{}
 	for _, b := range fresh {
-		counts[Rent{Part: b.part, Type: b.Type, Zone: b.Zone, Spot: b.Spot}]++
-	}
-	for r, c := range counts {
-		r.Count = min(c, maxRental)
-		rents = append(rents, r)
-	}
-	sort.Slice(rents, func(a, b int) bool {
-		x, y := rents[a], rents[b]
-		if x.Part != y.Part {
-			return x.Part < y.Part
-		}
-		if x.Zone != y.Zone {
-			return x.Zone < y.Zone
+		p := pool{b.Type, b.Zone, b.Spot}
+		i, ok := at[p]
+		if !ok || len(rents[i].Parts) == maxRental {
+			i = len(rents)
+			at[p] = i
+			rents = append(rents, Rent{Type: b.Type, Zone: b.Zone, Spot: b.Spot})
 		}
-		return x.Type < y.Type || (x.Type == y.Type && x.Spot && !y.Spot)
-	})
+		rents[i].Parts = append(rents[i].Parts, b.part)
+	}
 	return append(orders, l.returns(bins)...), rents
 }
 
@@ -277,7 +285,7 @@
 			for _, spot := range []bool{true, false} {
 				p := pool{t.Name, z, spot}
 				b := &bin{Machine: Machine{Type: t.Name, Zone: z, Spot: spot, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}}
-				if !b.fits(&n.Need) || now.Before(l.refused[p]) {
+				if !b.fits(&n.Need) || now.Before(l.refused[p].until) {
 					continue
 				}
 				price := t.Price
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -32,7 +32,7 @@
 		if !r.Spot {
 			t.Errorf("rented %+v, though spot would do", r)
 		}
-		n += r.Count
+		n += len(r.Parts)
 	}
 	if n != 3 {
 		t.Fatalf("%d machines for 5 tasks of half a machine, want 3", n)
@@ -79,7 +79,7 @@
 	_, rents := l.Plan(sums, start)
 	zones := map[string]int{}
 	for _, r := range rents {
-		zones[r.Zone] += r.Count
+		zones[r.Zone] += len(r.Parts)
 	}
 	if len(zones) != 1 {
 		t.Fatalf("rents %v, want one zone", rents)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -3,7 +3,10 @@
 // the parts of a controller that is gone.
 package fleet
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Need is work of one part that waits and fits on none of its machines now.
 type Need struct {
@@ -46,6 +49,34 @@
 	Machines []Machine
 }
 
+// String is a summary in short, for the log.
+func (s Summary) String() string {
+	var up, spot, idle, leaving int
+	var free float64
+	for _, m := range s.Machines {
+		if m.Up {
+			up++
+		}
+		if m.Spot {
+			spot++
+		}
+		if m.Leaving {
+			leaving++
+		}
+		if m.Up && m.Usable {
+			free += m.GPUs
+			if m.Tasks == 0 {
+				idle++
+			}
+		}
+	}
+	out := fmt.Sprintf("machines=%d up=%d spot=%d idle=%d leaving=%d freegpus=%g", len(s.Machines), up, spot, idle, leaving, free)
+	for _, n := range s.Needs {
+		out += fmt.Sprintf(" [%s rank=%d n=%d gpus=%g spot=%t waited=%.0fs]", n.Job, n.Rank, n.Count, n.GPUs, n.Spot, n.Waited.Seconds())
+	}
+	return out
+}
+
 // Order tells a part's owner what to do with a machine.
 type Order struct {
 	Part    int
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -98,8 +98,7 @@
 	Type  string `json:"type"`
 	Zone  string `json:"zone"`
 	Spot  bool   `json:"spot,omitempty"`
-	Count int    `json:"count"`
-	Part  int    `json:"part"`
+	Parts []int  `json:"parts"` // whom each machine is for
 }
 
 // Open is an unfinished job.
