--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -77,6 +77,7 @@
 	lead       *leading
 	quietUntil time.Time // not to lead before
 	started    time.Time
+	deaf       bool // as the member record says
 	kept       map[string]kept
 }
 
@@ -210,7 +211,10 @@
 		inc = lease // leases are never given twice, so neither are incarnations
 	}
 	key := record.MemberPrefix + c.cfg.Label
-	put := wire.Op{Put: key, Value: record.Encode(record.Member{Inc: inc}), Lease: lease}
+	c.mu.Lock()
+	deaf := c.deaf
+	c.mu.Unlock()
+	put := wire.Op{Put: key, Value: record.Encode(record.Member{Inc: inc, Deaf: deaf}), Lease: lease}
 	if _, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{Then: []wire.Op{put}}); err != nil {
 		return err
 	}
@@ -474,7 +478,9 @@
 	for sleep(ctx, tickEvery) {
 		now := time.Now()
 		c.mu.Lock()
+		cut := c.cutZones(now)
 		for _, p := range c.parts {
+			p.SetCut(cut)
 			c.pump(p, now)
 		}
 		c.considerClaims(ctx, now)
@@ -487,6 +493,28 @@
 	}
 }
 
+// reachable reports whether another controller answered lately.
+func (c *Controller) reachable(label string, now time.Time) bool {
+	return now.Sub(c.peerOK[label]) < unreachable
+}
+
+// cutZones returns the zones of which no controller can be reached: their
+// machines may be silent for us alone.
+func (c *Controller) cutZones(now time.Time) map[string]bool {
+	cut := map[string]bool{}
+	for _, p := range c.cfg.Peers {
+		if p.Zone != c.cfg.Zone {
+			if _, ok := cut[p.Zone]; !ok {
+				cut[p.Zone] = true
+			}
+			if c.reachable(p.Label, now) {
+				cut[p.Zone] = false
+			}
+		}
+	}
+	return cut
+}
+
 func (c *Controller) home(part int) string { return c.cfg.Labels()[part%c.cfg.Params.Count] }
 
 func (c *Controller) live() []string {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -24,8 +24,10 @@
 	idleSpot     = 45 * time.Second
 	idleOrdinary = 30 * time.Second
 	refusedPause = 8 * time.Second
-	cloudShare   = 0.6              // of the cloud's calls: the leader rents, the others only return
-	standAside   = 4 * time.Second  // a leader that reaches nobody gives up after this
+	cloudShare   = 0.6             // of the cloud's calls: the leader rents, the others only return
+	standAside   = 4 * time.Second // a leader that reaches nobody gives up after this
+	deafAfter    = 4 * time.Second // without an answer from any controller
+	pingTimeout  = 900 * time.Millisecond
 	quietAfter   = 15 * time.Second // and does not lead for this long
 )
 
@@ -66,12 +68,80 @@
 			c.leadStep(ctx)
 		case stand:
 			c.stand(ctx, cur)
-		case !sure:
-			c.syncPeers(nil, nil, nil) // to learn whether they reach the state service
 		}
+		if !leads {
+			c.pingPeers()
+		}
+		c.listen(ctx)
+	}
+}
+
+// pingPeers learns which controllers answer, and whether they reach the state
+// service.
+func (c *Controller) pingPeers() {
+	var wg sync.WaitGroup
+	for label, p := range c.peers {
+		wg.Go(func() {
+			var ok bool
+			err := p.Call("Ping", c.cfg.Label, &ok, pingTimeout)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.answered(label, err == nil, ok)
+		})
+	}
+	wg.Wait()
+}
+
+// answered takes in whether another controller answered. The lock is held.
+func (c *Controller) answered(label string, ok, stateOK bool) {
+	now := time.Now()
+	if !ok {
+		delete(c.peerSince, label)
+		return
+	}
+	c.peerOK[label] = now
+	if _, ok := c.peerSince[label]; !ok {
+		c.peerSince[label] = now
+	}
+	if stateOK {
+		c.peerState[label] = now
 	}
 }
 
+// Ping implements peer.Handler.
+func (c *Controller) Ping() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sure(time.Now())
+}
+
+// listen keeps the member record's word on whether this controller hears
+// anybody. A deaf one is still the owner of its parts, but of no use to them.
+func (c *Controller) listen(ctx context.Context) {
+	c.mu.Lock()
+	now := time.Now()
+	deaf := len(c.machines) > 0 && len(c.peers) > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
+	for label := range c.peers {
+		if now.Sub(c.peerOK[label]) < deafAfter {
+			deaf = false
+		}
+	}
+	change := deaf != c.deaf && c.sure(now)
+	inc, lease := c.inc, c.lease
+	c.mu.Unlock()
+	if !change {
+		return
+	}
+	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(record.Member{Inc: inc, Deaf: deaf}), Lease: lease}
+	if _, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{Then: []wire.Op{put}}); err != nil {
+		return
+	}
+	c.mu.Lock()
+	c.deaf = deaf
+	c.mu.Unlock()
+	c.log.Info("hearing", "deaf", deaf)
+}
+
 func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
 	c.mu.Lock()
 	head := record.Head{Label: c.cfg.Label, Inc: c.inc}
@@ -103,20 +173,12 @@
 			var r peer.SyncReply
 			a := peer.SyncArgs{From: c.cfg.Label, Orders: orders[label], Claim: claims[label], HandHome: hand[label]}
 			err := p.Call("Sync", a, &r, syncTimeout)
-			now := time.Now()
 			c.mu.Lock()
-			defer c.mu.Unlock()
+			c.answered(label, err == nil, r.StateOK)
+			c.mu.Unlock()
 			if err != nil {
-				delete(c.peerSince, label)
 				return
 			}
-			c.peerOK[label] = now
-			if _, ok := c.peerSince[label]; !ok {
-				c.peerSince[label] = now
-			}
-			if r.StateOK {
-				c.peerState[label] = now
-			}
 			mu.Lock()
 			defer mu.Unlock()
 			sums = append(sums, r.Summaries...)
@@ -188,12 +250,6 @@
 			}),
 			rentals: map[string]record.Rental{}, fresh: map[string]time.Time{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
 		}
-		for label := range c.peers {
-			// What was learned of others in an earlier lead is out of date;
-			// their time starts with this one.
-			c.peerOK[label] = now
-			delete(c.peerSince, label)
-		}
 	}
 	l := c.lead
 	c.mu.Unlock()
@@ -250,37 +306,32 @@
 	}
 }
 
-// owners looks at who owns what: parts of owners that can't be reached are to
-// be claimed by somebody who can, parts away from a stable home go back.
+// owners looks at who owns what: parts of deaf owners are to be claimed by
+// somebody who hears, parts away from a stable home go back. An owner that only
+// the leader can't reach keeps its parts: between two zones cut off from each
+// other there is nothing to gain. It also tells whether this leader is the one
+// that is cut off.
 func (c *Controller) owners(ctx context.Context, now time.Time) (claims, hand map[string][]int, alone bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	claims, hand = map[string][]int{}, map[string][]int{}
 	reach := []string{c.cfg.Label}
-	others := 0
-	for label := range c.members {
-		if label == c.cfg.Label {
-			continue
-		}
-		others++
-		if now.Sub(c.peerOK[label]) < standAside {
+	for label, m := range c.members {
+		if label != c.cfg.Label && !m.Deaf && c.reachable(label, now) {
 			reach = append(reach, label)
 		}
 	}
+	if c.deaf || (len(reach) == 1 && len(c.members) > 2 && now.Sub(c.lead.started) > standAside) {
+		return nil, nil, true
+	}
 	owners := map[int]string{}
 	for id, r := range c.partRecs {
 		owners[id] = r.rec.Owner
 	}
-	heard := now.Sub(c.heardAny) < config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
-	if others > 0 && len(reach) == 1 && !heard {
-		return nil, nil, true
-	}
 	for id, r := range c.partRecs {
 		owner, home := r.rec.Owner, c.home(id)
-		_, lives := c.members[owner]
-		switch {
-		case owner == c.cfg.Label || !lives:
-		case now.Sub(c.peerOK[owner]) > unreachable && (len(reach) > 1 || heard):
+		m, lives := c.members[owner]
+		if lives && m.Deaf && owner != c.cfg.Label {
 			to := fleet.Claimant(reach, owners, "")
 			if to == c.cfg.Label {
 				if !c.claiming[id] {
@@ -294,16 +345,16 @@
 		if owner == home || !lives {
 			continue
 		}
-		if home == c.cfg.Label {
+		switch since, ok := c.peerSince[home]; {
+		case home == c.cfg.Label:
 			if now.Sub(c.lead.started) > homeStable {
 				hand[owner] = append(hand[owner], id)
 			}
-		} else if since, ok := c.peerSince[home]; ok && now.Sub(since) > homeStable && now.Sub(c.peerOK[home]) < 2*syncEvery+syncTimeout {
-			if owner == c.cfg.Label {
-				c.handHome(ctx, id)
-			} else {
-				hand[owner] = append(hand[owner], id)
-			}
+		case !ok || now.Sub(since) < homeStable || !c.reachable(home, now) || c.members[home].Deaf:
+		case owner == c.cfg.Label:
+			c.handHome(ctx, id)
+		default:
+			hand[owner] = append(hand[owner], id)
 		}
 	}
 	return claims, hand, false
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -28,13 +28,20 @@
 		answer(rep)
 		return
 	}
+	if !known {
+		c.mu.Unlock()
+		c.log.Debug("report of an unknown machine", "machine", r.Machine)
+		answer(reply{status: 503, retryAfter: 1})
+		return
+	}
 	part := c.partRecs[m.rec.Part]
 	owner := part.rec.Owner
 	peerc := c.peers[owner]
-	if !known || peerc == nil {
+	token := max(part.version, m.version)
+	_, lives := c.members[owner]
+	if peerc == nil || !lives || !c.reachable(owner, now) {
 		c.mu.Unlock()
-		c.log.Debug("report not placed", "machine", r.Machine, "known", known, "owner", owner)
-		answer(reply{status: 503, retryAfter: 1})
+		answer(c.keepAlive(&r, token))
 		return
 	}
 	before, sent := c.redirected[r.Machine]
@@ -44,7 +51,6 @@
 		answer(reply{status: 421, body: wire.Redirect{Label: owner}})
 		return
 	}
-	token := max(part.version, m.version)
 	c.mu.Unlock()
 	// It was sent to its owner and has come back: relay.
 	go func() {
@@ -63,7 +69,7 @@
 }
 
 // keepAlive answers for an owner that can't be reached from here, as when two
-// zones are cut off from each other: the same token is accepted from any
+// zones are cut off from each other, or that is gone and not yet replaced: the same token is accepted from any
 // controller, so the worker's lease is renewed and its tasks live. No commands
 // are given. It ends early enough that a cancelled job's tasks, of which the
 // owner can't tell this worker, are gone by their leases in time.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,6 +47,7 @@
 	Nudge(NudgeArgs)
 	Report(wire.Report) ReportReply
 	Status(ref string) (wire.Status, bool)
+	Ping() bool
 }
 
 // Service is the net/rpc side of a Handler.
@@ -70,6 +71,12 @@
 	return nil
 }
 
+// Ping serves Handler.Ping: whether this controller reaches the state service.
+func (s *Service) Ping(_ string, r *bool) error {
+	*r = s.h.Ping()
+	return nil
+}
+
 // ErrNotHere says that a controller does not hold a job.
 var ErrNotHere = errors.New("peer: job not held here")
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -68,6 +68,9 @@
 // Member is a live controller.
 type Member struct {
 	Inc uint64 `json:"inc"`
+	// Deaf says that it hears neither workers nor other controllers, though it
+	// reaches the state service: its parts are better off elsewhere.
+	Deaf bool `json:"deaf,omitempty"`
 }
 
 // Part says who owns a part of the work.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -88,11 +88,21 @@
 	p.machineTxn(m, rec, now)
 }
 
-// silent reports whether a machine is lost: its worker says nothing while most
-// others do. When most are silent at once the fault is rather our network's,
-// and nothing is given up before the leases have run out.
+// SetCut tells the zones of which no controller can be reached from here.
+func (p *Part) SetCut(zones map[string]bool) { p.cut = zones }
+
+// silent reports whether a machine is lost: its worker says nothing while
+// others in its zone do. When a whole zone is silent and none of its
+// controllers answers, the fault is rather the network's between us.
 func (p *Part) silent(m *Machine, now time.Time) bool {
-	if !m.up || now.Sub(m.heard) < p.cfg.SilentAfter {
+	limit := p.cfg.SilentAfter
+	if !m.up {
+		if len(m.on) == 0 {
+			return false // perhaps still booting: see overdue
+		}
+		limit += p.cfg.Lease / 2 // its worker has yet to find its new owner
+	}
+	if now.Sub(m.heard) < limit {
 		return false
 	}
 	heard, quiet := 0, 0
@@ -109,13 +119,17 @@
 	if heard > 0 && heard >= quiet {
 		return true
 	}
-	return heard+quiet == 0 && now.Sub(m.heard) > p.cfg.Lease+p.cfg.SilentAfter
+	patience := p.cfg.Lease + limit
+	if p.cut[m.Zone] {
+		patience *= 3
+	}
+	return (heard+quiet == 0 || p.cut[m.Zone]) && now.Sub(m.heard) > patience
 }
 
 // overdue reports whether a machine never came up.
 func (p *Part) overdue(m *Machine, now time.Time) bool {
 	limit := time.Duration(p.cfg.BootFactor * m.Type.BootS * float64(time.Second))
-	return !m.up && now.Sub(m.born) > limit && now.Sub(m.heard) > p.cfg.Lease
+	return !m.up && len(m.on) == 0 && !p.cut[m.Zone] && now.Sub(m.born) > limit && now.Sub(m.heard) > p.cfg.Lease
 }
 
 // clear stops in an orderly way what runs on a machine that is to be empty.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -216,6 +216,7 @@
 	wake     time.Time
 	dirty    map[string]*Job
 	lastCare time.Time
+	cut      map[string]bool
 }
 
 // New makes the core of a part claimed under a token.
