--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -110,7 +110,9 @@
 		if o == m || !o.up || o.Zone != m.Zone {
 			continue
 		}
-		if now.Sub(o.heard) < p.cfg.SilentAfter {
+		// Machines cut off together fall silent within one report's time:
+		// only one heard well after m speaks against m.
+		if now.Sub(o.heard) < limit/2 {
 			heard++
 		} else {
 			quiet++
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -456,6 +456,24 @@
 	}
 }
 
+// Machines cut off together fall silent one shortly after the other: the first
+// must not be given up because the rest was heard a moment later.
+func TestZoneFallsSilentTogether(t *testing.T) {
+	r := newRig(t)
+	w1, w2, w3 := r.machine("m1", "z1", false), r.machine("m2", "z1", false), r.machine("m3", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Service, "prod", 3, 2))
+	r.beats(4)
+	r.beat(w1)
+	r.beat(w2, w3)
+	for range 12 {
+		r.clock.Advance(time.Second)
+		r.settle()
+	}
+	if len(r.cloud.Returned) != 0 {
+		t.Fatalf("returned %v", r.cloud.Returned)
+	}
+}
+
 // The team's limit counts tasks that can't be reached.
 func TestLimitCountsUnreachable(t *testing.T) {
 	r := newRig(t)
