--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,6 +79,7 @@
 	started    time.Time
 	deaf       bool // as the member record says
 	kept       map[string]kept
+	held       map[string]*held
 }
 
 type versioned[T any] struct {
@@ -146,6 +147,7 @@
 	c.finals = map[string]string{}
 	c.redirected = map[string]redirect{}
 	c.kept = map[string]kept{}
+	c.held = map[string]*held{}
 	c.peerOK = map[string]time.Time{}
 	c.peerSince = map[string]time.Time{}
 	c.peerState = map[string]time.Time{}
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -73,6 +73,9 @@
 	for _, d := range eff.Direct {
 		go c.direct(p, d)
 	}
+	for _, id := range eff.Wake {
+		c.release(id, now)
+	}
 }
 
 // locked runs f on a part under the lock, then pumps it.
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -24,6 +24,13 @@
 	p := c.parts[m.rec.Part]
 	if known && p != nil {
 		rep := c.ownReport(p, &r, now)
+		if o, ok := rep.body.(wire.Orders); ok && len(o.Commands) == 0 {
+			if d := p.Hold(r.Machine, now); d > 0 {
+				c.hold(p, r.Machine, d, answer)
+				c.mu.Unlock()
+				return
+			}
+		}
 		c.mu.Unlock()
 		answer(rep)
 		return
@@ -110,6 +117,44 @@
 
 type kept struct{ since, last time.Time }
 
+// held is a report's answer kept back in case a start comes for its machine.
+type held struct {
+	part   *sched.Part
+	answer func(reply)
+	timer  *time.Timer
+}
+
+// hold keeps an answer back for at most d. The lock is held.
+func (c *Controller) hold(p *sched.Part, machine string, d time.Duration, answer func(reply)) {
+	c.release(machine, time.Now()) // an older one: its worker has gone on
+	h := &held{part: p, answer: answer}
+	h.timer = time.AfterFunc(d, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.held[machine] == h {
+			c.release(machine, time.Now())
+		}
+	})
+	c.held[machine] = h
+}
+
+// release gives a held answer. The lock is held.
+func (c *Controller) release(machine string, now time.Time) {
+	h := c.held[machine]
+	if h == nil {
+		return
+	}
+	delete(c.held, machine)
+	h.timer.Stop()
+	rep := reply{status: 503, retryAfter: 1}
+	if c.parts[h.part.ID()] == h.part {
+		if o, ok := h.part.Held(machine, now); ok {
+			rep = reply{status: 200, body: o}
+		}
+	}
+	go h.answer(rep)
+}
+
 // ownReport answers a report of one of our machines. The lock is held.
 func (c *Controller) ownReport(p *sched.Part, r *wire.Report, now time.Time) reply {
 	if !c.mayAnswer(now) {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -186,7 +186,7 @@
 
 // usable reports whether new work may be placed on a machine.
 func (p *Part) usable(m *Machine, now time.Time) bool {
-	return m.fenced && !m.gone && m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.txn == nil && !m.unsure &&
+	return m.up && !m.gone && m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.txn == nil && !m.unsure &&
 		m.taken.IsZero() && now.Sub(m.heard) < p.suspectAfter()
 }
 
