Rent a headroom ahead, sized from what lately arrived

Work that must start within 15 to 30 s can't wait for a boot and an image. Half of what arrives while a machine boots is kept ready (tried 1.0: dearer and no better).

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -24,11 +24,14 @@
 	idleSpot     = 45 * time.Second
 	idleOrdinary = 30 * time.Second
 	refusedPause = 8 * time.Second
-	cloudShare   = 0.6             // of the cloud's calls: the leader rents, the others only return
-	standAside   = 4 * time.Second // a leader that reaches nobody gives up after this
-	deafAfter    = 4 * time.Second // without an answer from any controller
-	pingTimeout  = 900 * time.Millisecond
-	quietAfter   = 15 * time.Second // and does not lead for this long
+	// headroomFactor is the part of what arrives while a machine boots for
+	// which machines are kept ready.
+	headroomFactor = 0.5
+	cloudShare     = 0.6             // of the cloud's calls: the leader rents, the others only return
+	standAside     = 4 * time.Second // a leader that reaches nobody gives up after this
+	deafAfter      = 4 * time.Second // without an answer from any controller
+	pingTimeout    = 900 * time.Millisecond
+	quietAfter     = 15 * time.Second // and does not lead for this long
 )
 
 // leading is what a leader holds.
@@ -246,7 +249,7 @@
 		c.lead = &leading{
 			plan: fleet.NewLeader(fleet.Config{
 				Types: c.types, Zones: c.cfg.Params.Zones, Interval: balanceEvery, MoveAfter: moveAfter, TakeAfter: takeAfter,
-				IdleSpot: idleSpot, IdleOrdinary: idleOrdinary, Headroom: 1, Refused: refusedPause,
+				IdleSpot: idleSpot, IdleOrdinary: idleOrdinary, Headroom: headroomFactor, Refused: refusedPause,
 			}),
 			rentals: map[string]record.Rental{}, fresh: map[string]time.Time{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
 		}
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -21,8 +21,9 @@
 	// IdleSpot and IdleOrdinary are how long unused machines are kept.
 	IdleSpot     time.Duration
 	IdleOrdinary time.Duration
-	// Headroom is how many unused ordinary machines are kept whatever their age.
-	Headroom int
+	// Headroom is the part of what arrives while a machine boots and fetches
+	// for which unused ordinary machines are kept, or rented ahead.
+	Headroom float64
 	// Refused is the pause after the cloud had nothing of a kind.
 	Refused time.Duration
 }
@@ -155,6 +156,7 @@
 		}
 		l.rent(n, &fresh, now)
 	}
+	l.ahead(sums, bins, &fresh, now)
 	at := map[pool]int{}
 	for _, b := range fresh {
 		p := pool{b.Type, b.Zone, b.Spot}
@@ -166,7 +168,7 @@
 		}
 		rents[i].Parts = append(rents[i].Parts, b.part)
 	}
-	return append(orders, l.returns(bins)...), rents
+	return append(orders, l.returns(sums, bins)...), rents
 }
 
 const (
@@ -266,17 +268,20 @@
 // SetTypes takes in the cloud's current offer.
 func (l *Leader) SetTypes(t []wire.MachineType) { l.cfg.Types = t }
 
-// rent adds new machines for what is left of a need, cheapest kind first.
-func (l *Leader) rent(n *waiting, fresh *[]*bin, now time.Time) {
-	mine := filter(*fresh, func(b *bin) bool { return b.part == n.part })
-	if l.cover(n, mine) {
-		return
-	}
-	type offer struct {
-		pool
-		t     *wire.MachineType
-		price float64
-		have  int
+// offer is a pool that has room as far as is known.
+type offer struct {
+	pool
+	t     *wire.MachineType
+	price float64
+	have  int // machines of ours in its zone
+}
+
+// offers returns the pools whose machines fit a need, cheapest first, then
+// those in zones with fewer of the given machines.
+func (l *Leader) offers(n *Need, bins, fresh []*bin, now time.Time) []offer {
+	have := map[string]int{}
+	for _, b := range append(slices.Clone(bins), fresh...) {
+		have[b.Zone]++
 	}
 	var offers []offer
 	for i := range l.cfg.Types {
@@ -285,20 +290,14 @@
 			for _, spot := range []bool{true, false} {
 				p := pool{t.Name, z, spot}
 				b := &bin{Machine: Machine{Type: t.Name, Zone: z, Spot: spot, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}}
-				if !b.fits(&n.Need) || now.Before(l.refused[p].until) {
+				if !b.fits(n) || now.Before(l.refused[p].until) {
 					continue
 				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
 				}
-				have := 0
-				for _, f := range *fresh {
-					if f.Zone == z {
-						have++
-					}
-				}
-				offers = append(offers, offer{p, t, price, have})
+				offers = append(offers, offer{p, t, price, have[z]})
 			}
 		}
 	}
@@ -308,6 +307,16 @@
 		}
 		return offers[a].have < offers[b].have
 	})
+	return offers
+}
+
+// rent adds new machines for what is left of a need, cheapest kind first.
+func (l *Leader) rent(n *waiting, fresh *[]*bin, now time.Time) {
+	mine := filter(*fresh, func(b *bin) bool { return b.part == n.part })
+	if l.cover(n, mine) {
+		return
+	}
+	offers := l.offers(&n.Need, nil, *fresh, now)
 	for i := 0; n.Count > 0 && len(offers) > 0; i++ {
 		o := offers[0]
 		if !n.OneZone {
@@ -327,8 +336,58 @@
 	}
 }
 
+// headroom says how many unused machines each part should have, from what has
+// lately arrived there and how long a new machine takes.
+func (l *Leader) headroom(sums []Summary) (want map[int]float64, total int) {
+	lead := 0.0
+	for _, t := range l.cfg.Types {
+		lead = max(lead, t.BootS)
+	}
+	want = map[int]float64{}
+	sum := 0.0
+	for _, s := range sums {
+		want[s.Part] = s.Arriving * lead * l.cfg.Headroom
+		sum += want[s.Part]
+	}
+	return want, int(sum + 0.5)
+}
+
+// ahead rents the headroom: ordinary machines with nothing to do, since a boot
+// and an image take longer than most work may wait.
+func (l *Leader) ahead(sums []Summary, bins []*bin, fresh *[]*bin, now time.Time) {
+	want, target := l.headroom(sums)
+	total := 0
+	for _, b := range append(slices.Clone(bins), *fresh...) {
+		if !b.Spot && b.Tasks == 0 && !b.taken {
+			want[b.part]--
+			total++
+		}
+	}
+	for ; total < target; total++ {
+		best := -1
+		for _, s := range sums {
+			if best < 0 || want[s.Part] > want[best] {
+				best = s.Part
+			}
+		}
+		want[best]--
+		var o *offer
+		for _, c := range l.offers(&Need{}, bins, *fresh, now) {
+			if !c.spot {
+				o = &c
+				break
+			}
+		}
+		if o == nil {
+			return
+		}
+		*fresh = append(*fresh, &bin{part: best, Machine: Machine{Type: o.typ, Zone: o.zone, CPUs: o.t.CPUs, GPUs: o.t.GPUs, MemoryGB: o.t.MemoryGB}})
+	}
+}
+
 // returns gives back machines unused for long, keeping the headroom.
-func (l *Leader) returns(bins []*bin) []Order {
+func (l *Leader) returns(sums []Summary, bins []*bin) []Order {
+	_, headroom := l.headroom(sums)
 	var idle []*bin
 	for _, b := range bins {
 		if b.Up && b.Tasks == 0 && !b.taken {
@@ -342,7 +401,7 @@
 		limit := l.cfg.IdleOrdinary
 		if b.Spot {
 			limit = l.cfg.IdleSpot
-		} else if kept < l.cfg.Headroom {
+		} else if kept < headroom {
 			kept++
 			continue
 		}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -47,6 +47,8 @@
 	Part     int
 	Needs    []Need
 	Machines []Machine
+	// Arriving is what has lately arrived that must start soon, in machines a second.
+	Arriving float64
 }
 
 // String is a summary in short, for the log.
@@ -70,7 +72,7 @@
 			}
 		}
 	}
-	out := fmt.Sprintf("machines=%d up=%d spot=%d idle=%d leaving=%d freegpus=%g", len(s.Machines), up, spot, idle, leaving, free)
+	out := fmt.Sprintf("machines=%d up=%d spot=%d idle=%d leaving=%d freegpus=%g arriving=%.3f", len(s.Machines), up, spot, idle, leaving, free, s.Arriving)
 	for _, n := range s.Needs {
 		out += fmt.Sprintf(" [%s rank=%d n=%d gpus=%g spot=%t waited=%.0fs]", n.Job, n.Rank, n.Count, n.GPUs, n.Spot, n.Waited.Seconds())
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -622,7 +622,8 @@
 
 // Summary tells the leader what waits and what the part's machines do.
 func (p *Part) Summary(now time.Time) fleet.Summary {
-	s := fleet.Summary{Part: p.id}
+	p.fade(now)
+	s := fleet.Summary{Part: p.id, Arriving: p.arrived / arrivalFade.Seconds()}
 	for _, j := range p.jobs {
 		if !p.waiting(j, now) || now.Before(j.hold) || j.txn != nil {
 			continue
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -217,6 +218,8 @@
 	dirty    map[string]*Job
 	lastCare time.Time
 	cut      map[string]bool
+	arrived  float64 // machines' worth that arrived, fading
+	arriveAt time.Time
 }
 
 // New makes the core of a part claimed under a token.
@@ -429,6 +432,9 @@
 			chunks: map[int]*chunk{}, rank: rank(spec.Priority), pipe: fragment.Begin(fragment.Single(ref)),
 		}
 		p.jobs[ref] = j
+		if age := now.Sub(j.accepted); age < arrivalFade {
+			p.arrive(j, now)
+		}
 	}
 	if e.Version <= j.version {
 		return nil
@@ -448,6 +454,43 @@
 	return nil
 }
 
+// arrivalFade is how long an arrival counts for what is to be expected.
+const arrivalFade = 60 * time.Second
+
+// arrive counts a job for the headroom if it is of the kind that must start
+// soon: no spot machine will do, or its team is guaranteed.
+func (p *Part) arrive(j *Job, now time.Time) {
+	t := p.cfg.Teams[j.spec.Team]
+	if j.spec.Spot && t.CPUs <= 0 && t.GPUs <= 0 {
+		return
+	}
+	share := 1.0
+	for _, typ := range p.cfg.Types {
+		s := j.spec.CPUs / typ.CPUs
+		if typ.GPUs > 0 {
+			s = max(s, j.spec.GPUs/typ.GPUs)
+		}
+		share = min(share, s)
+	}
+	n := float64(j.spec.Tasks)
+	if j.spec.Kind == wire.Array {
+		n = min(n, arrayAhead)
+	}
+	p.fade(now)
+	p.arrived += n * share
+}
+
+// arrayAhead bounds the tasks of an array that count as expected: the rest of
+// it starts where there is room.
+const arrayAhead = 2
+
+func (p *Part) fade(now time.Time) {
+	if !p.arriveAt.IsZero() {
+		p.arrived *= math.Exp(-now.Sub(p.arriveAt).Seconds() / arrivalFade.Seconds())
+	}
+	p.arriveAt = now
+}
+
 // SetMachine takes in a machine's record, new or changed.
 func (p *Part) SetMachine(e wire.Entry, now time.Time) error {
 	r, err := decode[record.Machine](e)
