Rent in few, fresh requests; remember images over moves; fill zones evenly

Requests to the cloud queued up for 20 s and went stale (48 of 75 refused); now three are open at most and the rest is planned anew. Machines keep their images in their records when they move.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -24,6 +24,8 @@
 	Rent(ctx context.Context, r wire.Rental) ([]string, error)
 	Return(ctx context.Context, ids []string) error
 	List(ctx context.Context) ([]wire.Listed, error)
+	// Budget sets this controller's part of the cloud's calls a second.
+	Budget(rps float64)
 }
 
 // Client is an API over HTTP.
@@ -35,10 +37,20 @@
 // callTimeout bounds one call; connections can hang in silence.
 const callTimeout = 5 * time.Second
 
-// New returns a client keeping to rps calls a second. The cloud allows bursts
-// of two seconds' worth.
+// New returns a client keeping to rps calls a second.
 func New(addr string, rps float64) *Client {
-	return &Client{http: httpwire.NewClient(addr, 2), limit: rate.NewLimiter(rate.Limit(rps), max(1, int(2*rps)))}
+	return &Client{http: httpwire.NewClient(addr, 2), limit: rate.NewLimiter(rate.Limit(rps), burst(rps))}
+}
+
+// burst is two seconds' worth, which the cloud allows.
+func burst(rps float64) int { return max(1, int(2*rps)) }
+
+// Budget implements API.
+func (c *Client) Budget(rps float64) {
+	if c.limit.Limit() != rate.Limit(rps) {
+		c.limit.SetLimit(rate.Limit(rps))
+		c.limit.SetBurst(burst(rps))
+	}
 }
 
 var _ API = (*Client)(nil)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -80,6 +80,7 @@
 	deaf       bool // as the member record says
 	kept       map[string]kept
 	held       map[string]*held
+	returning  map[string]*sched.Part // to be given back with the next call
 }
 
 type versioned[T any] struct {
@@ -99,7 +100,7 @@
 	c := &Controller{
 		cfg: cfg, log: log,
 		store: statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n, p.State.TxnOps),
-		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*cloudShare),
+		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*followerShare),
 	}
 	c.init()
 	for _, q := range cfg.Peers {
@@ -148,6 +149,7 @@
 	c.redirected = map[string]redirect{}
 	c.kept = map[string]kept{}
 	c.held = map[string]*held{}
+	c.returning = map[string]*sched.Part{}
 	c.peerOK = map[string]time.Time{}
 	c.peerSince = map[string]time.Time{}
 	c.peerState = map[string]time.Time{}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -27,11 +27,14 @@
 	// headroomFactor is the part of what arrives while a machine boots for
 	// which machines are kept ready.
 	headroomFactor = 0.5
-	cloudShare     = 0.6             // of the cloud's calls: the leader rents, the others only return
-	standAside     = 4 * time.Second // a leader that reaches nobody gives up after this
-	deafAfter      = 4 * time.Second // without an answer from any controller
-	pingTimeout    = 900 * time.Millisecond
-	quietAfter     = 15 * time.Second // and does not lead for this long
+	// The leader rents, the others only give back: their parts of the cloud's calls.
+	leaderShare   = 0.7
+	followerShare = 0.15
+	rentalsAtOnce = 3
+	standAside    = 4 * time.Second // a leader that reaches nobody gives up after this
+	deafAfter     = 4 * time.Second // without an answer from any controller
+	pingTimeout   = 900 * time.Millisecond
+	quietAfter    = 15 * time.Second // and does not lead for this long
 )
 
 // leading is what a leader holds.
@@ -72,9 +75,12 @@
 		case stand:
 			c.stand(ctx, cur)
 		}
+		share := leaderShare
 		if !leads {
+			share = followerShare
 			c.pingPeers()
 		}
+		c.cloud.Budget(c.cfg.Params.Cloud.RPS * share)
 		c.listen(ctx)
 	}
 }
@@ -290,8 +296,12 @@
 		owner := c.partRecs[o.Part].rec.Owner
 		byOwner[owner] = append(byOwner[owner], o)
 	}
+	// A queue of requests would go stale before the cloud's few calls got to
+	// it: what is not asked for now is planned anew, with what came since.
 	for _, r := range rents {
-		c.rent(ctx, l, r)
+		if len(l.rentals) < rentalsAtOnce {
+			c.rent(ctx, l, r)
+		}
 	}
 	c.mu.Unlock()
 	for owner, os := range byOwner {
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -193,25 +193,50 @@
 	}
 }
 
-// giveBack returns a machine to the cloud; only a 200 proves its tasks gone.
+// giveBack returns a machine to the cloud, together with those asked for at
+// about the same time. Only a 200 proves their tasks gone.
 func (c *Controller) giveBack(p *sched.Part, id string) {
+	c.mu.Lock()
+	c.returning[id] = p
+	first := len(c.returning) == 1
+	c.mu.Unlock()
+	if !first {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	err := c.cloud.Return(ctx, []string{id})
-	if err != nil {
-		c.log.Info("return machine", "machine", id, "err", err)
-	} else {
-		c.log.Info("machine returned", "machine", id)
-	}
-	c.locked(p, func(now time.Time) {
-		if err != nil {
-			p.ReturnFailed(id, now)
-		} else {
-			p.Returned(id, now)
+	sleep(ctx, returnGather)
+	c.mu.Lock()
+	batch := map[string]*sched.Part{}
+	var ids []string
+	for id, p := range c.returning {
+		if len(ids) == maxReturn {
+			p.ReturnFailed(id, time.Now()) // with a later call
+			continue
 		}
-	})
+		batch[id] = p
+		ids = append(ids, id)
+	}
+	c.returning = map[string]*sched.Part{}
+	c.mu.Unlock()
+	err := c.cloud.Return(ctx, ids)
+	c.log.Info("machines returned", "machines", ids, "err", err)
+	for id, p := range batch {
+		c.locked(p, func(now time.Time) {
+			if err != nil {
+				p.ReturnFailed(id, now)
+			} else {
+				p.Returned(id, now)
+			}
+		})
+	}
 }
 
+const (
+	returnGather = 200 * time.Millisecond
+	maxReturn    = 100 // the protocol's bound
+)
+
 func (c *Controller) direct(p *sched.Part, d sched.Direct) {
 	r, _, err := agent.Command(context.Background(), d.Addr, d.Orders)
 	if err != nil {
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -137,6 +137,10 @@
 			spare := filter(bins, func(b *bin) bool {
 				return b.part != n.part && b.Up && b.Usable && b.Tasks == 0 && !b.taken && !wanted(needs, b)
 			})
+			// As in a part, a machine that caches the image is preferred.
+			sort.SliceStable(spare, func(a, b int) bool {
+				return slices.Contains(spare[a].Images, n.Image) && !slices.Contains(spare[b].Images, n.Image)
+			})
 			orders = append(orders, l.bring(n, own, spare, 0)...)
 		}
 		if n.Count == 0 {
@@ -154,7 +158,7 @@
 			sort.SliceStable(lower, func(a, b int) bool { return lower[a].Tasks < lower[b].Tasks })
 			orders = append(orders, l.bring(n, own, lower, n.Rank)...)
 		}
-		l.rent(n, &fresh, now)
+		l.rent(n, bins, &fresh, now)
 	}
 	l.ahead(sums, bins, &fresh, now)
 	at := map[pool]int{}
@@ -311,12 +315,12 @@
 }
 
 // rent adds new machines for what is left of a need, cheapest kind first.
-func (l *Leader) rent(n *waiting, fresh *[]*bin, now time.Time) {
+func (l *Leader) rent(n *waiting, bins []*bin, fresh *[]*bin, now time.Time) {
 	mine := filter(*fresh, func(b *bin) bool { return b.part == n.part })
 	if l.cover(n, mine) {
 		return
 	}
-	offers := l.offers(&n.Need, nil, *fresh, now)
+	offers := l.offers(&n.Need, bins, *fresh, now)
 	for i := 0; n.Count > 0 && len(offers) > 0; i++ {
 		o := offers[0]
 		if !n.OneZone {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -11,6 +11,7 @@
 // Need is work of one part that waits and fits on none of its machines now.
 type Need struct {
 	Job      string
+	Image    string
 	CPUs     float64
 	GPUs     float64
 	MemoryGB float64
@@ -40,6 +41,7 @@
 	TopRank  int // highest priority of its tasks
 	Idle     time.Duration
 	Age      time.Duration
+	Images   []string // believed to be cached
 }
 
 // Summary is one part's state for the leader.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -86,6 +86,12 @@
 	Returning = "returning" // being given back; nothing may start there again
 )
 
+// Image is an image on a machine.
+type Image struct {
+	Name string  `json:"name"`
+	GB   float64 `json:"gb"`
+}
+
 // Machine is a rented machine.
 type Machine struct {
 	Type  string `json:"type"`
@@ -94,6 +100,8 @@
 	Part  int    `json:"part"`
 	Phase string `json:"phase,omitempty"`
 	Born  int64  `json:"born"` // milliseconds, when it was rented
+	// Images are those it was seen to have when this was written.
+	Images []Image `json:"images,omitempty"`
 }
 
 // Rental is a request to the cloud, written before it is made.
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -145,7 +145,7 @@
 }
 
 func (p *Part) record(m *Machine) record.Machine {
-	return record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: p.id, Phase: m.Phase, Born: m.born.UnixMilli()}
+	return record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: p.id, Phase: m.Phase, Born: m.born.UnixMilli(), Images: m.images}
 }
 
 // Applied takes in that a transaction succeeded.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -477,7 +477,7 @@
 // job may use one, then the fullest, so that whole machines stay free.
 func (p *Part) score(j *Job, m *Machine) float64 {
 	v := 0.0
-	if _, ok := m.images[j.spec.Image]; ok {
+	if m.hasImage(j.spec.Image) {
 		v += 100
 	}
 	if m.Spot {
@@ -650,7 +650,7 @@
 		}
 		sp := j.spec
 		need := fleet.Need{
-			Job: j.ref, CPUs: sp.CPUs, GPUs: sp.GPUs, MemoryGB: sp.MemoryGB, Types: sp.Types, Spot: sp.Spot,
+			Job: j.ref, Image: sp.Image, CPUs: sp.CPUs, GPUs: sp.GPUs, MemoryGB: sp.MemoryGB, Types: sp.Types, Spot: sp.Spot,
 			OneZone: sp.OneZone, Gang: sp.Kind == wire.Gang, Count: n, Rank: j.rank, Waited: now.Sub(j.accepted),
 		}
 		if sp.Zone != nil {
@@ -677,6 +677,9 @@
 		if len(m.on) == 0 && m.up && !m.idleSince.IsZero() {
 			fm.Idle = now.Sub(m.idleSince)
 		}
+		for _, i := range m.images {
+			fm.Images = append(fm.Images, i.Name)
+		}
 		if m.reserved != "" && now.Before(m.reservedT) {
 			fm.Usable = false
 		}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -207,10 +207,10 @@
 	if rt.State == wire.Running && t.phase != wire.Running {
 		t.runSince = now
 	}
-	t.phase = rt.State
-	if rt.State == wire.Running || rt.State == wire.Gathering {
-		m.images[j.spec.Image] = now
+	if (rt.State == wire.Running || rt.State == wire.Gathering) && t.phase != rt.State {
+		m.keepsImage(j.spec.Image, j.spec.ImageGB)
 	}
+	t.phase = rt.State
 	if rt.State != wire.Exited {
 		return
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -135,7 +136,7 @@
 	gpus      float64
 	mem       float64
 	on        map[key]*task
-	images    map[string]time.Time
+	images    []record.Image // believed to be cached, the latest used last
 	idleSince time.Time
 	failed    map[string]bool // jobs that failed here in a row
 	moveTo    int             // -1: stays
@@ -238,6 +239,24 @@
 
 func (m *Machine) token(p *Part) uint64 { return max(p.token, m.version) }
 
+// keepsImage takes in that an image was used, and which older ones the cache
+// can no longer hold.
+func (m *Machine) keepsImage(name string, gb float64) {
+	m.images = slices.DeleteFunc(m.images, func(i record.Image) bool { return i.Name == name })
+	m.images = append(m.images, record.Image{Name: name, GB: gb})
+	sum := 0.0
+	for i := len(m.images) - 1; i >= 0; i-- {
+		if sum += m.images[i].GB; sum > m.Type.CacheGB && i < len(m.images)-1 {
+			m.images = slices.Clone(m.images[i+1:])
+			break
+		}
+	}
+}
+
+func (m *Machine) hasImage(name string) bool {
+	return slices.ContainsFunc(m.images, func(i record.Image) bool { return i.Name == name })
+}
+
 func (p *Part) cond() wire.Cond { return wire.Cond{Key: record.PartKey(p.id), Version: p.token} }
 
 func rank(priority string) int {
@@ -512,7 +531,7 @@
 		}
 		m = &Machine{
 			ID: id, Type: typ, Zone: r.Zone, Spot: r.Spot, born: time.UnixMilli(r.Born), on: map[key]*task{},
-			images: map[string]time.Time{}, moveTo: -1, idleSince: now, heard: now,
+			images: r.Images, moveTo: -1, idleSince: now, heard: now,
 		}
 		p.machines[id] = m
 	}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -240,6 +240,9 @@
 // List implements cloud.API.
 func (c *Cloud) List(context.Context) ([]wire.Listed, error) { return nil, nil }
 
+// Budget implements cloud.API.
+func (c *Cloud) Budget(float64) {}
+
 // WorkerTask is a task on a scripted worker.
 type WorkerTask struct {
 	Attempt uint64
