--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -48,6 +48,7 @@
 	_, lives := c.members[owner]
 	if peerc == nil || !lives || !c.reachable(owner, now) {
 		c.mu.Unlock()
+		c.log.Debug("report kept", "machine", r.Machine, "owner", owner, "lives", lives)
 		answer(c.keepAlive(&r, token))
 		return
 	}
@@ -55,6 +56,7 @@
 	if !sent || before.label != owner || now.Sub(before.at) > config.Seconds(c.cfg.Params.Workers.LeaseS) {
 		c.redirected[r.Machine] = redirect{owner, now}
 		c.mu.Unlock()
+		c.log.Debug("report sent on", "machine", r.Machine, "owner", owner)
 		answer(reply{status: 421, body: wire.Redirect{Label: owner}})
 		return
 	}
@@ -71,6 +73,7 @@
 			}
 			return
 		}
+		c.log.Debug("report not relayed", "machine", r.Machine, "owner", owner)
 		answer(c.keepAlive(&r, token))
 	}()
 }
