--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -119,13 +119,13 @@
 	defer cancel()
 	errs := make(chan error, 2)
 	go func() { errs <- peer.Serve(ln, c) }()
-	srv := &server{handle: c.handle, log: log, maxConn: p.Resources.MaxSockets * 3 / 4, booted: make(chan struct{})}
+	srv := &server{handle: c.handle, log: log, maxConn: p.Resources.MaxSockets * 3 / 4, conns: map[gnet.Conn]*connState{}}
 	go func() {
 		errs <- gnet.Run(srv, "tcp4://"+cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(16<<10),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 			// A restarted controller takes its address over at once, though
 			// connections of the one before still linger on it.
-			gnet.WithReuseAddr(true), gnet.WithLogger(gnetLog{log}))
+			gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLog{log}))
 	}()
 	go c.leaseLoop(ctx)
 	go c.watchLoop(ctx, record.ClusterPrefix, c.resetCluster, c.changeCluster)
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -23,9 +22,13 @@
 // from any goroutine.
 type handler func(req httpwire.Request, answer func(reply))
 
-// idleConn is how long a connection may stay without a whole request; users
-// and workers that speak are far quicker.
-const idleConn = 90 * time.Second
+// Connections that say nothing for idleConn, or leave a request unfinished for
+// slowConn, are closed: sockets are few, and half-open ones never end.
+const (
+	idleConn  = 90 * time.Second
+	slowConn  = 10 * time.Second
+	sweepEach = 5 * time.Second
+)
 
 // server is the gnet side: one event loop that cuts bytes into requests.
 type server struct {
@@ -33,30 +36,40 @@
 	handle  handler
 	log     *slog.Logger
 	maxConn int
-	open    atomic.Int64
-	booted  chan struct{}
+	conns   map[gnet.Conn]*connState // only the event loop touches it
 }
 
+// connState is a connection's; only the event loop touches it.
 type connState struct {
-	busy bool // a request is being answered; only the event loop touches it
-	last time.Time
+	busy    bool // a request is being answered
+	last    time.Time
+	partial bool // a request has begun
 }
 
-func (s *server) OnBoot(gnet.Engine) gnet.Action {
-	close(s.booted)
-	return gnet.None
+// OnTick closes idle and slow connections.
+func (s *server) OnTick() (time.Duration, gnet.Action) {
+	now := time.Now()
+	for c, st := range s.conns {
+		quiet := now.Sub(st.last)
+		if !st.busy && (quiet > idleConn || (st.partial && quiet > slowConn)) {
+			c.Close()
+		}
+	}
+	return sweepEach, gnet.None
 }
 
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if s.open.Add(1) > int64(s.maxConn) {
+	if len(s.conns) >= s.maxConn {
 		return httpwire.AppendResponse(nil, 503, nil, 1, true), gnet.Close
 	}
-	c.SetContext(&connState{last: time.Now()})
+	st := &connState{last: time.Now()}
+	s.conns[c] = st
+	c.SetContext(st)
 	return nil, gnet.None
 }
 
-func (s *server) OnClose(gnet.Conn, error) gnet.Action {
-	s.open.Add(-1)
+func (s *server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	delete(s.conns, c)
 	return gnet.None
 }
 
@@ -73,11 +86,13 @@
 		return gnet.Close
 	}
 	if n == 0 {
+		if !st.partial { // the time of a slow request counts from its begin
+			st.partial, st.last = true, time.Now()
+		}
 		return gnet.None
 	}
 	c.Discard(n)
-	st.busy = true
-	st.last = time.Now()
+	st.busy, st.partial, st.last = true, false, time.Now()
 	s.handle(req, func(r reply) {
 		var body []byte
 		if r.body != nil {
@@ -89,7 +104,7 @@
 		}
 		out := httpwire.AppendResponse(nil, r.status, body, r.retryAfter, req.Close)
 		c.AsyncWrite(out, func(c gnet.Conn, err error) error {
-			st.busy = false
+			st.busy, st.last = false, time.Now()
 			if req.Close || err != nil {
 				return c.Close()
 			}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -255,7 +255,7 @@
 
 func (j *Job) unit() int {
 	if j.spec.Kind == wire.Gang {
-		return len(j.tasks)
+		return j.nIdle // all, or what replaces those lost while it waits
 	}
 	return 1
 }
@@ -264,7 +264,7 @@
 	if j.cancelled || j.nIdle == 0 || j.unsure {
 		return false
 	}
-	if j.spec.Kind == wire.Gang && j.nPlaced > 0 {
+	if j.spec.Kind == wire.Gang && !j.gathering() {
 		return false // the old attempt must be gone, all of it
 	}
 	return true
@@ -354,12 +354,15 @@
 		p.makeRoom(j, n, now)
 		return false
 	}
+	gang := j.attempt()
 	for _, m := range where {
 		i := j.nextIdle()
 		a := j.nextAttempt(p.cfg, i)
 		if j.spec.Kind == wire.Gang {
-			a = max(a, j.gangAttempt)
-			j.gangAttempt = a
+			if gang == 0 {
+				gang = a
+			}
+			a = gang
 		}
 		p.put(key{j, i}, m, a, now)
 		if m.reserved == j.ref {
@@ -372,9 +375,6 @@
 			c.attempt = max(c.attempt, t.attempt)
 		}
 	}
-	if j.spec.Kind == wire.Gang {
-		j.gangAttempt = 0
-	}
 	if j.nIdle == 0 {
 		j.stuck = time.Time{}
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -230,6 +230,9 @@
 		j.hold = now.Add(p.cfg.Report)
 	}
 	p.lose(k, now)
+	if j.spec.Kind == wire.Gang && (rt.Why == wire.WhyStopped || rt.Why == wire.WhyPeers || rt.Why == wire.WhyIncomplete) {
+		p.endAttempt(j, now) // the attempt is over for all of them
+	}
 }
 
 // failed takes in an error. Errors of several jobs on one machine put the blame
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -519,6 +519,58 @@
 	}
 }
 
+// While a gang waits for its last task, one that is lost is replaced under the
+// same attempt.
+func TestGangReplacement(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.beats(2)
+	a, b := r.on("run-000001/0"), r.on("run-000001/1")
+	if a == "" || b == "" {
+		t.Fatal("gang not started")
+	}
+	r.workers[a].Tasks["run-000001/0"].State = wire.Gathering
+	r.workers[b].Tasks["run-000001/1"].State = wire.Fetching
+	r.beat()
+	r.workers[b].Expire()
+	r.beats(4)
+	if got := r.workers[a].Tasks["run-000001/0"]; got == nil || got.Attempt != 1 || got.State != wire.Gathering {
+		t.Fatalf("the waiting task was disturbed: %+v", got)
+	}
+	if got := r.workers[b].Tasks["run-000001/1"]; got == nil || got.Attempt != 1 {
+		t.Fatalf("replacement %+v, want attempt 1", got)
+	}
+}
+
+// Old tasks count for zones as long as they are in place: with same_place no
+// other task may start in another zone, with scatter none beyond half in one.
+func TestZonesCountOldTasks(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Array, "normal", 2, 2)
+	s.OneZone = true
+	r.submit(s)
+	w1 := r.machine("m1", "z1", false)
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started")
+	}
+	r.machine("m2", "z2", false)
+	r.claim() // the new owner has not heard m1 yet
+	r.beats(3, r.workers["m2"])
+	if got := r.workers["m2"].Started; len(got) != 0 {
+		t.Fatalf("started %v in a second zone", got)
+	}
+	r.beat(w1)
+	w1.End("run-000001/0", wire.Done)
+	r.beats(3)
+	if r.on("run-000001/1") == "" {
+		t.Fatal("the second task never started")
+	}
+}
+
 // A gang is done when one of its tasks is: they complete together.
 func TestGangDoneTogether(t *testing.T) {
 	r := newRig(t)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -85,29 +85,28 @@
 
 // Job is an unfinished job.
 type Job struct {
-	ref         string
-	spec        *wire.Spec
-	pipe        *fragment.Pipeline // of one job, see package fragment
-	version     uint64
-	accepted    time.Time
-	cancelled   bool
-	cancelAt    time.Time
-	tasks       []task
-	nIdle       int
-	nPlaced     int
-	nDone       int
-	firstIdle   int // no idle task before it
-	chunks      map[int]*chunk
-	txn         *Txn
-	unsure      bool // a transaction's outcome is unknown; a reread is under way
-	retry       time.Time
-	hold        time.Time // not to be placed before, after failures
-	fails       int
-	failedOn    map[string]bool
-	stuck       time.Time // since when something waits that fits nowhere
-	rank        int
-	gangAttempt uint64
-	madeRoom    time.Time // until when room made for it is awaited
+	ref       string
+	spec      *wire.Spec
+	pipe      *fragment.Pipeline // of one job, see package fragment
+	version   uint64
+	accepted  time.Time
+	cancelled bool
+	cancelAt  time.Time
+	tasks     []task
+	nIdle     int
+	nPlaced   int
+	nDone     int
+	firstIdle int // no idle task before it
+	chunks    map[int]*chunk
+	txn       *Txn
+	unsure    bool // a transaction's outcome is unknown; a reread is under way
+	retry     time.Time
+	hold      time.Time // not to be placed before, after failures
+	fails     int
+	failedOn  map[string]bool
+	stuck     time.Time // since when something waits that fits nowhere
+	rank      int
+	madeRoom  time.Time // until when room made for it is awaited
 }
 
 type chunk struct {
@@ -602,18 +601,18 @@
 	}
 }
 
-// lose takes in that a placed task is proven gone without completing.
+// lose takes in that a placed task is proven gone without completing. A gang
+// that has not started keeps waiting, and a replacement under the same attempt
+// completes it; of one that runs, what was not saved is lost already, so the
+// rest only holds places and is ended.
 func (p *Part) lose(k key, now time.Time) {
 	p.take(k, now)
-	p.mates(k.job, now)
+	if k.job.spec.Kind == wire.Gang && !k.job.gathering() {
+		p.endAttempt(k.job, now)
+	}
 }
 
-// mates ends the attempt of a gang that lost a task: what was not saved is
-// lost already, so the rest only holds places.
-func (p *Part) mates(j *Job, now time.Time) {
-	if j.spec.Kind != wire.Gang {
-		return
-	}
+func (p *Part) endAttempt(j *Job, now time.Time) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state == placed && !t.stop {
@@ -621,3 +620,29 @@
 		}
 	}
 }
+
+// gathering reports whether the placed tasks of a gang still wait for the
+// others of their attempt, as far as their reports tell.
+func (j *Job) gathering() bool {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != placed {
+			continue
+		}
+		waits := t.phase == wire.Fetching || t.phase == wire.Gathering || (t.phase == "" && !t.inherited)
+		if t.stop || !waits {
+			return false
+		}
+	}
+	return true
+}
+
+// attempt returns the attempt of a gang's placed tasks, 0 if there are none.
+func (j *Job) attempt() uint64 {
+	for i := range j.tasks {
+		if j.tasks[i].state == placed {
+			return j.tasks[i].attempt
+		}
+	}
+	return 0
+}
