--- a/cmd/bramblespur/main.go
+++ b/cmd/bramblespur/main.go
@@ -12,6 +12,7 @@
 
 	"bramblespur/internal/config"
 	"bramblespur/internal/controller"
+	"bramblespur/internal/policy"
 )
 
 // version is the program's version; releases set it at link time.
@@ -33,20 +34,20 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := load(path)
+			cfg, pol, err := load(path)
 			if err != nil {
 				return err
 			}
-			return run(cfg)
+			return run(cfg, pol)
 		},
 	}
 	root.PersistentFlags().StringVar(&path, "config", "", "settings file (TOML)")
 	check := &cobra.Command{
 		Use:   "check --config FILE",
-		Short: "Check the settings file without starting",
+		Short: "Check the settings and the policy they name without starting",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := load(path); err != nil {
+			if _, _, err := load(path); err != nil {
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
@@ -63,19 +64,24 @@
 	return root
 }
 
-func load(path string) (*config.Settings, error) {
+func load(path string) (*config.Settings, *policy.Policy, error) {
 	if path == "" {
-		return nil, fmt.Errorf("--config is missing")
+		return nil, nil, fmt.Errorf("--config is missing")
 	}
-	return config.Load(path)
+	cfg, err := config.Load(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	pol, err := policy.Load(cfg.PolicyFile)
+	return cfg, pol, err
 }
 
-func run(cfg *config.Settings) error {
+func run(cfg *config.Settings, pol *policy.Policy) error {
 	// The machines are small: one share of one core and a hard memory limit,
 	// so the runtime gets one processor and collects before the limit bites.
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(cfg.Params.Resources.MemoryMB * 0.6 * (1 << 20)))
-	return controller.Run(cfg, logger(os.Getenv("LOG_LEVEL")))
+	return controller.Run(cfg, pol, logger(os.Getenv("LOG_LEVEL")))
 }
 
 func logger(level string) *slog.Logger {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,6 +22,7 @@
 	"bramblespur/internal/fleet"
 	"bramblespur/internal/httpwire"
 	"bramblespur/internal/peer"
+	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
 	"bramblespur/internal/sched"
 	"bramblespur/internal/statestore"
@@ -46,12 +47,13 @@
 
 // Controller is one process of the service.
 type Controller struct {
-	cfg   *config.Settings
-	log   *slog.Logger
-	store statestore.Store
-	cloud cloud.API
-	peers map[string]*peer.Client
-	teams []string // names in order
+	cfg    *config.Settings
+	policy *policy.Policy
+	log    *slog.Logger
+	store  statestore.Store
+	cloud  cloud.API
+	peers  map[string]*peer.Client
+	teams  []string // names in order
 
 	mu         sync.Mutex
 	schedCfg   *sched.Config // nil until the machine types are known
@@ -94,11 +96,11 @@
 }
 
 // Run runs a controller until its server fails.
-func Run(cfg *config.Settings, log *slog.Logger) error {
+func Run(cfg *config.Settings, pol *policy.Policy, log *slog.Logger) error {
 	p := cfg.Params
 	n := float64(p.Count)
 	c := &Controller{
-		cfg: cfg, log: log,
+		cfg: cfg, policy: pol, log: log,
 		store: statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n, p.State.TxnOps),
 		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*followerShare),
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -9,6 +9,7 @@
 
 	"bramblespur/internal/config"
 	"bramblespur/internal/peer"
+	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/testkit"
@@ -23,7 +24,11 @@
 		Workers: config.Workers{ReportS: 2, LeaseS: 20, CancelS: 40},
 		State:   config.State{ValueKB: 16, TxnOps: 16},
 	}}
-	c := &Controller{cfg: cfg, log: slog.New(slog.DiscardHandler), store: state, teams: []string{"a"}}
+	pol, err := policy.Load("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Controller{cfg: cfg, policy: pol, log: slog.New(slog.DiscardHandler), store: state, teams: []string{"a"}}
 	c.init()
 	c.setTypes([]wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, Zones: []string{"z"}}})
 	c.lease, c.leaseAt = 1, time.Now()
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -11,6 +11,7 @@
 	"bramblespur/internal/config"
 	"bramblespur/internal/fleet"
 	"bramblespur/internal/peer"
+	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
@@ -21,12 +22,7 @@
 	balanceEvery = 30 * time.Second // DESIGN's starting value
 	moveAfter    = 0 * time.Second  // work that fits nowhere gets a free machine at once
 	takeAfter    = 3 * time.Second  // or one with lower work after this
-	idleSpot     = 45 * time.Second
-	idleOrdinary = 30 * time.Second
 	refusedPause = 8 * time.Second
-	// headroomFactor is the part of what arrives while a machine boots for
-	// which machines are kept ready.
-	headroomFactor = 0.5
 	// The leader rents, the others only give back: their parts of the cloud's calls.
 	leaderShare   = 0.7
 	followerShare = 0.15
@@ -255,7 +251,17 @@
 		c.lead = &leading{
 			plan: fleet.NewLeader(fleet.Config{
 				Types: c.types, Zones: c.cfg.Params.Zones, Interval: balanceEvery, MoveAfter: moveAfter, TakeAfter: takeAfter,
-				IdleSpot: idleSpot, IdleOrdinary: idleOrdinary, Headroom: headroomFactor, Refused: refusedPause,
+				Idle: func(t wire.MachineType, spot bool) time.Duration {
+					m := policy.Machine{Type: t.Name, Spot: spot, Price: t.Price, BootS: t.BootS}
+					if spot {
+						m.Price = t.SpotPrice
+					}
+					return config.Seconds(c.policy.IdleS(m))
+				},
+				Headroom: func(arriving float64, boot time.Duration) float64 {
+					return c.policy.Headroom(policy.Arrivals{Arriving: arriving, BootS: boot.Seconds()})
+				},
+				Refused: refusedPause,
 			}),
 			rentals: map[string]record.Rental{}, fresh: map[string]time.Time{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
 		}
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -7,6 +7,7 @@
 
 	"bramblespur/internal/agent"
 	"bramblespur/internal/config"
+	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
 	"bramblespur/internal/sched"
 	"bramblespur/internal/statestore"
@@ -23,6 +24,7 @@
 
 func (c *Controller) newSchedConfig(types []wire.MachineType) *sched.Config {
 	p := c.cfg.Params
+	kinds := map[string]string{wire.Array: "array", wire.Gang: "gang", wire.Service: "service"}
 	s := &sched.Config{
 		Teams: map[string]sched.Team{}, Types: map[string]wire.MachineType{},
 		Report: config.Seconds(p.Workers.ReportS), Lease: config.Seconds(p.Workers.LeaseS),
@@ -32,14 +34,16 @@
 		TxnOps:       p.State.TxnOps,
 		ChunkTasks:   sched.Chunks(p.State.ValueKB),
 		Urgency: func(s *wire.Spec, waited time.Duration) float64 {
+			j := policy.Job{Class: s.Class, Team: s.Team, Kind: kinds[s.Kind], Tasks: s.Tasks, WaitedS: waited.Seconds(), EstimateS: s.EstimateS}
 			if s.DeadlineS != nil {
-				return *s.DeadlineS - s.EstimateS - waited.Seconds()
+				j.HasDeadline, j.DeadlineS = true, *s.DeadlineS
 			}
-			return s.EstimateS - waited.Seconds()
+			return c.policy.Urgency(j)
 		},
 	}
 	for _, t := range p.Teams {
-		s.Teams[t.Name] = sched.Team{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MaxCPUs: t.CPUsMax, MaxGPUs: t.GPUsMax, Share: 1}
+		s.Teams[t.Name] = sched.Team{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MaxCPUs: t.CPUsMax, MaxGPUs: t.GPUsMax,
+			Share: c.policy.Share(policy.Team{Team: t.Name, CPUs: t.CPUs, GPUs: t.GPUs})}
 	}
 	for _, t := range types {
 		s.Types[t.Name] = t
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -18,12 +18,11 @@
 	// or one with lower work, is brought to it from another part at once.
 	MoveAfter time.Duration
 	TakeAfter time.Duration
-	// IdleSpot and IdleOrdinary are how long unused machines are kept.
-	IdleSpot     time.Duration
-	IdleOrdinary time.Duration
-	// Headroom is the part of what arrives while a machine boots and fetches
-	// for which unused ordinary machines are kept, or rented ahead.
-	Headroom float64
+	// Idle is how long an unused machine is kept.
+	Idle func(t wire.MachineType, spot bool) time.Duration
+	// Headroom is how many unused ordinary machines a part should have, given
+	// what arrives there, in machines a second, and how long one boots.
+	Headroom func(arriving float64, boot time.Duration) float64
 	// Refused is the pause after the cloud had nothing of a kind.
 	Refused time.Duration
 }
@@ -343,14 +342,14 @@
 // headroom says how many unused machines each part should have, from what has
 // lately arrived there and how long a new machine takes.
 func (l *Leader) headroom(sums []Summary) (want map[int]float64, total int) {
-	lead := 0.0
+	boot := time.Duration(0)
 	for _, t := range l.cfg.Types {
-		lead = max(lead, t.BootS)
+		boot = max(boot, time.Duration(t.BootS*float64(time.Second)))
 	}
 	want = map[int]float64{}
 	sum := 0.0
 	for _, s := range sums {
-		want[s.Part] = s.Arriving * lead * l.cfg.Headroom
+		want[s.Part] = l.cfg.Headroom(s.Arriving, boot)
 		sum += want[s.Part]
 	}
 	return want, int(sum + 0.5)
@@ -402,14 +401,11 @@
 	kept := 0
 	var orders []Order
 	for _, b := range idle {
-		limit := l.cfg.IdleOrdinary
-		if b.Spot {
-			limit = l.cfg.IdleSpot
-		} else if kept < headroom {
+		if !b.Spot && kept < headroom {
 			kept++
 			continue
 		}
-		if b.Idle > limit {
+		if t := l.typ(b.Type); t != nil && b.Idle > l.cfg.Idle(*t, b.Spot) {
 			orders = append(orders, Order{Part: b.part, Machine: b.ID, To: Back})
 		}
 	}
