--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -185,6 +185,23 @@
 	}
 }
 
+// Refused by the state service alone, a controller sends users elsewhere; when
+// all are, it stays.
+func TestReady(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	if got := c.ready(); got.status != 200 {
+		t.Fatalf("got %+v", got)
+	}
+	c.leaseAt = time.Now().Add(-time.Minute)
+	if got := c.ready(); got.status != 200 {
+		t.Fatalf("in an outage for all: %+v", got)
+	}
+	c.answered("c-1", true, true)
+	if got := c.ready(); got.status != 503 {
+		t.Fatalf("refused alone: %+v", got)
+	}
+}
+
 // A controller answers for an owner that can't be reached, under the same
 // token and without commands, and not for ever.
 func TestKeepAlive(t *testing.T) {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -40,7 +40,6 @@
 	Tasks    int
 	TopRank  int // highest priority of its tasks
 	Idle     time.Duration
-	Age      time.Duration
 	Images   []string // believed to be cached
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -672,7 +672,7 @@
 		fm := fleet.Machine{
 			ID: m.ID, Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Up: m.up, Usable: p.usable(m, now),
 			Leaving: m.moveTo >= 0 || m.drain || m.gone || m.Phase != record.InUse || !m.taken.IsZero(),
-			CPUs:    f.cpus, GPUs: f.gpus, MemoryGB: f.mem, Tasks: len(m.on), Age: now.Sub(m.born),
+			CPUs:    f.cpus, GPUs: f.gpus, MemoryGB: f.mem, Tasks: len(m.on),
 		}
 		if len(m.on) == 0 && m.up && !m.idleSince.IsZero() {
 			fm.Idle = now.Sub(m.idleSince)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -286,7 +286,7 @@
 	if t.seen || t.inherited || p.lost || k.job.cancelled || !k.job.wholeRecorded() {
 		return nil
 	}
-	t.sent, t.sentSeq, t.sentSess = true, m.seq, m.session
+	t.sent, t.sentSess = true, m.session
 	return []wire.Command{{Op: wire.Start, Task: k.name(), Attempt: t.attempt}}
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -71,7 +71,6 @@
 	durable   bool // the completion is in the state service
 	inherited bool // placed by an earlier owner: never started by us
 	seen      bool // its machine has reported this attempt to us
-	sentSeq   uint64
 	sentSess  uint64
 	sent      bool
 	phase     string // as reported
@@ -80,7 +79,6 @@
 	machine   *Machine
 	stop      bool // to be stopped; never taken back for an attempt
 	grace     time.Duration
-	stoppedAt time.Time
 }
 
 // Job is an unfinished job.
@@ -91,7 +89,6 @@
 	version   uint64
 	accepted  time.Time
 	cancelled bool
-	cancelAt  time.Time
 	tasks     []task
 	nIdle     int
 	nPlaced   int
@@ -460,7 +457,6 @@
 	j.version = e.Version
 	if o.Cancelled && !j.cancelled {
 		j.cancelled = true
-		j.cancelAt = now
 		for i := range j.tasks {
 			if j.tasks[i].state == placed {
 				p.stop(key{j, i}, 0, now)
@@ -589,7 +585,7 @@
 		return
 	}
 	if !t.stop || grace < t.grace {
-		t.stop, t.grace, t.stoppedAt = true, grace, now
+		t.stop, t.grace = true, grace
 		t.machine.direct = true
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -46,13 +46,6 @@
 	Forget = "forget"
 )
 
-// Machine states in the cloud's list.
-const (
-	Booting = "booting"
-	Up      = "running"
-	Failed  = "failed"
-)
-
 // Paths of the protocols.
 const (
 	JobsPath    = "/work"
