--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -369,12 +369,6 @@
 			m.reserved = ""
 		}
 	}
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == placed && !t.recorded {
-			c := j.chunk(p.cfg, i)
-			c.attempt = max(c.attempt, t.attempt)
-		}
-	}
 	if j.nIdle == 0 {
 		j.stuck = time.Time{}
 	}
@@ -419,10 +413,12 @@
 	})
 	zones := map[string]int{}
 	only := ""
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == placed {
-			zones[t.machine.Zone]++
-			only = t.machine.Zone
+	for _, m := range p.machines {
+		for k := range m.on {
+			if k.job == j {
+				zones[m.Zone]++
+				only = m.Zone
+			}
 		}
 	}
 	limit := len(j.tasks)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -711,6 +711,34 @@
 	}
 }
 
+// The largest job that the protocol allows keeps its records small.
+func TestLargestArray(t *testing.T) {
+	r := newRig(t)
+	r.cfg.ChunkTasks = Chunks(16)
+	s := spec("run-000001", "b", wire.Array, "normal", 100000, 0)
+	s.CPUs, s.MemoryGB = 1, 1
+	r.submit(s)
+	w := r.machine("m1", "z1", false)
+	for range 40 {
+		r.beat()
+		for name := range w.Tasks {
+			w.End(name, wire.Done)
+		}
+	}
+	runs, _, err := r.state.List(context.Background(), record.RunPrefix)
+	if err != nil || len(runs) == 0 {
+		t.Fatalf("%d records, %v", len(runs), err)
+	}
+	for _, e := range runs {
+		if len(e.Value) > 16<<10 {
+			t.Errorf("record %s has %d bytes", e.Key, len(e.Value))
+		}
+	}
+	if st, ok := r.part.Status(s.Ref); !ok || st.Done < 300 {
+		t.Fatalf("status %+v", st)
+	}
+}
+
 // A job of many ranges ends in one piece and keeps to the limits of records.
 func TestLargeArray(t *testing.T) {
 	r := newRig(t)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -292,7 +292,9 @@
 	u.cpus += s.CPUs
 	u.gpus += s.GPUs
 	m.idleSince = time.Time{}
-	j.chunk(p.cfg, k.i).dirty = true
+	c := j.chunk(p.cfg, k.i)
+	c.dirty = true
+	c.attempt = max(c.attempt, attempt)
 	p.dirty[j.ref] = j
 	return t
 }
@@ -567,9 +569,11 @@
 		return wire.Status{}, false
 	}
 	s := wire.Status{Ref: ref, State: wire.Pending, Done: j.nDone}
-	for i := range j.tasks {
-		if j.tasks[i].phase == wire.Running {
-			s.Running++
+	for _, m := range p.machines {
+		for k, t := range m.on {
+			if k.job == j && t.phase == wire.Running {
+				s.Running++
+			}
 		}
 	}
 	if s.Running > 0 {
