--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -223,6 +223,45 @@
 	}
 }
 
+// Who claims what: a restarted controller its own part at once, even while its
+// earlier lease stands; a dead owner's part the live one; nobody a live owner's.
+func TestWhoClaims(t *testing.T) {
+	for name, x := range map[string]struct {
+		rec     record.Part
+		members []string
+		want    bool
+	}{
+		"own part after a restart": {record.Part{Owner: "c-0", Inc: 1}, []string{"c-0"}, true},
+		"live owner":               {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0", "c-1"}, false},
+		"dead owner":               {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0"}, true},
+		"offered":                  {record.Part{To: "c-0"}, []string{"c-0", "c-1"}, true},
+	} {
+		c := newTest(t, testkit.NewState())
+		now := time.Now()
+		c.inc, c.viewAt = 2, now
+		c.partRecs[0] = versioned[record.Part]{x.rec, 5}
+		for _, m := range x.members {
+			c.members[m] = record.Member{Inc: 1}
+		}
+		c.mu.Lock()
+		c.considerClaims(context.Background(), now)
+		got := c.claiming[0]
+		c.mu.Unlock()
+		if got != x.want {
+			t.Errorf("%s: claims %v, want %v", name, got, x.want)
+		}
+	}
+	// Without a lease that certainly stands, nothing is claimed.
+	c := newTest(t, testkit.NewState())
+	c.viewAt, c.leaseAt = time.Now(), time.Now().Add(-time.Minute)
+	c.partRecs[0] = versioned[record.Part]{record.Part{Owner: "c-0"}, 5}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.considerClaims(context.Background(), time.Now()); c.claiming[0] {
+		t.Error("claims without a lease")
+	}
+}
+
 // A claim makes this controller the owner under a new token; a claim by
 // somebody else ends that.
 func TestClaimAndLoss(t *testing.T) {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -571,6 +571,51 @@
 	}
 }
 
+// With scatter, a task that can't be reached still counts for its zone.
+func TestSpreadCountsOldTasks(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Service, "prod", 3, 1)
+	s.Spread = true
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.beats(3)
+	r.machine("m2", "z1", false)
+	r.claim()
+	r.beats(3, r.workers["m2"])
+	if got := r.workers["m2"].Started; len(got) != 0 {
+		t.Fatalf("started %v: more than half in one zone", got)
+	}
+}
+
+// All controllers crash at once, again and again, at every step of a job: it is
+// started at most once at a time and ends.
+func TestCrashAtEveryStep(t *testing.T) {
+	for crash := range 8 {
+		r := newRig(t)
+		w := r.machine("m1", "z1", false)
+		s := spec("run-000001", "b", wire.Array, "normal", 2, 1)
+		r.submit(s)
+		for step := range 24 {
+			if step%8 == crash {
+				r.claim()
+			}
+			r.beat()
+			r.on("run-000001/0")
+			r.on("run-000001/1")
+			if step > 12 {
+				w.End("run-000001/0", wire.Done)
+				w.End("run-000001/1", wire.Done)
+			}
+		}
+		if r.jobState(s.Ref) != wire.Done {
+			t.Errorf("crash at step %d: job not done", crash)
+		}
+		if len(w.Started) != 2 {
+			t.Errorf("crash at step %d: starts %v, want two", crash, w.Started)
+		}
+	}
+}
+
 // A gang is done when one of its tasks is: they complete together.
 func TestGangDoneTogether(t *testing.T) {
 	r := newRig(t)
