--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -44,7 +44,6 @@
 	seq      int
 	resumed  bool
 	nextList time.Time
-	prices   time.Time
 }
 
 func (c *Controller) leads(now time.Time) bool {
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -268,9 +268,6 @@
 	return nil
 }
 
-// SetTypes takes in the cloud's current offer.
-func (l *Leader) SetTypes(t []wire.MachineType) { l.cfg.Types = t }
-
 // offer is a pool that has room as far as is known.
 type offer struct {
 	pool
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -314,17 +314,3 @@
 	m.drain = true
 	p.changed = true
 }
-
-// Fence returns the commands that make every machine answer under our token.
-func (p *Part) Fence(addr func(id string) string) []Direct {
-	var out []Direct
-	for _, m := range p.machines {
-		if m.fenced {
-			continue
-		}
-		if a := addr(m.ID); a != "" {
-			out = append(out, Direct{Machine: m.ID, Addr: a, Orders: wire.DirectOrders{Token: m.token(p), Session: m.session, Commands: []wire.Command{}}})
-		}
-	}
-	return out
-}
