--- a/cmd/bramblespur/main.go
+++ b/cmd/bramblespur/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -77,9 +78,9 @@
 }
 
 func run(cfg *config.Settings, pol *policy.Policy) error {
-	// The machines are small: one share of one core and a hard memory limit,
-	// so the runtime gets one processor and collects before the limit bites.
-	runtime.GOMAXPROCS(1)
+	// The machines are small: a share of a core and a hard memory limit, so the
+	// runtime gets no more processors and collects before the limit bites.
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Params.Resources.CPUShare))))
 	debug.SetMemoryLimit(int64(cfg.Params.Resources.MemoryMB * 0.6 * (1 << 20)))
 	return controller.Run(cfg, pol, logger(os.Getenv("LOG_LEVEL")))
 }
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -123,13 +123,3 @@
 	}
 	c.idle = append(c.idle, k)
 }
-
-// Close ends the unused connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, k := range c.idle {
-		k.Close()
-	}
-	c.idle = nil
-}
