--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -65,6 +65,7 @@
 	go func() {
 		var rr peer.ReportReply
 		if err := peerc.Call("Report", r, &rr, relayTimeout); err == nil && rr.Status != 0 {
+			c.log.Debug("report relayed", "machine", r.Machine, "owner", owner, "status", rr.Status)
 			switch rr.Status {
 			case 200:
 				answer(reply{status: 200, body: rr.Orders})
