--- /dev/null
+++ b/internal/controller/budget.go
@@ -0,0 +1,69 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"bramblespur/internal/fleet"
+)
+
+// The state service's limits hold for all controllers together. Every one may
+// use an equal share; the leader, which asks each what it needs, lends what the
+// others leave.
+
+// budgetLife is how long a budget given by the leader counts.
+const budgetLife = 4 * time.Second
+
+// budgetUse is the part of the limits that is shared out: what is in flight
+// when budgets change must not exceed them.
+const budgetUse = 0.95
+
+// budgets is what the leader last gave, by controller.
+type budgets struct{ requests, changes map[string]float64 }
+
+// share computes the budgets from what each controller needed in the last
+// turn. One that lives but did not answer may be using its equal share, so that
+// is left to it. The lock is held.
+func (c *Controller) share(needs map[string]fleet.Use, turn time.Duration) budgets {
+	s := c.cfg.Params.State
+	rps, writes := s.RPS*budgetUse, s.WriteRPS*budgetUse
+	requests, changes := map[string]float64{}, map[string]float64{}
+	for _, l := range c.cfg.Labels() {
+		u, answered := needs[l]
+		switch _, lives := c.members[l]; {
+		case answered:
+			requests[l], changes[l] = float64(u.Requests)/turn.Seconds(), float64(u.Changes)/turn.Seconds()
+		case lives:
+			rps -= s.RPS / float64(c.cfg.Params.Count)
+			writes -= s.WriteRPS / float64(c.cfg.Params.Count)
+		}
+	}
+	return budgets{fleet.Share(rps, requests), fleet.Share(writes, changes)}
+}
+
+// setBudget takes a budget in; 0 means the plain share. The lock is held.
+func (c *Controller) setBudget(requests, changes float64, now time.Time) {
+	if requests > 0 && changes > 0 {
+		c.budgetAt = now
+		c.store.Budget(requests, changes)
+	}
+}
+
+// checkBudget falls back to the plain share when no leader gives a budget.
+func (c *Controller) checkBudget(now time.Time) {
+	if now.Sub(c.budgetAt) > budgetLife {
+		n := float64(c.cfg.Params.Count)
+		c.store.Budget(c.cfg.Params.State.RPS/n, c.cfg.Params.State.WriteRPS/n)
+	}
+}
+
+// countLoop logs what was used of the state service, by purpose.
+func (c *Controller) countLoop(ctx context.Context) {
+	for sleep(ctx, countsEvery) {
+		args := []any{}
+		for purpose, n := range c.store.Counts() {
+			args = append(args, purpose, n)
+		}
+		c.log.Info("state service used", args...)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sort"
@@ -35,12 +36,13 @@
 	tickEvery     = 200 * time.Millisecond // timers of the cores
 	longestWatch  = 4 * time.Second        // how long a watch may be silent
 	shortestWatch = 500 * time.Millisecond
-	watchPause    = 150 * time.Millisecond // changes this close together share one answer
+	watchPause    = 300 * time.Millisecond // changes this close together share one answer
+	countsEvery   = 15 * time.Second       // requests and changes are logged this often
 	syncEvery     = time.Second            // the leader asks every controller
 	syncTimeout   = 1500 * time.Millisecond
 	unreachable   = 6 * time.Second  // the leader has an unreachable owner's parts claimed
 	homeStable    = 20 * time.Second // a returned controller answers this long before its part goes home
-	listFactor    = 1.0              // the cloud's list is read once in this many of its lags
+	listFactor    = 3.0              // the cloud's list is read once in this many of its lags
 	relayTimeout  = 1200 * time.Millisecond
 	finalsKept    = 20000 // final states held in memory
 )
@@ -61,16 +63,19 @@
 	parts      map[int]*sched.Part
 	claiming   map[int]bool
 	partRecs   map[int]versioned[record.Part]
-	machines   map[string]versioned[record.Machine]
+	fleet      *record.Fleet
+	open       map[string]openJob // unfinished jobs as the watch tells them
 	members    map[string]record.Member
 	leader     versioned[record.Head]
 	typesSeen  bool
 	viewAt     time.Time // the cluster view was true at this time or later
 	jobsAt     time.Time // so was the view of open jobs
+	fleetAt    time.Time // and that of the machines
+	waiting    []*confirmation
 	lease      uint64
 	leaseAt    time.Time // last renewal's request
 	inc        uint64
-	finals     map[string]string
+	finals     map[string]record.Job
 	redirected map[string]redirect
 	peerOK     map[string]time.Time // last answer
 	peerSince  map[string]time.Time // answers without a gap since
@@ -82,7 +87,15 @@
 	deaf       bool // as the member record says
 	kept       map[string]kept
 	held       map[string]*held
-	returning  map[string]*sched.Part // to be given back with the next call
+	budgetAt   time.Time // when the leader last gave a budget
+	readiness  readiness
+}
+
+// openJob is what polls need to know of an unfinished job.
+type openJob struct {
+	version   uint64
+	part      int
+	cancelled bool
 }
 
 type versioned[T any] struct {
@@ -101,7 +114,7 @@
 	n := float64(p.Count)
 	c := &Controller{
 		cfg: cfg, policy: pol, log: log,
-		store: statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n, p.State.TxnOps),
+		store: statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n),
 		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*followerShare),
 	}
 	c.init()
@@ -131,11 +144,13 @@
 	}()
 	go c.leaseLoop(ctx)
 	go c.watchLoop(ctx, record.ClusterPrefix, c.resetCluster, c.changeCluster)
-	go c.watchLoop(ctx, record.MachinePrefix, c.resetMachines, c.changeMachine)
+	go c.watchLoop(ctx, record.FleetPrefix, c.resetFleet, c.changeFleet)
 	go c.watchLoop(ctx, record.OpenPrefix, c.resetOpen, c.changeOpen)
 	go c.typesLoop(ctx)
 	go c.tickLoop(ctx)
 	go c.leadLoop(ctx)
+	go c.confirmLoop(ctx)
+	go c.countLoop(ctx)
 	log.Info("controller started", "label", cfg.Label, "zone", cfg.Zone)
 	return fmt.Errorf("server: %w", <-errs)
 }
@@ -145,13 +160,13 @@
 	c.parts = map[int]*sched.Part{}
 	c.claiming = map[int]bool{}
 	c.partRecs = map[int]versioned[record.Part]{}
-	c.machines = map[string]versioned[record.Machine]{}
+	c.fleet = record.NewFleet()
+	c.open = map[string]openJob{}
 	c.members = map[string]record.Member{}
-	c.finals = map[string]string{}
+	c.finals = map[string]record.Job{}
 	c.redirected = map[string]redirect{}
 	c.kept = map[string]kept{}
 	c.held = map[string]*held{}
-	c.returning = map[string]*sched.Part{}
 	c.peerOK = map[string]time.Time{}
 	c.peerSince = map[string]time.Time{}
 	c.peerState = map[string]time.Time{}
@@ -221,7 +236,7 @@
 	deaf := c.deaf
 	c.mu.Unlock()
 	put := wire.Op{Put: key, Value: record.Encode(record.Member{Inc: inc, Deaf: deaf}), Lease: lease}
-	if _, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{Then: []wire.Op{put}}); err != nil {
+	if _, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}}); err != nil {
 		return err
 	}
 	c.mu.Lock()
@@ -240,7 +255,7 @@
 func (c *Controller) watchLoop(ctx context.Context, prefix string, reset func([]wire.Entry, time.Time), change func(wire.Change, time.Time)) {
 	for ctx.Err() == nil {
 		at := time.Now()
-		entries, rev, err := c.store.List(ctx, prefix)
+		entries, rev, err := c.store.List(ctx, statestore.Urgent("view"), prefix)
 		if err != nil {
 			sleep(ctx, jitter(400*time.Millisecond))
 			continue
@@ -276,6 +291,8 @@
 		c.viewAt = at
 	case record.OpenPrefix:
 		c.jobsAt = at
+	case record.FleetPrefix:
+		c.fleetAt = at
 	}
 }
 
@@ -349,87 +366,102 @@
 	}
 }
 
-func (c *Controller) resetMachines(entries []wire.Entry, at time.Time) {
+// resetFleet takes in all records of machines; what is not there is gone.
+func (c *Controller) resetFleet(entries []wire.Entry, at time.Time) {
 	keep := map[string]bool{}
 	for _, e := range entries {
-		keep[record.Last(e.Key)] = true
+		keep[e.Key] = true
 	}
 	c.mu.Lock()
-	var gone []string
-	for id := range c.machines {
-		if !keep[id] {
-			gone = append(gone, id)
-		}
-	}
+	keys := c.fleet.Keys()
 	c.mu.Unlock()
-	for _, id := range gone {
-		c.changeMachine(wire.Change{Delete: record.MachineKey(id)}, at)
-	}
 	for _, e := range entries {
-		c.changeMachine(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
+		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
+	}
+	for _, k := range keys {
+		if !keep[k] {
+			c.changeFleet(wire.Change{Delete: k, Version: math.MaxUint64}, at)
+		}
 	}
+	c.viewed(record.FleetPrefix, at)
 }
 
-func (c *Controller) changeMachine(e wire.Change, _ time.Time) {
+func (c *Controller) changeFleet(e wire.Change, _ time.Time) {
 	now := time.Now()
-	id := record.Last(e.Put + e.Delete)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e.Put == "" {
-		delete(c.machines, id)
-		for _, p := range c.parts {
-			p.DropMachine(id, now)
-			c.pump(p, now)
-		}
-		return
-	}
-	var r record.Machine
-	if err := decode(e.Value, &r); err != nil {
-		c.log.Error("machine record", "machine", id, "err", err)
-		return
+	c.fleetChange(e, now)
+	for _, p := range c.parts {
+		c.pump(p, now)
 	}
-	if old := c.machines[id]; e.Version < old.version {
+}
+
+// fleetChange takes in one record of machines and tells the parts. The lock is
+// held.
+func (c *Controller) fleetChange(e wire.Change, now time.Time) {
+	ids, err := c.fleet.Change(e)
+	if err != nil {
+		c.log.Error("fleet record", "err", err)
 		return
 	}
-	c.machines[id] = versioned[record.Machine]{r, e.Version}
-	entry := wire.Entry{Key: e.Put, Value: e.Value, Version: e.Version}
-	for _, p := range c.parts {
-		if p.ID() != r.Part && !p.HasMachine(id) {
-			continue
-		}
-		if err := p.SetMachine(entry, now); err != nil {
-			c.log.Error("machine record", "machine", id, "err", err)
+	for _, id := range ids {
+		v, ok := c.fleet.Machine(id)
+		for _, p := range c.parts {
+			switch {
+			case !ok:
+				p.DropMachine(id, now)
+			case v.Part == p.ID() || p.HasMachine(id):
+				if err := p.SetMachine(id, v, now); err != nil {
+					c.log.Error("machine record", "machine", id, "err", err)
+				}
+			}
 		}
-		c.pump(p, now)
 	}
 }
 
+// resetOpen takes in all open jobs; what is not there has ended.
 func (c *Controller) resetOpen(entries []wire.Entry, at time.Time) {
+	keep := map[string]bool{}
 	for _, e := range entries {
+		keep[record.Last(e.Key)] = true
 		c.changeOpen(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
 	}
+	c.mu.Lock()
+	for ref := range c.open {
+		if !keep[ref] {
+			delete(c.open, ref)
+		}
+	}
+	c.mu.Unlock()
 	c.viewed(record.OpenPrefix, at)
 }
 
 func (c *Controller) changeOpen(e wire.Change, _ time.Time) {
-	if e.Put == "" {
-		return // the owner ends jobs itself
-	}
-	part, ok := openPart(e.Put)
-	if !ok {
-		return
-	}
-	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.parts[part]
-	if p == nil {
+	c.openChange(e, time.Now())
+}
+
+// openChange takes in an open job's record and tells its part. The lock is held.
+func (c *Controller) openChange(e wire.Change, now time.Time) {
+	ref := record.Last(e.Put + e.Delete)
+	if c.open[ref].version > e.Version {
 		return
 	}
-	if err := p.SetJob(wire.Entry{Key: e.Put, Value: e.Value, Version: e.Version}, now); err != nil {
+	if e.Put == "" {
+		delete(c.open, ref) // the owner ends jobs itself
+		return
+	}
+	var o record.Open
+	if err := decode(e.Value, &o); err != nil {
 		c.log.Error("job record", "key", e.Put, "err", err)
+		return
+	}
+	c.open[ref] = openJob{version: e.Version, part: o.Part, cancelled: o.Cancelled}
+	if p := c.parts[o.Part]; p != nil {
+		p.SetJob(ref, o, e.Version, now)
+		c.pump(p, now)
 	}
-	c.pump(p, now)
 }
 
 // typesLoop learns the machine types: from the state service, where the first
@@ -437,7 +469,7 @@
 // so they are asked again now and then by the leader.
 func (c *Controller) typesLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e, err := c.store.Get(ctx, statestore.Urgent, record.Types); err == nil {
+		if e, err := c.store.Get(ctx, statestore.Urgent("types"), record.Types); err == nil {
 			var t []wire.MachineType
 			if decode(e.Value, &t) == nil && len(t) > 0 {
 				c.mu.Lock()
@@ -456,7 +488,7 @@
 		c.setTypes(t)
 		c.mu.Unlock()
 		for range 5 {
-			_, err := c.store.Txn(ctx, statestore.Routine, wire.Txn{
+			_, err := c.store.Txn(ctx, statestore.Routine("types"), wire.Txn{
 				If:   []wire.Cond{{Key: record.Types}},
 				Then: []wire.Op{{Put: record.Types, Value: record.Encode(t)}},
 			})
@@ -485,11 +517,14 @@
 		now := time.Now()
 		c.mu.Lock()
 		cut := c.cutZones(now)
+		blind := c.blind(now)
 		for _, p := range c.parts {
 			p.SetCut(cut)
+			p.SetBlind(blind)
 			c.pump(p, now)
 		}
 		c.considerClaims(ctx, now)
+		c.checkBudget(now)
 		for id, r := range c.redirected {
 			if now.Sub(r.at) > time.Minute {
 				delete(c.redirected, id)
@@ -598,12 +633,12 @@
 func (c *Controller) takeOver(ctx context.Context, id int, r versioned[record.Part], inc uint64) error {
 	key := record.PartKey(id)
 	rec := record.Part{Owner: c.cfg.Label, Inc: inc}
-	token, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+	token, err := c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
 		If:   []wire.Cond{{Key: key, Version: r.version}},
 		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
 	})
 	if err != nil {
-		if e, gerr := c.store.Get(ctx, statestore.Urgent, key); gerr == nil {
+		if e, gerr := c.store.Get(ctx, statestore.Urgent("claim"), key); gerr == nil {
 			var cur record.Part
 			if decode(e.Value, &cur) == nil {
 				c.mu.Lock()
@@ -628,13 +663,14 @@
 			c.parts[id] = p
 			now := time.Now()
 			// Views may have moved on while the records were read.
-			for mid, m := range c.machines {
-				if m.rec.Part == id {
-					if err := p.SetMachine(wire.Entry{Key: record.MachineKey(mid), Value: record.Encode(m.rec), Version: m.version}, now); err != nil {
-						c.log.Error("machine record", "machine", mid, "err", err)
-					}
+			c.fleet.Each(func(mid string, v record.View) {
+				if v.Part != id {
+					return
 				}
-			}
+				if err := p.SetMachine(mid, v, now); err != nil {
+					c.log.Error("machine record", "machine", mid, "err", err)
+				}
+			})
 			c.log.Info("part claimed", "part", id, "token", token)
 			c.pump(p, now)
 			go c.rereadOpen(ctx, p)
@@ -655,27 +691,34 @@
 }
 
 func (c *Controller) load(ctx context.Context, cfg *sched.Config, id int, token uint64) (*sched.Part, error) {
-	machines, _, err := c.store.List(ctx, record.MachinePrefix)
+	use := statestore.Urgent("take over")
+	entries, _, err := c.store.List(ctx, use, record.FleetPrefix)
 	if err != nil {
 		return nil, err
 	}
-	open, _, err := c.store.List(ctx, fmt.Sprintf("%s%d/", record.OpenPrefix, id))
+	fl := record.NewFleet()
+	for _, e := range entries {
+		if _, err := fl.Change(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}); err != nil {
+			return nil, err
+		}
+	}
+	open, _, err := c.store.List(ctx, use, record.OpenPrefix)
 	if err != nil {
 		return nil, err
 	}
-	runs, _, err := c.store.List(ctx, fmt.Sprintf("%s%d/", record.RunPrefix, id))
+	slots, _, err := c.store.List(ctx, use, record.SlotsOf(id))
 	if err != nil {
 		return nil, err
 	}
 	p := sched.New(cfg, id, token)
-	return p, p.Load(machines, open, runs, time.Now())
+	return p, p.Load(fl, open, slots, time.Now())
 }
 
 // rereadOpen reads the open jobs once more after a claim: one accepted between
 // the first reading and the part's being there was told to nobody.
 func (c *Controller) rereadOpen(ctx context.Context, p *sched.Part) {
 	for ctx.Err() == nil {
-		open, _, err := c.store.List(ctx, fmt.Sprintf("%s%d/", record.OpenPrefix, p.ID()))
+		open, _, err := c.store.List(ctx, statestore.Urgent("take over"), record.OpenPrefix)
 		if err != nil {
 			sleep(ctx, jitter(300*time.Millisecond))
 			continue
@@ -687,9 +730,12 @@
 			return
 		}
 		for _, e := range open {
-			if err := p.SetJob(e, now); err != nil {
+			var o record.Open
+			if err := decode(e.Value, &o); err != nil {
 				c.log.Error("job record", "key", e.Key, "err", err)
+				continue
 			}
+			p.SetJob(record.Last(e.Key), o, e.Version, now)
 		}
 		c.pump(p, now)
 		return
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -185,20 +185,59 @@
 	}
 }
 
-// Refused by the state service alone, a controller sends users elsewhere; when
-// all are, it stays.
-func TestReady(t *testing.T) {
+// Refused by the state service alone, or cut off from everybody but its
+// workers, a controller sends users elsewhere; when all are refused, it stays.
+func TestServes(t *testing.T) {
 	c := newTest(t, testkit.NewState())
-	if got := c.ready(); got.status != 200 {
-		t.Fatalf("got %+v", got)
+	now := time.Now()
+	c.jobsAt = now
+	if !c.serves(now) {
+		t.Fatal("not ready in good times")
 	}
-	c.leaseAt = time.Now().Add(-time.Minute)
-	if got := c.ready(); got.status != 200 {
-		t.Fatalf("in an outage for all: %+v", got)
+	c.leaseAt = now.Add(-time.Minute)
+	if !c.serves(now) {
+		t.Fatal("unready alone, with nobody better")
+	}
+	c.peers["c-1"] = peer.NewClient("127.0.0.1:1")
+	if c.serves(now) {
+		t.Fatal("ready without the state service and the other controllers")
+	}
+	c.answered("c-1", true, false)
+	if !c.serves(now) {
+		t.Fatal("unready in an outage for all")
 	}
 	c.answered("c-1", true, true)
-	if got := c.ready(); got.status != 503 {
-		t.Fatalf("refused alone: %+v", got)
+	if c.serves(now) {
+		t.Fatal("ready though refused alone")
+	}
+}
+
+// Readiness does not flap: the load balancer would keep the controller out for
+// up to a minute.
+func TestReadinessHasHysteresis(t *testing.T) {
+	var r readiness
+	clock := testkit.NewClock()
+	step := func(good bool, d time.Duration) bool {
+		clock.Advance(d)
+		return r.update(good, clock.Now())
+	}
+	step(true, 0)
+	if !step(true, time.Second) {
+		t.Fatal("not ready after a second of good times")
+	}
+	for range 10 { // short troubles
+		step(false, time.Second)
+		if !step(false, time.Second) || !step(true, time.Second) {
+			t.Fatal("unready for a trouble of a second")
+		}
+	}
+	step(false, 0)
+	if step(false, unreadyAfter) {
+		t.Fatal("ready in a lasting trouble")
+	}
+	step(true, 0)
+	if !step(true, time.Second) {
+		t.Fatal("not ready again after it")
 	}
 }
 
@@ -284,7 +323,7 @@
 	if err := c.takeOver(context.Background(), 0, versioned[record.Part]{}, 1); err == nil {
 		t.Fatal("claimed under a version that is gone")
 	}
-	if got, err := state.Get(context.Background(), statestore.Urgent, record.PartKey(0)); err != nil || got.Version != e.Version {
+	if got, err := state.Get(context.Background(), statestore.Urgent("test"), record.PartKey(0)); err != nil || got.Version != e.Version {
 		t.Fatalf("record %+v, %v", got, err)
 	}
 }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -23,10 +23,13 @@
 	moveAfter    = 0 * time.Second  // work that fits nowhere gets a free machine at once
 	takeAfter    = 3 * time.Second  // or one with lower work after this
 	refusedPause = 8 * time.Second
-	// The leader rents, the others only give back: their parts of the cloud's calls.
-	leaderShare   = 0.7
-	followerShare = 0.15
+	// The leader rents and gives back; the others only ask for the machine
+	// types when they start: their parts of the cloud's calls.
+	leaderShare   = 0.95
+	followerShare = 0.05
 	rentalsAtOnce = 3
+	returnTimeout = 15 * time.Second
+	clearEvery    = 5 * time.Second // records of machines long gone are cleared
 	standAside    = 4 * time.Second // a leader that reaches nobody gives up after this
 	deafAfter     = 4 * time.Second // without an answer from any controller
 	pingTimeout   = 900 * time.Millisecond
@@ -44,6 +47,10 @@
 	seq      int
 	resumed  bool
 	nextList time.Time
+	clearing time.Time
+	backs    map[string]bool // batches being given back
+	grants   budgets
+	synced   time.Time
 }
 
 func (c *Controller) leads(now time.Time) bool {
@@ -124,7 +131,7 @@
 func (c *Controller) listen(ctx context.Context) {
 	c.mu.Lock()
 	now := time.Now()
-	deaf := len(c.machines) > 0 && len(c.peers) > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
+	deaf := c.fleet.Len() > 0 && len(c.peers) > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
 	for label := range c.peers {
 		if now.Sub(c.peerOK[label]) < deafAfter {
 			deaf = false
@@ -137,7 +144,7 @@
 		return
 	}
 	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(record.Member{Inc: inc, Deaf: deaf}), Lease: lease}
-	if _, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{Then: []wire.Op{put}}); err != nil {
+	if _, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}}); err != nil {
 		return
 	}
 	c.mu.Lock()
@@ -151,7 +158,7 @@
 	head := record.Head{Label: c.cfg.Label, Inc: c.inc}
 	lease := c.lease
 	c.mu.Unlock()
-	rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+	rev, err := c.store.Txn(ctx, statestore.Urgent("lead"), wire.Txn{
 		If:   []wire.Cond{{Key: record.Leader, Version: cur.version}},
 		Then: []wire.Op{{Put: record.Leader, Value: record.Encode(head), Lease: lease}},
 	})
@@ -166,16 +173,18 @@
 	}
 }
 
-// syncPeers asks every other controller for its parts, handing over orders,
-// claims and hand-overs by label.
-func (c *Controller) syncPeers(orders map[string][]fleet.Order, claims map[string][]int, hand map[string][]int) []fleet.Summary {
+// syncPeers asks every other controller for its parts and for what it needs of
+// the state service, handing over claims, hand-overs and budgets by label.
+func (c *Controller) syncPeers(claims, hand map[string][]int, grants budgets) ([]fleet.Summary, map[string]fleet.Use) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var sums []fleet.Summary
+	needs := map[string]fleet.Use{}
 	for label, p := range c.peers {
 		wg.Go(func() {
 			var r peer.SyncReply
-			a := peer.SyncArgs{From: c.cfg.Label, Orders: orders[label], Claim: claims[label], HandHome: hand[label]}
+			a := peer.SyncArgs{From: c.cfg.Label, Claim: claims[label], HandHome: hand[label],
+				Requests: grants.requests[label], Changes: grants.changes[label]}
 			err := p.Call("Sync", a, &r, syncTimeout)
 			c.mu.Lock()
 			c.answered(label, err == nil, r.StateOK)
@@ -186,10 +195,11 @@
 			mu.Lock()
 			defer mu.Unlock()
 			sums = append(sums, r.Summaries...)
+			needs[label] = fleet.Use{Requests: r.Requests, Changes: r.Changes}
 		})
 	}
 	wg.Wait()
-	return sums
+	return sums, needs
 }
 
 // Sync implements peer.Handler.
@@ -211,7 +221,12 @@
 	for _, id := range a.HandHome {
 		c.handHome(ctx, id)
 	}
-	return peer.SyncReply{Summaries: c.summaries(now), StateOK: c.sure(now)}
+	c.setBudget(a.Requests, a.Changes, now)
+	r := peer.SyncReply{Summaries: c.summaries(now), StateOK: c.sure(now)}
+	if len(a.Orders) == 0 { // orders alone come between the leader's turns
+		r.Requests, r.Changes = c.store.Needed()
+	}
+	return r
 }
 
 func (c *Controller) summaries(now time.Time) []fleet.Summary {
@@ -234,7 +249,7 @@
 		return
 	}
 	go func() {
-		_, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+		_, err := c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
 			If:   []wire.Cond{{Key: record.PartKey(id), Version: r.version}},
 			Then: []wire.Op{{Put: record.PartKey(id), Value: record.Encode(record.Part{To: home})}},
 		})
@@ -263,6 +278,7 @@
 				Refused: refusedPause,
 			}),
 			rentals: map[string]record.Rental{}, fresh: map[string]time.Time{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
+			backs: map[string]bool{},
 		}
 	}
 	l := c.lead
@@ -278,10 +294,20 @@
 		c.standAside(ctx)
 		return
 	}
-	sums := c.syncPeers(nil, claims, hand)
+	sums, needs := c.syncPeers(claims, hand, l.grants)
 
 	c.mu.Lock()
 	now = time.Now()
+	turn := syncEvery
+	if !l.synced.IsZero() {
+		turn = max(turn, now.Sub(l.synced))
+	}
+	l.synced = now
+	var own fleet.Use
+	own.Requests, own.Changes = c.store.Needed()
+	needs[c.cfg.Label] = own
+	l.grants = c.share(needs, turn)
+	c.setBudget(l.grants.requests[c.cfg.Label], l.grants.changes[c.cfg.Label], now)
 	sums = append(sums, c.summaries(now)...)
 	c.complete(l, sums, now)
 	orders, rents := l.plan.Plan(sums, now)
@@ -318,6 +344,8 @@
 			}()
 		}
 	}
+	c.returns(ctx, l)
+	c.clear(ctx, l, now)
 	if now.After(l.nextList) {
 		l.nextList = now.Add(time.Duration(listFactor * float64(config.Seconds(c.cfg.Params.Cloud.ListLagS))))
 		go c.lookForStrangers(ctx, l)
@@ -386,7 +414,7 @@
 	c.lead = nil
 	c.mu.Unlock()
 	c.log.Info("standing aside as leader")
-	if _, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+	if _, err := c.store.Txn(ctx, statestore.Urgent("lead"), wire.Txn{
 		If: []wire.Cond{{Key: record.Leader, Version: version}}, Then: []wire.Op{{Delete: record.Leader}},
 	}); err != nil {
 		c.log.Info("give up lead", "err", err)
@@ -416,10 +444,15 @@
 			}
 		}
 	}
-	for id, m := range c.machines {
+	c.fleet.Each(func(id string, v record.View) {
 		l.known[id] = now
-		if !told[id] && m.rec.Phase == record.InUse {
-			coming(id, m.rec.Type, m.rec.Zone, m.rec.Spot, m.rec.Part)
+		if !told[id] && v.Phase == record.InUse {
+			coming(id, v.Type, v.Zone, v.Spot, v.Part)
+		}
+	})
+	for id, at := range l.known {
+		if now.Sub(at) > time.Duration(knownLags)*config.Seconds(c.cfg.Params.Cloud.ListLagS) {
+			delete(l.known, id)
 		}
 	}
 	for _, r := range l.rentals {
@@ -429,20 +462,21 @@
 	}
 }
 
+// knownLags is for how many of the list's lags a machine that is gone is not
+// taken for a stranger.
+const knownLags = 6
+
 // rent begins a rental. The lock is held.
 func (c *Controller) rent(ctx context.Context, l *leading, r fleet.Rent) {
 	l.seq++
 	name := fmt.Sprintf("%s-%d-%d", c.cfg.Label, c.leader.version, l.seq)
 	rec := record.Rental{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Parts: r.Parts}
-	if most := c.cfg.Params.State.TxnOps - 1; len(rec.Parts) > most {
-		rec.Parts = rec.Parts[:most] // one transaction records them; the rest is asked for next
-	}
 	l.rentals[name] = rec
 	leader := c.leader.version
 	go func() {
 		// The record comes first, under the lead it was decided under: a name
 		// is never used again, and whoever leads next repeats the request.
-		rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
+		rev, err := c.store.Txn(ctx, statestore.Urgent("rental"), wire.Txn{
 			If:   []wire.Cond{{Key: record.RentalPrefix + name}, {Key: record.Leader, Version: leader}},
 			Then: []wire.Op{{Put: record.RentalPrefix + name, Value: record.Encode(rec)}},
 		})
@@ -478,30 +512,32 @@
 			sleep(ctx, jitter(time.Second))
 			continue
 		}
-		ops := []wire.Op{{Delete: key}}
 		now := time.Now()
 		pool := fleet.Rent{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
+		ids = ids[:min(len(ids), len(rec.Parts))]
 		c.mu.Lock()
-		if err != nil || len(ids) < len(rec.Parts) {
+		if len(ids) < len(rec.Parts) {
 			l.plan.Refused(pool, now)
 		} else {
 			l.plan.Granted(pool)
 		}
 		c.mu.Unlock()
-		for i, id := range ids[:min(len(ids), len(rec.Parts))] {
-			m := record.Machine{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Part: rec.Parts[i], Born: now.UnixMilli()}
-			ops = append(ops, wire.Op{Put: record.MachineKey(id), Value: record.Encode(m)})
+		c.log.Info("rented", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "asked", len(rec.Parts), "got", len(ids))
+		op := wire.Op{Delete: key}
+		if len(ids) > 0 {
+			rec.Parts, rec.IDs, rec.Born = rec.Parts[:len(ids)], ids, now.UnixMilli()
+			op = wire.Op{Put: key, Value: record.Encode(rec)}
 		}
-		c.log.Info("rented", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "parts", rec.Parts, "got", len(ids))
 		for ctx.Err() == nil {
-			rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{If: cond, Then: ops})
-			var conflict *statestore.ConflictError
+			t := wire.Txn{If: cond, Then: []wire.Op{op}}
+			rev, err := c.store.Txn(ctx, statestore.Urgent("rental"), t)
 			if err == nil {
-				for _, op := range ops[1:] {
-					c.changeMachine(wire.Change{Put: op.Put, Value: op.Value, Version: rev}, now)
-				}
+				c.mu.Lock()
+				c.applied(t, rev, now)
+				c.mu.Unlock()
 				return
 			}
+			var conflict *statestore.ConflictError
 			if errors.As(err, &conflict) {
 				return // done by us with no answer, or by another leader
 			}
@@ -510,9 +546,101 @@
 	}
 }
 
+// returns gives back what the parts' owners have recorded as to be given back,
+// several batches with one call. The answer is recorded: it proves gone what
+// ran on the machines, to whoever owns their parts by then.
+func (c *Controller) returns(ctx context.Context, l *leading) {
+	c.mu.Lock()
+	var ids []string
+	batches := map[string]record.Versioned[record.Back]{}
+	for key, b := range c.fleet.Pending() {
+		if l.backs[key] || len(ids)+len(b.Rec.IDs) > maxReturn {
+			continue
+		}
+		l.backs[key] = true
+		batches[key] = b
+		ids = append(ids, b.Rec.IDs...)
+	}
+	c.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	go func() {
+		defer func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for key := range batches {
+				delete(l.backs, key)
+			}
+		}()
+		ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+		defer cancel()
+		err := c.cloud.Return(ctx, ids)
+		c.log.Info("machines returned", "machines", ids, "err", err)
+		if err != nil {
+			return // asked again with the next step
+		}
+		for key, b := range batches {
+			c.returned(ctx, key, b)
+		}
+	}()
+}
+
+// maxReturn is the protocol's bound of one return.
+const maxReturn = 100
+
+// returned records that a batch is gone.
+func (c *Controller) returned(ctx context.Context, key string, b record.Versioned[record.Back]) {
+	t := wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: b.Version}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(record.Back{IDs: b.Rec.IDs, Done: true})}},
+	}
+	for ctx.Err() == nil {
+		rev, err := c.store.Txn(ctx, statestore.Urgent("back"), t)
+		if err == nil {
+			c.mu.Lock()
+			c.applied(t, rev, time.Now())
+			c.mu.Unlock()
+			return
+		}
+		var conflict *statestore.ConflictError
+		if errors.As(err, &conflict) {
+			return // recorded already
+		}
+		sleep(ctx, jitter(500*time.Millisecond))
+	}
+}
+
+// clear removes records of machines that are long gone, a few at a time.
+func (c *Controller) clear(ctx context.Context, l *leading, now time.Time) {
+	if now.Before(l.clearing) {
+		return
+	}
+	l.clearing = now.Add(clearEvery)
+	c.mu.Lock()
+	t, ok := c.fleet.Clear(clearAtOnce)
+	c.mu.Unlock()
+	if !ok {
+		return
+	}
+	go func() {
+		rev, err := c.store.Txn(ctx, statestore.Routine("clear"), t)
+		if err != nil {
+			c.log.Debug("clear records", "err", err)
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.applied(t, rev, time.Now())
+	}()
+}
+
+// clearAtOnce bounds one clearing, so that it takes little of the budget.
+const clearAtOnce = 4
+
 // resumeRentals takes up what an earlier leader began.
 func (c *Controller) resumeRentals(ctx context.Context, l *leading) error {
-	entries, _, err := c.store.List(ctx, record.RentalPrefix)
+	entries, _, err := c.store.List(ctx, statestore.Urgent("lead"), record.RentalPrefix)
 	if err != nil {
 		return err
 	}
@@ -522,6 +650,9 @@
 			c.log.Error("rental record", "key", e.Key, "err", err)
 			continue
 		}
+		if len(r.IDs) > 0 {
+			continue
+		}
 		name := record.Last(e.Key)
 		c.mu.Lock()
 		l.rentals[name] = r
@@ -544,15 +675,13 @@
 	c.mu.Lock()
 	var odd []string
 	for _, m := range list {
-		if _, ok := c.machines[m.ID]; ok {
+		_, ours := c.fleet.Machine(m.ID)
+		if _, lately := l.known[m.ID]; ours || lately {
 			delete(l.strange, m.ID)
-			continue
-		}
-		if _, ok := l.known[m.ID]; ok {
-			continue // ours until lately: the list lags
+			continue // the list lags
 		}
 		l.strange[m.ID]++
-		if l.strange[m.ID] >= 3 && len(odd) < 100 {
+		if l.strange[m.ID] >= strangeLists && len(odd) < maxReturn {
 			odd = append(odd, m.ID)
 		}
 	}
@@ -561,20 +690,24 @@
 	if len(odd) == 0 || busy {
 		return
 	}
-	if rentals, _, err := c.store.List(ctx, record.RentalPrefix); err != nil || len(rentals) > 0 {
-		return
-	}
-	machines, _, err := c.store.List(ctx, record.MachinePrefix)
+	// The view may be behind: the records decide.
+	entries, _, err := c.store.List(ctx, statestore.Routine("strangers"), record.FleetPrefix)
 	if err != nil {
 		return
 	}
-	recorded := map[string]bool{}
-	for _, e := range machines {
-		recorded[record.Last(e.Key)] = true
+	fl := record.NewFleet()
+	for _, e := range entries {
+		if _, err := fl.Change(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}); err != nil {
+			c.log.Error("fleet record", "err", err)
+			return
+		}
+	}
+	if len(fl.Unfinished()) > 0 {
+		return
 	}
 	var back []string
 	for _, id := range odd {
-		if !recorded[id] {
+		if _, ok := fl.Machine(id); !ok {
 			back = append(back, id)
 		}
 	}
@@ -583,3 +716,6 @@
 		c.log.Info("unexpected machines returned", "machines", back, "err", err)
 	}
 }
+
+// strangeLists is in how many lists an unrecorded machine must appear.
+const strangeLists = 2
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -20,6 +20,7 @@
 	silentExtra   = 2 * time.Second // on top of them
 	bootFactor    = 3               // of the nominal boot time, before a machine is replaced
 	preemptAfter  = 2 * time.Second // a free machine from another part may come first
+	gatherEnds    = time.Second     // of the 3 s by which a told state may lag
 )
 
 func (c *Controller) newSchedConfig(types []wire.MachineType) *sched.Config {
@@ -32,7 +33,8 @@
 		BootFactor:   bootFactor,
 		PreemptAfter: preemptAfter,
 		TxnOps:       p.State.TxnOps,
-		ChunkTasks:   sched.Chunks(p.State.ValueKB),
+		SlotTasks:    sched.SlotTasks(p.State.ValueKB),
+		GatherEnds:   gatherEnds,
 		Urgency: func(s *wire.Spec, waited time.Duration) float64 {
 			j := policy.Job{Class: s.Class, Team: s.Team, Kind: kinds[s.Kind], Tasks: s.Tasks, WaitedS: waited.Seconds(), EstimateS: s.EstimateS}
 			if s.DeadlineS != nil {
@@ -68,12 +70,12 @@
 	for _, ref := range eff.RereadJobs {
 		go c.rereadJob(p, ref)
 	}
+	for _, n := range eff.RereadSlots {
+		go c.rereadSlot(p, n)
+	}
 	for _, id := range eff.RereadMachines {
 		go c.rereadMachine(p, id)
 	}
-	for _, id := range eff.Return {
-		go c.giveBack(p, id)
-	}
 	for _, d := range eff.Direct {
 		go c.direct(p, d)
 	}
@@ -92,16 +94,13 @@
 }
 
 func (c *Controller) commit(p *sched.Part, t *sched.Txn) {
-	u := statestore.Routine
-	if t.Urgent {
-		u = statestore.Urgent
-	}
-	rev, err := c.store.Txn(context.Background(), u, t.Body)
+	rev, err := c.store.Txn(context.Background(), statestore.Urgent(t.Purpose), t.Body)
 	var conflict *statestore.ConflictError
 	c.locked(p, func(now time.Time) {
 		switch {
 		case err == nil:
 			p.Applied(t, rev, now)
+			c.applied(t.Body, rev, now)
 		case errors.As(err, &conflict):
 			c.log.Debug("conflict", "part", p.ID(), "keys", conflict.Keys)
 			p.Conflict(t, conflict.Keys, now)
@@ -114,6 +113,20 @@
 	})
 }
 
+// applied brings what a transaction of ours changed to this controller's own
+// views, ahead of the watch. The lock is held.
+func (c *Controller) applied(t wire.Txn, rev uint64, now time.Time) {
+	for _, op := range t.Then {
+		e := wire.Change{Put: op.Put, Value: op.Value, Delete: op.Delete, Version: rev}
+		switch key := op.Put + op.Delete; {
+		case hasPrefix(key, record.FleetPrefix):
+			c.fleetChange(e, now)
+		case hasPrefix(key, record.OpenPrefix):
+			c.openChange(e, now)
+		}
+	}
+}
+
 // again repeats a read until it succeeds or the part is not ours any more.
 func (c *Controller) again(p *sched.Part, read func(context.Context) error) bool {
 	ctx := context.Background()
@@ -132,7 +145,7 @@
 }
 
 func (c *Controller) getIfThere(ctx context.Context, key string) (*wire.Entry, error) {
-	e, err := c.store.Get(ctx, statestore.Urgent, key)
+	e, err := c.store.Get(ctx, statestore.Urgent("read back"), key)
 	if errors.Is(err, statestore.ErrNotFound) {
 		return nil, nil
 	}
@@ -142,46 +155,39 @@
 	return &e, nil
 }
 
-func (c *Controller) rereadJob(p *sched.Part, ref string) {
-	var open *wire.Entry
-	var runs []wire.Entry
+// reread reads one key again, until it succeeds, and tells the part.
+func (c *Controller) reread(p *sched.Part, key string, tell func(e *wire.Entry, now time.Time) error) {
+	var e *wire.Entry
 	ok := c.again(p, func(ctx context.Context) (err error) {
-		if open, err = c.getIfThere(ctx, record.OpenKey(p.ID(), ref)); err != nil {
-			return err
-		}
-		runs, _, err = c.store.List(ctx, record.RunsOf(p.ID(), ref))
+		e, err = c.getIfThere(ctx, key)
 		return err
 	})
 	if !ok {
 		return
 	}
 	c.locked(p, func(now time.Time) {
-		if err := p.JobRead(ref, open, runs, now); err != nil {
-			c.log.Error("job records", "ref", ref, "err", err)
+		if err := tell(e, now); err != nil {
+			c.log.Error("read back", "key", key, "err", err)
 		}
 	})
 }
 
+func (c *Controller) rereadJob(p *sched.Part, ref string) {
+	c.reread(p, record.OpenKey(ref), func(e *wire.Entry, now time.Time) error { return p.JobRead(ref, e, now) })
+}
+
+func (c *Controller) rereadSlot(p *sched.Part, n int) {
+	c.reread(p, record.SlotKey(p.ID(), n), func(e *wire.Entry, now time.Time) error { return p.SlotRead(n, e, now) })
+}
+
 func (c *Controller) rereadMachine(p *sched.Part, id string) {
-	var e *wire.Entry
-	ok := c.again(p, func(ctx context.Context) (err error) {
-		e, err = c.getIfThere(ctx, record.MachineKey(id))
-		return err
-	})
-	if !ok {
-		return
-	}
-	c.locked(p, func(now time.Time) {
-		if err := p.MachineRead(id, e, now); err != nil {
-			c.log.Error("machine record", "machine", id, "err", err)
-		}
-	})
+	c.reread(p, record.OwnKey(id), func(e *wire.Entry, now time.Time) error { return p.MachineRead(id, e, now) })
 }
 
 func (c *Controller) rereadPart(id int) {
 	ctx := context.Background()
 	for range 10 {
-		e, err := c.store.Get(ctx, statestore.Urgent, record.PartKey(id))
+		e, err := c.store.Get(ctx, statestore.Urgent("read back"), record.PartKey(id))
 		if err == nil {
 			var r record.Part
 			if err := decode(e.Value, &r); err != nil {
@@ -197,50 +203,6 @@
 	}
 }
 
-// giveBack returns a machine to the cloud, together with those asked for at
-// about the same time. Only a 200 proves their tasks gone.
-func (c *Controller) giveBack(p *sched.Part, id string) {
-	c.mu.Lock()
-	c.returning[id] = p
-	first := len(c.returning) == 1
-	c.mu.Unlock()
-	if !first {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	sleep(ctx, returnGather)
-	c.mu.Lock()
-	batch := map[string]*sched.Part{}
-	var ids []string
-	for id, p := range c.returning {
-		if len(ids) == maxReturn {
-			p.ReturnFailed(id, time.Now()) // with a later call
-			continue
-		}
-		batch[id] = p
-		ids = append(ids, id)
-	}
-	c.returning = map[string]*sched.Part{}
-	c.mu.Unlock()
-	err := c.cloud.Return(ctx, ids)
-	c.log.Info("machines returned", "machines", ids, "err", err)
-	for id, p := range batch {
-		c.locked(p, func(now time.Time) {
-			if err != nil {
-				p.ReturnFailed(id, now)
-			} else {
-				p.Returned(id, now)
-			}
-		})
-	}
-}
-
-const (
-	returnGather = 200 * time.Millisecond
-	maxReturn    = 100 // the protocol's bound
-)
-
 func (c *Controller) direct(p *sched.Part, d sched.Direct) {
 	r, _, err := agent.Command(context.Background(), d.Addr, d.Orders)
 	if err != nil {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -24,30 +24,6 @@
 	retryLater    = 1 // seconds, in Retry-After
 )
 
-func (c *Controller) ready() reply {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	if c.schedCfg == nil || c.lease == 0 {
-		return reply{status: 503}
-	}
-	if !c.sure(now) && c.peersReachState(now) {
-		return reply{status: 503} // refused here alone: users do better elsewhere
-	}
-	return reply{status: 200}
-}
-
-// peersReachState reports whether another controller said lately that it
-// reaches the state service.
-func (c *Controller) peersReachState(now time.Time) bool {
-	for _, at := range c.peerState {
-		if now.Sub(at) < 3*time.Second {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Controller) handleUser(req httpwire.Request, answer func(reply)) {
 	switch {
 	case req.Path == wire.JobsPath:
@@ -159,13 +135,12 @@
 	if !ok {
 		return reply{status: 400}
 	}
+	if j, ok := c.final(s.Ref); ok {
+		return reply{status: 200, body: wire.Brief{Ref: s.Ref, State: j.State}}
+	}
 	c.mu.Lock()
 	types := c.types
-	final := c.finals[s.Ref]
 	c.mu.Unlock()
-	if final != "" {
-		return reply{status: 200, body: wire.Brief{Ref: s.Ref, State: final}}
-	}
 	if types == nil || c.down() {
 		return later()
 	}
@@ -180,22 +155,19 @@
 		}
 	}
 	part := record.PartOf(c.teams, s.Team, s.Ref, c.cfg.Params.Count)
-	open := record.Encode(record.Open{Spec: *s, At: time.Now().UnixMilli()})
+	open := record.Encode(record.Open{Spec: *s, Part: part, At: time.Now().UnixMilli()})
 	if float64(len(open)) > c.cfg.Params.State.ValueKB*1024 {
-		return reply{status: 400}
+		return reply{status: 422}
+	}
+	t := wire.Txn{
+		If:   []wire.Cond{{Key: record.JobKey(s.Ref)}, {Key: record.OpenKey(s.Ref)}},
+		Then: []wire.Op{{Put: record.OpenKey(s.Ref), Value: open}},
 	}
-	openKey := record.OpenKey(part, s.Ref)
-	rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
-		If: []wire.Cond{{Key: record.JobKey(s.Ref)}},
-		Then: []wire.Op{
-			{Put: record.JobKey(s.Ref), Value: record.Encode(record.Job{Part: part, State: wire.Pending, Tasks: s.Tasks})},
-			{Put: openKey, Value: open},
-		},
-	})
+	rev, err := c.store.Txn(ctx, statestore.Urgent("accept"), t)
 	var conflict *statestore.ConflictError
 	switch {
 	case err == nil:
-		c.tellOwner(part, s.Ref, &wire.Entry{Key: openKey, Value: open, Version: rev})
+		c.tellOwner(part, t, rev)
 		return reply{status: 201, body: wire.Brief{Ref: s.Ref, State: wire.Pending}}
 	case errors.As(err, &conflict):
 		if r := c.known(ctx, s.Ref); r.status == 200 {
@@ -209,84 +181,107 @@
 
 // known answers with the state of an accepted job, 404 if there is none.
 func (c *Controller) known(ctx context.Context, ref string) reply {
-	j, err := c.job(ctx, ref)
+	state, err := c.state(ctx, statestore.Urgent("accept"), ref)
 	switch {
 	case errors.Is(err, statestore.ErrNotFound):
 		return reply{status: 404}
 	case err != nil:
 		return later()
 	}
-	return reply{status: 200, body: wire.Brief{Ref: ref, State: j.State}}
+	return reply{status: 200, body: wire.Brief{Ref: ref, State: state}}
 }
 
-// job reads a job's state. Reads are not shared between polls: one already
-// under way may be older than what the user was told a moment ago.
-func (c *Controller) job(ctx context.Context, ref string) (record.Job, error) {
-	var j record.Job
-	e, err := c.store.Get(ctx, statestore.Routine, record.JobKey(ref))
-	if err != nil {
-		return j, err
+// state reads a job's state: its open record first, since a job that has none
+// any more is in the other by then.
+func (c *Controller) state(ctx context.Context, u statestore.Use, ref string) (string, error) {
+	e, err := c.store.Get(ctx, u, record.OpenKey(ref))
+	if err == nil {
+		var o record.Open
+		if err := decode(e.Value, &o); err != nil {
+			return "", err
+		}
+		if !o.Cancelled {
+			return wire.Pending, nil
+		}
+		c.keepFinal(ref, record.Job{State: wire.Cancelled})
+		return wire.Cancelled, nil
 	}
-	if err := decode(e.Value, &j); err != nil {
-		return j, err
+	if !errors.Is(err, statestore.ErrNotFound) {
+		return "", err
 	}
-	if j.Final() {
-		c.mu.Lock()
-		c.keepFinal(ref, j.State)
-		c.mu.Unlock()
+	if e, err = c.store.Get(ctx, u, record.JobKey(ref)); err != nil {
+		return "", err
+	}
+	var j record.Job
+	if err := decode(e.Value, &j); err != nil {
+		return "", err
 	}
-	return j, nil
+	c.keepFinal(ref, j)
+	return j.State, nil
 }
 
 // keepFinal remembers a state that never changes again.
-func (c *Controller) keepFinal(ref, state string) {
+func (c *Controller) keepFinal(ref string, j record.Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if len(c.finals) >= finalsKept {
 		for old := range c.finals { // any will do: the record is the truth
 			delete(c.finals, old)
 			break
 		}
 	}
-	c.finals[ref] = state
+	c.finals[ref] = j
+}
+
+// final returns a state that never changes again, if it is remembered.
+func (c *Controller) final(ref string) (record.Job, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j, ok := c.finals[ref]
+	return j, ok
+}
+
+func finalStatus(ref string, j record.Job) wire.Status {
+	return wire.Status{Ref: ref, State: j.State, Done: j.Tasks}
 }
 
 func (c *Controller) poll(ref string) reply {
 	if !validRef(ref) {
 		return reply{status: 404}
 	}
-	c.mu.Lock()
-	final := c.finals[ref]
-	c.mu.Unlock()
-	if final != "" {
-		return reply{status: 200, body: wire.Status{Ref: ref, State: final}}
+	if j, ok := c.final(ref); ok {
+		return reply{status: 200, body: finalStatus(ref, j)}
 	}
 	if c.down() {
 		return later()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
 	defer cancel()
-	j, err := c.job(ctx, ref)
-	switch {
-	case errors.Is(err, statestore.ErrNotFound):
-		return reply{status: 404}
-	case err != nil:
-		return later()
-	}
-	s := wire.Status{Ref: ref, State: j.State}
-	if j.Final() {
-		if j.State == wire.Done {
-			s.Done = j.Tasks
+	if !c.confirmed(ctx, ref) {
+		state, err := c.state(ctx, statestore.Routine("poll"), ref)
+		switch {
+		case errors.Is(err, statestore.ErrNotFound):
+			return reply{status: 404}
+		case err != nil:
+			return later()
+		}
+		if j, ok := c.final(ref); ok {
+			return reply{status: 200, body: finalStatus(ref, j)}
+		}
+		if state != wire.Pending {
+			return reply{status: 200, body: wire.Status{Ref: ref, State: state}}
 		}
-		return reply{status: 200, body: s}
 	}
 	// The counts are for display: the owner's memory has them.
-	if own, ok := c.ownerStatus(j.Part, ref); ok {
-		s = own
+	if own, ok := c.ownerStatus(ref); ok {
+		return reply{status: 200, body: own}
 	}
-	return reply{status: 200, body: s}
+	return reply{status: 200, body: wire.Status{Ref: ref, State: wire.Pending}}
 }
 
-func (c *Controller) ownerStatus(part int, ref string) (wire.Status, bool) {
+func (c *Controller) ownerStatus(ref string) (wire.Status, bool) {
 	c.mu.Lock()
+	part := c.open[ref].part
 	p := c.parts[part]
 	if p != nil {
 		s, ok := p.Status(ref)
@@ -322,57 +317,47 @@
 	if !validRef(ref) {
 		return reply{status: 404}
 	}
-	c.mu.Lock()
-	final := c.finals[ref]
-	c.mu.Unlock()
-	if final != "" {
-		return reply{status: 200, body: wire.Brief{Ref: ref, State: final}}
+	if j, ok := c.final(ref); ok {
+		return reply{status: 200, body: wire.Brief{Ref: ref, State: j.State}}
 	}
 	if c.down() {
 		return later()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
 	defer cancel()
+	use := statestore.Urgent("cancel")
 	for range cancelTries {
-		e, err := c.store.Get(ctx, statestore.Urgent, record.JobKey(ref))
+		key := record.OpenKey(ref)
+		e, err := c.store.Get(ctx, use, key)
 		if errors.Is(err, statestore.ErrNotFound) {
-			return reply{status: 404}
+			// Never accepted, or over by now.
+			state, err := c.state(ctx, use, ref)
+			switch {
+			case errors.Is(err, statestore.ErrNotFound):
+				return reply{status: 404}
+			case err != nil:
+				return later()
+			case state == wire.Pending:
+				continue // accepted in this moment
+			}
+			return reply{status: 200, body: wire.Brief{Ref: ref, State: state}}
 		}
-		var j record.Job
-		if err != nil || decode(e.Value, &j) != nil {
+		var o record.Open
+		if err != nil || decode(e.Value, &o) != nil {
 			return later()
 		}
-		if j.Final() {
-			c.mu.Lock()
-			c.keepFinal(ref, j.State)
-			c.mu.Unlock()
-			return reply{status: 200, body: wire.Brief{Ref: ref, State: j.State}}
-		}
-		openKey := record.OpenKey(j.Part, ref)
-		o, err := c.store.Get(ctx, statestore.Urgent, openKey)
-		if errors.Is(err, statestore.ErrNotFound) {
-			continue // it has just ended: read its state again
-		}
-		var open record.Open
-		if err != nil || decode(o.Value, &open) != nil {
-			return later()
+		cancelled := reply{status: 200, body: wire.Brief{Ref: ref, State: wire.Cancelled}}
+		if o.Cancelled {
+			c.keepFinal(ref, record.Job{State: wire.Cancelled})
+			return cancelled
 		}
-		open.Cancelled = true
-		j.State = wire.Cancelled
-		value := record.Encode(open)
-		rev, err := c.store.Txn(ctx, statestore.Urgent, wire.Txn{
-			If: []wire.Cond{{Key: record.JobKey(ref), Version: e.Version}, {Key: openKey, Version: o.Version}},
-			Then: []wire.Op{
-				{Put: record.JobKey(ref), Value: record.Encode(j)},
-				{Put: openKey, Value: value},
-			},
-		})
+		o.Cancelled = true
+		t := wire.Txn{If: []wire.Cond{{Key: key, Version: e.Version}}, Then: []wire.Op{{Put: key, Value: record.Encode(o)}}}
+		rev, err := c.store.Txn(ctx, use, t)
 		if err == nil {
-			c.mu.Lock()
-			c.keepFinal(ref, wire.Cancelled)
-			c.mu.Unlock()
-			c.tellOwner(j.Part, ref, &wire.Entry{Key: openKey, Value: value, Version: rev})
-			return reply{status: 200, body: wire.Brief{Ref: ref, State: wire.Cancelled}}
+			c.keepFinal(ref, record.Job{State: wire.Cancelled})
+			c.tellOwner(o.Part, t, rev)
+			return cancelled
 		}
 		var conflict *statestore.ConflictError
 		if !errors.As(err, &conflict) {
@@ -383,43 +368,27 @@
 }
 
 // tellOwner brings a job's new record to its owner without waiting for the watch.
-func (c *Controller) tellOwner(part int, ref string, e *wire.Entry) {
+func (c *Controller) tellOwner(part int, t wire.Txn, rev uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p := c.parts[part]; p != nil {
-		now := time.Now()
-		if err := p.SetJob(*e, now); err != nil {
-			c.log.Error("job record", "ref", ref, "err", err)
-		}
-		c.pump(p, now)
+	c.applied(t, rev, time.Now())
+	if c.parts[part] != nil {
 		return
 	}
 	if owner := c.peers[c.partRecs[part].rec.Owner]; owner != nil {
 		go func() {
-			if err := owner.Call("Nudge", peer.NudgeArgs{Part: part, Ref: ref}, new(struct{}), statusTimeout); err != nil {
-				c.log.Debug("nudge", "ref", ref, "err", err) // the watch tells it as well
+			a := peer.NudgeArgs{Key: t.Then[0].Put, Value: t.Then[0].Value, Version: rev}
+			if err := owner.Call("Nudge", a, new(struct{}), statusTimeout); err != nil {
+				c.log.Debug("nudge", "key", a.Key, "err", err) // the watch tells it as well
 			}
 		}()
 	}
 }
 
-// Nudge implements peer.Handler.
+// Nudge implements peer.Handler: a job's record as the sender has just written it.
 func (c *Controller) Nudge(a peer.NudgeArgs) {
-	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
-	defer cancel()
-	e, err := c.getIfThere(ctx, record.OpenKey(a.Part, a.Ref))
-	if err != nil || e == nil {
+	if !hasPrefix(a.Key, record.OpenPrefix) {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.parts[a.Part]
-	if p == nil {
-		return
-	}
-	now := time.Now()
-	if err := p.SetJob(*e, now); err != nil {
-		c.log.Error("job record", "ref", a.Ref, "err", err)
-	}
-	c.pump(p, now)
+	c.changeOpen(wire.Change{Put: a.Key, Value: a.Value, Version: a.Version}, time.Now())
 }
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -20,8 +20,8 @@
 	c.mu.Lock()
 	now := time.Now()
 	c.heardAny = now
-	m, known := c.machines[r.Machine]
-	p := c.parts[m.rec.Part]
+	m, known := c.fleet.Machine(r.Machine)
+	p := c.parts[m.Part]
 	if known && p != nil {
 		rep := c.ownReport(p, &r, now)
 		if o, ok := rep.body.(wire.Orders); ok && len(o.Commands) == 0 {
@@ -41,10 +41,10 @@
 		answer(reply{status: 503, retryAfter: 1})
 		return
 	}
-	part := c.partRecs[m.rec.Part]
+	part := c.partRecs[m.Part]
 	owner := part.rec.Owner
 	peerc := c.peers[owner]
-	token := max(part.version, m.version)
+	token := max(part.version, m.Version)
 	_, lives := c.members[owner]
 	if peerc == nil || !lives || !c.reachable(owner, now) {
 		c.mu.Unlock()
@@ -193,13 +193,22 @@
 	return true
 }
 
+// blind reports whether cancellations told elsewhere may have been unknown here
+// for some turns of the watch.
+func (c *Controller) blind(now time.Time) bool {
+	return now.Sub(c.jobsAt) > 2*c.watchWait()+callSlack
+}
+
+// callSlack is what a watch may be late besides its wait.
+const callSlack = 2 * time.Second
+
 // Report implements peer.Handler: a report relayed by another controller.
 func (c *Controller) Report(r wire.Report) peer.ReportReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	m, known := c.machines[r.Machine]
-	p := c.parts[m.rec.Part]
+	m, known := c.fleet.Machine(r.Machine)
+	p := c.parts[m.Part]
 	if !known || p == nil {
 		return peer.ReportReply{Status: 503}
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,18 +21,25 @@
 	Claim  []int
 	// HandHome are parts to be handed to their home controllers.
 	HandHome []int
+	// Requests and Changes are what the receiver may use of the state
+	// service's limits, a second; 0: its plain share.
+	Requests, Changes float64
 }
 
 // SyncReply tells a controller's parts.
 type SyncReply struct {
 	Summaries []fleet.Summary
 	StateOK   bool // the sender has lately reached the state service
+	// Requests and Changes are what the sender needed of the state service
+	// since it was last asked.
+	Requests, Changes int
 }
 
-// NudgeArgs tells an owner that a job's records changed.
+// NudgeArgs tells an owner a job's record as it was just written.
 type NudgeArgs struct {
-	Part int
-	Ref  string
+	Key     string
+	Value   []byte
+	Version uint64
 }
 
 // ReportReply answers a relayed report.
--- /dev/null
+++ b/internal/record/fleet.go
@@ -0,0 +1,267 @@
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"bramblespur/internal/wire"
+)
+
+// Phase says how far a machine is on its way out.
+type Phase int
+
+// Phases of a machine.
+const (
+	InUse     Phase = iota
+	Returning       // being given back; nothing may start there again
+	Gone            // the cloud has answered its return
+)
+
+// View is a machine as the records tell it. Version is that of the machine's
+// own record, 0 if it has none.
+type View struct {
+	Machine
+	Version uint64
+	Phase   Phase
+}
+
+// Fleet is all machines as the records under FleetPrefix tell them. It takes
+// changes in the order of their versions and is not safe for concurrent use.
+type Fleet struct {
+	rentals  map[string]kept[Rental]
+	own      map[string]kept[Machine]
+	backs    map[string]kept[Back]
+	rentalOf map[string]place  // by machine
+	backOf   map[string]string // by machine
+}
+
+type kept[T any] struct {
+	rec     T
+	version uint64
+}
+
+// place is a machine's rental and its position in it.
+type place struct {
+	rental string
+	at     int
+}
+
+// NewFleet returns a fleet without machines.
+func NewFleet() *Fleet {
+	return &Fleet{
+		rentals: map[string]kept[Rental]{}, own: map[string]kept[Machine]{}, backs: map[string]kept[Back]{},
+		rentalOf: map[string]place{}, backOf: map[string]string{},
+	}
+}
+
+// Machine returns a machine's view; there is none without a rental that names it.
+func (f *Fleet) Machine(id string) (View, bool) {
+	at, ok := f.rentalOf[id]
+	if !ok {
+		return View{}, false
+	}
+	r := f.rentals[at.rental].rec
+	v := View{Machine: Machine{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Part: r.Parts[at.at], Born: r.Born}}
+	if o, ok := f.own[id]; ok {
+		v.Machine, v.Version = o.rec, o.version
+	}
+	if b, ok := f.backOf[id]; ok {
+		v.Phase = Returning
+		if f.backs[b].rec.Done {
+			v.Phase = Gone
+		}
+	}
+	return v, true
+}
+
+// Each calls fn for every machine.
+func (f *Fleet) Each(fn func(id string, v View)) {
+	for id := range f.rentalOf {
+		v, _ := f.Machine(id)
+		fn(id, v)
+	}
+}
+
+// Len is the number of machines, those gone but not yet cleared away included.
+func (f *Fleet) Len() int { return len(f.rentalOf) }
+
+// Keys returns the keys of all records held.
+func (f *Fleet) Keys() []string {
+	var out []string
+	for n := range f.rentals {
+		out = append(out, RentalKey(n))
+	}
+	for id := range f.own {
+		out = append(out, OwnKey(id))
+	}
+	for n := range f.backs {
+		out = append(out, BackPrefix+n)
+	}
+	return out
+}
+
+// Change takes in a changed or deleted record and returns the machines it
+// concerns. What is older than the record held is passed over.
+func (f *Fleet) Change(e wire.Change) ([]string, error) {
+	key := e.Put + e.Delete
+	switch {
+	case strings.HasPrefix(key, RentalPrefix):
+		return f.rental(key[len(RentalPrefix):], e)
+	case strings.HasPrefix(key, OwnPrefix):
+		id := key[len(OwnPrefix):]
+		old := f.own[id]
+		if old.version > e.Version {
+			return nil, nil
+		}
+		if e.Put == "" {
+			delete(f.own, id)
+			return []string{id}, nil
+		}
+		var r Machine
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			return nil, fmt.Errorf("%s: %w", key, err)
+		}
+		f.own[id] = kept[Machine]{r, e.Version}
+		return []string{id}, nil
+	case strings.HasPrefix(key, BackPrefix):
+		return f.back(key[len(BackPrefix):], e)
+	}
+	return nil, nil
+}
+
+func (f *Fleet) rental(name string, e wire.Change) ([]string, error) {
+	old, had := f.rentals[name]
+	if old.version > e.Version {
+		return nil, nil
+	}
+	var r Rental
+	if e.Put != "" {
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			return nil, fmt.Errorf("%s: %w", e.Put, err)
+		}
+		if len(r.IDs) > len(r.Parts) {
+			return nil, fmt.Errorf("%s: %d machines for %d parts", e.Put, len(r.IDs), len(r.Parts))
+		}
+	}
+	changed := old.rec.IDs
+	if had {
+		for _, id := range old.rec.IDs {
+			delete(f.rentalOf, id)
+		}
+		delete(f.rentals, name)
+	}
+	if e.Put != "" {
+		f.rentals[name] = kept[Rental]{r, e.Version}
+		for i, id := range r.IDs {
+			f.rentalOf[id] = place{name, i}
+		}
+		changed = append(changed[:len(changed):len(changed)], r.IDs...)
+	}
+	return changed, nil
+}
+
+func (f *Fleet) back(name string, e wire.Change) ([]string, error) {
+	old, had := f.backs[name]
+	if old.version > e.Version {
+		return nil, nil
+	}
+	if e.Put == "" {
+		for _, id := range old.rec.IDs {
+			delete(f.backOf, id)
+		}
+		delete(f.backs, name)
+		if had {
+			return old.rec.IDs, nil
+		}
+		return nil, nil
+	}
+	var b Back
+	if err := json.Unmarshal(e.Value, &b); err != nil {
+		return nil, fmt.Errorf("%s: %w", e.Put, err)
+	}
+	f.backs[name] = kept[Back]{b, e.Version}
+	for _, id := range b.IDs {
+		f.backOf[id] = name
+	}
+	return b.IDs, nil
+}
+
+// Pending returns the batches that still have to be given back, by key, with
+// their versions.
+func (f *Fleet) Pending() map[string]Versioned[Back] {
+	out := map[string]Versioned[Back]{}
+	for n, b := range f.backs {
+		if !b.rec.Done {
+			out[BackPrefix+n] = Versioned[Back]{b.rec, b.version}
+		}
+	}
+	return out
+}
+
+// Versioned is a record with its version.
+type Versioned[T any] struct {
+	Rec     T
+	Version uint64
+}
+
+// Clear proposes one transaction that clears away what nobody needs any more:
+// a rental of which every machine is gone, with its machines' own records, or
+// batches whose machines no rental names any longer. It has at most most changes.
+func (f *Fleet) Clear(most int) (wire.Txn, bool) {
+	for name, r := range f.rentals {
+		if len(r.rec.IDs) == 0 {
+			continue // still under way
+		}
+		t := wire.Txn{If: []wire.Cond{{Key: RentalKey(name), Version: r.version}}, Then: []wire.Op{{Delete: RentalKey(name)}}}
+		all := true
+		for _, id := range r.rec.IDs {
+			if v, _ := f.Machine(id); v.Phase != Gone {
+				all = false
+				break
+			}
+			if o, ok := f.own[id]; ok && len(t.Then) < most {
+				t.If = append(t.If, wire.Cond{Key: OwnKey(id), Version: o.version})
+				t.Then = append(t.Then, wire.Op{Delete: OwnKey(id)})
+			}
+		}
+		if all {
+			return t, true
+		}
+	}
+	var t wire.Txn
+	for name, b := range f.backs {
+		if !b.rec.Done || len(t.Then) >= most {
+			continue
+		}
+		used := false
+		for _, id := range b.rec.IDs {
+			if _, ok := f.rentalOf[id]; ok {
+				used = true
+				break
+			}
+		}
+		if !used {
+			t.If = append(t.If, wire.Cond{Key: BackPrefix + name, Version: b.version})
+			t.Then = append(t.Then, wire.Op{Delete: BackPrefix + name})
+		}
+	}
+	for id, o := range f.own {
+		if _, ok := f.rentalOf[id]; !ok && len(t.Then) < most {
+			t.If = append(t.If, wire.Cond{Key: OwnKey(id), Version: o.version})
+			t.Then = append(t.Then, wire.Op{Delete: OwnKey(id)})
+		}
+	}
+	return t, len(t.Then) > 0
+}
+
+// Unfinished returns the rentals whose machines are not known yet.
+func (f *Fleet) Unfinished() map[string]Versioned[Rental] {
+	out := map[string]Versioned[Rental]{}
+	for n, r := range f.rentals {
+		if len(r.rec.IDs) == 0 {
+			out[n] = Versioned[Rental]{r.rec, r.version}
+		}
+	}
+	return out
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -13,47 +13,61 @@
 	"bramblespur/internal/wire"
 )
 
-// Keys and prefixes. Cluster records share a prefix so that one watch serves.
+// Keys and prefixes. Cluster records share a prefix so that one watch serves,
+// and so do the records of machines.
 const (
 	ClusterPrefix = "ctl/"
 	Leader        = "ctl/leader"
 	Types         = "ctl/types"
 	MemberPrefix  = "ctl/members/"
 	PartPrefix    = "ctl/parts/"
-	MachinePrefix = "machines/"
-	RentalPrefix  = "rentals/"
+	FleetPrefix   = "fleet/"
+	RentalPrefix  = "fleet/rent/"
+	OwnPrefix     = "fleet/own/"
+	BackPrefix    = "fleet/back/"
 	OpenPrefix    = "open/"
 	JobPrefix     = "jobs/"
-	RunPrefix     = "runs/"
+	SlotPrefix    = "runs/"
 )
 
 // PartKey names a part's record; the version of its last claim is the part's token.
 func PartKey(p int) string { return PartPrefix + strconv.Itoa(p) }
 
-// MachineKey names a machine's record; its version is the machine's token when
-// larger than the part's.
-func MachineKey(id string) string { return MachinePrefix + id }
+// RentalKey names a rental; it stands for all its machines.
+func RentalKey(name string) string { return RentalPrefix + name }
+
+// OwnKey names the record of a machine that differs from its rental's word; its
+// version is the machine's token when larger than the part's.
+func OwnKey(id string) string { return OwnPrefix + id }
+
+// BackKey names a batch of machines that a part's owner gives back.
+func BackKey(p int, token uint64, seq int) string {
+	return fmt.Sprintf("%s%d-%d-%d", BackPrefix, p, token, seq)
+}
 
 // OpenKey names an unfinished job's record with its specification.
-func OpenKey(p int, ref string) string { return OpenPrefix + strconv.Itoa(p) + "/" + ref }
+func OpenKey(ref string) string { return OpenPrefix + ref }
 
-// JobKey names a job's record with its state, kept for ever.
+// JobKey names the record of a finished job's state, kept for ever.
 func JobKey(ref string) string { return JobPrefix + ref }
 
-// RunsOf is the prefix of a job's placement records.
-func RunsOf(p int, ref string) string { return RunPrefix + strconv.Itoa(p) + "/" + ref + "/" }
+// SlotsOf is the prefix of a part's placement records.
+func SlotsOf(p int) string { return SlotPrefix + strconv.Itoa(p) + "/" }
 
-// RunKey names the placements of one range of a job's tasks.
-func RunKey(p int, ref string, chunk int) string { return RunsOf(p, ref) + strconv.Itoa(chunk) }
+// SlotKey names one of a part's placement records.
+func SlotKey(p, n int) string { return SlotsOf(p) + strconv.Itoa(n) }
 
-// SplitRunKey undoes RunKey.
-func SplitRunKey(key string) (ref string, chunk int, ok bool) {
-	f := strings.Split(key, "/")
-	if len(f) != 4 {
+// RunName names a range of a job's tasks within a slot.
+func RunName(ref string, chunk int) string { return ref + ":" + strconv.Itoa(chunk) }
+
+// SplitRunName undoes RunName.
+func SplitRunName(name string) (ref string, chunk int, ok bool) {
+	ref, n, ok := strings.Cut(name, ":")
+	if !ok {
 		return "", 0, false
 	}
-	chunk, err := strconv.Atoi(f[3])
-	return f[2], chunk, err == nil
+	chunk, err := strconv.Atoi(n)
+	return ref, chunk, err == nil && chunk >= 0
 }
 
 // Last returns the last element of a key.
@@ -80,55 +94,56 @@
 	To    string `json:"to,omitempty"` // the controller invited to claim it
 }
 
-// Phases of a machine.
-const (
-	InUse     = ""
-	Returning = "returning" // being given back; nothing may start there again
-)
-
 // Image is an image on a machine.
 type Image struct {
 	Name string  `json:"name"`
 	GB   float64 `json:"gb"`
 }
 
-// Machine is a rented machine.
+// Machine is a rented machine. Most need no record of their own: their rental
+// says it all until they change parts.
 type Machine struct {
-	Type  string `json:"type"`
-	Zone  string `json:"zone"`
-	Spot  bool   `json:"spot,omitempty"`
-	Part  int    `json:"part"`
-	Phase string `json:"phase,omitempty"`
-	Born  int64  `json:"born"` // milliseconds, when it was rented
+	Type string `json:"type"`
+	Zone string `json:"zone"`
+	Spot bool   `json:"spot,omitempty"`
+	Part int    `json:"part"`
+	Born int64  `json:"born"` // milliseconds, when it was rented
 	// Images are those it was seen to have when this was written.
 	Images []Image `json:"images,omitempty"`
 }
 
-// Rental is a request to the cloud, written before it is made.
+// Rental is a request to the cloud, written before it is made. The machines
+// are added once the cloud has answered; the record stands for all of them.
 type Rental struct {
-	Type  string `json:"type"`
-	Zone  string `json:"zone"`
-	Spot  bool   `json:"spot,omitempty"`
-	Parts []int  `json:"parts"` // whom each machine is for
+	Type  string   `json:"type"`
+	Zone  string   `json:"zone"`
+	Spot  bool     `json:"spot,omitempty"`
+	Parts []int    `json:"parts"` // whom each machine is for
+	IDs   []string `json:"ids,omitempty"`
+	Born  int64    `json:"born,omitempty"`
+}
+
+// Back is a batch of machines to be given back. Nothing may start on them any
+// more; they are proven gone once Done is set, after the cloud's answer.
+type Back struct {
+	IDs  []string `json:"ids"`
+	Done bool     `json:"done,omitempty"`
 }
 
 // Open is an unfinished job.
 type Open struct {
 	Spec      wire.Spec `json:"spec"`
+	Part      int       `json:"part"`
 	At        int64     `json:"at"` // milliseconds, when it was accepted
 	Cancelled bool      `json:"cancelled,omitempty"`
 }
 
-// Job is a job's durable state.
+// Job is a finished job's durable state.
 type Job struct {
-	Part  int    `json:"part"`
 	State string `json:"state"`
 	Tasks int    `json:"n,omitempty"`
 }
 
-// Final reports whether the state can't change any more.
-func (j Job) Final() bool { return j.State == wire.Done || j.State == wire.Cancelled }
-
 // Place is where an attempt of a task was recorded.
 type Place struct {
 	Machine string
@@ -160,6 +175,12 @@
 	Done    [][2]int      `json:"done,omitempty"` // first and last of each span
 }
 
+// Slot holds the placements of several jobs of one part, so that one write
+// serves all that changed among them.
+type Slot struct {
+	Runs map[string]Run `json:"r"`
+}
+
 // Encode marshals a record. The types of this package always marshal.
 func Encode(v any) json.RawMessage {
 	b, err := json.Marshal(v)
--- /dev/null
+++ b/internal/sched/care.go
@@ -0,0 +1,157 @@
+package sched
+
+import (
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// Step does what is due and returns what the shell has to carry out. It is
+// cheap when nothing has changed.
+func (p *Part) Step(now time.Time) Effects {
+	if !p.lost {
+		p.care(now)
+		if p.changed || (!p.wake.IsZero() && !now.Before(p.wake)) {
+			p.changed, p.wake = false, time.Time{}
+			p.place(now)
+		}
+		p.flush(now)
+		p.directs(now)
+	}
+	out := p.out
+	p.out = Effects{}
+	return out
+}
+
+// alarm makes a later Step look again at t.
+func (p *Part) alarm(t time.Time) {
+	if p.wake.IsZero() || t.Before(p.wake) {
+		p.wake = t
+	}
+}
+
+// careEvery is how often machines are looked over.
+const careEvery = 250 * time.Millisecond
+
+func (p *Part) care(now time.Time) {
+	if now.Sub(p.lastCare) < careEvery {
+		return
+	}
+	p.lastCare = now
+	for _, m := range p.machines {
+		if m.txn != nil || m.unsure || m.Phase != record.InUse || now.Before(m.retry) {
+			continue
+		}
+		switch {
+		case p.silent(m, now), p.overdue(m, now), p.hopeless(m, now):
+			// Only the answered return proves its tasks gone.
+			p.giveBack(m)
+		case m.drain:
+			p.clear(m, now)
+			if len(m.on) == 0 {
+				p.giveBack(m)
+			}
+		case m.moveTo >= 0:
+			if len(m.on) == 0 && m.fenced {
+				p.moveTxn(m)
+			}
+		}
+	}
+}
+
+// SetCut tells the zones of which no controller can be reached from here.
+func (p *Part) SetCut(zones map[string]bool) { p.cut = zones }
+
+// silent reports whether a machine is lost: its worker says nothing while
+// others in its zone do. When a whole zone is silent and none of its
+// controllers answers, the fault is rather the network's between us.
+func (p *Part) silent(m *Machine, now time.Time) bool {
+	limit := p.cfg.SilentAfter
+	if !m.up {
+		if len(m.on) == 0 {
+			return false // perhaps still booting: see overdue
+		}
+		limit += p.cfg.Lease / 2 // its worker has yet to find its new owner
+	}
+	if now.Sub(m.heard) < limit {
+		return false
+	}
+	heard, quiet := 0, 0
+	for _, o := range p.machines {
+		if o == m || !o.up || o.Zone != m.Zone {
+			continue
+		}
+		// Machines cut off together fall silent within one report's time:
+		// only one heard well after m speaks against m.
+		if now.Sub(o.heard) < limit/2 {
+			heard++
+		} else {
+			quiet++
+		}
+	}
+	if heard > 0 && heard >= quiet {
+		return true
+	}
+	patience := p.cfg.Lease + limit
+	if p.cut[m.Zone] {
+		patience *= 3
+	}
+	return (heard+quiet == 0 || p.cut[m.Zone]) && now.Sub(m.heard) > patience
+}
+
+// overdue reports whether a machine never came up.
+func (p *Part) overdue(m *Machine, now time.Time) bool {
+	limit := time.Duration(p.cfg.BootFactor * m.Type.BootS * float64(time.Second))
+	return !m.up && len(m.on) == 0 && !p.cut[m.Zone] && now.Sub(m.born) > limit && now.Sub(m.heard) > p.cfg.Lease
+}
+
+// clear stops in an orderly way what runs on a machine that is to be empty.
+func (p *Part) clear(m *Machine, now time.Time) {
+	for k, t := range m.on {
+		if !t.stop {
+			p.halt(k, now)
+		}
+	}
+}
+
+// halt stops a task, a gang's with all its mates, with time to save.
+func (p *Part) halt(k key, now time.Time) {
+	j := k.job
+	grace := p.grace(j)
+	if j.spec.Kind == wire.Gang {
+		p.stopJob(j, grace, now)
+		return
+	}
+	p.stop(k, grace, now)
+}
+
+func (p *Part) grace(j *Job) time.Duration {
+	if j.spec.CheckpointS <= 0 {
+		return 0
+	}
+	return time.Duration((j.spec.SaveS + 0.5) * float64(time.Second))
+}
+
+// directs sends stops straight to the workers: a report may be seconds away,
+// and a gang's tasks must be told within a short time of each other.
+func (p *Part) directs(now time.Time) {
+	for _, m := range p.machines {
+		if !m.direct {
+			continue
+		}
+		m.direct = false
+		if m.Addr == "" || m.session == 0 {
+			continue
+		}
+		o := wire.DirectOrders{Token: m.token(p), Session: m.session}
+		for k, t := range m.on {
+			if t.stop && t.recorded {
+				o.Commands = append(o.Commands, halt(k.name(), t.attempt, t.grace))
+			}
+		}
+		if len(o.Commands) > 0 {
+			p.out.Direct = append(p.out.Direct, Direct{Machine: m.ID, Addr: m.Addr, Orders: o})
+		}
+	}
+}
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"bramblespur/internal/record"
@@ -12,200 +13,236 @@
 // retryAfter is the pause after a transaction that the state service refused.
 const retryAfter = 300 * time.Millisecond
 
+// Purposes of transactions, for the log.
+const (
+	forStart  = "start"
+	forEnds   = "completions"
+	forJobEnd = "job end"
+	forMove   = "move"
+	forBack   = "back"
+)
+
 // flush makes the transactions that bring the records up to the ledger.
 func (p *Part) flush(now time.Time) {
-	for ref, j := range p.dirty {
-		if j.txn != nil || j.unsure || now.Before(j.retry) {
+	for ref, j := range p.ending {
+		if j.ending != nil || j.unsure || now.Before(j.retry) {
 			continue
 		}
-		if t := p.jobTxn(j, now); t != nil {
-			j.txn = t
-			p.out.Txns = append(p.out.Txns, t)
-		} else {
-			delete(p.dirty, ref)
+		if !j.over() {
+			delete(p.ending, ref) // a task counted as gone came back into the ledger
+			continue
 		}
+		p.endTxn(j)
 	}
+	for _, s := range p.slots {
+		if !s.dirty || s.txn != nil || s.unsure || now.Before(s.retry) {
+			continue
+		}
+		// Completions alone wait for others to share the write: a user may be
+		// told of the end a little later.
+		if due := s.since.Add(p.cfg.GatherEnds); !s.urgent && now.Before(due) {
+			p.alarm(due)
+			continue
+		}
+		p.slotTxn(s)
+	}
+	p.flushBack(now)
 }
 
-func (p *Part) jobTxn(j *Job, now time.Time) *Txn {
-	open := record.OpenKey(p.id, j.ref)
-	t := &Txn{Urgent: true, job: j}
+// endTxn records a job's end: its state for ever, and no open record any more.
+// Its placements stay in their slot until that is next written; without an open
+// job a Load passes over them.
+func (p *Part) endTxn(j *Job) {
+	open := record.OpenKey(j.ref)
+	rec := record.Job{State: wire.Done, Tasks: len(j.tasks)}
+	if j.cancelled {
+		rec = record.Job{State: wire.Cancelled}
+	}
+	t := &Txn{job: j, Purpose: forJobEnd}
 	t.Body.If = []wire.Cond{p.cond(), {Key: open, Version: j.version}}
-	switch {
-	case j.cancelled && j.nPlaced > 0:
-		return nil // its tasks must be gone first
-	case j.cancelled, j.nDone == len(j.tasks):
-		// The end: the state for ever, and no open record any more. Records
-		// of placements that don't fit are left over, and ignored by a Load.
-		t.ends = true
-		t.Body.Then = append(t.Body.Then, wire.Op{Delete: open})
-		if !j.cancelled {
-			t.final = true
-			t.Body.Then = append(t.Body.Then, wire.Op{Put: record.JobKey(j.ref), Value: record.Encode(record.Job{Part: p.id, State: wire.Done})})
-		}
-		for _, n := range j.chunkNumbers() {
-			if c := j.chunks[n]; c.version > 0 && len(t.Body.Then) < p.cfg.TxnOps {
-				t.Body.Then = append(t.Body.Then, wire.Op{Delete: record.RunKey(p.id, j.ref, n)})
+	t.Body.Then = []wire.Op{{Put: record.JobKey(j.ref), Value: record.Encode(rec)}, {Delete: open}}
+	j.ending = t
+	p.out.Txns = append(p.out.Txns, t)
+}
+
+// slotTxn records the placements and completions of a slot, with as many new
+// starts as there is room for conditions on their jobs and machines. Ends that
+// freed a place need no write of their own: the next start rewrites the slot.
+func (p *Part) slotTxn(s *slot) {
+	t := &Txn{slot: s, Purpose: forEnds}
+	rec := record.Slot{Runs: map[string]record.Run{}}
+	conds := map[string]uint64{}
+	room := 4*p.cfg.TxnOps - 2
+	s.dirty, s.urgent = false, false
+	for name, c := range s.chunks {
+		j := c.job
+		run := record.Run{Attempt: c.attempt}
+		left := false
+		per := p.cfg.chunkTasks()
+		for i := c.n * per; i < min((c.n+1)*per, len(j.tasks)); i++ {
+			k := key{j, i}
+			task := &j.tasks[i]
+			switch task.state {
+			case placed:
+				if !task.recorded && !condition(conds, room, map[string]uint64{
+					record.OpenKey(j.ref): j.version, record.OwnKey(task.machine.ID): task.machine.version,
+				}) {
+					left = true
+					continue
+				}
+				if !task.recorded {
+					t.starts = append(t.starts, k)
+				}
+				if run.On == nil {
+					run.On = map[int]record.Place{}
+				}
+				run.On[i] = record.Place{Machine: task.machine.ID, Attempt: task.attempt}
+			case done:
+				if !task.durable {
+					t.dones = append(t.dones, k)
+				}
+				if l := len(run.Done); l > 0 && run.Done[l-1][1] == i-1 {
+					run.Done[l-1][1] = i
+				} else {
+					run.Done = append(run.Done, [2]int{i, i})
+				}
 			}
 		}
-		return t
-	}
-	// A lone change of what is placed or done. Ends that freed a place need no
-	// write of their own: the next start rewrites the range.
-	machines := map[string]uint64{}
-	for _, n := range j.chunkNumbers() {
-		c := j.chunks[n]
-		if !c.dirty {
-			continue
-		}
-		if len(t.Body.Then) >= p.cfg.TxnOps {
-			break
+		if c.dirty = left; left {
+			s.dirty, s.urgent = true, true
 		}
-		run, starts, dones := p.runRecord(j, n, machines, 4*p.cfg.TxnOps-2-p.cfg.TxnOps)
-		if len(starts) == 0 && len(dones) == 0 {
-			c.dirty = false
-			continue
-		}
-		t.chunks = append(t.chunks, n)
-		t.starts = append(t.starts, starts...)
-		t.dones = append(t.dones, dones...)
-		key := record.RunKey(p.id, j.ref, n)
-		t.Body.If = append(t.Body.If, wire.Cond{Key: key, Version: c.version})
-		t.Body.Then = append(t.Body.Then, wire.Op{Put: key, Value: record.Encode(run)})
-		c.dirty = false
-	}
-	if len(t.chunks) == 0 {
-		return nil
+		t.chunks = append(t.chunks, c)
+		rec.Runs[name] = run
 	}
-	ids := make([]string, 0, len(machines))
-	for id := range machines {
-		ids = append(ids, id)
+	if len(t.starts) == 0 && len(t.dones) == 0 {
+		return
 	}
-	sort.Strings(ids)
-	for _, id := range ids {
-		t.Body.If = append(t.Body.If, wire.Cond{Key: record.MachineKey(id), Version: machines[id]})
+	if len(t.starts) > 0 {
+		t.Purpose = forStart
 	}
-	for _, k := range t.starts {
-		j.tasks[k.i].inTxn = true
+	at := record.SlotKey(p.id, s.n)
+	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: s.version}}
+	keys := make([]string, 0, len(conds))
+	for k := range conds {
+		keys = append(keys, k)
 	}
-	return t
-}
-
-func (j *Job) chunkNumbers() []int {
-	ns := make([]int, 0, len(j.chunks))
-	for n := range j.chunks {
-		ns = append(ns, n)
+	sort.Strings(keys)
+	for _, k := range keys {
+		t.Body.If = append(t.Body.If, wire.Cond{Key: k, Version: conds[k]})
 	}
-	slices.Sort(ns)
-	return ns
+	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(rec)}}
+	for _, k := range t.starts {
+		k.job.tasks[k.i].inTxn = true
+	}
+	s.txn = t
+	p.out.Txns = append(p.out.Txns, t)
 }
 
-// runRecord is a range's record as the ledger has it, with as many new starts
-// as conditions on their machines have room.
-func (p *Part) runRecord(j *Job, n int, machines map[string]uint64, room int) (run record.Run, starts, dones []key) {
-	c := j.chunks[n]
-	run = record.Run{Attempt: c.attempt, On: map[int]record.Place{}}
-	from, to := n*p.cfg.ChunkTasks, min((n+1)*p.cfg.ChunkTasks, len(j.tasks))
-	for i := from; i < to; i++ {
-		t := &j.tasks[i]
-		switch t.state {
-		case placed:
-			if !t.recorded {
-				if _, ok := machines[t.machine.ID]; !ok {
-					if len(machines) >= room {
-						continue
-					}
-					machines[t.machine.ID] = t.machine.version
-				}
-				starts = append(starts, key{j, i})
-			}
-			run.On[i] = record.Place{Machine: t.machine.ID, Attempt: t.attempt}
-		case done:
-			if !t.durable {
-				dones = append(dones, key{j, i})
-			}
-			if l := len(run.Done); l > 0 && run.Done[l-1][1] == i-1 {
-				run.Done[l-1][1] = i
-			} else {
-				run.Done = append(run.Done, [2]int{i, i})
-			}
+// condition adds conditions to those of a transaction if there is room for all.
+func condition(conds map[string]uint64, room int, add map[string]uint64) bool {
+	n := len(conds)
+	for k := range add {
+		if _, ok := conds[k]; !ok {
+			n++
 		}
 	}
-	return run, starts, dones
+	if n > room {
+		return false
+	}
+	for k, v := range add {
+		conds[k] = v
+	}
+	return true
 }
 
-// machineTxns records phases, moves and the end of machines.
-func (p *Part) machineTxn(m *Machine, rec record.Machine, now time.Time) {
-	t := &Txn{Urgent: true, machine: m, phase: rec.Phase, moved: rec.Part != p.id}
-	key := record.MachineKey(m.ID)
-	t.Body.If = []wire.Cond{p.cond(), {Key: key, Version: m.version}}
-	t.Body.Then = []wire.Op{{Put: key, Value: record.Encode(rec)}}
+// moveTxn records that a machine belongs to another part from now on. Once
+// asked for, it is asked for again until it is known to be recorded, so that no
+// start can come before a late copy of it.
+func (p *Part) moveTxn(m *Machine) {
+	rec := record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: m.moveTo, Born: m.born.UnixMilli(), Images: m.images}
+	at := record.OwnKey(m.ID)
+	t := &Txn{machine: m, Purpose: forMove}
+	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: m.version}}
+	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(rec)}}
 	m.txn = t
 	p.out.Txns = append(p.out.Txns, t)
 }
 
-func (p *Part) record(m *Machine) record.Machine {
-	return record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: p.id, Phase: m.Phase, Born: m.born.UnixMilli(), Images: m.images}
+// giveBack makes a machine leave for good. Only the answered return, as its
+// batch's record tells, proves gone what may run on it.
+func (p *Part) giveBack(m *Machine) {
+	m.Phase = record.Returning
+	p.leaving = append(p.leaving, m.ID)
 }
 
-// Applied takes in that a transaction succeeded.
-func (p *Part) Applied(t *Txn, revision uint64, now time.Time) {
-	if m := t.machine; m != nil {
-		m.txn = nil
-		if t.remove || t.moved {
-			p.forgetMachine(m, now)
-			return
-		}
-		m.version = max(m.version, revision)
-		m.fenced = false
-		m.Phase = t.phase
-		p.changed = true
-		return
-	}
-	j := t.job
-	j.txn = nil
-	if t.ends {
-		p.end(j)
+// maxBack is the cloud's bound of machines in one return.
+const maxBack = 100
+
+// flushBack records which machines are to be given back. The leader asks the
+// cloud; the batch's name is never used again.
+func (p *Part) flushBack(now time.Time) {
+	if p.back == nil && len(p.leaving) > 0 {
+		n := min(len(p.leaving), maxBack)
+		p.backs++
+		p.back = &batch{key: record.BackKey(p.id, p.token, p.backs), ids: slices.Clone(p.leaving[:n])}
+		p.leaving = p.leaving[n:]
+	}
+	b := p.back
+	if b == nil || b.txn != nil || now.Before(b.retry) {
 		return
 	}
-	for _, n := range t.chunks {
-		j.chunks[n].version = revision
+	t := &Txn{back: b, Purpose: forBack}
+	t.Body.If = []wire.Cond{p.cond(), {Key: b.key}}
+	t.Body.Then = []wire.Op{{Put: b.key, Value: record.Encode(record.Back{IDs: b.ids})}}
+	b.txn = t
+	p.out.Txns = append(p.out.Txns, t)
+}
+
+// Applied takes in that a transaction succeeded.
+func (p *Part) Applied(t *Txn, revision uint64, now time.Time) {
+	switch {
+	case t.machine != nil:
+		t.machine.txn = nil
+		p.forgetMachine(t.machine, now)
+	case t.back != nil:
+		p.back = nil
+	case t.job != nil:
+		t.job.ending = nil
+		p.end(t.job, now)
+	default:
+		p.written(t, revision)
 	}
+}
+
+func (p *Part) written(t *Txn, revision uint64) {
+	t.slot.txn = nil
+	t.slot.version = revision
 	for _, k := range t.starts {
-		s := &j.tasks[k.i]
-		if s.state != placed {
-			continue
+		s := &k.job.tasks[k.i]
+		if s.state == placed && s.inTxn {
+			s.recorded, s.inTxn = true, false
+			p.out.Wake = append(p.out.Wake, s.machine.ID)
 		}
-		s.recorded, s.inTxn = true, false
-		p.out.Wake = append(p.out.Wake, s.machine.ID)
 	}
 	for _, k := range t.dones {
-		j.tasks[k.i].durable = true
-	}
-	p.dirty[j.ref] = j
-	if j.nIdle > 0 {
-		p.changed = true
+		k.job.tasks[k.i].durable = true
 	}
 }
 
-func (p *Part) end(j *Job) {
+// end takes a job out whose end is recorded.
+func (p *Part) end(j *Job, now time.Time) {
 	j.pipe.Finish(j.ref, "")
 	for i := range j.tasks {
 		if j.tasks[i].state == placed {
-			p.take(key{j, i}, time.Time{})
+			p.take(key{j, i}, now)
 		}
 	}
-	delete(p.jobs, j.ref)
-	delete(p.dirty, j.ref)
-	p.changed = true
-}
-
-func (p *Part) forgetMachine(m *Machine, now time.Time) {
-	for k := range m.on {
-		p.lose(k, now)
+	for n, c := range j.chunks {
+		c.slot.used -= p.chunkSize(j, n)
+		delete(c.slot.chunks, record.RunName(j.ref, n))
 	}
-	m.gone = true
-	delete(p.machines, m.ID)
+	delete(p.jobs, j.ref)
+	delete(p.ending, j.ref)
 	p.changed = true
 }
 
@@ -215,164 +252,223 @@
 		p.lost = true // somebody claimed the part: every later write fails too
 		return
 	}
-	for _, k := range failed {
-		if id, ok := cutPrefix(k, record.MachinePrefix); ok {
-			if m := p.machines[id]; m != nil && !m.unsure {
-				m.unsure = true
-				p.out.RereadMachines = append(p.out.RereadMachines, id)
-			}
-		}
-	}
-	if t.machine != nil {
+	switch {
+	case t.back != nil:
+		// Its name is ours alone: an earlier try was applied after all.
+		p.back = nil
+	case t.machine != nil:
 		t.machine.txn = nil
 		t.machine.retry = now.Add(retryAfter)
-		return
+		p.rereadMachine(t.machine)
+	case t.job != nil:
+		t.job.ending = nil
+		p.rereadJob(t.job)
+	default:
+		p.slotConflict(t, failed, now)
 	}
-	p.revert(t, now)
-	p.reread(t.job)
 }
 
-func cutPrefix(s, prefix string) (string, bool) {
-	if len(s) > len(prefix) && s[:len(prefix)] == prefix {
-		return s[len(prefix):], true
+// slotConflict takes back the starts that can't be recorded as they are; the
+// others are tried again at once.
+func (p *Part) slotConflict(t *Txn, failed []string, now time.Time) {
+	s := t.slot
+	s.txn = nil
+	bad := map[string]bool{}
+	for _, k := range failed {
+		bad[k] = true
+		if id, ok := strings.CutPrefix(k, record.OwnPrefix); ok {
+			if m := p.machines[id]; m != nil {
+				p.rereadMachine(m)
+			}
+		}
+		if ref, ok := strings.CutPrefix(k, record.OpenPrefix); ok {
+			if j := p.jobs[ref]; j != nil {
+				p.rereadJob(j)
+			}
+		}
+	}
+	p.revert(t, now, func(k key) bool {
+		m := k.job.tasks[k.i].machine
+		return bad[record.OpenKey(k.job.ref)] || (m != nil && bad[record.OwnKey(m.ID)])
+	})
+	if bad[record.SlotKey(p.id, s.n)] {
+		p.rereadSlot(s)
 	}
-	return s, false
 }
 
 // Refused takes in that a transaction was not executed.
 func (p *Part) Refused(t *Txn, now time.Time) {
-	if t.machine != nil {
-		t.machine.txn = nil
-		t.machine.retry = now.Add(retryAfter)
-		return
-	}
-	j := t.job
-	j.txn = nil
-	j.retry = now.Add(retryAfter)
-	for _, k := range t.starts {
-		j.tasks[k.i].inTxn = false
-	}
-	for _, n := range t.chunks {
-		j.chunks[n].dirty = true
-	}
-	p.dirty[j.ref] = j
-	p.alarm(j.retry)
+	at := now.Add(retryAfter)
+	switch {
+	case t.back != nil:
+		t.back.txn, t.back.retry = nil, at
+	case t.machine != nil:
+		t.machine.txn, t.machine.retry = nil, at
+	case t.job != nil:
+		t.job.ending, t.job.retry = nil, at
+	default:
+		t.slot.txn, t.slot.retry = nil, at
+		p.revert(t, now, func(key) bool { return false })
+	}
+	p.alarm(at)
 }
 
 // Unknown takes in that a transaction may have been, or may yet be, applied.
 // The records are read back and decide.
 func (p *Part) Unknown(t *Txn, now time.Time) {
-	if m := t.machine; m != nil {
-		if !m.unsure {
-			m.unsure = true
-			p.out.RereadMachines = append(p.out.RereadMachines, m.ID)
-		}
-		return
+	switch {
+	case t.back != nil:
+		t.back.txn, t.back.retry = nil, now.Add(retryAfter) // the same again does no harm
+	case t.machine != nil:
+		p.rereadMachine(t.machine)
+	case t.job != nil:
+		p.rereadJob(t.job)
+	default:
+		p.rereadSlot(t.slot)
 	}
-	p.reread(t.job)
 }
 
-func (p *Part) reread(j *Job) {
+func (p *Part) rereadJob(j *Job) {
 	if !j.unsure {
 		j.unsure = true
 		p.out.RereadJobs = append(p.out.RereadJobs, j.ref)
 	}
 }
 
-// revert takes back starts that were never recorded, and so never sent.
-func (p *Part) revert(t *Txn, now time.Time) {
-	j := t.job
-	j.txn = nil
+func (p *Part) rereadSlot(s *slot) {
+	if !s.unsure {
+		s.unsure = true
+		p.out.RereadSlots = append(p.out.RereadSlots, s.n)
+	}
+}
+
+func (p *Part) rereadMachine(m *Machine) {
+	if !m.unsure {
+		m.unsure = true
+		p.out.RereadMachines = append(p.out.RereadMachines, m.ID)
+	}
+}
+
+// revert makes a slot's transaction undone: bad starts are taken back, which
+// were never recorded and so never sent, the others wait for the next write.
+func (p *Part) revert(t *Txn, now time.Time, bad func(key) bool) {
+	gangs := map[*Job]bool{}
 	for _, k := range t.starts {
-		if s := &j.tasks[k.i]; s.state == placed && s.inTxn {
+		s := &k.job.tasks[k.i]
+		if s.state != placed || !s.inTxn {
+			continue
+		}
+		s.inTxn = false
+		if bad(k) || k.job.cancelled {
 			p.take(k, now)
+			gangs[k.job] = k.job.spec.Kind == wire.Gang
 		}
 	}
-	for _, n := range t.chunks {
-		j.chunks[n].dirty = true
+	// A gang of which a part could not be recorded is taken back as a whole:
+	// what is recorded already was not sent either.
+	for j, gang := range gangs {
+		if !gang {
+			continue
+		}
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.state == placed && !t.sent && !t.inherited && !t.inTxn {
+				p.take(key{j, i}, now)
+			}
+		}
 	}
-	if j.spec.Kind == wire.Gang {
-		p.revertGang(j, now)
+	for _, c := range t.chunks {
+		c.dirty = true
 	}
-	p.dirty[j.ref] = j
-}
-
-// revertGang takes back the placements of a gang of which a part could not be
-// recorded. Those already recorded were not sent, so they go as well.
-func (p *Part) revertGang(j *Job, now time.Time) {
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == placed && !t.sent && !t.inherited && !t.inTxn {
-			p.take(key{j, i}, now)
-		}
+	if !t.slot.dirty {
+		t.slot.since = now
 	}
+	t.slot.dirty = true
+	t.slot.urgent = t.slot.urgent || len(t.starts) > 0
 }
 
-// JobRead takes in a job's records as read back. open is nil when there is none.
-func (p *Part) JobRead(ref string, open *wire.Entry, runs []wire.Entry, now time.Time) error {
+// JobRead takes in a job's open record as read back, nil when there is none.
+func (p *Part) JobRead(ref string, open *wire.Entry, now time.Time) error {
 	j := p.jobs[ref]
 	if j == nil || !j.unsure {
 		return nil
 	}
-	t := j.txn
 	if open == nil {
-		p.end(j) // our final transaction was applied: only owners end a job
+		p.end(j, now) // our final transaction was applied: only owners end a job
 		return nil
 	}
+	o, err := decode[record.Open](*open)
+	if err != nil {
+		return err
+	}
 	j.unsure = false
-	seen := map[int]bool{}
-	for _, e := range runs {
-		_, n, ok := record.SplitRunKey(e.Key)
-		if !ok {
-			continue
-		}
-		seen[n] = true
-		r, err := decode[record.Run](e)
-		if err != nil {
+	j.ending = nil
+	j.retry = now.Add(retryAfter)
+	p.alarm(j.retry)
+	p.SetJob(ref, o, open.Version, now)
+	p.changed = true
+	return nil
+}
+
+// SlotRead takes in a slot's record as read back, nil when there is none.
+func (p *Part) SlotRead(n int, e *wire.Entry, now time.Time) error {
+	s := p.slots[n]
+	if s == nil || !s.unsure {
+		return nil
+	}
+	var rec record.Slot
+	var version uint64
+	if e != nil {
+		var err error
+		if rec, err = decode[record.Slot](*e); err != nil {
 			return err
 		}
-		c := j.chunk(p.cfg, n*p.cfg.ChunkTasks)
-		if e.Version == c.version {
-			continue
-		}
-		c.version = e.Version
-		c.attempt = max(c.attempt, r.Attempt)
-		c.dirty = true
-		if t == nil {
-			continue // a write given up that came late: never sent, cleared by the next
-		}
-		for _, k := range t.starts {
-			s := &j.tasks[k.i]
-			if pl, ok := r.On[k.i]; ok && s.state == placed && s.inTxn && pl.Attempt == s.attempt && pl.Machine == s.machine.ID {
-				s.recorded, s.inTxn = true, false
-				p.out.Wake = append(p.out.Wake, s.machine.ID)
-			}
+		version = e.Version
+	}
+	s.unsure = false
+	t := s.txn
+	s.txn = nil
+	changed := version != s.version
+	s.version = version
+	if t == nil {
+		// A write given up came late: what it recorded was never sent, and the
+		// next write clears it.
+		if changed {
+			s.dirty, s.urgent, s.since = true, true, now
 		}
+		return nil
 	}
-	for n, c := range j.chunks {
-		if !seen[n] && c.version > 0 {
-			c.version = 0
-			c.dirty = true
-		}
+	there := func(k key) bool {
+		pl, ok := rec.Runs[record.RunName(k.job.ref, k.i/p.cfg.chunkTasks())].On[k.i]
+		task := &k.job.tasks[k.i]
+		return changed && ok && task.machine != nil && pl.Attempt == task.attempt && pl.Machine == task.machine.ID
 	}
-	if t != nil {
-		p.revert(t, now)
+	for _, k := range t.starts {
+		if task := &k.job.tasks[k.i]; task.state == placed && task.inTxn && there(k) {
+			task.recorded, task.inTxn = true, false
+			p.out.Wake = append(p.out.Wake, task.machine.ID)
+		}
 	}
-	p.dirty[ref] = j
+	p.revert(t, now, func(key) bool { return true })
+	s.retry = now.Add(retryAfter)
+	p.alarm(s.retry)
 	p.changed = true
-	return p.SetJob(*open, now)
+	return nil
 }
 
-// MachineRead takes in a machine's record as read back, nil when there is none.
+// MachineRead takes in a machine's own record as read back, nil when there is
+// none.
 func (p *Part) MachineRead(id string, e *wire.Entry, now time.Time) error {
 	m := p.machines[id]
 	if m == nil {
 		return nil
 	}
-	m.unsure = false
-	t := m.txn
-	m.txn = nil
+	m.unsure, m.txn = false, nil
+	m.retry = now.Add(retryAfter)
+	p.changed = true
 	if e == nil {
-		p.forgetMachine(m, now)
+		if m.version > 0 {
+			p.forgetMachine(m, now) // records go only when the machine is gone
+		}
 		return nil
 	}
 	r, err := decode[record.Machine](*e)
@@ -383,37 +479,9 @@
 		p.forgetMachine(m, now)
 		return nil
 	}
-	if t != nil {
-		m.retry = now.Add(retryAfter)
-	}
 	if e.Version != m.version {
 		m.version = e.Version
 		m.fenced = false
 	}
-	m.Phase = r.Phase
-	p.changed = true
 	return nil
 }
-
-// Returned takes in that the cloud answered a return with 200: the machine and
-// all on it are gone. Its record goes too.
-func (p *Part) Returned(id string, now time.Time) {
-	m := p.machines[id]
-	if m == nil {
-		return
-	}
-	for k := range m.on {
-		p.lose(k, now)
-	}
-	m.gone = true
-	m.heard = now
-	p.changed = true
-}
-
-// ReturnFailed takes in that a return was not answered: it is asked again.
-func (p *Part) ReturnFailed(id string, now time.Time) {
-	if m := p.machines[id]; m != nil {
-		m.asked = false
-		m.retry = now.Add(time.Second)
-	}
-}
--- /dev/null
+++ b/internal/sched/ledger.go
@@ -0,0 +1,448 @@
+package sched
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"bramblespur/internal/fragment"
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// put sets task k on machine m in the ledger.
+func (p *Part) put(k key, m *Machine, attempt uint64, now time.Time) *task {
+	j := k.job
+	t := &j.tasks[k.i]
+	*t = task{state: placed, attempt: attempt, machine: m}
+	j.nIdle--
+	j.nPlaced++
+	s := j.spec
+	m.on[k] = t
+	m.cpus += s.CPUs
+	m.gpus += s.GPUs
+	m.mem += s.MemoryGB
+	u := p.usage(s.Team)
+	u.cpus += s.CPUs
+	u.gpus += s.GPUs
+	m.idleSince = time.Time{}
+	c := p.touch(k, now)
+	c.attempt = max(c.attempt, attempt)
+	c.slot.urgent = true
+	return t
+}
+
+// take removes task k from its machine: it was proven gone, or never recorded.
+func (p *Part) take(k key, now time.Time) {
+	j := k.job
+	t := &j.tasks[k.i]
+	m := t.machine
+	s := j.spec
+	delete(m.on, k)
+	m.cpus -= s.CPUs
+	m.gpus -= s.GPUs
+	m.mem -= s.MemoryGB
+	if len(m.on) == 0 {
+		m.cpus, m.gpus, m.mem = 0, 0, 0
+		m.idleSince = now
+	}
+	u := p.usage(s.Team)
+	u.cpus -= s.CPUs
+	u.gpus -= s.GPUs
+	*t = task{state: idle}
+	j.nPlaced--
+	j.nIdle++
+	j.firstIdle = min(j.firstIdle, k.i)
+	p.touch(k, now)
+	p.ends(j)
+	p.changed = true
+}
+
+func (p *Part) finish(k key, now time.Time) {
+	j := k.job
+	t := &j.tasks[k.i]
+	if t.state == done {
+		return
+	}
+	if t.state == placed {
+		p.take(k, now)
+	}
+	*t = task{state: done}
+	j.nIdle--
+	j.nDone++
+	j.fails = 0
+	p.touch(k, now)
+	p.ends(j)
+	p.changed = true
+}
+
+// ends notes that a job may be over: its end is recorded with the next Step.
+func (p *Part) ends(j *Job) {
+	if j.over() {
+		p.ending[j.ref] = j
+	}
+}
+
+// over reports whether nothing of a job is left to run or to be proven gone.
+func (j *Job) over() bool {
+	return (j.cancelled && j.nPlaced == 0) || (!j.cancelled && j.nDone == len(j.tasks))
+}
+
+// touch marks the range of a task as changed.
+func (p *Part) touch(k key, now time.Time) *chunk {
+	c := p.chunk(k.job, k.i/p.cfg.chunkTasks())
+	c.dirty = true
+	if !c.slot.dirty {
+		c.slot.dirty, c.slot.since = true, now
+	}
+	return c
+}
+
+// chunkTasks is the most tasks of one job in one slot.
+func (c *Config) chunkTasks() int { return c.SlotTasks - runOverhead }
+
+// chunk returns a range of a job's tasks, in the first slot that has room for
+// it when it is new.
+func (p *Part) chunk(j *Job, n int) *chunk {
+	if c := j.chunks[n]; c != nil {
+		return c
+	}
+	size := p.chunkSize(j, n)
+	s := p.slots[0]
+	for i := 0; ; i++ {
+		if s = p.slot(i); s.used+size <= p.cfg.SlotTasks {
+			break
+		}
+	}
+	return p.enter(j, n, s)
+}
+
+func (p *Part) chunkSize(j *Job, n int) int {
+	per := p.cfg.chunkTasks()
+	return min(per, len(j.tasks)-n*per) + runOverhead
+}
+
+func (p *Part) slot(n int) *slot {
+	s := p.slots[n]
+	if s == nil {
+		s = &slot{n: n, chunks: map[string]*chunk{}}
+		p.slots[n] = s
+	}
+	return s
+}
+
+func (p *Part) enter(j *Job, n int, s *slot) *chunk {
+	c := &chunk{job: j, n: n, slot: s}
+	s.chunks[record.RunName(j.ref, n)] = c
+	s.used += p.chunkSize(j, n)
+	j.chunks[n] = c
+	return c
+}
+
+func (p *Part) nextAttempt(j *Job, i int) uint64 {
+	if j.spec.Kind != wire.Gang {
+		return p.chunk(j, i/p.cfg.chunkTasks()).attempt + 1
+	}
+	var a uint64
+	for _, c := range j.chunks {
+		a = max(a, c.attempt)
+	}
+	return a + 1
+}
+
+// Load fills a newly claimed part from its records. Placements of earlier
+// owners count as there until their machines answer under our token.
+func (p *Part) Load(fleet *record.Fleet, open, slots []wire.Entry, now time.Time) error {
+	var err error
+	fleet.Each(func(id string, v record.View) {
+		if e := p.SetMachine(id, v, now); e != nil {
+			err = e
+		}
+	})
+	if err != nil {
+		return err
+	}
+	for _, m := range p.machines {
+		m.inherited = true
+	}
+	for _, e := range open {
+		o, err := decode[record.Open](e)
+		if err != nil {
+			return err
+		}
+		p.SetJob(record.Last(e.Key), o, e.Version, now)
+	}
+	for _, e := range slots {
+		n, err := strconv.Atoi(record.Last(e.Key))
+		if err != nil {
+			return fmt.Errorf("record %s: %w", e.Key, err)
+		}
+		r, err := decode[record.Slot](e)
+		if err != nil {
+			return err
+		}
+		s := p.slot(n)
+		s.version = e.Version
+		for name, run := range r.Runs {
+			ref, c, ok := record.SplitRunName(name)
+			j := p.jobs[ref]
+			if !ok || j == nil || c*p.cfg.chunkTasks() >= len(j.tasks) {
+				continue // left over from a finished job
+			}
+			p.loadRun(p.enter(j, c, s), run, now)
+		}
+	}
+	return nil
+}
+
+func (p *Part) loadRun(c *chunk, r record.Run, now time.Time) {
+	j := c.job
+	c.attempt = max(c.attempt, r.Attempt)
+	for _, span := range r.Done {
+		for i := max(0, span[0]); i <= span[1] && i < len(j.tasks); i++ {
+			p.finish(key{j, i}, now)
+			j.tasks[i].durable = true
+		}
+	}
+	for i, pl := range r.On {
+		if i < 0 || i >= len(j.tasks) || j.tasks[i].state != idle {
+			continue
+		}
+		m := p.machines[pl.Machine]
+		if m == nil {
+			continue // given back or empty when it moved: proven gone before
+		}
+		t := p.put(key{j, i}, m, pl.Attempt, now)
+		t.recorded, t.inherited = true, true
+		if j.cancelled {
+			// The cancellation came while nobody owned the part: its record
+			// was read before these placements were.
+			p.stop(key{j, i}, 0, now)
+		}
+	}
+}
+
+func decode[T any](e wire.Entry) (T, error) {
+	var v T
+	if err := unmarshal(e.Value, &v); err != nil {
+		return v, fmt.Errorf("record %s: %w", e.Key, err)
+	}
+	return v, nil
+}
+
+// SetJob takes in an unfinished job's record, new or changed.
+func (p *Part) SetJob(ref string, o record.Open, version uint64, now time.Time) {
+	if o.Part != p.id {
+		return
+	}
+	j := p.jobs[ref]
+	if j == nil {
+		spec := o.Spec
+		j = &Job{
+			ref: ref, spec: &spec, accepted: time.UnixMilli(o.At), tasks: make([]task, spec.Tasks), nIdle: spec.Tasks,
+			chunks: map[int]*chunk{}, rank: rank(spec.Priority), pipe: fragment.Begin(fragment.Single(ref)),
+		}
+		p.jobs[ref] = j
+		if age := now.Sub(j.accepted); age < arrivalFade {
+			p.arrive(j, now)
+		}
+	}
+	if version <= j.version {
+		return
+	}
+	j.version = version
+	if o.Cancelled && !j.cancelled {
+		j.cancelled = true
+		for i := range j.tasks {
+			k := key{j, i}
+			if t := &j.tasks[i]; t.state == placed && !t.recorded && !t.inTxn {
+				p.take(k, now) // never recorded, so never sent
+			} else {
+				p.stop(k, 0, now)
+			}
+		}
+		p.ends(j)
+	}
+	p.changed = true
+}
+
+const arrivalFade = 60 * time.Second
+
+// arrive counts a job for the headroom if it is of the kind that must start
+// soon: no spot machine will do, or its team is guaranteed.
+func (p *Part) arrive(j *Job, now time.Time) {
+	t := p.cfg.Teams[j.spec.Team]
+	if j.spec.Spot && t.CPUs <= 0 && t.GPUs <= 0 {
+		return
+	}
+	share := 1.0
+	for _, typ := range p.cfg.Types {
+		s := j.spec.CPUs / typ.CPUs
+		if typ.GPUs > 0 {
+			s = max(s, j.spec.GPUs/typ.GPUs)
+		}
+		share = min(share, s)
+	}
+	n := float64(j.spec.Tasks)
+	if j.spec.Kind == wire.Array {
+		n = min(n, arrayAhead)
+	}
+	p.fade(now)
+	p.arrived += n * share
+}
+
+// arrayAhead bounds the tasks of an array that count as expected: the rest of
+// it starts where there is room.
+const arrayAhead = 2
+
+func (p *Part) fade(now time.Time) {
+	if !p.arriveAt.IsZero() {
+		p.arrived *= math.Exp(-now.Sub(p.arriveAt).Seconds() / arrivalFade.Seconds())
+	}
+	p.arriveAt = now
+}
+
+// SetMachine takes in what the records say of a machine, new or changed.
+func (p *Part) SetMachine(id string, v record.View, now time.Time) error {
+	m := p.machines[id]
+	if v.Part != p.id {
+		if m != nil && v.Version > m.version && len(m.on) == 0 {
+			delete(p.machines, id)
+		}
+		return nil
+	}
+	if m == nil {
+		if v.Phase == record.Gone {
+			return nil
+		}
+		typ, ok := p.cfg.Types[v.Type]
+		if !ok {
+			return fmt.Errorf("machine %s: unknown type %q", id, v.Type)
+		}
+		m = &Machine{
+			ID: id, Type: typ, Zone: v.Zone, Spot: v.Spot, born: time.UnixMilli(v.Born), on: map[key]*task{},
+			images: v.Images, moveTo: -1, idleSince: now, heard: now,
+		}
+		p.machines[id] = m
+	}
+	if v.Version > m.version {
+		m.version = v.Version
+		m.fenced = false
+	}
+	m.Phase = max(m.Phase, v.Phase)
+	if m.Phase == record.Gone {
+		p.forgetMachine(m, now)
+	}
+	p.changed = true
+	return nil
+}
+
+// DropMachine takes in that no record names a machine any more: it is gone.
+func (p *Part) DropMachine(id string, now time.Time) {
+	if m := p.machines[id]; m != nil {
+		p.forgetMachine(m, now)
+	}
+}
+
+// forgetMachine takes a machine out that is gone or another part's.
+func (p *Part) forgetMachine(m *Machine, now time.Time) {
+	for k := range m.on {
+		p.lose(k, now)
+	}
+	delete(p.machines, m.ID)
+	p.changed = true
+}
+
+// SetBlind tells whether cancellations told to users by other controllers may
+// be unknown here: nothing is started then, not even what was recorded before.
+func (p *Part) SetBlind(blind bool) { p.blind = blind }
+
+// HasMachine reports whether the part holds a machine.
+func (p *Part) HasMachine(id string) bool { return p.machines[id] != nil }
+
+// HasJob reports whether the part holds an unfinished job.
+func (p *Part) HasJob(ref string) bool { return p.jobs[ref] != nil }
+
+// Status returns a job's state for display.
+func (p *Part) Status(ref string) (wire.Status, bool) {
+	j := p.jobs[ref]
+	if j == nil {
+		return wire.Status{}, false
+	}
+	s := wire.Status{Ref: ref, State: wire.Pending, Done: j.nDone}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == placed && t.phase == wire.Running {
+			s.Running++
+		}
+	}
+	if s.Running > 0 {
+		s.State = wire.Running
+	}
+	return s, true
+}
+
+// stop asks for a task's end; it is never taken back for that attempt.
+func (p *Part) stop(k key, grace time.Duration, now time.Time) {
+	t := &k.job.tasks[k.i]
+	if t.state != placed {
+		return
+	}
+	if !t.stop || grace < t.grace {
+		t.stop, t.grace = true, grace
+		t.machine.direct = true
+	}
+}
+
+// stopJob stops every placed task of a job.
+func (p *Part) stopJob(j *Job, grace time.Duration, now time.Time) {
+	for i := range j.tasks {
+		p.stop(key{j, i}, grace, now)
+	}
+}
+
+// lose takes in that a placed task is proven gone without completing. A gang
+// that has not started keeps waiting, and a replacement under the same attempt
+// completes it; of one that runs, what was not saved is lost already, so the
+// rest only holds places and is ended.
+func (p *Part) lose(k key, now time.Time) {
+	p.take(k, now)
+	if k.job.spec.Kind == wire.Gang && !k.job.gathering() {
+		p.endAttempt(k.job, now)
+	}
+}
+
+func (p *Part) endAttempt(j *Job, now time.Time) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state == placed && !t.stop {
+			p.stop(key{j, i}, 0, now)
+		}
+	}
+}
+
+// gathering reports whether the placed tasks of a gang still wait for the
+// others of their attempt, as far as their reports tell.
+func (j *Job) gathering() bool {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != placed {
+			continue
+		}
+		waits := t.phase == wire.Fetching || t.phase == wire.Gathering || (t.phase == "" && !t.inherited)
+		if t.stop || !waits {
+			return false
+		}
+	}
+	return true
+}
+
+// attempt returns the attempt of a gang's placed tasks, 0 if there are none.
+func (j *Job) attempt() uint64 {
+	for i := range j.tasks {
+		if j.tasks[i].state == placed {
+			return j.tasks[i].attempt
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,320 @@
+package sched
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// usable reports whether new work may be placed on a machine.
+func (p *Part) usable(m *Machine, now time.Time) bool {
+	return m.up && m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.txn == nil && !m.unsure &&
+		m.muteAt.IsZero() && (m.fenced || !m.inherited) && m.taken.IsZero() && now.Sub(m.heard) < p.suspectAfter()
+}
+
+// suspectAfter is when a silent machine gets no new work.
+func (p *Part) suspectAfter() time.Duration { return p.cfg.Report*2 + time.Second }
+
+func allows(s *wire.Spec, m *Machine) bool {
+	return (m.Spot == false || s.Spot) && (s.Zone == nil || *s.Zone == m.Zone) &&
+		(s.Types == nil || slices.Contains(s.Types, m.Type.Name))
+}
+
+const slack = 1e-6 // amounts are decimal numbers
+
+func roomFor(s *wire.Spec, cpus, gpus, mem float64) bool {
+	return s.CPUs <= cpus+slack && s.GPUs <= gpus+slack && s.MemoryGB <= mem+slack
+}
+
+// room is what is free on m, less what a plan has put there already.
+type room struct{ cpus, gpus, mem float64 }
+
+func free(m *Machine) room {
+	return room{m.Type.CPUs - m.cpus, m.Type.GPUs - m.gpus, m.Type.MemoryGB - m.mem}
+}
+
+func (r room) less(s *wire.Spec) room {
+	return room{r.cpus - s.CPUs, r.gpus - s.GPUs, r.mem - s.MemoryGB}
+}
+
+func (p *Part) withinLimit(j *Job, n int) bool {
+	t, ok := p.cfg.Teams[j.spec.Team]
+	if !ok {
+		return true
+	}
+	u := p.usage(j.spec.Team)
+	f := float64(n)
+	return (t.MaxCPUs <= 0 || u.cpus+f*j.spec.CPUs <= t.MaxCPUs+slack) &&
+		(t.MaxGPUs <= 0 || u.gpus+f*j.spec.GPUs <= t.MaxGPUs+slack)
+}
+
+// guaranteed reports whether n more tasks of j keep to its team's guarantee.
+func (p *Part) guaranteed(j *Job, n int) bool {
+	t := p.cfg.Teams[j.spec.Team]
+	if t.CPUs <= 0 && t.GPUs <= 0 {
+		return false
+	}
+	u := p.usage(j.spec.Team)
+	f := float64(n)
+	return (t.CPUs <= 0 || u.cpus+f*j.spec.CPUs <= t.CPUs+slack) && (t.GPUs <= 0 || u.gpus+f*j.spec.GPUs <= t.GPUs+slack)
+}
+
+// borrowed reports whether a team runs beyond its guarantee.
+func (p *Part) borrowed(team string) bool {
+	t := p.cfg.Teams[team]
+	u := p.usage(team)
+	return (t.CPUs > 0 && u.cpus > t.CPUs+slack) || (t.GPUs > 0 && u.gpus > t.GPUs+slack) || (t.CPUs <= 0 && t.GPUs <= 0)
+}
+
+func (p *Part) load(team string) float64 {
+	share := p.cfg.Teams[team].Share
+	if share <= 0 {
+		share = 1
+	}
+	u := p.usage(team)
+	return (u.gpus*4 + u.cpus) / share // both kinds count; cards are the scarcer
+}
+
+func (j *Job) unit() int {
+	if j.spec.Kind == wire.Gang {
+		return j.nIdle // all, or what replaces those lost while it waits
+	}
+	return 1
+}
+
+func (p *Part) waiting(j *Job, now time.Time) bool {
+	if j.cancelled || j.nIdle == 0 || j.unsure {
+		return false
+	}
+	if j.spec.Kind == wire.Gang && !j.gathering() {
+		return false // the old attempt must be gone, all of it
+	}
+	return true
+}
+
+// place starts what can be started: team by team, in turn by shares.
+func (p *Part) place(now time.Time) {
+	queues := map[string][]*Job{}
+	for _, j := range p.jobs {
+		if !p.waiting(j, now) {
+			j.stuck = time.Time{}
+			continue
+		}
+		if now.Before(j.hold) {
+			p.alarm(j.hold)
+			continue
+		}
+		queues[j.spec.Team] = append(queues[j.spec.Team], j)
+	}
+	for _, q := range queues {
+		urgency := make(map[*Job]float64, len(q))
+		for _, j := range q {
+			urgency[j] = p.cfg.Urgency(j.spec, now.Sub(j.accepted))
+		}
+		sort.Slice(q, func(a, b int) bool {
+			x, y := q[a], q[b]
+			if x.rank != y.rank {
+				return x.rank > y.rank
+			}
+			if urgency[x] != urgency[y] {
+				return urgency[x] < urgency[y]
+			}
+			return x.ref < y.ref
+		})
+	}
+	for {
+		var best string
+		var bestJob *Job
+		for team, q := range queues {
+			if len(q) == 0 {
+				continue
+			}
+			if bestJob == nil || p.before(q[0], team, bestJob, best) {
+				best, bestJob = team, q[0]
+			}
+		}
+		if bestJob == nil {
+			return
+		}
+		if p.start(bestJob, now) && bestJob.nIdle > 0 {
+			continue
+		}
+		queues[best] = queues[best][1:]
+	}
+}
+
+// before orders the heads of two teams' queues: work within a guarantee goes
+// first, then priority, then the team with less of its share.
+func (p *Part) before(a *Job, teamA string, b *Job, teamB string) bool {
+	if x, y := p.guaranteed(a, a.unit()), p.guaranteed(b, b.unit()); x != y {
+		return x
+	}
+	if a.rank != b.rank {
+		return a.rank > b.rank
+	}
+	if x, y := p.load(teamA), p.load(teamB); x != y {
+		return x < y
+	}
+	return teamA < teamB
+}
+
+// start places one unit of a job: a task, or all of a gang.
+func (p *Part) start(j *Job, now time.Time) bool {
+	n := j.unit()
+	if !p.withinLimit(j, n) {
+		j.stuck = time.Time{} // waits for its own team, not for machines
+		return false
+	}
+	where := p.find(j, n, now)
+	if where == nil {
+		if j.stuck.IsZero() {
+			j.stuck = now
+		}
+		p.makeRoom(j, n, now)
+		return false
+	}
+	gang := j.attempt()
+	for _, m := range where {
+		i := j.nextIdle()
+		a := p.nextAttempt(j, i)
+		if j.spec.Kind == wire.Gang {
+			if gang == 0 {
+				gang = a
+			}
+			a = gang
+		}
+		p.put(key{j, i}, m, a, now)
+		if m.reserved == j.ref {
+			m.reserved = ""
+		}
+	}
+	if j.nIdle == 0 {
+		j.stuck = time.Time{}
+	}
+	return true
+}
+
+func (j *Job) nextIdle() int {
+	for j.tasks[j.firstIdle].state != idle {
+		j.firstIdle++
+	}
+	return j.firstIdle
+}
+
+// find chooses a machine for each of n tasks of j, nil if there is no room for
+// all of them.
+func (p *Part) find(j *Job, n int, now time.Time) []*Machine {
+	s := j.spec
+	var cands []*Machine
+	for _, m := range p.machines {
+		if !allows(s, m) || !p.usable(m, now) || !roomFor(s, free(m).cpus, free(m).gpus, free(m).mem) {
+			continue
+		}
+		if j.failedOn[m.ID] && !j.atFault() {
+			continue
+		}
+		if m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT) {
+			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && o.rank >= j.rank {
+				continue
+			}
+		}
+		cands = append(cands, m)
+	}
+	if len(cands) == 0 {
+		return nil
+	}
+	sort.Slice(cands, func(a, b int) bool {
+		x, y := p.score(j, cands[a]), p.score(j, cands[b])
+		if x != y {
+			return x > y
+		}
+		return cands[a].ID < cands[b].ID
+	})
+	zones := map[string]int{}
+	only := ""
+	for _, m := range p.machines {
+		for k := range m.on {
+			if k.job == j {
+				zones[m.Zone]++
+				only = m.Zone
+			}
+		}
+	}
+	limit := len(j.tasks)
+	if s.Spread {
+		limit = (len(j.tasks) + 1) / 2
+	}
+	if !s.OneZone {
+		return pick(s, cands, n, zones, limit, "")
+	}
+	if only != "" {
+		return pick(s, cands, n, zones, limit, only)
+	}
+	tried := map[string]bool{}
+	for _, m := range cands {
+		if tried[m.Zone] {
+			continue
+		}
+		tried[m.Zone] = true
+		if got := pick(s, cands, n, zones, limit, m.Zone); got != nil {
+			return got
+		}
+	}
+	return nil
+}
+
+// pick takes machines in order, several tasks to one where they fit.
+func pick(s *wire.Spec, cands []*Machine, n int, placed map[string]int, limit int, only string) []*Machine {
+	zones := make(map[string]int, len(placed))
+	for z, c := range placed {
+		zones[z] = c
+	}
+	var got []*Machine
+	for _, m := range cands {
+		if only != "" && m.Zone != only {
+			continue
+		}
+		r := free(m)
+		for len(got) < n && roomFor(s, r.cpus, r.gpus, r.mem) && zones[m.Zone] < limit {
+			got = append(got, m)
+			zones[m.Zone]++
+			r = r.less(s)
+		}
+		if len(got) == n {
+			return got
+		}
+	}
+	return nil
+}
+
+// score ranks a machine for a task: one that caches its image first (DESIGN's
+// stand-in for sending fragments to the data), then a spot machine where the
+// job may use one, then the fullest, so that whole machines stay free.
+func (p *Part) score(j *Job, m *Machine) float64 {
+	v := 0.0
+	if m.hasImage(j.spec.Image) {
+		v += 100
+	}
+	if m.Spot {
+		v += 30
+	}
+	if j.spec.Spread {
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.state == placed && t.machine.Zone == m.Zone {
+				v -= 10
+			}
+		}
+	}
+	used := 0.0
+	if m.Type.GPUs > 0 {
+		used = m.gpus / m.Type.GPUs
+	}
+	if m.Type.CPUs > 0 {
+		used = math.Max(used, m.cpus/m.Type.CPUs)
+	}
+	return v + 20*used
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
@@ -32,27 +33,38 @@
 	}
 	orders := wire.Orders{Token: token, Commands: []wire.Command{}}
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
-		return orders, Answered // late: its news is old, its worker has gone on
+		return orders, Answered // a late copy: it settles, starts and renews nothing
 	}
-	m.session, m.seq = r.Session, r.Seq
-	m.heard = now
+	p.session(m, r, now)
+	m.seq = r.Seq
 	m.Addr = r.Addr
-	if !m.up {
+	// After a take-over nobody remembers the last report, so the first ones may
+	// be late copies: only one under our own token proves the machine alive.
+	live := r.Token == token || !m.inherited
+	if live {
+		m.heard = now
+	}
+	if live && !m.up {
 		m.up = true
 		p.changed = true
 	}
+	if !direct {
+		m.answered = now
+	}
 	p.notice(m, r, now)
 	if r.Token < token {
 		// What earlier owners recorded here is settled only by a report under
-		// our token. Our own starts need not wait for it: an earlier owner can
-		// have sent nothing that is not among the records we read.
-		if !direct {
+		// our token. Our own starts need not wait for it on a machine that was
+		// rented or moved to us: an earlier owner can have sent nothing that is
+		// not among the records we read.
+		if !direct && live {
 			orders.Commands = append(orders.Commands, p.starts(m, now)...)
 		}
 		return orders, Answered
 	}
 	if !m.fenced {
 		m.fenced = true
+		p.reached(m)
 		p.changed = true
 	}
 	reported := make(map[key]*wire.ReportTask, len(r.Tasks))
@@ -78,10 +90,11 @@
 			orders.Commands = append(orders.Commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
 		}
 	}
+	missed := false
 	for k, t := range m.on {
 		rt := reported[k]
 		if rt == nil {
-			p.absent(k, t, m, now)
+			missed = p.absent(k, t, m, direct, now) || missed
 			continue
 		}
 		p.present(k, t, rt, m, now)
@@ -93,6 +106,13 @@
 	if direct {
 		return orders, Answered
 	}
+	if missed {
+		if m.missed++; m.missed >= muteAfterMissed {
+			p.mute(m, now)
+		}
+	} else {
+		m.missed = 0
+	}
 	for k, t := range m.on {
 		orders.Commands = append(orders.Commands, p.commands(k, t, m, now)...)
 	}
@@ -185,24 +205,33 @@
 	}
 }
 
-func (p *Part) absent(k key, t *task, m *Machine, now time.Time) {
+// absent takes in that a report lacks a placed task. It reports whether the
+// task's start was sent and did not arrive.
+func (p *Part) absent(k key, t *task, m *Machine, direct bool, now time.Time) bool {
 	switch {
 	case !t.recorded || t.inTxn:
-		return // not told to the worker yet
+		return false // not told to the worker yet
 	case t.inherited || t.seen:
 		p.lose(k, now)
+		return false
+	case t.sent && t.sentSess != m.session:
+		p.lose(k, now)
+		return false
+	case direct:
+		return false // the answer that carries the start may be on its way
 	case t.stop:
 		// A start that was never seen, then a stop: this report is newer than
 		// the start's answer, so it was dropped and will not come back.
 		p.lose(k, now)
-	case t.sent && t.sentSess != m.session:
-		p.lose(k, now)
 	}
-	// Otherwise the start got lost on its way: commands repeats it.
+	return t.sent // it got lost on its way: commands repeats it
 }
 
 func (p *Part) present(k key, t *task, rt *wire.ReportTask, m *Machine, now time.Time) {
 	j := k.job
+	if !t.seen && t.sent {
+		p.reached(m) // a start of ours has arrived
+	}
 	t.seen = true
 	if rt.State == wire.Running && t.phase != wire.Running {
 		t.runSince = now
@@ -283,7 +312,7 @@
 		}
 		return []wire.Command{halt(k.name(), t.attempt, t.grace)}
 	}
-	if t.seen || t.inherited || p.lost || k.job.cancelled || !k.job.wholeRecorded() {
+	if t.seen || t.inherited || p.lost || p.blind || m.Phase != record.InUse || k.job.cancelled || !k.job.wholeRecorded() {
 		return nil
 	}
 	t.sent, t.sentSess = true, m.session
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -22,6 +22,7 @@
 	cloud   *testkit.Cloud
 	cfg     *Config
 	part    *Part
+	fleet   *record.Fleet
 	workers map[string]*testkit.Worker
 }
 
@@ -31,7 +32,7 @@
 		Teams:  map[string]Team{"a": {Name: "a", GPUs: 2, MaxGPUs: 4}, "b": {Name: "b"}},
 		Types:  map[string]wire.MachineType{"big": {Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, BootS: 20, CacheGB: 50}},
 		Report: 2 * time.Second, Lease: 20 * time.Second, SilentAfter: 8 * time.Second, BootFactor: 3,
-		PreemptAfter: 2 * time.Second, TxnOps: 16, ChunkTasks: 8,
+		PreemptAfter: 2 * time.Second, TxnOps: 16, SlotTasks: 10,
 		Urgency: func(s *wire.Spec, waited time.Duration) float64 { return -waited.Seconds() },
 	}
 	r.claim()
@@ -43,25 +44,64 @@
 	r.t.Helper()
 	e := r.state.Put(record.PartKey(0), record.Part{Owner: "x"})
 	r.part = New(r.cfg, 0, e.Version)
-	ctx := context.Background()
-	var lists [3][]wire.Entry
-	for i, prefix := range []string{record.MachinePrefix, record.OpenPrefix + "0/", record.RunPrefix + "0/"} {
-		l, _, err := r.state.List(ctx, prefix)
-		if err != nil {
-			r.t.Fatal(err)
-		}
-		lists[i] = l
+	r.fleet = record.NewFleet()
+	for _, e := range r.list(record.FleetPrefix) {
+		r.fleetChange(e)
 	}
-	if err := r.part.Load(lists[0], lists[1], lists[2], r.clock.Now()); err != nil {
+	if err := r.part.Load(r.fleet, r.list(record.OpenPrefix), r.list(record.SlotsOf(0)), r.clock.Now()); err != nil {
 		r.t.Fatal(err)
 	}
 }
 
-func (r *rig) machine(id, zone string, spot bool) *testkit.Worker {
-	e := r.state.Put(record.MachineKey(id), record.Machine{Type: "big", Zone: zone, Spot: spot, Born: r.clock.Now().UnixMilli()})
-	if err := r.part.SetMachine(e, r.clock.Now()); err != nil {
+func (r *rig) list(prefix string) []wire.Entry {
+	r.t.Helper()
+	l, _, err := r.state.List(context.Background(), statestore.Urgent("test"), prefix)
+	if err != nil {
 		r.t.Fatal(err)
 	}
+	return l
+}
+
+func (r *rig) fleetChange(e wire.Entry) []string {
+	r.t.Helper()
+	ids, err := r.fleet.Change(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return ids
+}
+
+// sync tells the part what changed in the fleet's records, as the watch does.
+func (r *rig) sync(e wire.Entry) {
+	r.t.Helper()
+	for _, id := range r.fleetChange(e) {
+		if v, ok := r.fleet.Machine(id); ok {
+			if err := r.part.SetMachine(id, v, r.clock.Now()); err != nil {
+				r.t.Fatal(err)
+			}
+		}
+	}
+}
+
+// returns plays the leader: what is to be given back is, and that is recorded.
+func (r *rig) returns() {
+	r.t.Helper()
+	if r.state.Down {
+		return
+	}
+	for _, e := range r.list(record.BackPrefix) {
+		r.fleetChange(e)
+	}
+	for key, b := range r.fleet.Pending() {
+		if err := r.cloud.Return(context.Background(), b.Rec.IDs); err != nil {
+			r.t.Fatal(err)
+		}
+		r.sync(r.state.Put(key, record.Back{IDs: b.Rec.IDs, Done: true}))
+	}
+}
+
+func (r *rig) machine(id, zone string, spot bool) *testkit.Worker {
+	r.sync(r.state.Put(record.RentalKey(id), record.Rental{Type: "big", Zone: zone, Spot: spot, Parts: []int{0}, IDs: []string{id}, Born: r.clock.Now().UnixMilli()}))
 	w := testkit.NewWorker(id, "big", zone, spot)
 	r.workers[id] = w
 	return w
@@ -73,22 +113,17 @@
 }
 
 func (r *rig) submit(s wire.Spec) {
-	r.state.Put(record.JobKey(s.Ref), record.Job{State: wire.Pending})
-	e := r.state.Put(record.OpenKey(0, s.Ref), record.Open{Spec: s, At: r.clock.Now().UnixMilli()})
-	if err := r.part.SetJob(e, r.clock.Now()); err != nil {
-		r.t.Fatal(err)
-	}
+	r.open(record.Open{Spec: s, At: r.clock.Now().UnixMilli()})()
+}
+
+func (r *rig) open(o record.Open) (tell func()) {
+	e := r.state.Put(record.OpenKey(o.Spec.Ref), o)
+	return func() { r.part.SetJob(o.Spec.Ref, o, e.Version, r.clock.Now()) }
 }
 
 // cancel writes a cancellation as any controller does; tell brings it to the owner.
 func (r *rig) cancel(s wire.Spec) (tell func()) {
-	r.state.Put(record.JobKey(s.Ref), record.Job{State: wire.Cancelled})
-	e := r.state.Put(record.OpenKey(0, s.Ref), record.Open{Spec: s, Cancelled: true})
-	return func() {
-		if err := r.part.SetJob(e, r.clock.Now()); err != nil {
-			r.t.Fatal(err)
-		}
-	}
+	return r.open(record.Open{Spec: s, Cancelled: true})
 }
 
 // settle carries out all effects until there are none.
@@ -97,11 +132,11 @@
 	for range 50 {
 		now := r.clock.Now()
 		eff := r.part.Step(now)
-		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadMachines)+len(eff.Return)+len(eff.Direct) == 0 {
+		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadSlots)+len(eff.RereadMachines)+len(eff.Direct) == 0 {
 			return
 		}
 		for _, t := range eff.Txns {
-			rev, err := r.state.Txn(ctx, statestore.Urgent, t.Body)
+			rev, err := r.state.Txn(ctx, statestore.Urgent("test"), t.Body)
 			var conflict *statestore.ConflictError
 			switch {
 			case err == nil:
@@ -115,30 +150,21 @@
 			}
 		}
 		for _, ref := range eff.RereadJobs {
-			var open *wire.Entry
-			if e, err := r.state.Get(ctx, statestore.Urgent, record.OpenKey(0, ref)); err == nil {
-				open = &e
-			}
-			runs, _, _ := r.state.List(ctx, record.RunsOf(0, ref))
-			if err := r.part.JobRead(ref, open, runs, now); err != nil {
+			if err := r.part.JobRead(ref, r.get(record.OpenKey(ref)), now); err != nil {
 				r.t.Fatal(err)
 			}
 		}
-		for _, id := range eff.RereadMachines {
-			var e *wire.Entry
-			if got, err := r.state.Get(ctx, statestore.Urgent, record.MachineKey(id)); err == nil {
-				e = &got
-			}
-			if err := r.part.MachineRead(id, e, now); err != nil {
+		for _, n := range eff.RereadSlots {
+			if err := r.part.SlotRead(n, r.get(record.SlotKey(0, n)), now); err != nil {
 				r.t.Fatal(err)
 			}
 		}
-		for _, id := range eff.Return {
-			if err := r.cloud.Return(ctx, []string{id}); err != nil {
+		for _, id := range eff.RereadMachines {
+			if err := r.part.MachineRead(id, r.get(record.OwnKey(id)), now); err != nil {
 				r.t.Fatal(err)
 			}
-			r.part.Returned(id, now)
 		}
+		r.returns()
 		for _, d := range eff.Direct {
 			w := r.workers[d.Machine]
 			if w == nil || w.Session != d.Orders.Session {
@@ -152,6 +178,20 @@
 	r.t.Fatal("effects never end")
 }
 
+func (r *rig) get(key string) *wire.Entry {
+	e, err := r.state.Get(context.Background(), statestore.Urgent("test"), key)
+	if err != nil {
+		return nil
+	}
+	return &e
+}
+
+// expire lets a lease run out in which no report was answered.
+func (r *rig) expire(w *testkit.Worker) {
+	r.clock.Advance(r.cfg.Lease)
+	w.Expire()
+}
+
 // beat lets workers report once, and carries out what follows.
 func (r *rig) beat(ws ...*testkit.Worker) {
 	r.clock.Advance(r.cfg.Report)
@@ -192,15 +232,21 @@
 }
 
 func (r *rig) jobState(ref string) string {
-	e, err := r.state.Get(context.Background(), statestore.Urgent, record.JobKey(ref))
-	if err != nil {
-		r.t.Fatal(err)
+	if e := r.get(record.JobKey(ref)); e != nil {
+		j, err := decode[record.Job](*e)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		return j.State
 	}
-	j, err := decode[record.Job](e)
-	if err != nil {
-		r.t.Fatal(err)
+	e := r.get(record.OpenKey(ref))
+	if e == nil {
+		r.t.Fatalf("%s is in no record", ref)
+	}
+	if o, err := decode[record.Open](*e); err != nil || o.Cancelled {
+		return wire.Cancelled
 	}
-	return j.State
+	return wire.Pending
 }
 
 func TestArrayRunsToItsEnd(t *testing.T) {
@@ -424,7 +470,7 @@
 	w := r.machine("m1", "z1", false)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.beats(3)
-	w.Expire()
+	r.expire(w)
 	r.beats(3)
 	if !slices.Equal(w.Started, []string{"run-000001/0#1", "run-000001/0#2"}) {
 		t.Fatalf("starts %v, want a second attempt", w.Started)
@@ -508,7 +554,7 @@
 	}
 	// One machine's session ends: the whole attempt must go before the next.
 	lost := r.workers[a]
-	lost.Expire()
+	r.expire(lost)
 	r.beats(5)
 	x, y := r.workers[a].Tasks["run-000001/0"], r.workers[b].Tasks["run-000001/1"]
 	if x == nil {
@@ -535,7 +581,7 @@
 	r.workers[a].Tasks["run-000001/0"].State = wire.Gathering
 	r.workers[b].Tasks["run-000001/1"].State = wire.Fetching
 	r.beat()
-	r.workers[b].Expire()
+	r.expire(r.workers[b])
 	r.beats(4)
 	if got := r.workers[a].Tasks["run-000001/0"]; got == nil || got.Attempt != 1 || got.State != wire.Gathering {
 		t.Fatalf("the waiting task was disturbed: %+v", got)
@@ -759,7 +805,7 @@
 // The largest job that the protocol allows keeps its records small.
 func TestLargestArray(t *testing.T) {
 	r := newRig(t)
-	r.cfg.ChunkTasks = Chunks(16)
+	r.cfg.SlotTasks = SlotTasks(16)
 	s := spec("run-000001", "b", wire.Array, "normal", 100000, 0)
 	s.CPUs, s.MemoryGB = 1, 1
 	r.submit(s)
@@ -770,7 +816,7 @@
 			w.End(name, wire.Done)
 		}
 	}
-	runs, _, err := r.state.List(context.Background(), record.RunPrefix)
+	runs, _, err := r.state.List(context.Background(), statestore.Urgent("test"), record.SlotPrefix)
 	if err != nil || len(runs) == 0 {
 		t.Fatalf("%d records, %v", len(runs), err)
 	}
--- /dev/null
+++ b/internal/sched/summary.go
@@ -0,0 +1,107 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// Summary tells the leader what waits and what the part's machines do.
+func (p *Part) Summary(now time.Time) fleet.Summary {
+	p.fade(now)
+	s := fleet.Summary{Part: p.id, Arriving: p.arrived / arrivalFade.Seconds()}
+	for _, j := range p.jobs {
+		if !p.waiting(j, now) || now.Before(j.hold) {
+			continue
+		}
+		n := j.nIdle
+		for n > 0 && !p.withinLimit(j, n) {
+			if j.spec.Kind == wire.Gang {
+				n = 0
+				break
+			}
+			n--
+		}
+		if j.spec.Kind != wire.Gang {
+			for _, m := range p.machines {
+				if m.reserved == j.ref && now.Before(m.reservedT) && n > 0 {
+					n--
+				}
+			}
+		} else if now.Before(j.madeRoom) {
+			n = 0
+		}
+		if n == 0 {
+			continue
+		}
+		sp := j.spec
+		need := fleet.Need{
+			Job: j.ref, Image: sp.Image, CPUs: sp.CPUs, GPUs: sp.GPUs, MemoryGB: sp.MemoryGB, Types: sp.Types, Spot: sp.Spot,
+			OneZone: sp.OneZone, Gang: sp.Kind == wire.Gang, Count: n, Rank: j.rank, Waited: now.Sub(j.accepted),
+		}
+		if sp.Zone != nil {
+			need.Zone = *sp.Zone
+		}
+		s.Needs = append(s.Needs, need)
+	}
+	sort.Slice(s.Needs, func(a, b int) bool {
+		if s.Needs[a].Rank != s.Needs[b].Rank {
+			return s.Needs[a].Rank > s.Needs[b].Rank
+		}
+		return s.Needs[a].Waited > s.Needs[b].Waited
+	})
+	if len(s.Needs) > maxNeeds {
+		s.Needs = s.Needs[:maxNeeds]
+	}
+	for _, m := range p.machines {
+		f := free(m)
+		fm := fleet.Machine{
+			ID: m.ID, Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Up: m.up, Usable: p.usable(m, now),
+			Leaving: m.moveTo >= 0 || m.drain || m.Phase != record.InUse || !m.taken.IsZero(),
+			CPUs:    f.cpus, GPUs: f.gpus, MemoryGB: f.mem, Tasks: len(m.on),
+		}
+		if len(m.on) == 0 && m.up && !m.idleSince.IsZero() {
+			fm.Idle = now.Sub(m.idleSince)
+		}
+		for _, i := range m.images {
+			fm.Images = append(fm.Images, i.Name)
+		}
+		if m.reserved != "" && now.Before(m.reservedT) {
+			fm.Usable = false
+		}
+		for k := range m.on {
+			fm.TopRank = max(fm.TopRank, k.job.rank)
+		}
+		s.Machines = append(s.Machines, fm)
+	}
+	sort.Slice(s.Machines, func(a, b int) bool { return s.Machines[a].ID < s.Machines[b].ID })
+	return s
+}
+
+// maxNeeds bounds what a summary tells.
+const maxNeeds = 64
+
+// Order carries out the leader's wish for a machine, as far as it still fits.
+func (p *Part) Order(o fleet.Order, now time.Time) {
+	m := p.machines[o.Machine]
+	if m == nil || m.moveTo >= 0 || m.drain || m.Phase != record.InUse || m.txn != nil {
+		return
+	}
+	for k, t := range m.on {
+		if !t.stop && (o.Below <= 0 || k.job.rank >= o.Below) {
+			return // in use by now
+		}
+	}
+	if o.To == fleet.Back {
+		m.drain = true
+		return
+	}
+	if !m.fenced || m.reserved != "" && now.Before(m.reservedT) {
+		return
+	}
+	m.moveTo = o.To
+	p.clear(m, now)
+}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -10,8 +10,6 @@
 package sched
 
 import (
-	"fmt"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -44,18 +42,23 @@
 	// before it takes the place of lower work.
 	PreemptAfter time.Duration
 	TxnOps       int
-	ChunkTasks   int
+	// SlotTasks bounds the tasks whose placements share one record.
+	SlotTasks int
+	// GatherEnds is how long completions wait for others to share their write.
+	GatherEnds time.Duration
 	// Urgency orders a team's jobs of one priority; smaller goes first.
 	Urgency func(spec *wire.Spec, waited time.Duration) float64
 }
 
-// Chunks sizes a range of tasks so that its record keeps to valueKB: a
+// SlotTasks sizes a record of placements so that it keeps to valueKB: a
 // placement takes less than 64 bytes.
-func Chunks(valueKB float64) int {
-	n := int(valueKB * 1024 / 64)
-	return max(1, min(n, 256))
+func SlotTasks(valueKB float64) int {
+	return max(2*runOverhead, min(int(valueKB*1024/64), 256))
 }
 
+// runOverhead is what a range costs in a slot besides its tasks, in tasks.
+const runOverhead = 2
+
 type taskState uint8
 
 const (
@@ -95,8 +98,8 @@
 	nDone     int
 	firstIdle int // no idle task before it
 	chunks    map[int]*chunk
-	txn       *Txn
-	unsure    bool // a transaction's outcome is unknown; a reread is under way
+	ending    *Txn // its end, under way
+	unsure    bool // the record's version is unknown; a reread is under way
 	retry     time.Time
 	hold      time.Time // not to be placed before, after failures
 	fails     int
@@ -106,10 +109,35 @@
 	madeRoom  time.Time // until when room made for it is awaited
 }
 
+// chunk is a range of a job's tasks; its placements lie in a slot.
 type chunk struct {
+	job     *Job
+	n       int
+	slot    *slot
+	attempt uint64 // highest ever used
+	dirty   bool
+}
+
+// slot is one record of placements, shared by ranges of several jobs.
+type slot struct {
+	n       int
 	version uint64 // 0: no record
-	attempt uint64
+	used    int    // in tasks
+	chunks  map[string]*chunk
 	dirty   bool
+	urgent  bool      // a start waits for it
+	since   time.Time // when it became dirty
+	txn     *Txn
+	unsure  bool // a transaction's outcome is unknown; a reread is under way
+	retry   time.Time
+}
+
+// batch is a number of machines to be given back with one record.
+type batch struct {
+	key   string
+	ids   []string
+	txn   *Txn
+	retry time.Time
 }
 
 // Machine is a machine of the part.
@@ -119,14 +147,19 @@
 	Zone      string
 	Spot      bool
 	Addr      string
-	Phase     string
-	version   uint64
+	Phase     record.Phase
+	version   uint64 // of its own record, 0 without one
 	born      time.Time
 	session   uint64
+	sessionAt time.Time // when its first report came
 	seq       uint64
 	up        bool
-	fenced    bool
+	fenced    bool // has reported our token
+	inherited bool // may hold what an earlier owner started
 	heard     time.Time
+	answered  time.Time // when a report of this session was last answered
+	muteAt    time.Time // since when no answer seems to reach it; zero: they do
+	missed    int       // reports in a row that lacked a start sent before
 	taken     time.Time // when the cloud takes it back; zero: no notice
 	cpus      float64   // used
 	gpus      float64
@@ -137,13 +170,11 @@
 	failed    map[string]bool // jobs that failed here in a row
 	moveTo    int             // -1: stays
 	drain     bool
-	txn       *Txn
+	txn       *Txn // its move, under way
 	unsure    bool
 	retry     time.Time
 	direct    bool   // a direct command is due
-	gone      bool   // proven gone; its record is still to go
-	asked     bool   // its return was handed to the shell
-	reserved  string // job for which room was made
+	reserved  string // job for which room was made or is gathered
 	reservedT time.Time
 }
 
@@ -168,17 +199,14 @@
 // exactly one of Applied, Conflict, Refused and Unknown.
 type Txn struct {
 	Body    wire.Txn
-	Urgent  bool
-	job     *Job
-	machine *Machine
-	chunks  []int
+	Purpose string // for the log
+	job     *Job   // its end
+	slot    *slot  // placements and completions of the chunks
+	chunks  []*chunk
 	starts  []key
 	dones   []key
-	final   bool
-	ends    bool // the open record goes with it
-	remove  bool // machine's record goes
-	moved   bool
-	phase   string
+	machine *Machine // its move
+	back    *batch   // machines to give back
 }
 
 // Direct is a command to send straight to a worker.
@@ -192,8 +220,8 @@
 type Effects struct {
 	Txns           []*Txn
 	RereadJobs     []string
+	RereadSlots    []int
 	RereadMachines []string
-	Return         []string // machines to give back to the cloud
 	Direct         []Direct
 	Wake           []string // machines for which a start is ready
 }
@@ -208,11 +236,16 @@
 	lost     bool
 	machines map[string]*Machine
 	jobs     map[string]*Job
+	slots    map[int]*slot
+	leaving  []string // machines to be given back with the next batch
+	back     *batch
+	backs    int
+	blind    bool // cancellations told elsewhere may be unknown here
 	teams    map[string]*usage
 	out      Effects
 	changed  bool // something that may allow a placement
 	wake     time.Time
-	dirty    map[string]*Job
+	ending   map[string]*Job // jobs whose end is to be recorded
 	lastCare time.Time
 	cut      map[string]bool
 	arrived  float64 // machines' worth that arrived, fading
@@ -223,7 +256,7 @@
 func New(cfg *Config, id int, token uint64) *Part {
 	return &Part{
 		cfg: cfg, id: id, token: token, machines: map[string]*Machine{}, jobs: map[string]*Job{},
-		teams: map[string]*usage{}, dirty: map[string]*Job{}, changed: true,
+		slots: map[int]*slot{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
 	}
 }
 
@@ -275,374 +308,3 @@
 	}
 	return u
 }
-
-// put sets task k on machine m in the ledger.
-func (p *Part) put(k key, m *Machine, attempt uint64, now time.Time) *task {
-	j := k.job
-	t := &j.tasks[k.i]
-	*t = task{state: placed, attempt: attempt, machine: m}
-	j.nIdle--
-	j.nPlaced++
-	s := j.spec
-	m.on[k] = t
-	m.cpus += s.CPUs
-	m.gpus += s.GPUs
-	m.mem += s.MemoryGB
-	u := p.usage(s.Team)
-	u.cpus += s.CPUs
-	u.gpus += s.GPUs
-	m.idleSince = time.Time{}
-	c := j.chunk(p.cfg, k.i)
-	c.dirty = true
-	c.attempt = max(c.attempt, attempt)
-	p.dirty[j.ref] = j
-	return t
-}
-
-// take removes task k from its machine: it was proven gone, or never recorded.
-func (p *Part) take(k key, now time.Time) {
-	j := k.job
-	t := &j.tasks[k.i]
-	m := t.machine
-	s := j.spec
-	delete(m.on, k)
-	m.cpus -= s.CPUs
-	m.gpus -= s.GPUs
-	m.mem -= s.MemoryGB
-	if len(m.on) == 0 {
-		m.cpus, m.gpus, m.mem = 0, 0, 0
-		m.idleSince = now
-	}
-	u := p.usage(s.Team)
-	u.cpus -= s.CPUs
-	u.gpus -= s.GPUs
-	*t = task{state: idle}
-	j.nPlaced--
-	j.nIdle++
-	j.firstIdle = min(j.firstIdle, k.i)
-	j.chunk(p.cfg, k.i).dirty = true
-	p.dirty[j.ref] = j
-	p.changed = true
-}
-
-func (p *Part) finish(k key, now time.Time) {
-	j := k.job
-	t := &j.tasks[k.i]
-	if t.state == done {
-		return
-	}
-	if t.state == placed {
-		p.take(k, now)
-	}
-	*t = task{state: done}
-	j.nIdle--
-	j.nDone++
-	j.fails = 0
-	j.chunk(p.cfg, k.i).dirty = true
-	p.dirty[j.ref] = j
-	p.changed = true
-}
-
-func (j *Job) chunk(cfg *Config, i int) *chunk {
-	n := i / cfg.ChunkTasks
-	c := j.chunks[n]
-	if c == nil {
-		c = &chunk{}
-		j.chunks[n] = c
-	}
-	return c
-}
-
-func (j *Job) nextAttempt(cfg *Config, i int) uint64 {
-	if j.spec.Kind != wire.Gang {
-		return j.chunk(cfg, i).attempt + 1
-	}
-	var a uint64
-	for _, c := range j.chunks {
-		a = max(a, c.attempt)
-	}
-	return a + 1
-}
-
-// Load fills a newly claimed part from its records. Placements of earlier
-// owners count as there until their machines answer under our token.
-func (p *Part) Load(machines, open, runs []wire.Entry, now time.Time) error {
-	for _, e := range machines {
-		if err := p.SetMachine(e, now); err != nil {
-			return err
-		}
-	}
-	for _, e := range open {
-		if err := p.SetJob(e, now); err != nil {
-			return err
-		}
-	}
-	for _, e := range runs {
-		ref, n, ok := record.SplitRunKey(e.Key)
-		j := p.jobs[ref]
-		if !ok || j == nil {
-			continue // left over from a finished job
-		}
-		if err := p.loadRun(j, n, e, true, now); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (p *Part) loadRun(j *Job, n int, e wire.Entry, inherit bool, now time.Time) error {
-	r, err := decode[record.Run](e)
-	if err != nil {
-		return err
-	}
-	c := j.chunk(p.cfg, n*p.cfg.ChunkTasks)
-	c.version = e.Version
-	c.attempt = max(c.attempt, r.Attempt)
-	for _, span := range r.Done {
-		for i := max(0, span[0]); i <= span[1] && i < len(j.tasks); i++ {
-			p.finish(key{j, i}, now)
-			j.tasks[i].durable = true
-		}
-	}
-	if !inherit {
-		return nil
-	}
-	for i, pl := range r.On {
-		if i < 0 || i >= len(j.tasks) || j.tasks[i].state != idle {
-			continue
-		}
-		m := p.machines[pl.Machine]
-		if m == nil {
-			continue // given back or empty when it moved: proven gone before
-		}
-		t := p.put(key{j, i}, m, pl.Attempt, now)
-		t.recorded, t.inherited = true, true
-		if j.cancelled {
-			// The cancellation came while nobody owned the part: its record
-			// was read before these placements were.
-			p.stop(key{j, i}, 0, now)
-		}
-	}
-	return nil
-}
-
-func decode[T any](e wire.Entry) (T, error) {
-	var v T
-	if err := unmarshal(e.Value, &v); err != nil {
-		return v, fmt.Errorf("record %s: %w", e.Key, err)
-	}
-	return v, nil
-}
-
-// SetJob takes in an unfinished job's record, new or changed.
-func (p *Part) SetJob(e wire.Entry, now time.Time) error {
-	o, err := decode[record.Open](e)
-	if err != nil {
-		return err
-	}
-	ref := record.Last(e.Key)
-	j := p.jobs[ref]
-	if j == nil {
-		spec := o.Spec
-		j = &Job{
-			ref: ref, spec: &spec, accepted: time.UnixMilli(o.At), tasks: make([]task, spec.Tasks), nIdle: spec.Tasks,
-			chunks: map[int]*chunk{}, rank: rank(spec.Priority), pipe: fragment.Begin(fragment.Single(ref)),
-		}
-		p.jobs[ref] = j
-		if age := now.Sub(j.accepted); age < arrivalFade {
-			p.arrive(j, now)
-		}
-	}
-	if e.Version <= j.version {
-		return nil
-	}
-	j.version = e.Version
-	if o.Cancelled && !j.cancelled {
-		j.cancelled = true
-		for i := range j.tasks {
-			if j.tasks[i].state == placed {
-				p.stop(key{j, i}, 0, now)
-			}
-		}
-	}
-	p.dirty[ref] = j
-	p.changed = true
-	return nil
-}
-
-// arrivalFade is how long an arrival counts for what is to be expected.
-const arrivalFade = 60 * time.Second
-
-// arrive counts a job for the headroom if it is of the kind that must start
-// soon: no spot machine will do, or its team is guaranteed.
-func (p *Part) arrive(j *Job, now time.Time) {
-	t := p.cfg.Teams[j.spec.Team]
-	if j.spec.Spot && t.CPUs <= 0 && t.GPUs <= 0 {
-		return
-	}
-	share := 1.0
-	for _, typ := range p.cfg.Types {
-		s := j.spec.CPUs / typ.CPUs
-		if typ.GPUs > 0 {
-			s = max(s, j.spec.GPUs/typ.GPUs)
-		}
-		share = min(share, s)
-	}
-	n := float64(j.spec.Tasks)
-	if j.spec.Kind == wire.Array {
-		n = min(n, arrayAhead)
-	}
-	p.fade(now)
-	p.arrived += n * share
-}
-
-// arrayAhead bounds the tasks of an array that count as expected: the rest of
-// it starts where there is room.
-const arrayAhead = 2
-
-func (p *Part) fade(now time.Time) {
-	if !p.arriveAt.IsZero() {
-		p.arrived *= math.Exp(-now.Sub(p.arriveAt).Seconds() / arrivalFade.Seconds())
-	}
-	p.arriveAt = now
-}
-
-// SetMachine takes in a machine's record, new or changed.
-func (p *Part) SetMachine(e wire.Entry, now time.Time) error {
-	r, err := decode[record.Machine](e)
-	if err != nil {
-		return err
-	}
-	id := record.Last(e.Key)
-	m := p.machines[id]
-	if r.Part != p.id {
-		if m != nil && e.Version > m.version && len(m.on) == 0 {
-			delete(p.machines, id)
-		}
-		return nil
-	}
-	if m == nil {
-		typ, ok := p.cfg.Types[r.Type]
-		if !ok {
-			return fmt.Errorf("machine %s: unknown type %q", id, r.Type)
-		}
-		m = &Machine{
-			ID: id, Type: typ, Zone: r.Zone, Spot: r.Spot, born: time.UnixMilli(r.Born), on: map[key]*task{},
-			images: r.Images, moveTo: -1, idleSince: now, heard: now,
-		}
-		p.machines[id] = m
-	}
-	if e.Version > m.version {
-		m.version = e.Version
-		m.fenced = false
-		if m.txn == nil {
-			m.Phase = r.Phase
-		}
-	}
-	p.changed = true
-	return nil
-}
-
-// DropMachine takes in that a machine's record is gone: so is the machine.
-func (p *Part) DropMachine(id string, now time.Time) {
-	m := p.machines[id]
-	if m == nil {
-		return
-	}
-	m.gone = true
-	for k := range m.on {
-		p.lose(k, now)
-	}
-	delete(p.machines, id)
-}
-
-// HasMachine reports whether the part holds a machine.
-func (p *Part) HasMachine(id string) bool { return p.machines[id] != nil }
-
-// HasJob reports whether the part holds an unfinished job.
-func (p *Part) HasJob(ref string) bool { return p.jobs[ref] != nil }
-
-// Status returns a job's state for display.
-func (p *Part) Status(ref string) (wire.Status, bool) {
-	j := p.jobs[ref]
-	if j == nil {
-		return wire.Status{}, false
-	}
-	s := wire.Status{Ref: ref, State: wire.Pending, Done: j.nDone}
-	for _, m := range p.machines {
-		for k, t := range m.on {
-			if k.job == j && t.phase == wire.Running {
-				s.Running++
-			}
-		}
-	}
-	if s.Running > 0 {
-		s.State = wire.Running
-	}
-	return s, true
-}
-
-// stop asks for a task's end; it is never taken back for that attempt.
-func (p *Part) stop(k key, grace time.Duration, now time.Time) {
-	t := &k.job.tasks[k.i]
-	if t.state != placed {
-		return
-	}
-	if !t.stop || grace < t.grace {
-		t.stop, t.grace = true, grace
-		t.machine.direct = true
-	}
-}
-
-// stopJob stops every placed task of a job.
-func (p *Part) stopJob(j *Job, grace time.Duration, now time.Time) {
-	for i := range j.tasks {
-		p.stop(key{j, i}, grace, now)
-	}
-}
-
-// lose takes in that a placed task is proven gone without completing. A gang
-// that has not started keeps waiting, and a replacement under the same attempt
-// completes it; of one that runs, what was not saved is lost already, so the
-// rest only holds places and is ended.
-func (p *Part) lose(k key, now time.Time) {
-	p.take(k, now)
-	if k.job.spec.Kind == wire.Gang && !k.job.gathering() {
-		p.endAttempt(k.job, now)
-	}
-}
-
-func (p *Part) endAttempt(j *Job, now time.Time) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.state == placed && !t.stop {
-			p.stop(key{j, i}, 0, now)
-		}
-	}
-}
-
-// gathering reports whether the placed tasks of a gang still wait for the
-// others of their attempt, as far as their reports tell.
-func (j *Job) gathering() bool {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.state != placed {
-			continue
-		}
-		waits := t.phase == wire.Fetching || t.phase == wire.Gathering || (t.phase == "" && !t.inherited)
-		if t.stop || !waits {
-			return false
-		}
-	}
-	return true
-}
-
-// attempt returns the attempt of a gang's placed tasks, 0 if there are none.
-func (j *Job) attempt() uint64 {
-	for i := range j.tasks {
-		if j.tasks[i].state == placed {
-			return j.tasks[i].attempt
-		}
-	}
-	return 0
-}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -31,24 +32,39 @@
 
 func (e *ConflictError) Error() string { return fmt.Sprintf("statestore: conflict on %v", e.Keys) }
 
-// Urgency orders requests when the budget is short.
-type Urgency int
+// Use says what a request is for. Urgent work (starts, acceptances, leases) may
+// use the whole budget, routine work (polls, housekeeping) leaves a part of it
+// free.
+type Use struct {
+	For     string
+	Routine bool
+}
 
-// Urgent work (starts, final states, leases) may use the whole budget, routine
-// work (polls, housekeeping) leaves a part of it free.
-const (
-	Urgent Urgency = iota
-	Routine
-)
+// Urgent and Routine name a purpose.
+func Urgent(purpose string) Use  { return Use{For: purpose} }
+func Routine(purpose string) Use { return Use{For: purpose, Routine: true} }
 
 // Store is what controllers need of the state service.
 type Store interface {
-	Get(ctx context.Context, u Urgency, key string) (wire.Entry, error)
-	List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error)
-	Txn(ctx context.Context, u Urgency, t wire.Txn) (uint64, error)
+	Get(ctx context.Context, u Use, key string) (wire.Entry, error)
+	List(ctx context.Context, u Use, prefix string) ([]wire.Entry, uint64, error)
+	Txn(ctx context.Context, u Use, t wire.Txn) (uint64, error)
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64) error
 	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (wire.Changes, error)
+	// Budget sets this controller's part of the service's limits, a second.
+	Budget(rps, writeRPS float64)
+	// Needed returns the requests and changes made since the last call, and
+	// those that wait for the budget.
+	Needed() (requests, changes int)
+	// Counts returns what was used since the last call, by purpose.
+	Counts() map[string]Count
+}
+
+// Count is what requests of one purpose used.
+type Count struct {
+	Requests, Puts, Deletes, Refused int
+	Bytes                            int // of requests and answers
 }
 
 // Client is a Store over HTTP.
@@ -57,29 +73,94 @@
 	watch   *httpwire.Client
 	reqs    *rate.Limiter
 	changes *rate.Limiter
+
+	mu     sync.Mutex
+	counts map[string]Count
+	passed [2]int // requests and changes let through since last asked
+	queued [2]int // and those waiting
 }
 
 // New returns a client that keeps to its share of the service's budget.
-func New(addr string, rps, writeRPS float64, txnOps int) *Client {
-	burst := func(r float64, min int) int { return max(int(r), min) }
-	return &Client{
+func New(addr string, rps, writeRPS float64) *Client {
+	c := &Client{
 		http: httpwire.NewClient(addr, 4), watch: httpwire.NewClient(addr, 4),
-		reqs:    rate.NewLimiter(rate.Limit(rps), burst(rps, 2)),
-		changes: rate.NewLimiter(rate.Limit(writeRPS), burst(writeRPS, txnOps)),
+		reqs: rate.NewLimiter(0, 0), changes: rate.NewLimiter(0, 0), counts: map[string]Count{},
 	}
+	c.Budget(rps, writeRPS)
+	return c
 }
 
 var _ Store = (*Client)(nil)
 
+// Budget implements Store. Bursts are of half a second's worth: the service
+// allows a second's for all controllers together.
+func (c *Client) Budget(rps, writeRPS float64) {
+	set := func(l *rate.Limiter, r float64) {
+		if l.Limit() != rate.Limit(r) {
+			l.SetLimit(rate.Limit(r))
+			l.SetBurst(max(minBurst, int(r/2)))
+		}
+	}
+	set(c.reqs, rps)
+	set(c.changes, writeRPS)
+}
+
+// minBurst lets the smallest budget still pass a job's end in one go.
+const minBurst = 3
+
+// Needed implements Store.
+func (c *Client) Needed() (requests, changes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	requests, changes = c.passed[0]+c.queued[0], c.passed[1]+c.queued[1]
+	c.passed = [2]int{}
+	return requests, changes
+}
+
+// Counts implements Store.
+func (c *Client) Counts() map[string]Count {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.counts
+	c.counts = map[string]Count{}
+	return out
+}
+
+func (c *Client) count(purpose string, add Count) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.counts[purpose]
+	n.Requests += add.Requests
+	n.Puts += add.Puts
+	n.Deletes += add.Deletes
+	n.Refused += add.Refused
+	n.Bytes += add.Bytes
+	c.counts[purpose] = n
+}
+
 // callTimeout bounds one request: answers normally take milliseconds, at times
 // a few hundred, and a connection can hang in silence.
 const callTimeout = 2500 * time.Millisecond
 
-// routineFloor is the share of a budget that routine work leaves free.
+// routineFloor is the share of a burst that routine work leaves free.
 const routineFloor = 0.3
 
-func admit(ctx context.Context, l *rate.Limiter, n int, u Urgency) error {
-	for u == Routine && l.Tokens() < routineFloor*float64(l.Burst())+float64(n) {
+// routinePatience is how long routine work lets urgent work pass before it
+// queues up with it.
+const routinePatience = time.Second
+
+func (c *Client) admit(ctx context.Context, kind, n int, u Use) error {
+	c.queue(kind, n, 0)
+	passed := 0
+	defer func() { c.queue(kind, -n, passed) }()
+	l := c.reqs
+	if kind == changes {
+		l = c.changes
+	}
+	for until := time.Now().Add(routinePatience); u.Routine && time.Now().Before(until); {
+		if l.Tokens() >= routineFloor*float64(l.Burst())+float64(min(n, l.Burst()/2)) {
+			break
+		}
 		t := time.NewTimer(50 * time.Millisecond)
 		select {
 		case <-ctx.Done():
@@ -87,20 +168,35 @@
 			return fmt.Errorf("%w: request budget used up", ErrRefused)
 		case <-t.C:
 		}
-		if n > l.Burst()/2 {
-			break
-		}
 	}
-	if err := l.WaitN(ctx, n); err != nil {
-		return fmt.Errorf("%w: request budget used up", ErrRefused)
+	for passed < n { // more than a burst is waited for piece by piece
+		k := min(n-passed, l.Burst())
+		if err := l.WaitN(ctx, k); err != nil {
+			return fmt.Errorf("%w: request budget used up", ErrRefused)
+		}
+		passed += k
 	}
 	return nil
 }
 
-func (c *Client) do(ctx context.Context, u Urgency, method, target string, in, out any) (int, []byte, error) {
+func (c *Client) queue(kind, queued, passed int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queued[kind] += queued
+	c.passed[kind] += passed
+}
+
+// The kinds of budget.
+const (
+	requests = iota
+	changes
+)
+
+func (c *Client) do(ctx context.Context, u Use, method, target string, in, out any) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := admit(ctx, c.reqs, 1, u); err != nil {
+	if err := c.admit(ctx, requests, 1, u); err != nil {
+		c.count(u.For, Count{Refused: 1})
 		return 0, nil, err
 	}
 	var body []byte
@@ -111,6 +207,11 @@
 		}
 	}
 	resp, err := c.http.Do(ctx, method, target, body)
+	used := Count{Requests: 1, Bytes: len(body) + len(resp.Body)}
+	if resp.Status == 429 {
+		used.Refused = 1
+	}
+	c.count(u.For, used)
 	return c.outcome(resp, err, out)
 }
 
@@ -135,7 +236,7 @@
 }
 
 // Get reads one key.
-func (c *Client) Get(ctx context.Context, u Urgency, key string) (wire.Entry, error) {
+func (c *Client) Get(ctx context.Context, u Use, key string) (wire.Entry, error) {
 	var e wire.Entry
 	status, _, err := c.do(ctx, u, "GET", "/store/"+key, nil, &e)
 	switch {
@@ -150,7 +251,7 @@
 }
 
 // List reads all keys with a prefix, and the revision of the first page.
-func (c *Client) List(ctx context.Context, prefix string) ([]wire.Entry, uint64, error) {
+func (c *Client) List(ctx context.Context, u Use, prefix string) ([]wire.Entry, uint64, error) {
 	var all []wire.Entry
 	var rev uint64
 	since := ""
@@ -160,7 +261,7 @@
 			target += "&since=" + url.QueryEscape(since)
 		}
 		var p wire.EntryPage
-		status, _, err := c.do(ctx, Urgent, "GET", target, nil, &p)
+		status, _, err := c.do(ctx, u, "GET", target, nil, &p)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -179,14 +280,24 @@
 }
 
 // Txn applies a transaction and returns its revision.
-func (c *Client) Txn(ctx context.Context, u Urgency, t wire.Txn) (uint64, error) {
+func (c *Client) Txn(ctx context.Context, u Use, t wire.Txn) (uint64, error) {
 	if t.If == nil {
 		t.If = []wire.Cond{}
 	}
 	if n := len(t.Then); n > 0 {
-		if err := admit(ctx, c.changes, n, u); err != nil {
+		if err := c.admit(ctx, changes, n, u); err != nil {
+			c.count(u.For, Count{Refused: 1})
 			return 0, err
 		}
+		var used Count
+		for _, op := range t.Then {
+			if op.Delete != "" {
+				used.Deletes++
+			} else {
+				used.Puts++
+			}
+		}
+		c.count(u.For, used)
 	}
 	var r wire.TxnResult
 	status, body, err := c.do(ctx, u, "POST", "/txn", t, &r)
@@ -208,7 +319,7 @@
 // Grant makes a lease.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	var g wire.LeaseGrant
-	status, _, err := c.do(ctx, Urgent, "POST", "/holds", wire.LeaseRequest{TTLMillis: ttl.Milliseconds()}, &g)
+	status, _, err := c.do(ctx, Urgent("lease"), "POST", "/holds", wire.LeaseRequest{TTLMillis: ttl.Milliseconds()}, &g)
 	if err != nil {
 		return 0, err
 	}
@@ -220,7 +331,7 @@
 
 // Renew renews a lease.
 func (c *Client) Renew(ctx context.Context, lease uint64) error {
-	status, _, err := c.do(ctx, Urgent, "POST", "/holds/"+strconv.FormatUint(lease, 10)+"/renew", nil, nil)
+	status, _, err := c.do(ctx, Urgent("lease"), "POST", "/holds/"+strconv.FormatUint(lease, 10)+"/renew", nil, nil)
 	switch {
 	case err != nil:
 		return err
@@ -237,11 +348,12 @@
 	var ch wire.Changes
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	if err := admit(ctx, c.reqs, 1, Urgent); err != nil {
+	if err := c.admit(ctx, requests, 1, Urgent("watch")); err != nil {
 		return ch, err
 	}
 	target := fmt.Sprintf("/follow?prefix=%s&since=%d&wait_ms=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
 	resp, err := c.watch.Do(ctx, "GET", target, nil)
+	c.count("watch", Count{Requests: 1, Bytes: len(resp.Body)})
 	status, _, err := c.outcome(resp, err, &ch)
 	switch {
 	case err != nil:
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -52,7 +52,7 @@
 var _ statestore.Store = (*State)(nil)
 
 // Get implements statestore.Store.
-func (s *State) Get(_ context.Context, _ statestore.Urgency, key string) (wire.Entry, error) {
+func (s *State) Get(_ context.Context, _ statestore.Use, key string) (wire.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Down {
@@ -66,7 +66,7 @@
 }
 
 // List implements statestore.Store.
-func (s *State) List(_ context.Context, prefix string) ([]wire.Entry, uint64, error) {
+func (s *State) List(_ context.Context, _ statestore.Use, prefix string) ([]wire.Entry, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Down {
@@ -83,7 +83,7 @@
 }
 
 // Txn implements statestore.Store.
-func (s *State) Txn(_ context.Context, _ statestore.Urgency, t wire.Txn) (uint64, error) {
+func (s *State) Txn(_ context.Context, _ statestore.Use, t wire.Txn) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -192,6 +192,15 @@
 	return ch, nil
 }
 
+// Budget implements statestore.Store.
+func (s *State) Budget(float64, float64) {}
+
+// Needed implements statestore.Store.
+func (s *State) Needed() (requests, changes int) { return 0, 0 }
+
+// Counts implements statestore.Store.
+func (s *State) Counts() map[string]statestore.Count { return nil }
+
 // Cloud rents without limit, or as scripted. It implements cloud.API.
 type Cloud struct {
 	mu       sync.Mutex
