--- /dev/null
+++ b/internal/record/fleet_test.go
@@ -0,0 +1,90 @@
+package record
+
+import (
+	"testing"
+
+	"bramblespur/internal/wire"
+)
+
+func put(key string, v any, version uint64) wire.Change {
+	return wire.Change{Put: key, Value: Encode(v), Version: version}
+}
+
+// A machine's life in the records: rented, moved, given back, cleared away.
+func TestFleet(t *testing.T) {
+	f := NewFleet()
+	change := func(e wire.Change, want ...string) {
+		t.Helper()
+		got, err := f.Change(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := map[string]bool{}
+		for _, id := range got {
+			seen[id] = true
+		}
+		for _, id := range want {
+			if !seen[id] {
+				t.Fatalf("changes to %v, want %s among them", got, id)
+			}
+		}
+	}
+	rental := Rental{Type: "big", Zone: "z", Parts: []int{0, 0, 1}}
+	change(put(RentalKey("r"), rental, 1))
+	if len(f.Unfinished()) != 1 {
+		t.Fatal("a rental without machines is under way")
+	}
+	rental.IDs = []string{"a", "b", "c"}
+	change(put(RentalKey("r"), rental, 2), "a", "b", "c")
+	if v, ok := f.Machine("c"); !ok || v.Part != 1 || v.Version != 0 || v.Phase != InUse {
+		t.Fatalf("got %+v %t", v, ok)
+	}
+	change(put(OwnKey("a"), Machine{Type: "big", Zone: "z", Part: 1}, 5), "a")
+	change(put(OwnKey("a"), Machine{Type: "big", Zone: "z", Part: 0}, 4)) // older news
+	if v, _ := f.Machine("a"); v.Part != 1 || v.Version != 5 {
+		t.Fatalf("got %+v", v)
+	}
+	back := BackKey(1, 7, 1)
+	change(put(back, Back{IDs: []string{"a", "b"}}, 8), "a", "b")
+	if v, _ := f.Machine("b"); v.Phase != Returning || len(f.Pending()) != 1 {
+		t.Fatalf("got %+v", v)
+	}
+	change(put(back, Back{IDs: []string{"a", "b"}, Done: true}, 9), "a", "b")
+	if _, ok := f.Clear(16); ok {
+		t.Fatal("cleared while one of the rental's machines is in use")
+	}
+	change(put(BackKey(1, 7, 2), Back{IDs: []string{"c"}, Done: true}, 10), "c")
+	// The rental goes first, then what spoke of its machines.
+	for range 3 {
+		txn, ok := f.Clear(2)
+		if !ok {
+			break
+		}
+		if len(txn.Then) > 2 || len(txn.If) != len(txn.Then) {
+			t.Fatalf("clears with %+v", txn)
+		}
+		for _, op := range txn.Then {
+			change(wire.Change{Delete: op.Delete, Version: 11})
+		}
+	}
+	if len(f.Keys()) != 0 || f.Len() != 0 {
+		t.Fatalf("left: %v", f.Keys())
+	}
+}
+
+func TestFleetRefusesNonsense(t *testing.T) {
+	f := NewFleet()
+	for _, e := range []wire.Change{
+		{Put: RentalKey("r"), Value: []byte(`"x"`), Version: 1},
+		put(RentalKey("r"), Rental{IDs: []string{"a"}}, 1),
+		{Put: OwnKey("a"), Value: []byte(`[]`), Version: 1},
+		{Put: BackPrefix + "x", Value: []byte(`3`), Version: 1},
+	} {
+		if _, err := f.Change(e); err == nil {
+			t.Errorf("took in %s", e.Put)
+		}
+	}
+	if f.Len() != 0 {
+		t.Error("machines out of nothing")
+	}
+}
--- a/internal/sched/mute.go
+++ b/internal/sched/mute.go
@@ -16,7 +16,7 @@
 func (p *Part) session(m *Machine, r *wire.Report, now time.Time) {
 	if r.Session == m.session {
 		// A session that outlives the lease was renewed: answers arrive.
-		if !m.muteAt.IsZero() && now.Sub(m.sessionAt) > p.cfg.Lease+p.cfg.Report {
+		if !m.muteAt.IsZero() && now.Sub(m.muteAt) > p.cfg.Lease+p.cfg.Report {
 			p.reached(m)
 		}
 		return
@@ -24,7 +24,7 @@
 	if m.session != 0 && !m.answered.IsZero() && now.Sub(m.answered) < p.cfg.Lease*3/4 {
 		p.mute(m, now)
 	}
-	m.session, m.sessionAt = r.Session, now
+	m.session = r.Session
 	m.answered = time.Time{}
 	m.missed = 0
 }
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"bramblespur/internal/fleet"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/testkit"
@@ -848,3 +849,208 @@
 	}
 	t.Fatal("never done")
 }
+
+// deaf lets a worker report without any answer reaching it.
+func (r *rig) deaf(w *testkit.Worker) {
+	rep := w.Report()
+	r.part.Report(&rep, false, r.clock.Now())
+}
+
+// A machine whose reports arrive but which no answer reaches gets no more work
+// once starts don't show, and goes back; its tasks run elsewhere only then, or
+// when its reports prove them absent.
+func TestOneWayMachine(t *testing.T) {
+	r := newRig(t)
+	w1 := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
+	r.settle() // placed and recorded on m1
+	for range 3 {
+		r.clock.Advance(r.cfg.Report)
+		r.deaf(w1)
+		r.settle()
+	}
+	w2 := r.machine("m2", "z1", false)
+	r.submit(spec("run-000002", "b", wire.Array, "normal", 2, 1))
+	for range 6 {
+		r.clock.Advance(r.cfg.Report)
+		r.deaf(w1)
+		r.beat(w2)
+	}
+	w1.Expire()
+	if len(w1.Started) != 0 || len(w2.Started) != 2 {
+		t.Fatalf("starts %v and %v, want two on the machine that hears", w1.Started, w2.Started)
+	}
+	for range 20 {
+		w2.End("run-000001/0", wire.Done)
+		w2.End("run-000001/1", wire.Done)
+		w2.End("run-000002/0", wire.Done)
+		w2.End("run-000002/1", wire.Done)
+		r.deaf(w1)
+		r.beat(w2)
+	}
+	if !slices.Equal(r.cloud.Returned, []string{"m1"}) {
+		t.Fatalf("returned %v, want the machine that hears nothing", r.cloud.Returned)
+	}
+	if len(w2.Started) != 4 {
+		t.Fatalf("starts %v, want all four tasks on m2", w2.Started)
+	}
+}
+
+// A lease that ran out though every report was answered marks such a machine,
+// too; one answer seen to arrive clears it.
+func TestOneWayMachineRecovers(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	for range 10 {
+		r.clock.Advance(r.cfg.Report)
+		r.deaf(w)
+	}
+	w.Expire()
+	r.deaf(w)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(5)
+	if len(w.Started) != 0 {
+		t.Fatalf("started %v on a machine that may hear nothing", w.Started)
+	}
+	r.beats(8) // the session outlives its lease: answers arrive
+	if len(w.Started) != 1 || len(r.cloud.Returned) != 0 {
+		t.Fatalf("starts %v, returned %v: want the machine used again", w.Started, r.cloud.Returned)
+	}
+}
+
+// After a take-over nobody remembers the last report. A late copy of an old one
+// settles, frees and starts nothing and does not count as a sign of life.
+func TestLateCopyAfterTakeOver(t *testing.T) {
+	r := newRig(t)
+	w1, w2 := r.machine("m1", "z1", false), r.machine("m2", "z1", false)
+	r.beats(2)
+	empty := w1.Report()
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
+	zone := "z1"
+	s.Zone = &zone
+	r.submit(s)
+	r.beats(3)
+	at := r.on("run-000001/0")
+	if at == "m2" {
+		w1, w2 = w2, w1
+		empty.Machine = "m2"
+	}
+	r.claim()
+	late := func() {
+		rep := empty
+		if o, _ := r.part.Report(&rep, false, r.clock.Now()); len(o.Commands) != 0 {
+			t.Fatalf("a late copy was answered with %v", o.Commands)
+		}
+		empty.Seq-- // another copy, older still
+		r.settle()
+	}
+	r.submit(spec("run-000002", "b", wire.Array, "normal", 4, 1))
+	for range 10 {
+		r.clock.Advance(r.cfg.Report)
+		late()
+		r.beat(w2)
+	}
+	if got := r.on("run-000001/0"); got != at {
+		t.Fatalf("the task is on %q after late copies, want %q", got, at)
+	}
+	if len(w2.Started) > 2 {
+		t.Fatalf("starts %v: the task of the silent machine runs twice", w2.Started)
+	}
+	for range 15 {
+		r.clock.Advance(r.cfg.Report)
+		late()
+		r.beat(w2)
+	}
+	if !slices.Equal(r.cloud.Returned, []string{at}) {
+		t.Fatalf("returned %v, want the silent machine, whatever late copies say", r.cloud.Returned)
+	}
+}
+
+// While cancellations told elsewhere may be unknown, nothing is started, not
+// even what was recorded before; stops still go out.
+func TestBlindStartsNothing(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	r.part.SetBlind(true)
+	r.beats(3)
+	if len(w.Started) != 0 {
+		t.Fatalf("started %v", w.Started)
+	}
+	r.part.SetBlind(false)
+	r.beats(1)
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v after the views came back", w.Started)
+	}
+}
+
+// Starts of many jobs share one write, and a cancelled one among them does not
+// hold the others up.
+func TestSlotSharesWrites(t *testing.T) {
+	r := newRig(t)
+	r.cfg.SlotTasks = 200
+	for i := range 4 {
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+	}
+	r.beats(2)
+	for i := range 6 {
+		s := spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 1, 1)
+		r.submit(s)
+		if i == 3 {
+			r.cancel(s) // not told to the owner
+		}
+	}
+	eff := r.part.Step(r.clock.Now())
+	if len(eff.Txns) != 1 || len(eff.Txns[0].Body.Then) != 1 {
+		t.Fatalf("%d transactions for six starts, want one with one change", len(eff.Txns))
+	}
+	_, err := r.state.Txn(context.Background(), statestore.Urgent("test"), eff.Txns[0].Body)
+	var conflict *statestore.ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v, want a conflict on the cancelled job", err)
+	}
+	r.part.Conflict(eff.Txns[0], conflict.Keys, r.clock.Now())
+	for _, ref := range r.part.out.RereadJobs {
+		if err := r.part.JobRead(ref, r.get(record.OpenKey(ref)), r.clock.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.part.out.RereadJobs = nil
+	r.beats(3)
+	for i := range 6 {
+		name := fmt.Sprintf("run-00000%d/0", i)
+		if on := r.on(name); (on == "") != (i == 3) {
+			t.Errorf("%s is on %q", name, on)
+		}
+	}
+}
+
+// A return whose answer got lost is recorded once, and its machines never come
+// back into use.
+func TestReturnWithoutAnswer(t *testing.T) {
+	for _, script := range []func(*testkit.State){
+		func(s *testkit.State) { s.LoseAnswers = 1 },
+		func(s *testkit.State) { s.HoldTxns = 1 },
+	} {
+		r := newRig(t)
+		w := r.machine("m1", "z1", false)
+		r.beats(2)
+		r.part.Order(fleet.Order{Machine: "m1", To: fleet.Back}, r.clock.Now())
+		script(r.state)
+		r.beats(1)
+		r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+		r.beats(4)
+		r.state.Release()
+		r.beats(2)
+		if len(w.Started) != 0 {
+			t.Fatalf("started %v on a machine given back", w.Started)
+		}
+		if len(r.cloud.Returned) == 0 || r.part.HasMachine("m1") {
+			t.Fatalf("returned %v", r.cloud.Returned)
+		}
+	}
+}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -151,7 +151,6 @@
 	version   uint64 // of its own record, 0 without one
 	born      time.Time
 	session   uint64
-	sessionAt time.Time // when its first report came
 	seq       uint64
 	up        bool
 	fenced    bool // has reported our token
