--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -396,7 +396,9 @@
 			if now.Sub(c.lead.started) > homeStable {
 				hand[owner] = append(hand[owner], id)
 			}
-		case !ok || now.Sub(since) < homeStable || !c.reachable(home, now) || c.members[home].Deaf:
+		case !ok || now.Sub(since) < homeStable || !c.reachable(home, now) || now.Sub(c.peerState[home]) > peerFresh || c.members[home].Deaf || c.members[home].Inc == 0:
+			// One that answers but is refused by the state service could not
+			// claim its part, and another would, for ever in turn.
 		case owner == c.cfg.Label:
 			c.handHome(ctx, id)
 		default:
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -82,6 +82,10 @@
 	for _, id := range eff.Wake {
 		c.release(id, now)
 	}
+	for _, s := range eff.Started {
+		c.log.Debug("task runs", "task", s.Task, "class", s.Class, "machine", s.Machine, "cached", s.Cached, "queued", s.Queued.Round(time.Millisecond),
+			"recording", s.Recording.Round(time.Millisecond), "sending", s.Sending.Round(time.Millisecond), "seen", s.Seen.Round(time.Millisecond), "runs", s.Runs.Round(time.Millisecond))
+	}
 }
 
 // locked runs f on a part under the lock, then pumps it.
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -210,17 +210,18 @@
 		t.job.ending = nil
 		p.end(t.job, now)
 	default:
-		p.written(t, revision)
+		p.written(t, revision, now)
 	}
 }
 
-func (p *Part) written(t *Txn, revision uint64) {
+func (p *Part) written(t *Txn, revision uint64, now time.Time) {
 	t.slot.txn = nil
 	t.slot.version = revision
 	for _, k := range t.starts {
 		s := &k.job.tasks[k.i]
 		if s.state == placed && s.inTxn {
 			s.recorded, s.inTxn = true, false
+			s.step(func(st *steps) { st.recorded = now })
 			p.out.Wake = append(p.out.Wake, s.machine.ID)
 		}
 	}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -30,6 +30,7 @@
 	c := p.touch(k, now)
 	c.attempt = max(c.attempt, attempt)
 	c.slot.urgent = true
+	t.steps = &steps{placed: now, cached: m.hasImage(s.Image)}
 	return t
 }
 
@@ -215,6 +216,7 @@
 		}
 		t := p.put(key{j, i}, m, pl.Attempt, now)
 		t.recorded, t.inherited = true, true
+		t.steps = nil
 		if j.cancelled {
 			// The cancellation came while nobody owned the part: its record
 			// was read before these placements were.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -232,9 +232,13 @@
 	if !t.seen && t.sent {
 		p.reached(m) // a start of ours has arrived
 	}
+	if !t.seen {
+		t.step(func(s *steps) { s.seen = now })
+	}
 	t.seen = true
 	if rt.State == wire.Running && t.phase != wire.Running {
 		t.runSince = now
+		p.started(k, t, now)
 	}
 	if (rt.State == wire.Running || rt.State == wire.Gathering) && t.phase != rt.State {
 		m.keepsImage(j.spec.Image, j.spec.ImageGB)
@@ -264,6 +268,27 @@
 	}
 }
 
+// step notes one of the steps of a start that is still followed.
+func (t *task) step(note func(*steps)) {
+	if t.steps != nil {
+		note(t.steps)
+	}
+}
+
+// started tells how a task came to run.
+func (p *Part) started(k key, t *task, now time.Time) {
+	s := t.steps
+	if s == nil {
+		return
+	}
+	t.steps = nil
+	p.out.Started = append(p.out.Started, Start{
+		Task: k.name(), Class: k.job.spec.Class, Machine: t.machine.ID, Cached: s.cached,
+		Queued: s.placed.Sub(k.job.accepted), Recording: s.recorded.Sub(s.placed), Sending: s.sent.Sub(s.recorded),
+		Seen: s.seen.Sub(s.sent), Runs: now.Sub(s.seen),
+	})
+}
+
 // failed takes in an error. Errors of several jobs on one machine put the blame
 // on it; a job failing on several machines is at fault itself, backs off and
 // burns no more machines. Until that is settled a job avoids where it failed.
@@ -315,6 +340,9 @@
 	if t.seen || t.inherited || p.lost || p.blind || m.Phase != record.InUse || k.job.cancelled || !k.job.wholeRecorded() {
 		return nil
 	}
+	if !t.sent {
+		t.step(func(s *steps) { s.sent = now })
+	}
 	t.sent, t.sentSess = true, m.session
 	return []wire.Command{{Op: wire.Start, Task: k.name(), Attempt: t.attempt}}
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -82,6 +82,20 @@
 	machine   *Machine
 	stop      bool // to be stopped; never taken back for an attempt
 	grace     time.Duration
+	steps     *steps // until it runs
+}
+
+// steps is when a task's start passed what it has to pass.
+type steps struct {
+	placed, recorded, sent, seen time.Time
+	cached                       bool
+}
+
+// Start tells how a task came to run, for the log.
+type Start struct {
+	Task, Class, Machine                   string
+	Queued, Recording, Sending, Seen, Runs time.Duration // each after the one before
+	Cached                                 bool
 }
 
 // Job is an unfinished job.
@@ -223,6 +237,7 @@
 	RereadMachines []string
 	Direct         []Direct
 	Wake           []string // machines for which a start is ready
+	Started        []Start  // tasks seen to run for the first time
 }
 
 type usage struct{ cpus, gpus float64 }
