--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"bramblespur/internal/agent"
 	"bramblespur/internal/config"
+	"bramblespur/internal/httpwire"
 	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
 	"bramblespur/internal/sched"
@@ -80,7 +82,11 @@
 		go c.direct(p, d)
 	}
 	for _, id := range eff.Wake {
-		c.release(id, now)
+		if c.held[id] != nil {
+			c.release(id, now)
+		} else if d, ok := p.Start(id, now); ok {
+			go c.direct(p, d)
+		}
 	}
 	for _, s := range eff.Started {
 		c.log.Debug("task runs", "task", s.Task, "class", s.Class, "machine", s.Machine, "cached", s.Cached, "queued", s.Queued.Round(time.Millisecond),
@@ -207,14 +213,29 @@
 	}
 }
 
+// direct sends commands straight to a worker and tells the part what came of it.
 func (c *Controller) direct(p *sched.Part, d sched.Direct) {
-	r, _, err := agent.Command(context.Background(), d.Addr, d.Orders)
+	r, ok, err := agent.Command(context.Background(), d.Addr, d.Orders)
+	if err == nil && r.Machine != d.Machine {
+		err = fmt.Errorf("%s answers for %s", r.Machine, d.Machine) // another has its address by now
+	}
+	outcome := sched.NoAnswer
+	switch {
+	case errors.Is(err, httpwire.ErrNotSent):
+		outcome = sched.NotSent
+	case err != nil:
+	case ok:
+		outcome = sched.Executed
+	default:
+		outcome = sched.Refused
+	}
 	if err != nil {
 		c.log.Debug("direct command", "machine", d.Machine, "err", err)
-		return
-	}
-	if r.Machine != d.Machine {
-		return // another machine has its address by now
 	}
-	c.locked(p, func(now time.Time) { p.Report(&r, true, now) })
+	c.locked(p, func(now time.Time) {
+		p.DirectDone(d, outcome, now)
+		if err == nil {
+			p.Report(&r, true, now)
+		}
+	})
 }
--- a/internal/sched/care.go
+++ b/internal/sched/care.go
@@ -52,10 +52,10 @@
 			if len(m.on) == 0 {
 				p.giveBack(m)
 			}
-		case m.moveTo >= 0:
-			if len(m.on) == 0 && m.fenced {
-				p.moveTxn(m)
-			}
+		case m.moveTo >= 0 && len(m.on) == 0 && m.fenced && m.settled():
+			p.moveTxn(m)
+		default:
+			p.fence(m, now)
 		}
 	}
 }
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -20,6 +20,7 @@
 	forJobEnd = "job end"
 	forMove   = "move"
 	forBack   = "back"
+	forFence  = "fence"
 )
 
 // flush makes the transactions that bring the records up to the ledger.
@@ -203,6 +204,11 @@
 	switch {
 	case t.machine != nil:
 		t.machine.txn = nil
+		if t.fence {
+			t.machine.version, t.machine.fenced = revision, false
+			p.changed = true
+			break
+		}
 		p.forgetMachine(t.machine, now)
 	case t.back != nil:
 		p.back = nil
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -35,6 +35,7 @@
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return orders, Answered // a late copy: it settles, starts and renews nothing
 	}
+	m.outlived(r)
 	p.session(m, r, now)
 	m.seq = r.Seq
 	m.Addr = r.Addr
@@ -67,13 +68,18 @@
 		p.reached(m)
 		p.changed = true
 	}
+	kept := 0
 	reported := make(map[key]*wire.ReportTask, len(r.Tasks))
 	for i := range r.Tasks {
 		rt := &r.Tasks[i]
 		ref, n, ok := SplitTask(rt.Task)
 		j := p.jobs[ref]
 		if !ok || j == nil || n >= len(j.tasks) {
-			orders.Commands = append(orders.Commands, p.stray(rt)...)
+			if rt.State == wire.Exited && !p.mayForget(m, rt, nil) {
+				kept++
+				continue
+			}
+			orders.Commands = append(orders.Commands, stray(rt))
 			continue
 		}
 		k := key{j, n}
@@ -86,7 +92,10 @@
 		switch {
 		case rt.State != wire.Exited:
 			orders.Commands = append(orders.Commands, halt(rt.Task, rt.Attempt, 0))
-		case rt.Why != wire.Done || t.durable:
+		case rt.Why == wire.Done && !t.durable:
+		case !p.mayForget(m, rt, j):
+			kept++
+		default:
 			orders.Commands = append(orders.Commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
 		}
 	}
@@ -100,9 +109,14 @@
 		p.present(k, t, rt, m, now)
 		if rt.State == wire.Exited && rt.Why != wire.Done {
 			// Its place is free already and its attempt is never started again.
-			orders.Commands = append(orders.Commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
+			if p.mayForget(m, rt, k.job) {
+				orders.Commands = append(orders.Commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
+			} else {
+				kept++
+			}
 		}
 	}
+	m.kept = kept
 	if direct {
 		return orders, Answered
 	}
@@ -175,11 +189,11 @@
 
 // stray answers a task of a job that this part does not hold: finished, or not
 // ours. A finished job's record says so for ever, so its tasks may be ended.
-func (p *Part) stray(rt *wire.ReportTask) []wire.Command {
+func stray(rt *wire.ReportTask) wire.Command {
 	if rt.State == wire.Exited {
-		return []wire.Command{{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt}}
+		return wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt}
 	}
-	return []wire.Command{halt(rt.Task, rt.Attempt, 0)}
+	return halt(rt.Task, rt.Attempt, 0)
 }
 
 // other takes in an attempt that is not the one in the ledger. Its completion
@@ -219,6 +233,9 @@
 		return false
 	case direct:
 		return false // the answer that carries the start may be on its way
+	case m.mayCome(k.name(), t.attempt):
+		// It may still be executed late: only a higher token or a newer session
+		// proves that it won't.
 	case t.stop:
 		// A start that was never seen, then a stop: this report is newer than
 		// the start's answer, so it was dropped and will not come back.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -186,8 +186,10 @@
 	txn       *Txn // its move, under way
 	unsure    bool
 	retry     time.Time
-	direct    bool   // a direct command is due
-	reserved  string // job for which room was made or is gathered
+	direct    bool                  // a direct command is due
+	runs      map[string]*directRun // starts sent straight to it, by task
+	kept      int                   // exited tasks in its last report that it may not forget
+	reserved  string                // job for which room was made or is gathered
 	reservedT time.Time
 }
 
@@ -218,8 +220,9 @@
 	chunks  []*chunk
 	starts  []key
 	dones   []key
-	machine *Machine // its move
-	back    *batch   // machines to give back
+	machine *Machine // its move, or a higher token for it
+	fence   bool
+	back    *batch // machines to give back
 }
 
 // Direct is a command to send straight to a worker.
