--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -23,6 +23,8 @@
 	bootFactor    = 3               // of the nominal boot time, before a machine is replaced
 	preemptAfter  = 2 * time.Second // a free machine from another part may come first
 	gatherEnds    = time.Second     // of the 3 s by which a told state may lag
+	gatherStarts  = 150 * time.Millisecond
+	gatherBacks   = 2 * time.Second // unused machines cost little in that time
 )
 
 func (c *Controller) newSchedConfig(types []wire.MachineType) *sched.Config {
@@ -37,6 +39,8 @@
 		TxnOps:       p.State.TxnOps,
 		SlotTasks:    sched.SlotTasks(p.State.ValueKB),
 		GatherEnds:   gatherEnds,
+		GatherStarts: gatherStarts,
+		GatherBacks:  gatherBacks,
 		Urgency: func(s *wire.Spec, waited time.Duration) float64 {
 			j := policy.Job{Class: s.Class, Team: s.Team, Kind: kinds[s.Kind], Tasks: s.Tasks, WaitedS: waited.Seconds(), EstimateS: s.EstimateS}
 			if s.DeadlineS != nil {
@@ -104,7 +108,7 @@
 }
 
 func (c *Controller) commit(p *sched.Part, t *sched.Txn) {
-	rev, err := c.store.Txn(context.Background(), statestore.Urgent(t.Purpose), t.Body)
+	rev, err := c.store.Txn(context.Background(), statestore.Use{For: t.Purpose, Routine: t.Routine}, t.Body)
 	var conflict *statestore.ConflictError
 	c.locked(p, func(now time.Time) {
 		switch {
--- a/internal/sched/care.go
+++ b/internal/sched/care.go
@@ -46,11 +46,11 @@
 		switch {
 		case p.silent(m, now), p.overdue(m, now), p.hopeless(m, now):
 			// Only the answered return proves its tasks gone.
-			p.giveBack(m)
+			p.giveBack(m, now)
 		case m.drain:
 			p.clear(m, now)
 			if len(m.on) == 0 {
-				p.giveBack(m)
+				p.giveBack(m, now)
 			}
 		case m.moveTo >= 0 && len(m.on) == 0 && m.fenced && m.settled():
 			p.moveTxn(m)
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -40,12 +40,17 @@
 			continue
 		}
 		// Completions alone wait for others to share the write: a user may be
-		// told of the end a little later.
-		if due := s.since.Add(p.cfg.GatherEnds); !s.urgent && now.Before(due) {
+		// told of the end a little later. Starts that come one shortly after
+		// the other share one, too.
+		due := s.since.Add(p.cfg.GatherEnds)
+		if s.urgent {
+			due = s.written.Add(p.cfg.GatherStarts)
+		}
+		if now.Before(due) {
 			p.alarm(due)
 			continue
 		}
-		p.slotTxn(s)
+		p.slotTxn(s, now)
 	}
 	p.flushBack(now)
 }
@@ -59,7 +64,7 @@
 	if j.cancelled {
 		rec = record.Job{State: wire.Cancelled}
 	}
-	t := &Txn{job: j, Purpose: forJobEnd}
+	t := &Txn{job: j, Purpose: forJobEnd, Routine: true}
 	t.Body.If = []wire.Cond{p.cond(), {Key: open, Version: j.version}}
 	t.Body.Then = []wire.Op{{Put: record.JobKey(j.ref), Value: record.Encode(rec)}, {Delete: open}}
 	j.ending = t
@@ -69,7 +74,7 @@
 // slotTxn records the placements and completions of a slot, with as many new
 // starts as there is room for conditions on their jobs and machines. Ends that
 // freed a place need no write of their own: the next start rewrites the slot.
-func (p *Part) slotTxn(s *slot) {
+func (p *Part) slotTxn(s *slot, now time.Time) {
 	t := &Txn{slot: s, Purpose: forEnds}
 	rec := record.Slot{Runs: map[string]record.Run{}}
 	conds := map[string]uint64{}
@@ -118,8 +123,10 @@
 	if len(t.starts) == 0 && len(t.dones) == 0 {
 		return
 	}
+	s.written = now
+	t.Routine = true
 	if len(t.starts) > 0 {
-		t.Purpose = forStart
+		t.Purpose, t.Routine = forStart, false
 	}
 	at := record.SlotKey(p.id, s.n)
 	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: s.version}}
@@ -162,7 +169,7 @@
 func (p *Part) moveTxn(m *Machine) {
 	rec := record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: m.moveTo, Born: m.born.UnixMilli(), Images: m.images}
 	at := record.OwnKey(m.ID)
-	t := &Txn{machine: m, Purpose: forMove}
+	t := &Txn{machine: m, Purpose: forMove, Routine: true}
 	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: m.version}}
 	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(rec)}}
 	m.txn = t
@@ -171,8 +178,14 @@
 
 // giveBack makes a machine leave for good. Only the answered return, as its
 // batch's record tells, proves gone what may run on it.
-func (p *Part) giveBack(m *Machine) {
+func (p *Part) giveBack(m *Machine, now time.Time) {
 	m.Phase = record.Returning
+	if len(p.leaving) == 0 {
+		p.leaveAt = now.Add(p.cfg.GatherBacks)
+	}
+	if len(m.on) > 0 {
+		p.leaveAt = now // its tasks wait for the proof
+	}
 	p.leaving = append(p.leaving, m.ID)
 }
 
@@ -182,7 +195,7 @@
 // flushBack records which machines are to be given back. The leader asks the
 // cloud; the batch's name is never used again.
 func (p *Part) flushBack(now time.Time) {
-	if p.back == nil && len(p.leaving) > 0 {
+	if p.back == nil && len(p.leaving) > 0 && !now.Before(p.leaveAt) {
 		n := min(len(p.leaving), maxBack)
 		p.backs++
 		p.back = &batch{key: record.BackKey(p.id, p.token, p.backs), ids: slices.Clone(p.leaving[:n])}
@@ -192,7 +205,7 @@
 	if b == nil || b.txn != nil || now.Before(b.retry) {
 		return
 	}
-	t := &Txn{back: b, Purpose: forBack}
+	t := &Txn{back: b, Purpose: forBack, Routine: true}
 	t.Body.If = []wire.Cond{p.cond(), {Key: b.key}}
 	t.Body.Then = []wire.Op{{Put: b.key, Value: record.Encode(record.Back{IDs: b.ids})}}
 	b.txn = t
--- a/internal/sched/direct.go
+++ b/internal/sched/direct.go
@@ -135,7 +135,7 @@
 	}
 	rec := record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: p.id, Born: m.born.UnixMilli(), Images: m.images}
 	at := record.OwnKey(m.ID)
-	t := &Txn{machine: m, fence: true, Purpose: forFence}
+	t := &Txn{machine: m, fence: true, Purpose: forFence, Routine: true}
 	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: m.version}}
 	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(rec)}}
 	m.txn = t
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -46,6 +46,9 @@
 	SlotTasks int
 	// GatherEnds is how long completions wait for others to share their write.
 	GatherEnds time.Duration
+	// GatherStarts and GatherBacks are the same for starts and for machines
+	// given back.
+	GatherStarts, GatherBacks time.Duration
 	// Urgency orders a team's jobs of one priority; smaller goes first.
 	Urgency func(spec *wire.Spec, waited time.Duration) float64
 }
@@ -141,6 +144,7 @@
 	dirty   bool
 	urgent  bool      // a start waits for it
 	since   time.Time // when it became dirty
+	written time.Time // when it was last written
 	txn     *Txn
 	unsure  bool // a transaction's outcome is unknown; a reread is under way
 	retry   time.Time
@@ -215,6 +219,7 @@
 type Txn struct {
 	Body    wire.Txn
 	Purpose string // for the log
+	Routine bool   // may wait for what users wait for
 	job     *Job   // its end
 	slot    *slot  // placements and completions of the chunks
 	chunks  []*chunk
@@ -254,7 +259,8 @@
 	machines map[string]*Machine
 	jobs     map[string]*Job
 	slots    map[int]*slot
-	leaving  []string // machines to be given back with the next batch
+	leaving  []string  // machines to be given back with the next batch
+	leaveAt  time.Time // when that batch is due
 	back     *batch
 	backs    int
 	blind    bool // cancellations told elsewhere may be unknown here
