--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,7 +84,7 @@
 	lead       *leading
 	quietUntil time.Time // not to lead before
 	started    time.Time
-	deaf       bool // as the member record says
+	hears      hearing // as the member record says
 	kept       map[string]kept
 	held       map[string]*held
 	budgetAt   time.Time // when the leader last gave a budget
@@ -233,9 +233,9 @@
 	}
 	key := record.MemberPrefix + c.cfg.Label
 	c.mu.Lock()
-	deaf := c.deaf
+	h := c.hears
 	c.mu.Unlock()
-	put := wire.Op{Put: key, Value: record.Encode(record.Member{Inc: inc, Deaf: deaf}), Lease: lease}
+	put := wire.Op{Put: key, Value: record.Encode(record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}), Lease: lease}
 	if _, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}}); err != nil {
 		return err
 	}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -126,31 +126,39 @@
 	return c.sure(time.Now())
 }
 
+// hearing is whether a controller hears anybody.
+type hearing struct {
+	alone bool // no other controller
+	deaf  bool // nor any worker
+}
+
 // listen keeps the member record's word on whether this controller hears
 // anybody. A deaf one is still the owner of its parts, but of no use to them.
 func (c *Controller) listen(ctx context.Context) {
 	c.mu.Lock()
 	now := time.Now()
-	deaf := c.fleet.Len() > 0 && len(c.peers) > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
+	h := hearing{alone: len(c.peers) > 0}
 	for label := range c.peers {
 		if now.Sub(c.peerOK[label]) < deafAfter {
-			deaf = false
+			h.alone = false
 		}
 	}
-	change := deaf != c.deaf && c.sure(now)
+	h.deaf = h.alone && c.fleet.Len() > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
+	change := h != c.hears && c.sure(now)
 	inc, lease := c.inc, c.lease
 	c.mu.Unlock()
 	if !change {
 		return
 	}
-	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(record.Member{Inc: inc, Deaf: deaf}), Lease: lease}
+	rec := record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}
+	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(rec), Lease: lease}
 	if _, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}}); err != nil {
 		return
 	}
 	c.mu.Lock()
-	c.deaf = deaf
+	c.hears = h
 	c.mu.Unlock()
-	c.log.Info("hearing", "deaf", deaf)
+	c.log.Info("hearing", "deaf", h.deaf, "alone", h.alone)
 }
 
 func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
@@ -367,7 +375,7 @@
 			reach = append(reach, label)
 		}
 	}
-	if c.deaf || (len(reach) == 1 && len(c.members) > 2 && now.Sub(c.lead.started) > standAside) {
+	if c.hears.deaf || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) {
 		return nil, nil, true
 	}
 	owners := map[int]string{}
@@ -408,6 +416,19 @@
 	return claims, hand, false
 }
 
+// othersMeet reports whether other controllers hear each other: then one of
+// them leads better than a leader that hears none. When all are alone, as when
+// connections between controllers are refused, nobody would.
+func (c *Controller) othersMeet() bool {
+	n := 0
+	for label, m := range c.members {
+		if label != c.cfg.Label && !m.Alone {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // standAside gives the lead up: nobody can be reached from here.
 func (c *Controller) standAside(ctx context.Context) {
 	c.mu.Lock()
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -25,28 +25,109 @@
 )
 
 func (c *Controller) handleUser(req httpwire.Request, answer func(reply)) {
+	go func() { answer(c.serveUser(req)) }()
+}
+
+// serveUser answers a user's request. One that can't be served for want of the
+// state service, or of this controller's part of its limits, is passed on to a
+// controller that reaches it.
+func (c *Controller) serveUser(req httpwire.Request) reply {
+	work, no := c.route(req)
+	if !no.zero() {
+		return no
+	}
+	if c.doubtful() {
+		if r, ok := c.passOn(req); ok {
+			return r
+		}
+		return work()
+	}
+	r := work()
+	if r.status == 503 {
+		if other, ok := c.passOn(req); ok {
+			return other
+		}
+	}
+	return r
+}
+
+func (r reply) zero() bool { return r.status == 0 }
+
+// route finds the work that a request asks for, or the answer to one that asks
+// for none.
+func (c *Controller) route(req httpwire.Request) (work func() reply, no reply) {
 	switch {
 	case req.Path == wire.JobsPath:
 		if req.Method != "POST" {
-			answer(reply{status: 405})
-			return
+			return nil, reply{status: 405}
 		}
-		go func() { answer(c.submit(req.Body)) }()
+		return func() reply { return c.submit(req.Body) }, reply{}
 	case hasPrefix(req.Path, wire.JobsPath+"/"):
 		ref, action, sub := strings.Cut(req.Path[len(wire.JobsPath)+1:], "/")
 		switch {
 		case sub && action != wire.CancelWord:
-			answer(reply{status: 404})
+			return nil, reply{status: 404}
 		case sub && req.Method == "POST":
-			go func() { answer(c.cancel(ref)) }()
+			return func() reply { return c.cancel(ref) }, reply{}
 		case !sub && req.Method == "GET":
-			go func() { answer(c.poll(ref)) }()
+			return func() reply { return c.poll(ref) }, reply{}
 		default:
-			answer(reply{status: 405})
+			return nil, reply{status: 405}
 		}
-	default:
-		answer(reply{status: 404})
 	}
+	return nil, reply{status: 404}
+}
+
+// doubtful reports whether the lease's last renewal is so old that the state
+// service may be out of reach.
+func (c *Controller) doubtful() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease == 0 || time.Since(c.leaseAt) > leaseTTL/2
+}
+
+// passOn lets another controller that lately reached the state service serve a
+// request. It reports false when there is none or it can't either.
+func (c *Controller) passOn(req httpwire.Request) (reply, bool) {
+	c.mu.Lock()
+	now := time.Now()
+	var best *peer.Client
+	for label, p := range c.peers { // any order: they are all as good
+		if now.Sub(c.peerState[label]) < peerFresh && now.Sub(c.peerOK[label]) < peerFresh {
+			best = p
+			break
+		}
+	}
+	c.mu.Unlock()
+	if best == nil {
+		return reply{}, false
+	}
+	var r peer.UserReply
+	if err := best.Call("User", peer.UserArgs{Method: req.Method, Path: req.Path, Body: req.Body}, &r, userTimeout); err != nil {
+		c.log.Debug("request passed on", "path", req.Path, "err", err)
+		return reply{}, false
+	}
+	out := reply{status: r.Status, retryAfter: r.RetryAfter}
+	if len(r.Body) > 0 {
+		out.body = json.RawMessage(r.Body)
+	}
+	return out, r.Status != 0 && r.Status != 503
+}
+
+// User implements peer.Handler: a request passed on is served here or not at all.
+func (c *Controller) User(a peer.UserArgs) peer.UserReply {
+	r := reply{status: 503, retryAfter: retryLater}
+	if !c.doubtful() {
+		work, no := c.route(httpwire.Request{Method: a.Method, Path: a.Path, Body: a.Body})
+		if r = no; no.zero() {
+			r = work()
+		}
+	}
+	out := peer.UserReply{Status: r.status, RetryAfter: r.retryAfter}
+	if r.body != nil {
+		out.Body = record.Encode(r.body)
+	}
+	return out
 }
 
 // validRef checks the form of a job id.
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -80,20 +80,28 @@
 }
 
 // keepAlive answers for an owner that can't be reached from here, as when two
-// zones are cut off from each other, or that is gone and not yet replaced: the same token is accepted from any
-// controller, so the worker's lease is renewed and its tasks live. No commands
-// are given. It ends early enough that a cancelled job's tasks, of which the
-// owner can't tell this worker, are gone by their leases in time.
+// zones are cut off from each other, or that is gone and not yet replaced: the
+// same token is accepted from any controller, so the worker's lease is renewed
+// and its tasks live. No commands are given. It ends early enough that tasks of
+// a cancelled job, which can't be stopped from here, are gone by their leases in
+// time: counted from when the cancellation was seen or, cut off from the state
+// service, may first have been missed.
 func (c *Controller) keepAlive(r *wire.Report, token uint64) reply {
 	lease := config.Seconds(c.cfg.Params.Workers.LeaseS)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if r.Token > token || !c.sure(now) || now.Sub(c.viewAt) > 2*c.watchWait() {
+	seen := c.jobsAt
+	for _, at := range []time.Time{c.viewAt, c.fleetAt} {
+		if at.Before(seen) {
+			seen = at
+		}
+	}
+	if r.Token > token || now.Sub(seen) > c.blindFor() {
 		return reply{status: 503, retryAfter: 1}
 	}
 	k := c.kept[r.Machine]
-	if now.Sub(k.last) > lease {
+	if now.Sub(k.last) > lease || (!c.blind(now) && !c.mustEnd(r)) {
 		k.since = now
 	}
 	k.last = now
@@ -104,6 +112,18 @@
 	return reply{status: 200, body: wire.Orders{Token: token, Commands: []wire.Command{}}}
 }
 
+// mustEnd reports whether a report shows tasks of a job that is cancelled or
+// over, as far as is known here. The lock is held.
+func (c *Controller) mustEnd(r *wire.Report) bool {
+	for _, t := range r.Tasks {
+		ref, _, ok := sched.SplitTask(t.Task)
+		if j, open := c.open[ref]; ok && t.State != wire.Exited && (!open || j.cancelled) {
+			return true
+		}
+	}
+	return false
+}
+
 // blindFor is how long leases may be renewed without hearing of cancellations:
 // a lease must still be able to run out before a cancellation's time is over.
 // Where the two are close together it is at least a few turns of the watch.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,12 +48,27 @@
 	Orders wire.Orders
 }
 
+// UserArgs is a user's request that its receiver can't serve, for want of the
+// state service, and another controller may.
+type UserArgs struct {
+	Method, Path string
+	Body         []byte
+}
+
+// UserReply answers it.
+type UserReply struct {
+	Status     int
+	Body       []byte
+	RetryAfter int
+}
+
 // Handler carries out what peers ask.
 type Handler interface {
 	Sync(SyncArgs) SyncReply
 	Nudge(NudgeArgs)
 	Report(wire.Report) ReportReply
 	Status(ref string) (wire.Status, bool)
+	User(UserArgs) UserReply
 	Ping() bool
 }
 
@@ -78,6 +93,12 @@
 	return nil
 }
 
+// User serves Handler.User.
+func (s *Service) User(a UserArgs, r *UserReply) error {
+	*r = s.h.User(a)
+	return nil
+}
+
 // Ping serves Handler.Ping: whether this controller reaches the state service.
 func (s *Service) Ping(_ string, r *bool) error {
 	*r = s.h.Ping()
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -85,6 +85,8 @@
 	// Deaf says that it hears neither workers nor other controllers, though it
 	// reaches the state service: its parts are better off elsewhere.
 	Deaf bool `json:"deaf,omitempty"`
+	// Alone says that it hears no other controller.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // Part says who owns a part of the work.
