--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,7 +43,7 @@
 	unreachable   = 6 * time.Second  // the leader has an unreachable owner's parts claimed
 	homeStable    = 20 * time.Second // a returned controller answers this long before its part goes home
 	listFactor    = 3.0              // the cloud's list is read once in this many of its lags
-	relayTimeout  = 1200 * time.Millisecond
+	relayTimeout  = 2200 * time.Millisecond
 	finalsKept    = 20000 // final states held in memory
 )
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -404,3 +404,33 @@
 		t.Error("keeps the lead though others hear each other")
 	}
 }
+
+// A machine reports to a controller of its zone, the owner if that is one, so
+// that a cut between zones does not part them.
+func TestReportsTo(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	now := time.Now()
+	c.cfg.Zone = "z"
+	c.cfg.Peers = []config.Peer{{Label: "c-1", Zone: "y"}, {Label: "c-2", Zone: "y"}, {Label: "c-3", Zone: "x"}}
+	for _, l := range []string{"c-0", "c-1", "c-2", "c-3"} {
+		c.members[l] = record.Member{Inc: 1}
+		c.peerOK[l] = now
+	}
+	for _, x := range []struct{ zone, owner, want string }{
+		{"z", "c-1", "c-0"}, {"y", "c-2", "c-2"}, {"x", "c-0", "c-3"}, {"w", "c-1", "c-1"},
+	} {
+		if got := c.reportsTo(x.zone, "m", x.owner, now); got != x.want {
+			t.Errorf("zone %s, owner %s: reports to %s, want %s", x.zone, x.owner, got, x.want)
+		}
+	}
+	delete(c.members, "c-3")
+	if got := c.reportsTo("x", "m", "c-0", now); got != "c-0" {
+		t.Errorf("without a live controller in its zone it reports to %s, want the owner", got)
+	}
+	if to := c.sendOn("y", "m", "c-0", now); to != "c-1" && to != "c-2" {
+		t.Errorf("sent on to %q", to)
+	}
+	if to := c.sendOn("y", "m", "c-0", now); to != "" {
+		t.Errorf("sent on to %q again after it came back", to)
+	}
+}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -7,6 +7,7 @@
 	"bramblespur/internal/config"
 	"bramblespur/internal/httpwire"
 	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
 	"bramblespur/internal/sched"
 	"bramblespur/internal/wire"
 )
@@ -23,6 +24,11 @@
 	m, known := c.fleet.Machine(r.Machine)
 	p := c.parts[m.Part]
 	if known && p != nil {
+		if to := c.sendOn(m.Zone, r.Machine, c.cfg.Label, now); to != "" {
+			c.mu.Unlock()
+			answer(reply{status: 421, body: wire.Redirect{Label: to}})
+			return
+		}
 		rep := c.ownReport(p, &r, now)
 		if o, ok := rep.body.(wire.Orders); ok && len(o.Commands) == 0 {
 			if d := p.Hold(r.Machine, now); d > 0 {
@@ -52,20 +58,16 @@
 		answer(c.keepAlive(&r, token))
 		return
 	}
-	before, sent := c.redirected[r.Machine]
-	if !sent || before.label != owner || now.Sub(before.at) > config.Seconds(c.cfg.Params.Workers.LeaseS) {
-		c.redirected[r.Machine] = redirect{owner, now}
+	if to := c.sendOn(m.Zone, r.Machine, owner, now); to != "" {
 		c.mu.Unlock()
-		c.log.Debug("report sent on", "machine", r.Machine, "owner", owner)
-		answer(reply{status: 421, body: wire.Redirect{Label: owner}})
+		answer(reply{status: 421, body: wire.Redirect{Label: to}})
 		return
 	}
 	c.mu.Unlock()
-	// It was sent to its owner and has come back: relay.
+	// Its place is here, or it was sent on and has come back: relay.
 	go func() {
 		var rr peer.ReportReply
 		if err := peerc.Call("Report", r, &rr, relayTimeout); err == nil && rr.Status != 0 {
-			c.log.Debug("report relayed", "machine", r.Machine, "owner", owner, "status", rr.Status)
 			switch rr.Status {
 			case 200:
 				answer(reply{status: 200, body: rr.Orders})
@@ -79,6 +81,53 @@
 	}()
 }
 
+// sendOn returns the controller that a worker is to be sent to, if it is not
+// this one; one that was sent on and has come back stays. The lock is held.
+func (c *Controller) sendOn(zone, machine, owner string, now time.Time) string {
+	to := c.reportsTo(zone, machine, owner, now)
+	before, sent := c.redirected[machine]
+	if to == c.cfg.Label || (sent && before.label == to && now.Sub(before.at) < config.Seconds(c.cfg.Params.Workers.LeaseS)) {
+		return ""
+	}
+	c.redirected[machine] = redirect{to, now}
+	c.log.Debug("report sent on", "machine", machine, "to", to, "owner", owner)
+	return to
+}
+
+// reportsTo chooses the controller that a machine reports to: one of its own
+// zone, so that both are on the same side of whatever cuts the zone off, and
+// the worker need not try the others one by one while its lease runs out. The
+// owner itself comes first; without a live one in the zone it is the owner. The
+// lock is held.
+func (c *Controller) reportsTo(zone, machine, owner string, now time.Time) string {
+	var near []string
+	for _, label := range c.cfg.Labels() {
+		m, lives := c.members[label]
+		if !lives || m.Deaf || c.zoneOf(label) != zone {
+			continue
+		}
+		if label == owner {
+			return owner
+		}
+		if label == c.cfg.Label || c.reachable(label, now) {
+			near = append(near, label)
+		}
+	}
+	if len(near) == 0 {
+		return owner
+	}
+	return near[record.Hash(machine)%uint32(len(near))]
+}
+
+func (c *Controller) zoneOf(label string) string {
+	for _, p := range c.cfg.Peers {
+		if p.Label == label {
+			return p.Zone
+		}
+	}
+	return c.cfg.Zone
+}
+
 // keepAlive answers for an owner that can't be reached from here, as when two
 // zones are cut off from each other, or that is gone and not yet replaced: the
 // same token is accepted from any controller, so the worker's lease is renewed
@@ -129,9 +178,12 @@
 // Where the two are close together it is at least a few turns of the watch.
 func (c *Controller) blindFor() time.Duration {
 	spare := config.Seconds(c.cfg.Params.Workers.CancelS - c.cfg.Params.Workers.LeaseS)
-	return max(spare-min(spare/4, 2*time.Second), 3*c.watchWait())
+	return max(spare-min(spare/4, blindMargin), 3*c.watchWait())
 }
 
+// blindMargin is kept between the last lease's end and a cancellation's time.
+const blindMargin = 750 * time.Millisecond
+
 // watchWait is how long a watch may be silent: short where cancellations must
 // be known soon.
 func (c *Controller) watchWait() time.Duration {
@@ -225,17 +277,34 @@
 // Report implements peer.Handler: a report relayed by another controller.
 func (c *Controller) Report(r wire.Report) peer.ReportReply {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	now := time.Now()
 	m, known := c.fleet.Machine(r.Machine)
 	p := c.parts[m.Part]
 	if !known || p == nil {
+		c.mu.Unlock()
 		return peer.ReportReply{Status: 503}
 	}
 	rep := c.ownReport(p, &r, now)
+	if o, ok := rep.body.(wire.Orders); ok && len(o.Commands) == 0 {
+		if d := min(p.Hold(r.Machine, now), relayHold); d > 0 {
+			done := make(chan reply, 1)
+			c.hold(p, r.Machine, d, func(r reply) { done <- r })
+			c.mu.Unlock()
+			return relayed(<-done)
+		}
+	}
+	c.mu.Unlock()
+	return relayed(rep)
+}
+
+func relayed(rep reply) peer.ReportReply {
 	out := peer.ReportReply{Status: rep.status}
 	if o, ok := rep.body.(wire.Orders); ok {
 		out.Orders = o
 	}
 	return out
 }
+
+// relayHold is how long an answer to a relayed report may be held, well below
+// relayTimeout.
+const relayHold = 1200 * time.Millisecond
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -196,9 +196,14 @@
 // go by a hash of their reference.
 func PartOf(teams []string, team, ref string, parts int) int {
 	if len(teams) == 0 {
-		h := fnv.New32a()
-		h.Write([]byte(ref))
-		return int(h.Sum32() % uint32(parts))
+		return int(Hash(ref) % uint32(parts))
 	}
 	return sort.SearchStrings(teams, team) % parts
 }
+
+// Hash spreads names evenly, the same way on every controller.
+func Hash(name string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return h.Sum32()
+}
