--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,16 +79,19 @@
 	redirected map[string]redirect
 	peerOK     map[string]time.Time // last answer
 	peerSince  map[string]time.Time // answers without a gap since
-	peerState  map[string]time.Time // last time the peer said it reached the state service
-	heardAny   time.Time
-	lead       *leading
-	quietUntil time.Time // not to lead before
-	started    time.Time
-	hears      hearing // as the member record says
-	kept       map[string]kept
-	held       map[string]*held
-	budgetAt   time.Time // when the leader last gave a budget
-	readiness  readiness
+	// peerRefused is when a peer last refused a connection: it is dead, or
+	// connections between controllers are refused.
+	peerRefused map[string]time.Time
+	peerState   map[string]time.Time // last time the peer said it reached the state service
+	heardAny    time.Time
+	lead        *leading
+	quietUntil  time.Time // not to lead before
+	started     time.Time
+	hears       hearing // as the member record says
+	kept        map[string]kept
+	held        map[string]*held
+	budgetAt    time.Time // when the leader last gave a budget
+	readiness   readiness
 }
 
 // openJob is what polls need to know of an unfinished job.
@@ -169,6 +172,7 @@
 	c.held = map[string]*held{}
 	c.peerOK = map[string]time.Time{}
 	c.peerSince = map[string]time.Time{}
+	c.peerRefused = map[string]time.Time{}
 	c.peerState = map[string]time.Time{}
 }
 
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"bramblespur/internal/cloud"
@@ -97,17 +98,20 @@
 			err := p.Call("Ping", c.cfg.Label, &ok, pingTimeout)
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.answered(label, err == nil, ok)
+			c.answered(label, err, ok)
 		})
 	}
 	wg.Wait()
 }
 
 // answered takes in whether another controller answered. The lock is held.
-func (c *Controller) answered(label string, ok, stateOK bool) {
+func (c *Controller) answered(label string, err error, stateOK bool) {
 	now := time.Now()
-	if !ok {
+	if err != nil {
 		delete(c.peerSince, label)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.peerRefused[label] = now
+		}
 		return
 	}
 	c.peerOK[label] = now
@@ -195,7 +199,7 @@
 				Requests: grants.requests[label], Changes: grants.changes[label]}
 			err := p.Call("Sync", a, &r, syncTimeout)
 			c.mu.Lock()
-			c.answered(label, err == nil, r.StateOK)
+			c.answered(label, err, r.StateOK)
 			c.mu.Unlock()
 			if err != nil {
 				return
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -52,15 +53,17 @@
 	peerc := c.peers[owner]
 	token := max(part.version, m.Version)
 	_, lives := c.members[owner]
+	if peerc != nil && lives {
+		if to := c.sendOn(m.Zone, r.Machine, owner, now); to != "" {
+			c.mu.Unlock()
+			answer(reply{status: 421, body: wire.Redirect{Label: to}})
+			return
+		}
+	}
 	if peerc == nil || !lives || !c.reachable(owner, now) {
 		c.mu.Unlock()
 		c.log.Debug("report kept", "machine", r.Machine, "owner", owner, "lives", lives)
-		answer(c.keepAlive(&r, token))
-		return
-	}
-	if to := c.sendOn(m.Zone, r.Machine, owner, now); to != "" {
-		c.mu.Unlock()
-		answer(reply{status: 421, body: wire.Redirect{Label: to}})
+		c.keep(&r, token, answer)
 		return
 	}
 	c.mu.Unlock()
@@ -77,7 +80,7 @@
 			return
 		}
 		c.log.Debug("report not relayed", "machine", r.Machine, "owner", owner)
-		answer(c.keepAlive(&r, token))
+		c.keep(&r, token, answer)
 	}()
 }
 
@@ -97,9 +100,13 @@
 // reportsTo chooses the controller that a machine reports to: one of its own
 // zone, so that both are on the same side of whatever cuts the zone off, and
 // the worker need not try the others one by one while its lease runs out. The
-// owner itself comes first; without a live one in the zone it is the owner. The
-// lock is held.
+// owner itself comes first; without a live one in the zone it is the owner, and
+// also where connections between controllers are refused, which says nothing of
+// those between it and the worker. The lock is held.
 func (c *Controller) reportsTo(zone, machine, owner string, now time.Time) string {
+	if now.Sub(c.peerRefused[owner]) < peerFresh {
+		return owner
+	}
 	var near []string
 	for _, label := range c.cfg.Labels() {
 		m, lives := c.members[label]
@@ -109,7 +116,7 @@
 		if label == owner {
 			return owner
 		}
-		if label == c.cfg.Label || c.reachable(label, now) {
+		if label == c.cfg.Label || (c.reachable(label, now) && now.Sub(c.peerRefused[label]) > peerFresh) {
 			near = append(near, label)
 		}
 	}
@@ -161,6 +168,39 @@
 	return reply{status: 200, body: wire.Orders{Token: token, Commands: []wire.Command{}}}
 }
 
+// keep answers a report for an owner out of reach. Where the lease may not be
+// renewed for now, the answer is held as long as it would still be taken: what
+// cut this controller off may end meanwhile, and a worker sent away would lose
+// its lease asking controllers that are cut off from it.
+func (c *Controller) keep(r *wire.Report, token uint64, answer func(reply)) {
+	rep := c.keepAlive(r, token)
+	if rep.status == 200 {
+		answer(rep)
+		return
+	}
+	go func() {
+		for range int(keepHold / keepLook) {
+			sleep(context.Background(), keepLook)
+			c.mu.Lock()
+			m, _ := c.fleet.Machine(r.Machine)
+			token = max(c.partRecs[m.Part].version, m.Version)
+			c.mu.Unlock()
+			if rep = c.keepAlive(r, token); rep.status == 200 {
+				break
+			}
+		}
+		answer(rep)
+	}()
+}
+
+// A report that can't be answered is held for keepHold and looked at again each
+// keepLook; with the relay before it, that stays below the 4 s after which a
+// worker gives an answer up.
+const (
+	keepHold = 1500 * time.Millisecond
+	keepLook = 250 * time.Millisecond
+)
+
 // mustEnd reports whether a report shows tasks of a job that is cancelled or
 // over, as far as is known here. The lock is held.
 func (c *Controller) mustEnd(r *wire.Report) bool {
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -35,6 +35,10 @@
 // in silence would swallow requests, so it is kept short.
 const idleLife = 10 * time.Second
 
+// dialTimeout bounds the making of a connection, which takes milliseconds or,
+// through a cut, for ever: another try after the cut's end must come soon.
+const dialTimeout = time.Second
+
 // NewClient returns a client keeping at most maxIdle unused connections.
 func NewClient(addr string, maxIdle int) *Client { return &Client{addr: addr, maxIdle: maxIdle} }
 
@@ -43,7 +47,7 @@
 func (c *Client) Do(ctx context.Context, method, target string, body []byte) (Response, error) {
 	k := c.take()
 	if k == nil {
-		d := net.Dialer{}
+		d := net.Dialer{Timeout: dialTimeout}
 		nc, err := d.DialContext(ctx, "tcp4", c.addr)
 		if err != nil {
 			return Response{}, fmt.Errorf("%w: %v", ErrNotSent, err)
