--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -177,6 +177,9 @@
 		p.makeRoom(j, n, now)
 		return false
 	}
+	if wait, more := p.seek(j, where[0], now); wait {
+		return more
+	}
 	gang := j.attempt()
 	for _, m := range where {
 		i := j.nextIdle()
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -42,6 +42,7 @@
 			return c
 		}
 		var ks []key
+		cost := map[key]float64{}
 		for k, t := range m.on {
 			if t.stop {
 				r = room{r.cpus + k.job.spec.CPUs, r.gpus + k.job.spec.GPUs, r.mem + k.job.spec.MemoryGB}
@@ -49,20 +50,21 @@
 			}
 			if k.job.rank < j.rank || (within && k.job.spec.Team != j.spec.Team && p.borrowed(k.job.spec.Team)) {
 				ks = append(ks, k)
+				cost[k], _ = p.stopping(k, now)
 			}
 		}
 		sort.Slice(ks, func(a, b int) bool {
 			if x, y := ks[a].job.rank, ks[b].job.rank; x != y {
 				return x < y
 			}
-			return p.loss(ks[a], now) < p.loss(ks[b], now)
+			return cost[ks[a]] < cost[ks[b]]
 		})
 		for _, k := range ks {
 			if fits() > 0 && (j.spec.Kind != wire.Gang || fits() >= n) {
 				break
 			}
 			o.victims = append(o.victims, k)
-			o.loss += p.loss(k, now)
+			o.loss += cost[k]
 			s := k.job.spec
 			r = room{r.cpus + s.CPUs, r.gpus + s.GPUs, r.mem + s.MemoryGB}
 		}
@@ -98,7 +100,7 @@
 	}
 	for _, o := range best {
 		for _, k := range o.victims {
-			p.halt(k, now)
+			p.giveWay(k, now)
 		}
 		o.m.reserved = j.ref
 		o.m.reservedT = now.Add(reserveFor)
@@ -114,16 +116,111 @@
 // reserveFor is how long room made by stopping others is kept for its job.
 const reserveFor = 20 * time.Second
 
-// loss is the work in seconds that stopping a task costs.
-func (p *Part) loss(k key, now time.Time) float64 {
+// stopping says how a task is best stopped for one that waits, and what that
+// costs in seconds: either it saves, which holds the place meanwhile, or what it
+// did since its last checkpoint is lost. Checkpoints come at intervals of its
+// progress, so the time since the last one is known well enough to choose.
+func (p *Part) stopping(k key, now time.Time) (loss float64, grace time.Duration) {
 	t := &k.job.tasks[k.i]
 	s := k.job.spec
-	l := s.SaveS + s.ImageGB/2
-	if t.phase == wire.Running && s.CheckpointS <= 0 {
-		l += now.Sub(t.runSince).Seconds()
+	if t.phase == wire.Running {
+		ran := now.Sub(t.runSince).Seconds()
+		loss = ran
+		if s.CheckpointS > 0 {
+			loss = math.Mod(ran, s.CheckpointS)
+			if loss > s.SaveS {
+				loss, grace = s.SaveS, p.grace(k.job)
+			}
+		}
+		if ran < countedAfter.Seconds() {
+			loss += s.ImageGB // its start would not count
+		}
 	}
+	loss += 1 + s.ImageGB/2
 	if s.Kind == wire.Gang {
-		l *= float64(len(k.job.tasks))
+		loss *= float64(len(k.job.tasks))
+	}
+	return loss, grace
+}
+
+// countedAfter is how long a start must stand to count for its users.
+const countedAfter = 30 * time.Second
+
+// giveWay stops a task, a gang's with all its mates, for one that waits.
+func (p *Part) giveWay(k key, now time.Time) {
+	_, grace := p.stopping(k, now)
+	if k.job.spec.Kind == wire.Gang {
+		p.stopJob(k.job, grace, now)
+		return
+	}
+	p.stop(k, grace, now)
+}
+
+// seek looks for a machine that caches a service's image where lower work can
+// give way, when only machines without the image are free: stopping takes less
+// than the fetch would. It reports whether the task should wait for such room,
+// and whether more may be sought for the job's others.
+// This is the design's leaning to machines that have the image, carried on to
+// those that are taken.
+func (p *Part) seek(j *Job, found *Machine, now time.Time) (wait, more bool) {
+	s := j.spec
+	if s.Kind != wire.Service || found.hasImage(s.Image) || found.Type.FetchGBps <= 0 {
+		return false, false
+	}
+	fetch := time.Duration(s.ImageGB / found.Type.FetchGBps * float64(time.Second))
+	if fetch < seekWorth || now.Sub(j.accepted) > seekFor {
+		return false, false
+	}
+	zones := map[string]int{}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == placed {
+			zones[t.machine.Zone]++
+		}
+	}
+	coming := 0
+	for _, m := range p.machines {
+		if m.reserved == j.ref && now.Before(m.reservedT) {
+			coming++
+			zones[m.Zone]++
+		}
+	}
+	if coming >= j.nIdle {
+		return true, false
+	}
+	limit := len(j.tasks)
+	if s.Spread {
+		limit = (limit + 1) / 2
+	}
+	var best *Machine
+	var victim key
+	bestLoss := math.Inf(1)
+	for _, m := range p.machines {
+		if !m.hasImage(s.Image) || !allows(s, m) || !p.usable(m, now) || zones[m.Zone] >= limit || (m.reserved != "" && now.Before(m.reservedT)) {
+			continue
+		}
+		for k, t := range m.on {
+			v := k.job.spec
+			f := free(m)
+			if t.stop || k.job.rank >= j.rank || v.Kind != wire.Array || !roomFor(s, f.cpus+v.CPUs, f.gpus+v.GPUs, f.mem+v.MemoryGB) {
+				continue
+			}
+			if l, _ := p.stopping(k, now); l < bestLoss || (l == bestLoss && m.ID < best.ID) {
+				best, victim, bestLoss = m, k, l
+			}
+		}
+	}
+	if best == nil {
+		return false, false
 	}
-	return l + 1
+	p.giveWay(victim, now)
+	best.reserved, best.reservedT = j.ref, now.Add(seekFor)
+	p.alarm(best.reservedT)
+	return true, true
 }
+
+const (
+	// seekWorth is the fetch from which on other work gives way instead.
+	seekWorth = 4 * time.Second
+	// seekFor is how long after its acceptance a service waits for such room.
+	seekFor = 10 * time.Second
+)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -1205,3 +1205,37 @@
 		t.Fatalf("starts %v and %v, want one", w1.Started, w2.Started)
 	}
 }
+
+// A service goes to a machine that caches its image even where lower work has
+// to give way there, rather than fetch it on a free one.
+func TestServiceSeeksItsImage(t *testing.T) {
+	r := newRig(t)
+	typ := r.cfg.Types["big"]
+	typ.FetchGBps = 0.2
+	r.cfg.Types["big"] = typ
+	r.machine("m1", "z1", false)
+	first := spec("run-000001", "b", wire.Service, "prod", 1, 2)
+	first.Image = "web"
+	r.submit(first)
+	r.beats(3)
+	r.cancel(first)()
+	r.beats(3)
+	r.submit(spec("run-000002", "b", wire.Array, "normal", 2, 1))
+	r.beats(20)
+	if r.on("run-000002/0") != "m1" || r.on("run-000002/1") != "m1" {
+		t.Fatal("the array did not start")
+	}
+	r.machine("m2", "z1", false)
+	r.beats(2)
+	again := spec("run-000003", "b", wire.Service, "prod", 2, 1)
+	again.Image = "web"
+	r.submit(again)
+	r.beats(4)
+	if a, b := r.on("run-000003/0"), r.on("run-000003/1"); a != "m1" || b != "m1" {
+		t.Fatalf("on %q and %q, want both on the machine with the image", a, b)
+	}
+	r.beats(4)
+	if a, b := r.on("run-000002/0"), r.on("run-000002/1"); a != "m2" || b != "m2" {
+		t.Fatalf("the array is on %q and %q, want it to go on elsewhere", a, b)
+	}
+}
