--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -92,6 +92,10 @@
 			go c.direct(p, d)
 		}
 	}
+	for _, e := range eff.Ended {
+		c.log.Debug("job over", "ref", e.Ref, "class", e.Class, "state", e.State, "took", e.Took.Round(time.Millisecond), "estimate", e.Estimate,
+			"tasks", e.Tasks, "attempts", e.Attempts)
+	}
 	for _, s := range eff.Started {
 		c.log.Debug("task runs", "task", s.Task, "class", s.Class, "machine", s.Machine, "cached", s.Cached, "queued", s.Queued.Round(time.Millisecond),
 			"recording", s.Recording.Round(time.Millisecond), "sending", s.Sending.Round(time.Millisecond), "seen", s.Seen.Round(time.Millisecond), "runs", s.Runs.Round(time.Millisecond))
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -227,6 +227,7 @@
 		p.back = nil
 	case t.job != nil:
 		t.job.ending = nil
+		p.ended(t.job, now)
 		p.end(t.job, now)
 	default:
 		p.written(t, revision, now)
@@ -249,6 +250,19 @@
 	}
 }
 
+// ended tells how long a job took.
+func (p *Part) ended(j *Job, now time.Time) {
+	e := End{Ref: j.ref, Class: j.spec.Class, State: wire.Done, Took: now.Sub(j.accepted), Tasks: len(j.tasks),
+		Estimate: time.Duration(j.spec.EstimateS * float64(time.Second))}
+	if j.cancelled {
+		e.State = wire.Cancelled
+	}
+	for _, c := range j.chunks {
+		e.Attempts = max(e.Attempts, int(c.attempt))
+	}
+	p.out.Ended = append(p.out.Ended, e)
+}
+
 // end takes a job out whose end is recorded.
 func (p *Part) end(j *Job, now time.Time) {
 	j.pipe.Finish(j.ref, "")
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -37,8 +37,10 @@
 	return room{m.Type.CPUs - m.cpus, m.Type.GPUs - m.gpus, m.Type.MemoryGB - m.mem}
 }
 
-func (r room) less(s *wire.Spec) room {
-	return room{r.cpus - s.CPUs, r.gpus - s.GPUs, r.mem - s.MemoryGB}
+// less is what is left of r after n tasks.
+func (r room) less(s *wire.Spec, n int) room {
+	f := float64(n)
+	return room{r.cpus - f*s.CPUs, r.gpus - f*s.GPUs, r.mem - f*s.MemoryGB}
 }
 
 func (p *Part) withinLimit(j *Job, n int) bool {
@@ -191,9 +193,7 @@
 			a = gang
 		}
 		p.put(key{j, i}, m, a, now)
-		if m.reserved == j.ref {
-			m.reserved = ""
-		}
+		m.use(j)
 	}
 	if j.nIdle == 0 {
 		j.stuck = time.Time{}
@@ -285,7 +285,7 @@
 		for len(got) < n && roomFor(s, r.cpus, r.gpus, r.mem) && zones[m.Zone] < limit {
 			got = append(got, m)
 			zones[m.Zone]++
-			r = r.less(s)
+			r = r.less(s, 1)
 		}
 		if len(got) == n {
 			return got
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -37,7 +37,7 @@
 			c, q := 0, r
 			for roomFor(j.spec, q.cpus, q.gpus, q.mem) && c < n {
 				c++
-				q = q.less(j.spec)
+				q = q.less(j.spec, 1)
 			}
 			return c
 		}
@@ -102,8 +102,7 @@
 		for _, k := range o.victims {
 			p.giveWay(k, now)
 		}
-		o.m.reserved = j.ref
-		o.m.reservedT = now.Add(reserveFor)
+		o.m.reserve(j, o.units, now.Add(reserveFor))
 	}
 	if best != nil {
 		j.madeRoom = now.Add(reserveFor / 2)
@@ -179,10 +178,9 @@
 	}
 	coming := 0
 	for _, m := range p.machines {
-		if m.reserved == j.ref && now.Before(m.reservedT) {
-			coming++
-			zones[m.Zone]++
-		}
+		n := m.heldFor(j, now)
+		coming += n
+		zones[m.Zone] += n
 	}
 	if coming >= j.nIdle {
 		return true, false
@@ -195,12 +193,19 @@
 	var victim key
 	bestLoss := math.Inf(1)
 	for _, m := range p.machines {
-		if !m.hasImage(s.Image) || !allows(s, m) || !p.usable(m, now) || zones[m.Zone] >= limit || (m.reserved != "" && now.Before(m.reservedT)) {
+		if !m.hasImage(s.Image) || !allows(s, m) || !p.usable(m, now) || zones[m.Zone] >= limit ||
+			(m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT)) {
 			continue
 		}
+		f := free(m)
+		for k, t := range m.on {
+			if t.stop {
+				f = f.less(k.job.spec, -1)
+			}
+		}
+		f = f.less(s, m.heldFor(j, now))
 		for k, t := range m.on {
 			v := k.job.spec
-			f := free(m)
 			if t.stop || k.job.rank >= j.rank || v.Kind != wire.Array || !roomFor(s, f.cpus+v.CPUs, f.gpus+v.GPUs, f.mem+v.MemoryGB) {
 				continue
 			}
@@ -213,7 +218,7 @@
 		return false, false
 	}
 	p.giveWay(victim, now)
-	best.reserved, best.reservedT = j.ref, now.Add(seekFor)
+	best.reserve(j, 1, now.Add(seekFor))
 	p.alarm(best.reservedT)
 	return true, true
 }
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -27,9 +27,7 @@
 		}
 		if j.spec.Kind != wire.Gang {
 			for _, m := range p.machines {
-				if m.reserved == j.ref && now.Before(m.reservedT) && n > 0 {
-					n--
-				}
+				n = max(0, n-m.heldFor(j, now))
 			}
 		} else if now.Before(j.madeRoom) {
 			n = 0
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -94,6 +94,13 @@
 	cached                       bool
 }
 
+// End tells how long a job took, for the log.
+type End struct {
+	Ref, Class, State string
+	Took, Estimate    time.Duration
+	Tasks, Attempts   int // attempts: of the task that needed most
+}
+
 // Start tells how a task came to run, for the log.
 type Start struct {
 	Task, Class, Machine                   string
@@ -193,7 +200,8 @@
 	direct    bool                  // a direct command is due
 	runs      map[string]*directRun // starts sent straight to it, by task
 	kept      int                   // exited tasks in its last report that it may not forget
-	reserved  string                // job for which room was made or is gathered
+	reserved  string                // job for which room was made
+	reservedN int                   // for so many of its tasks
 	reservedT time.Time
 }
 
@@ -246,6 +254,7 @@
 	Direct         []Direct
 	Wake           []string // machines for which a start is ready
 	Started        []Start  // tasks seen to run for the first time
+	Ended          []End    // jobs that are over
 }
 
 type usage struct{ cpus, gpus float64 }
@@ -309,6 +318,32 @@
 	return slices.ContainsFunc(m.images, func(i record.Image) bool { return i.Name == name })
 }
 
+// heldFor returns for how many of a job's tasks room is kept on a machine.
+func (m *Machine) heldFor(j *Job, now time.Time) int {
+	if m.reserved == j.ref && now.Before(m.reservedT) {
+		return m.reservedN
+	}
+	return 0
+}
+
+// reserve keeps room on a machine for some tasks of a job.
+func (m *Machine) reserve(j *Job, n int, until time.Time) {
+	if m.reserved != j.ref {
+		m.reserved, m.reservedN = j.ref, 0
+	}
+	m.reservedN += n
+	m.reservedT = until
+}
+
+// use takes in that a task of a job came to where room was kept for it.
+func (m *Machine) use(j *Job) {
+	if m.reserved == j.ref {
+		if m.reservedN--; m.reservedN <= 0 {
+			m.reserved, m.reservedN = "", 0
+		}
+	}
+}
+
 func (p *Part) cond() wire.Cond { return wire.Cond{Key: record.PartKey(p.id), Version: p.token} }
 
 func rank(priority string) int {
