--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -84,7 +84,7 @@
 
 func (b *bin) fits(n *Need) bool {
 	const slack = 1e-6
-	return (!b.Spot || n.Spot) && (n.Zone == "" || n.Zone == b.Zone) && (n.Types == nil || slices.Contains(n.Types, b.Type)) &&
+	return (b.For == "" || b.For == n.Job) && (!b.Spot || n.Spot) && (n.Zone == "" || n.Zone == b.Zone) && (n.Types == nil || slices.Contains(n.Types, b.Type)) &&
 		n.CPUs <= b.CPUs+slack && n.GPUs <= b.GPUs+slack && n.MemoryGB <= b.MemoryGB+slack
 }
 
@@ -134,7 +134,7 @@
 		// Free machines of parts that have no use for them come first.
 		if due || n.Waited >= l.cfg.MoveAfter {
 			spare := filter(bins, func(b *bin) bool {
-				return b.part != n.part && b.Up && b.Usable && b.Tasks == 0 && !b.taken && !wanted(needs, b)
+				return b.part != n.part && b.Up && b.Usable && b.Tasks == 0 && b.For == "" && !b.taken && !wanted(needs, b)
 			})
 			// As in a part, a machine that caches the image is preferred.
 			sort.SliceStable(spare, func(a, b int) bool {
@@ -147,7 +147,7 @@
 		}
 		if n.Rank >= takingRank && n.Waited >= l.cfg.TakeAfter {
 			lower := filter(bins, func(b *bin) bool {
-				return b.part != n.part && b.Up && b.Usable && !b.taken && b.TopRank < n.Rank
+				return b.part != n.part && b.Up && b.Usable && b.For == "" && !b.taken && b.TopRank < n.Rank
 			})
 			for _, b := range lower { // emptied, the whole machine is there
 				if t := l.typ(b.Type); t != nil {
@@ -317,6 +317,9 @@
 		return
 	}
 	offers := l.offers(&n.Need, bins, *fresh, now)
+	if n.Gang && n.OneZone {
+		offers = l.gangZone(n, offers, bins, mine)
+	}
 	for i := 0; n.Count > 0 && len(offers) > 0; i++ {
 		o := offers[0]
 		if !n.OneZone {
@@ -336,6 +339,27 @@
 	}
 }
 
+// gangZone chooses the zone in which the fewest machines are missing for a gang
+// of one zone, promises it those that are there or coming, and returns the
+// offers of that zone for the rest.
+func (l *Leader) gangZone(n *waiting, offers []offer, bins, mine []*bin) []offer {
+	var got []*bin
+	zone := ""
+	for _, o := range offers { // the cheapest first
+		there := &waiting{n.Need, n.part}
+		there.Gang, there.Zone = false, o.zone
+		own := filter(bins, func(b *bin) bool { return b.part == n.part && b.Zone == o.zone })
+		if all := l.assign(there, append(own, mine...)); zone == "" || len(all) > len(got) {
+			zone, got = o.zone, all
+		}
+	}
+	for _, b := range got {
+		b.use(&n.Need)
+	}
+	n.Count -= len(got)
+	return slices.DeleteFunc(offers, func(o offer) bool { return o.zone != zone })
+}
+
 // headroom says how many unused machines each part should have, from what has
 // lately arrived there and how long a new machine takes.
 func (l *Leader) headroom(sums []Summary) (want map[int]float64, total int) {
@@ -390,11 +414,18 @@
 	_, headroom := l.headroom(sums)
 	var idle []*bin
 	for _, b := range bins {
-		if b.Up && b.Tasks == 0 && !b.taken {
+		if b.Up && b.Tasks == 0 && b.For == "" && !b.taken {
 			idle = append(idle, b)
 		}
 	}
-	sort.SliceStable(idle, func(a, b int) bool { return idle[a].Idle < idle[b].Idle })
+	// The machines kept are those with the most images: whatever comes next
+	// starts sooner there.
+	sort.SliceStable(idle, func(a, b int) bool {
+		if x, y := len(idle[a].Images), len(idle[b].Images); x != y {
+			return x > y
+		}
+		return idle[a].Idle < idle[b].Idle
+	})
 	kept := 0
 	var orders []Order
 	for _, b := range idle {
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -133,3 +133,35 @@
 		t.Errorf("want the least loaded, got %s", got)
 	}
 }
+
+// For a gang of one zone only the machines that are missing there are rented,
+// and those kept for another job don't count.
+func TestGangRentsWhatIsMissing(t *testing.T) {
+	l := newLeader()
+	n := Need{Job: "g", CPUs: 14, GPUs: 2, MemoryGB: 50, OneZone: true, Gang: true, Count: 4, Rank: 2, Waited: time.Second}
+	sum := Summary{Part: 0, Needs: []Need{n}}
+	for _, id := range []string{"a", "b", "c"} {
+		m := idleMachine(id, "z2", false)
+		m.For = "g"
+		sum.Machines = append(sum.Machines, m)
+	}
+	other := idleMachine("d", "z2", false)
+	other.For = "x"
+	sum.Machines = append(sum.Machines, other)
+	_, rents := l.Plan([]Summary{sum}, start)
+	if len(rents) != 1 || rents[0].Zone != "z2" || len(rents[0].Parts) != 1 {
+		t.Fatalf("rents %+v, want the one machine missing in z2", rents)
+	}
+}
+
+// Of the unused machines those with the most images are kept.
+func TestKeepsMachinesWithImages(t *testing.T) {
+	l := newLeader()
+	a, b := idleMachine("a", "z1", false), idleMachine("b", "z1", false)
+	a.Idle, b.Idle = time.Hour, time.Hour-time.Second
+	a.Images = []string{"x", "y"}
+	orders, _ := l.Plan([]Summary{{Part: 0, Machines: []Machine{a, b}, Arriving: 0.1}}, start)
+	if len(orders) != 1 || orders[0].Machine != "b" {
+		t.Fatalf("orders %v, want the one without images back", orders)
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -41,6 +41,7 @@
 	TopRank  int // highest priority of its tasks
 	Idle     time.Duration
 	Images   []string // believed to be cached
+	For      string   // job that it is kept for
 }
 
 // Summary is one part's state for the leader.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -100,6 +100,7 @@
 
 // place starts what can be started: team by team, in turn by shares.
 func (p *Part) place(now time.Time) {
+	p.gathers = nil
 	queues := map[string][]*Job{}
 	for _, j := range p.jobs {
 		if !p.waiting(j, now) {
@@ -176,6 +177,9 @@
 		if j.stuck.IsZero() {
 			j.stuck = now
 		}
+		if j.spec.Kind == wire.Gang && p.gathers == nil {
+			p.gather(j, n, now)
+		}
 		p.makeRoom(j, n, now)
 		return false
 	}
@@ -208,6 +212,63 @@
 	return j.firstIdle
 }
 
+// gather keeps the machines that are free for the first gang that waits, in the
+// zone that has most for it, so that smaller work can't take them one by one.
+// Only one gang of a part gathers at a time: several could hold up each other.
+func (p *Part) gather(j *Job, n int, now time.Time) {
+	p.gathers = j
+	byZone := map[string][]*Machine{}
+	units := map[string]int{}
+	for _, m := range p.machines {
+		if !allows(j.spec, m) || !p.usable(m, now) || (m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT)) {
+			continue
+		}
+		fits := 0
+		for r := free(m); fits < n && roomFor(j.spec, r.cpus, r.gpus, r.mem); r = r.less(j.spec, 1) {
+			fits++
+		}
+		if fits == 0 {
+			continue
+		}
+		z := m.Zone
+		if !j.spec.OneZone {
+			z = ""
+		}
+		byZone[z] = append(byZone[z], m)
+		units[z] += fits
+	}
+	best, most := "", 0
+	for z, u := range units {
+		if u > most || (u == most && z < best) {
+			best, most = z, u
+		}
+	}
+	for _, m := range p.machines {
+		if m.reserved == j.ref && !m.clearing() {
+			m.reserved, m.reservedN = "", 0
+		}
+	}
+	for _, m := range byZone[best] {
+		if m.reserved == "" || !now.Before(m.reservedT) {
+			m.reserve(j, 1, now.Add(gatherFor))
+		}
+	}
+	p.alarm(now.Add(gatherFor / 2))
+}
+
+// gatherFor is how long a free machine is kept for a gang unless that is renewed.
+const gatherFor = 4 * time.Second
+
+// clearing reports whether tasks on a machine are being stopped.
+func (m *Machine) clearing() bool {
+	for _, t := range m.on {
+		if t.stop {
+			return true
+		}
+	}
+	return false
+}
+
 // find chooses a machine for each of n tasks of j, nil if there is no room for
 // all of them.
 func (p *Part) find(j *Job, n int, now time.Time) []*Machine {
@@ -230,21 +291,22 @@
 	if len(cands) == 0 {
 		return nil
 	}
+	scores := make(map[*Machine]float64, len(cands))
+	for _, m := range cands {
+		scores[m] = p.score(j, m)
+	}
 	sort.Slice(cands, func(a, b int) bool {
-		x, y := p.score(j, cands[a]), p.score(j, cands[b])
-		if x != y {
+		if x, y := scores[cands[a]], scores[cands[b]]; x != y {
 			return x > y
 		}
 		return cands[a].ID < cands[b].ID
 	})
 	zones := map[string]int{}
 	only := ""
-	for _, m := range p.machines {
-		for k := range m.on {
-			if k.job == j {
-				zones[m.Zone]++
-				only = m.Zone
-			}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == placed {
+			zones[t.machine.Zone]++
+			only = t.machine.Zone
 		}
 	}
 	limit := len(j.tasks)
@@ -257,17 +319,29 @@
 	if only != "" {
 		return pick(s, cands, n, zones, limit, only)
 	}
+	// The zone that serves the whole gang best: it starts when the last of its
+	// tasks has the image.
+	var best []*Machine
+	bestScore := math.Inf(-1)
 	tried := map[string]bool{}
 	for _, m := range cands {
 		if tried[m.Zone] {
 			continue
 		}
 		tried[m.Zone] = true
-		if got := pick(s, cands, n, zones, limit, m.Zone); got != nil {
-			return got
+		got := pick(s, cands, n, zones, limit, m.Zone)
+		if got == nil {
+			continue
+		}
+		sum := 0.0
+		for _, g := range got {
+			sum += scores[g]
+		}
+		if sum > bestScore {
+			best, bestScore = got, sum
 		}
 	}
-	return nil
+	return best
 }
 
 // pick takes machines in order, several tasks to one where they fit.
@@ -296,7 +370,8 @@
 
 // score ranks a machine for a task: one that caches its image first (DESIGN's
 // stand-in for sending fragments to the data), then a spot machine where the
-// job may use one, then the fullest, so that whole machines stay free.
+// job may use one, then the fullest, so that whole machines stay free, and of
+// these the one with the fewest images, so that caches stay for whom they serve.
 func (p *Part) score(j *Job, m *Machine) float64 {
 	v := 0.0
 	if m.hasImage(j.spec.Image) {
@@ -319,5 +394,5 @@
 	if m.Type.CPUs > 0 {
 		used = math.Max(used, m.cpus/m.Type.CPUs)
 	}
-	return v + 20*used
+	return v + 20*used - float64(len(m.images))/2
 }
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -177,18 +177,25 @@
 		}
 	}
 	coming := 0
+	limit := len(j.tasks)
+	if s.Spread {
+		limit = (limit + 1) / 2
+	}
 	for _, m := range p.machines {
 		n := m.heldFor(j, now)
+		if n == 0 {
+			continue
+		}
+		if f := free(m); !m.clearing() && (zones[m.Zone]+n > limit || !roomFor(s, f.cpus, f.gpus, f.mem)) {
+			m.reserved, m.reservedN = "", 0 // of no use any more
+			continue
+		}
 		coming += n
 		zones[m.Zone] += n
 	}
 	if coming >= j.nIdle {
 		return true, false
 	}
-	limit := len(j.tasks)
-	if s.Spread {
-		limit = (limit + 1) / 2
-	}
 	var best *Machine
 	var victim key
 	bestLoss := math.Inf(1)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -1239,3 +1239,24 @@
 		t.Fatalf("the array is on %q and %q, want it to go on elsewhere", a, b)
 	}
 }
+
+// Machines that come one by one are kept for the gang that waits: smaller work
+// of its priority and below can't starve it.
+func TestGangGathersMachines(t *testing.T) {
+	r := newRig(t)
+	g := spec("run-000001", "b", wire.Gang, "urgent", 3, 2)
+	g.OneZone = true
+	r.submit(g)
+	for i := range 3 {
+		r.submit(spec(fmt.Sprintf("run-00001%d", i), "b", wire.Gang, "urgent", 1, 2))
+		r.submit(spec(fmt.Sprintf("run-00002%d", i), "b", wire.Array, "normal", 2, 1))
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+		r.beats(2)
+	}
+	r.beats(2)
+	for i := range 3 {
+		if name := fmt.Sprintf("run-000001/%d", i); r.on(name) == "" {
+			t.Errorf("%s was starved by smaller work", name)
+		}
+	}
+}
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -68,7 +68,7 @@
 			fm.Images = append(fm.Images, i.Name)
 		}
 		if m.reserved != "" && now.Before(m.reservedT) {
-			fm.Usable = false
+			fm.For = m.reserved
 		}
 		for k := range m.on {
 			fm.TopRank = max(fm.TopRank, k.job.rank)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -272,6 +272,7 @@
 	leaveAt  time.Time // when that batch is due
 	back     *batch
 	backs    int
+	gathers  *Job // the gang that machines are kept for in this pass
 	blind    bool // cancellations told elsewhere may be unknown here
 	teams    map[string]*usage
 	out      Effects
