--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -92,6 +92,9 @@
 			go c.direct(p, d)
 		}
 	}
+	for _, g := range eff.Given {
+		c.log.Info("giving back", "machine", g.Machine, "part", p.ID(), "why", g.Why, "tasks", g.Tasks, "silent", g.Silent.Round(time.Millisecond))
+	}
 	for _, e := range eff.Ended {
 		c.log.Debug("job over", "ref", e.Ref, "class", e.Class, "state", e.State, "took", e.Took.Round(time.Millisecond), "estimate", e.Estimate,
 			"tasks", e.Tasks, "attempts", e.Attempts)
--- a/internal/sched/care.go
+++ b/internal/sched/care.go
@@ -43,14 +43,18 @@
 		if m.txn != nil || m.unsure || m.Phase != record.InUse || now.Before(m.retry) {
 			continue
 		}
+		// Only the answered return proves gone what may run there.
 		switch {
-		case p.silent(m, now), p.overdue(m, now), p.hopeless(m, now):
-			// Only the answered return proves its tasks gone.
-			p.giveBack(m, now)
+		case p.silent(m, now):
+			p.giveBack(m, "silent", now)
+		case p.overdue(m, now):
+			p.giveBack(m, "never came up", now)
+		case p.hopeless(m, now):
+			p.giveBack(m, "no answer reaches it", now)
 		case m.drain:
 			p.clear(m, now)
 			if len(m.on) == 0 {
-				p.giveBack(m, now)
+				p.giveBack(m, "drained", now)
 			}
 		case m.moveTo >= 0 && len(m.on) == 0 && m.fenced && m.settled():
 			p.moveTxn(m)
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -178,7 +178,8 @@
 
 // giveBack makes a machine leave for good. Only the answered return, as its
 // batch's record tells, proves gone what may run on it.
-func (p *Part) giveBack(m *Machine, now time.Time) {
+func (p *Part) giveBack(m *Machine, why string, now time.Time) {
+	p.out.Given = append(p.out.Given, Give{Machine: m.ID, Why: why, Tasks: len(m.on), Silent: now.Sub(m.heard)})
 	m.Phase = record.Returning
 	if len(p.leaving) == 0 {
 		p.leaveAt = now.Add(p.cfg.GatherBacks)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -101,6 +101,13 @@
 	Tasks, Attempts   int // attempts: of the task that needed most
 }
 
+// Give tells why a machine is given back, for the log.
+type Give struct {
+	Machine, Why string
+	Tasks        int
+	Silent       time.Duration
+}
+
 // Start tells how a task came to run, for the log.
 type Start struct {
 	Task, Class, Machine                   string
@@ -255,6 +262,7 @@
 	Wake           []string // machines for which a start is ready
 	Started        []Start  // tasks seen to run for the first time
 	Ended          []End    // jobs that are over
+	Given          []Give   // machines to be given back
 }
 
 type usage struct{ cpus, gpus float64 }
