--- a/internal/sched/care.go
+++ b/internal/sched/care.go
@@ -83,12 +83,13 @@
 	}
 	heard, quiet := 0, 0
 	for _, o := range p.machines {
-		if o == m || !o.up || o.Zone != m.Zone {
+		if o == m || o.Zone != m.Zone || (!o.up && len(o.on) == 0) {
 			continue
 		}
-		// Machines cut off together fall silent within one report's time:
-		// only one heard well after m speaks against m.
-		if now.Sub(o.heard) < limit/2 {
+		// Machines cut off together fall silent within one report's time: only
+		// one heard well after m speaks against m. When the cut ends they come
+		// back one by one: only one heard for as long as m is given does.
+		if o.up && now.Sub(o.heard) < limit/2 && now.Sub(o.steady) > limit {
 			heard++
 		} else {
 			quiet++
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -43,6 +43,9 @@
 	// be late copies: only one under our own token proves the machine alive.
 	live := r.Token == token || !m.inherited
 	if live {
+		if !m.up || now.Sub(m.heard) > p.cfg.SilentAfter {
+			m.steady = now
+		}
 		m.heard = now
 	}
 	if live && !m.up {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -530,6 +530,34 @@
 	}
 }
 
+// After a cut the machines of a zone come back one by one: those that were
+// heard first must not make the others count as lost, neither to an owner that
+// knew them nor to one that took over meanwhile.
+func TestZoneComesBackTogether(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		r := newRig(t)
+		var ws []*testkit.Worker
+		for i := range 6 {
+			ws = append(ws, r.machine(fmt.Sprintf("m%d", i), "z1", false))
+		}
+		r.submit(spec("run-000001", "b", wire.Service, "prod", 6, 2))
+		r.beats(10)
+		if takeOver {
+			r.claim()
+		}
+		r.clock.Advance(15 * time.Second)
+		r.settle()
+		for i := range ws {
+			r.beat(ws[:i+1]...)
+			r.clock.Advance(-r.cfg.Report * 3 / 4)
+		}
+		r.beats(3)
+		if len(r.cloud.Returned) != 0 {
+			t.Errorf("take-over %t: returned %v", takeOver, r.cloud.Returned)
+		}
+	}
+}
+
 // The team's limit counts tasks that can't be reached.
 func TestLimitCountsUnreachable(t *testing.T) {
 	r := newRig(t)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -188,6 +188,7 @@
 	fenced    bool // has reported our token
 	inherited bool // may hold what an earlier owner started
 	heard     time.Time
+	steady    time.Time // since when it was heard without a gap
 	answered  time.Time // when a report of this session was last answered
 	muteAt    time.Time // since when no answer seems to reach it; zero: they do
 	missed    int       // reports in a row that lacked a start sent before
