--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -284,8 +284,8 @@
 					}
 					return config.Seconds(c.policy.IdleS(m))
 				},
-				Headroom: func(arriving float64, boot time.Duration) float64 {
-					return c.policy.Headroom(policy.Arrivals{Arriving: arriving, BootS: boot.Seconds()})
+				Headroom: func(arriving float64, boot time.Duration, spot bool) float64 {
+					return c.policy.Headroom(policy.Arrivals{Arriving: arriving, BootS: boot.Seconds(), Spot: spot})
 				},
 				Refused: refusedPause,
 			}),
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"syscall"
 	"time"
 
 	"bramblespur/internal/config"
@@ -70,7 +72,8 @@
 	// Its place is here, or it was sent on and has come back: relay.
 	go func() {
 		var rr peer.ReportReply
-		if err := peerc.Call("Report", r, &rr, relayTimeout); err == nil && rr.Status != 0 {
+		err := peerc.Call("Report", r, &rr, relayTimeout)
+		if err == nil && rr.Status != 0 {
 			switch rr.Status {
 			case 200:
 				answer(reply{status: 200, body: rr.Orders})
@@ -79,7 +82,18 @@
 			}
 			return
 		}
-		c.log.Debug("report not relayed", "machine", r.Machine, "owner", owner)
+		c.log.Debug("report not relayed", "machine", r.Machine, "owner", owner, "err", err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.mu.Lock()
+			now := time.Now()
+			c.peerRefused[owner] = now
+			to := c.sendOn(m.Zone, r.Machine, owner, now)
+			c.mu.Unlock()
+			if to != "" {
+				answer(reply{status: 421, body: wire.Redirect{Label: to}})
+				return
+			}
+		}
 		c.keep(&r, token, answer)
 	}()
 }
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -20,9 +20,9 @@
 	TakeAfter time.Duration
 	// Idle is how long an unused machine is kept.
 	Idle func(t wire.MachineType, spot bool) time.Duration
-	// Headroom is how many unused ordinary machines a part should have, given
+	// Headroom is how many unused machines of a kind a part should have, given
 	// what arrives there, in machines a second, and how long one boots.
-	Headroom func(arriving float64, boot time.Duration) float64
+	Headroom func(arriving float64, boot time.Duration, spot bool) float64
 	// Refused is the pause after the cloud had nothing of a kind.
 	Refused time.Duration
 }
@@ -159,7 +159,8 @@
 		}
 		l.rent(n, bins, &fresh, now)
 	}
-	l.ahead(sums, bins, &fresh, now)
+	l.ahead(sums, bins, &fresh, false, now)
+	l.ahead(sums, bins, &fresh, true, now)
 	at := map[pool]int{}
 	for _, b := range fresh {
 		p := pool{b.Type, b.Zone, b.Spot}
@@ -360,9 +361,9 @@
 	return slices.DeleteFunc(offers, func(o offer) bool { return o.zone != zone })
 }
 
-// headroom says how many unused machines each part should have, from what has
-// lately arrived there and how long a new machine takes.
-func (l *Leader) headroom(sums []Summary) (want map[int]float64, total int) {
+// headroom says how many unused machines of a kind each part should have, from
+// what has lately arrived there and how long a new machine takes.
+func (l *Leader) headroom(sums []Summary, spot bool) (want map[int]float64, total int) {
 	boot := time.Duration(0)
 	for _, t := range l.cfg.Types {
 		boot = max(boot, time.Duration(t.BootS*float64(time.Second)))
@@ -370,19 +371,23 @@
 	want = map[int]float64{}
 	sum := 0.0
 	for _, s := range sums {
-		want[s.Part] = l.cfg.Headroom(s.Arriving, boot)
+		arriving := s.Arriving
+		if spot {
+			arriving = s.ArrivingSpot
+		}
+		want[s.Part] = l.cfg.Headroom(arriving, boot, spot)
 		sum += want[s.Part]
 	}
 	return want, int(sum + 0.5)
 }
 
-// ahead rents the headroom: ordinary machines with nothing to do, since a boot
+// ahead rents the headroom of a kind: machines with nothing to do, since a boot
 // and an image take longer than most work may wait.
-func (l *Leader) ahead(sums []Summary, bins []*bin, fresh *[]*bin, now time.Time) {
-	want, target := l.headroom(sums)
+func (l *Leader) ahead(sums []Summary, bins []*bin, fresh *[]*bin, spot bool, now time.Time) {
+	want, target := l.headroom(sums, spot)
 	total := 0
 	for _, b := range append(slices.Clone(bins), *fresh...) {
-		if !b.Spot && b.Tasks == 0 && !b.taken {
+		if b.Spot == spot && b.Tasks == 0 && !b.taken {
 			want[b.part]--
 			total++
 		}
@@ -396,8 +401,8 @@
 		}
 		want[best]--
 		var o *offer
-		for _, c := range l.offers(&Need{}, bins, *fresh, now) {
-			if !c.spot {
+		for _, c := range l.offers(&Need{Spot: spot}, bins, *fresh, now) {
+			if c.spot == spot {
 				o = &c
 				break
 			}
@@ -405,13 +410,15 @@
 		if o == nil {
 			return
 		}
-		*fresh = append(*fresh, &bin{part: best, Machine: Machine{Type: o.typ, Zone: o.zone, CPUs: o.t.CPUs, GPUs: o.t.GPUs, MemoryGB: o.t.MemoryGB}})
+		*fresh = append(*fresh, &bin{part: best, Machine: Machine{Type: o.typ, Zone: o.zone, Spot: spot, CPUs: o.t.CPUs, GPUs: o.t.GPUs, MemoryGB: o.t.MemoryGB}})
 	}
 }
 
 // returns gives back machines unused for long, keeping the headroom.
 func (l *Leader) returns(sums []Summary, bins []*bin) []Order {
-	_, headroom := l.headroom(sums)
+	_, ordinary := l.headroom(sums, false)
+	_, spots := l.headroom(sums, true)
+	headroom := map[bool]int{false: ordinary, true: spots}
 	var idle []*bin
 	for _, b := range bins {
 		if b.Up && b.Tasks == 0 && b.For == "" && !b.taken {
@@ -426,11 +433,10 @@
 		}
 		return idle[a].Idle < idle[b].Idle
 	})
-	kept := 0
 	var orders []Order
 	for _, b := range idle {
-		if !b.Spot && kept < headroom {
-			kept++
+		if headroom[b.Spot] > 0 {
+			headroom[b.Spot]--
 			continue
 		}
 		if t := l.typ(b.Type); t != nil && b.Idle > l.cfg.Idle(*t, b.Spot) {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -51,6 +51,8 @@
 	Machines []Machine
 	// Arriving is what has lately arrived that must start soon, in machines a second.
 	Arriving float64
+	// ArrivingSpot is the same of work that may use spot machines.
+	ArrivingSpot float64
 }
 
 // String is a summary in short, for the log.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// errDial says that there is no connection to a peer.
+var errDial = errors.New("peer: no connection to")
+
 // ErrTimeout says that a peer did not answer in time.
 var ErrTimeout = errors.New("peer: no answer in time")
 
@@ -155,7 +158,7 @@
 	}
 	nc, err := net.DialTimeout("tcp4", c.addr, timeout)
 	if err != nil {
-		return nil, fmt.Errorf("peer %s: %w", c.addr, err)
+		return nil, fmt.Errorf("%w %s: %w", errDial, c.addr, err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -168,8 +171,19 @@
 }
 
 // Call calls a method of the peer's service. A peer that does not answer in
-// time loses its connection, which may hang in silence.
+// time loses its connection, which may hang in silence. One that has broken is
+// made again once: what is called does no harm when it comes twice.
 func (c *Client) Call(method string, args, reply any, timeout time.Duration) error {
+	until := time.Now().Add(timeout)
+	err := c.call(method, args, reply, timeout)
+	var answered rpc.ServerError
+	if err == nil || errors.As(err, &answered) || errors.Is(err, ErrTimeout) || errors.Is(err, errDial) {
+		return err
+	}
+	return c.call(method, args, reply, time.Until(until))
+}
+
+func (c *Client) call(method string, args, reply any, timeout time.Duration) error {
 	k, err := c.conn(timeout)
 	if err != nil {
 		return err
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -28,6 +28,7 @@
 type Arrivals struct {
 	Arriving float64 `expr:"arriving"` // machines' worth of work a second
 	BootS    float64 `expr:"boot_s"`
+	Spot     bool    `expr:"spot"` // of work that may use spot machines, in such machines
 }
 
 // Machine is what an idle time may depend on.
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -272,7 +272,8 @@
 const arrivalFade = 60 * time.Second
 
 // arrive counts a job for the headroom if it is of the kind that must start
-// soon: no spot machine will do, or its team is guaranteed.
+// soon: no spot machine will do, or its team is guaranteed. What may use spot
+// machines is counted apart: they are what is kept ready for it.
 func (p *Part) arrive(j *Job, now time.Time) {
 	t := p.cfg.Teams[j.spec.Team]
 	if j.spec.Spot && t.CPUs <= 0 && t.GPUs <= 0 {
@@ -286,21 +287,27 @@
 		}
 		share = min(share, s)
 	}
+	p.fade(now)
 	n := float64(j.spec.Tasks)
-	if j.spec.Kind == wire.Array {
-		n = min(n, arrayAhead)
+	switch {
+	case j.spec.Spot:
+		p.arrivedSpot += n * share
+	case j.spec.Kind == wire.Array:
+		p.arrived += min(n, arrayAhead) * share
+	default:
+		p.arrived += n * share
 	}
-	p.fade(now)
-	p.arrived += n * share
 }
 
-// arrayAhead bounds the tasks of an array that count as expected: the rest of
-// it starts where there is room.
+// arrayAhead bounds the tasks of an array that count as expected in ordinary
+// machines, which cost more: the rest of it starts where there is room.
 const arrayAhead = 2
 
 func (p *Part) fade(now time.Time) {
 	if !p.arriveAt.IsZero() {
-		p.arrived *= math.Exp(-now.Sub(p.arriveAt).Seconds() / arrivalFade.Seconds())
+		f := math.Exp(-now.Sub(p.arriveAt).Seconds() / arrivalFade.Seconds())
+		p.arrived *= f
+		p.arrivedSpot *= f
 	}
 	p.arriveAt = now
 }
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -12,7 +12,7 @@
 // Summary tells the leader what waits and what the part's machines do.
 func (p *Part) Summary(now time.Time) fleet.Summary {
 	p.fade(now)
-	s := fleet.Summary{Part: p.id, Arriving: p.arrived / arrivalFade.Seconds()}
+	s := fleet.Summary{Part: p.id, Arriving: p.arrived / arrivalFade.Seconds(), ArrivingSpot: p.arrivedSpot / arrivalFade.Seconds()}
 	for _, j := range p.jobs {
 		if !p.waiting(j, now) || now.Before(j.hold) {
 			continue
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -290,8 +290,9 @@
 	ending   map[string]*Job // jobs whose end is to be recorded
 	lastCare time.Time
 	cut      map[string]bool
-	arrived  float64 // machines' worth that arrived, fading
-	arriveAt time.Time
+	// Machines' worth that arrived, fading; what may use spot machines apart.
+	arrived, arrivedSpot float64
+	arriveAt             time.Time
 }
 
 // New makes the core of a part claimed under a token.
