--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -21,7 +21,7 @@
 	silentReports = 3               // reports missed before a machine counts as lost
 	silentExtra   = 2 * time.Second // on top of them
 	bootFactor    = 3               // of the nominal boot time, before a machine is replaced
-	preemptAfter  = 1 * time.Second // a free machine from another part may come first
+	preemptAfter  = 2 * time.Second // a free machine from another part may come first
 	gatherEnds    = time.Second     // of the 3 s by which a told state may lag
 	gatherStarts  = 150 * time.Millisecond
 	gatherBacks   = 2 * time.Second // unused machines cost little in that time
