--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -277,8 +277,8 @@
 		c.lead = &leading{
 			plan: fleet.NewLeader(fleet.Config{
 				Types: c.types, Zones: c.cfg.Params.Zones, Interval: balanceEvery, MoveAfter: moveAfter, TakeAfter: takeAfter,
-				Idle: func(t wire.MachineType, spot bool, images int) time.Duration {
-					m := policy.Machine{Type: t.Name, Spot: spot, Price: t.Price, BootS: t.BootS, Images: images}
+				Idle: func(t wire.MachineType, spot bool) time.Duration {
+					m := policy.Machine{Type: t.Name, Spot: spot, Price: t.Price, BootS: t.BootS}
 					if spot {
 						m.Price = t.SpotPrice
 					}
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -19,7 +19,7 @@
 	MoveAfter time.Duration
 	TakeAfter time.Duration
 	// Idle is how long an unused machine is kept.
-	Idle func(t wire.MachineType, spot bool, images int) time.Duration
+	Idle func(t wire.MachineType, spot bool) time.Duration
 	// Headroom is how many unused machines of a kind a part should have, given
 	// what arrives there, in machines a second, and how long one boots.
 	Headroom func(arriving float64, boot time.Duration, spot bool) float64
@@ -439,7 +439,7 @@
 			headroom[b.Spot]--
 			continue
 		}
-		if t := l.typ(b.Type); t != nil && b.Idle > l.cfg.Idle(*t, b.Spot, len(b.Images)) {
+		if t := l.typ(b.Type); t != nil && b.Idle > l.cfg.Idle(*t, b.Spot) {
 			orders = append(orders, Order{Part: b.part, Machine: b.ID, To: Back})
 		}
 	}
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -11,7 +11,7 @@
 
 func newLeader() *Leader {
 	return NewLeader(Config{Types: testTypes, Zones: []string{"z1", "z2"}, Interval: 30 * time.Second, TakeAfter: 3 * time.Second,
-		Idle:     func(wire.MachineType, bool, int) time.Duration { return 30 * time.Second },
+		Idle:     func(wire.MachineType, bool) time.Duration { return 30 * time.Second },
 		Headroom: func(arriving float64, boot time.Duration, _ bool) float64 { return arriving * boot.Seconds() / 2 }, Refused: 10 * time.Second})
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -37,8 +37,6 @@
 	Spot  bool    `expr:"spot"`
 	Price float64 `expr:"price"` // an hour
 	BootS float64 `expr:"boot_s"`
-	// Images is how many images it caches.
-	Images int `expr:"images"`
 }
 
 // Job is what an urgency may depend on.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -372,8 +372,6 @@
 // stand-in for sending fragments to the data), then a spot machine where the
 // job may use one, then the fullest, so that whole machines stay free, and of
 // these the one with the fewest images, so that caches stay for whom they serve.
-// Gangs take whole machines: theirs are those with the most images, which are
-// kept longest, so that each comes to cache what gangs use.
 func (p *Part) score(j *Job, m *Machine) float64 {
 	v := 0.0
 	if m.hasImage(j.spec.Image) {
@@ -396,9 +394,5 @@
 	if m.Type.CPUs > 0 {
 		used = math.Max(used, m.cpus/m.Type.CPUs)
 	}
-	images := float64(len(m.images)) / 2
-	if j.spec.Kind != wire.Gang {
-		images = -images
-	}
-	return v + 20*used + images
+	return v + 20*used - float64(len(m.images))/2
 }
