--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -521,10 +521,11 @@
 		now := time.Now()
 		c.mu.Lock()
 		cut := c.cutZones(now)
-		blind := c.blind(now)
+		blind, backlog := c.blind(now), c.store.Backlog()
 		for _, p := range c.parts {
 			p.SetCut(cut)
 			p.SetBlind(blind)
+			p.SetBacklog(backlog)
 			c.pump(p, now)
 		}
 		c.considerClaims(ctx, now)
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -44,7 +44,7 @@
 		// the other share one, too.
 		due := s.since.Add(p.cfg.GatherEnds)
 		if s.urgent {
-			due = s.written.Add(p.cfg.GatherStarts)
+			due = s.written.Add(p.cfg.GatherStarts + p.backlog)
 		}
 		if now.Before(due) {
 			p.alarm(due)
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -363,6 +363,13 @@
 	p.changed = true
 }
 
+// SetBacklog tells how long changes wait for the state service's budget: the
+// longer, the more of them share a write.
+func (p *Part) SetBacklog(d time.Duration) { p.backlog = min(d, maxBacklog) }
+
+// maxBacklog bounds what a start waits for others on top of the usual.
+const maxBacklog = time.Second
+
 // SetBlind tells whether cancellations told to users by other controllers may
 // be unknown here: nothing is started then, not even what was recorded before.
 func (p *Part) SetBlind(blind bool) { p.blind = blind }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -281,8 +281,9 @@
 	leaveAt  time.Time // when that batch is due
 	back     *batch
 	backs    int
-	gathers  *Job // the gang that machines are kept for in this pass
-	blind    bool // cancellations told elsewhere may be unknown here
+	gathers  *Job          // the gang that machines are kept for in this pass
+	backlog  time.Duration // how long changes wait for the state service's budget
+	blind    bool          // cancellations told elsewhere may be unknown here
 	teams    map[string]*usage
 	out      Effects
 	changed  bool // something that may allow a placement
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -57,6 +57,8 @@
 	// Needed returns the requests and changes made since the last call, and
 	// those that wait for the budget.
 	Needed() (requests, changes int)
+	// Backlog is how long the changes that wait now will take.
+	Backlog() time.Duration
 	// Counts returns what was used since the last call, by purpose.
 	Counts() map[string]Count
 }
@@ -117,6 +119,13 @@
 	return requests, changes
 }
 
+// Backlog implements Store.
+func (c *Client) Backlog() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(float64(c.queued[changes]) / float64(c.changes.Limit()) * float64(time.Second))
+}
+
 // Counts implements Store.
 func (c *Client) Counts() map[string]Count {
 	c.mu.Lock()
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -198,6 +198,9 @@
 // Needed implements statestore.Store.
 func (s *State) Needed() (requests, changes int) { return 0, 0 }
 
+// Backlog implements statestore.Store.
+func (s *State) Backlog() time.Duration { return 0 }
+
 // Counts implements statestore.Store.
 func (s *State) Counts() map[string]statestore.Count { return nil }
 
