--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -85,6 +85,9 @@
 	peerState   map[string]time.Time // last time the peer said it reached the state service
 	heardAny    time.Time
 	lead        *leading
+	own         *planning // when the leader does not reach this controller
+	wishes      int       // numbers its rentals, never used again under one token
+	syncedAt    time.Time // when the leader last asked
 	quietUntil  time.Time // not to lead before
 	started     time.Time
 	hears       hearing // as the member record says
@@ -159,6 +162,7 @@
 }
 
 func (c *Controller) init() {
+	c.syncedAt = time.Now()
 	c.peers = map[string]*peer.Client{}
 	c.parts = map[int]*sched.Part{}
 	c.claiming = map[int]bool{}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"log/slog"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
 	"bramblespur/internal/config"
+	"bramblespur/internal/fleet"
 	"bramblespur/internal/httpwire"
 	"bramblespur/internal/peer"
 	"bramblespur/internal/policy"
@@ -439,3 +441,195 @@
 		t.Errorf("sent on to %q again after it came back", to)
 	}
 }
+
+// An owner that the leader does not reach records what it would rent; the
+// leader carries that out under the recorded name, and the machines are the
+// owner's.
+func TestRentalsOfAnOwnerAlone(t *testing.T) {
+	ctx := context.Background()
+	state, cl := testkit.NewState(), &testkit.Cloud{}
+	c, leader := newTest(t, state), newTest(t, state)
+	c.cloud, leader.cloud = cl, cl
+	c.submit(body(t, nil))
+	if err := c.takeOver(ctx, 0, versioned[record.Part]{}, 1); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	c.planAlone(ctx, now)
+	if c.own != nil {
+		t.Fatal("plans for itself though the leader asked a moment ago")
+	}
+	c.syncedAt = now.Add(-time.Minute)
+	c.planAlone(ctx, now)
+	c.planAlone(ctx, now)
+	var name string
+	for range 1000 { // the write is another goroutine's
+		entries, _, err := state.List(ctx, statestore.Urgent("test"), record.RentalPrefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(entries) > 0 {
+			name = record.Last(entries[0].Key)
+			leader.resetFleet(entries, now)
+			break
+		}
+		runtime.Gosched()
+	}
+	if name == "" {
+		t.Fatal("no rental recorded")
+	}
+	l := &leading{plan: fleet.NewLeader(leader.fleetConfig()), rentals: map[string]record.Rental{}}
+	r := leader.fleet.Unfinished()[name]
+	leader.finishRental(ctx, l, name, r.Rec, r.Version)
+	if len(cl.Rentals[name]) == 0 {
+		t.Fatalf("rentals %v, want %s", cl.Rentals, name)
+	}
+	if v, ok := leader.fleet.Machine(cl.Rentals[name][0]); !ok || v.Part != 0 {
+		t.Fatalf("machine %+v, want it in the owner's part", v)
+	}
+	leader.mu.Lock()
+	leader.takeUp(ctx, l)
+	leader.mu.Unlock()
+	if len(cl.Rentals) != 1 {
+		t.Fatalf("rentals %v, want one only", cl.Rentals)
+	}
+}
+
+// A leader is one incarnation: after a restart the label alone does not lead,
+// and what the earlier life asks late fails.
+func TestLeaderIsAnIncarnation(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	before, after := newTest(t, state), newTest(t, state)
+	before.inc, after.inc = 1, 2
+	before.stand(ctx, versioned[record.Head]{})
+	now := time.Now()
+	if !before.leads(now) {
+		t.Fatal("does not lead")
+	}
+	after.leader = before.leader // as the watch tells the next life
+	if after.leads(now) {
+		t.Fatal("leads by its label")
+	}
+	after.stand(ctx, after.leader)
+	if !after.leads(now) {
+		t.Fatal("the next life can't lead")
+	}
+	stale := before.leader
+	before.stand(ctx, stale) // late
+	if e, err := state.Get(ctx, statestore.Urgent("test"), record.Leader); err != nil || e.Version != after.leader.version {
+		t.Fatalf("record %+v, %v: the earlier life took the lead back", e, err)
+	}
+	if _, err := state.Txn(ctx, statestore.Urgent("test"), wire.Txn{
+		If:   []wire.Cond{{Key: record.RentalKey("x")}, {Key: record.Leader, Version: stale.version}},
+		Then: []wire.Op{{Put: record.RentalKey("x"), Value: record.Encode(record.Rental{})}},
+	}); err == nil {
+		t.Fatal("a rental decided under the earlier lead was recorded")
+	}
+}
+
+// Whatever the order of outages, restarts, take-overs and views read anew,
+// every accepted job answers once they are over, with nothing older than what
+// was told before.
+func TestKnownAgain(t *testing.T) {
+	ctx := context.Background()
+	events := map[string]func(*testkit.State, *Controller) *Controller{
+		"outage": func(s *testkit.State, c *Controller) *Controller {
+			s.Outage(true)
+			c.resetOpen(nil, time.Now())
+			if got := c.poll("run-000001"); got.status == 404 {
+				t.Error("forgotten in an outage")
+			}
+			s.Outage(false)
+			return c
+		},
+		"restart": func(s *testkit.State, c *Controller) *Controller { return newTest(t, s) },
+		"take over": func(s *testkit.State, c *Controller) *Controller {
+			if err := c.takeOver(ctx, 0, c.partRecs[0], 2); err != nil {
+				t.Error(err)
+			}
+			return c
+		},
+		"views lost": func(s *testkit.State, c *Controller) *Controller {
+			c.resetOpen(nil, time.Now())
+			return c
+		},
+		"views read anew": func(s *testkit.State, c *Controller) *Controller {
+			open, _, err := s.List(ctx, statestore.Urgent("test"), record.OpenPrefix)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.resetOpen(open, time.Now())
+			return c
+		},
+	}
+	for a, first := range events {
+		for b, second := range events {
+			state := testkit.NewState()
+			c := newTest(t, state)
+			for i, ref := range []string{"run-000001", "run-000002", "run-000003"} {
+				if got := c.submit(body(t, set("ref", ref))); got.status != 201 {
+					t.Fatalf("%s: %+v", ref, got)
+				}
+				if i == 1 {
+					c.cancel(ref)
+				}
+			}
+			c = second(state, first(state, c))
+			c.resetOpen(nil, time.Now()) // without watched copies the records are read
+			for ref, want := range map[string]string{"run-000001": wire.Pending, "run-000002": wire.Cancelled, "run-000003": wire.Pending} {
+				got := c.poll(ref)
+				if st, ok := got.body.(wire.Status); got.status != 200 || !ok || st.State != want {
+					t.Errorf("%s then %s: %s answers %+v, want %s", a, b, ref, got, want)
+				}
+			}
+		}
+	}
+}
+
+// Polls that wait are answered by one comparison; what has changed since the
+// copy was watched is not confirmed.
+func TestPollsAreConfirmedTogether(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	var batch []*confirmation
+	for _, ref := range []string{"run-000001", "run-000002", "run-000003"} {
+		c.submit(body(t, set("ref", ref)))
+		batch = append(batch, &confirmation{wire.Cond{Key: record.OpenKey(ref), Version: c.open[ref].version}, make(chan bool, 1)})
+	}
+	other.cancel("run-000002")
+	c.confirm(ctx, batch)
+	for i, want := range []bool{true, false, true} {
+		if got := <-batch[i].done; got != want {
+			t.Errorf("poll %d confirmed %t, want %t", i, got, want)
+		}
+	}
+	state.Down = true
+	c.confirm(ctx, batch[:1])
+	if <-batch[0].done {
+		t.Error("confirmed without the state service")
+	}
+}
+
+// When changes were missed, the views are read anew: what is gone is dropped.
+func TestViewsReadAnew(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	now := time.Now()
+	c.submit(body(t, nil))
+	e := state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})
+	c.resetFleet([]wire.Entry{e}, now)
+	if _, ok := c.fleet.Machine("m"); !ok || len(c.open) != 1 {
+		t.Fatal("views are empty")
+	}
+	c.resetFleet(nil, now)
+	c.resetOpen(nil, now)
+	if _, ok := c.fleet.Machine("m"); ok || len(c.open) != 0 {
+		t.Fatal("views keep what is gone")
+	}
+	c.resetFleet([]wire.Entry{state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})}, now)
+	if _, ok := c.fleet.Machine("m"); !ok {
+		t.Fatal("what comes again is not taken in")
+	}
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -46,7 +46,6 @@
 	known    map[string]time.Time     // machines known at this time
 	started  time.Time
 	seq      int
-	resumed  bool
 	nextList time.Time
 	clearing time.Time
 	backs    map[string]bool // batches being given back
@@ -82,6 +81,7 @@
 		if !leads {
 			share = followerShare
 			c.pingPeers()
+			c.planAlone(ctx, time.Now())
 		}
 		c.cloud.Budget(c.cfg.Params.Cloud.RPS * share)
 		c.listen(ctx)
@@ -233,6 +233,7 @@
 	for _, id := range a.HandHome {
 		c.handHome(ctx, id)
 	}
+	c.syncedAt = now
 	c.setBudget(a.Requests, a.Changes, now)
 	r := peer.SyncReply{Summaries: c.summaries(now), StateOK: c.sure(now)}
 	if len(a.Orders) == 0 { // orders alone come between the leader's turns
@@ -270,37 +271,36 @@
 	}()
 }
 
+// fleetConfig is what the choices of rentals, moves and returns depend on.
+func (c *Controller) fleetConfig() fleet.Config {
+	return fleet.Config{
+		Types: c.types, Zones: c.cfg.Params.Zones, Interval: balanceEvery, MoveAfter: moveAfter, TakeAfter: takeAfter,
+		Idle: func(t wire.MachineType, spot bool) time.Duration {
+			m := policy.Machine{Type: t.Name, Spot: spot, Price: t.Price, BootS: t.BootS}
+			if spot {
+				m.Price = t.SpotPrice
+			}
+			return config.Seconds(c.policy.IdleS(m))
+		},
+		Headroom: func(arriving float64, boot time.Duration, spot bool) float64 {
+			return c.policy.Headroom(policy.Arrivals{Arriving: arriving, BootS: boot.Seconds(), Spot: spot})
+		},
+		Refused: refusedPause,
+	}
+}
+
 func (c *Controller) leadStep(ctx context.Context) {
 	now := time.Now()
 	c.mu.Lock()
 	if c.lead == nil {
 		c.lead = &leading{
-			plan: fleet.NewLeader(fleet.Config{
-				Types: c.types, Zones: c.cfg.Params.Zones, Interval: balanceEvery, MoveAfter: moveAfter, TakeAfter: takeAfter,
-				Idle: func(t wire.MachineType, spot bool) time.Duration {
-					m := policy.Machine{Type: t.Name, Spot: spot, Price: t.Price, BootS: t.BootS}
-					if spot {
-						m.Price = t.SpotPrice
-					}
-					return config.Seconds(c.policy.IdleS(m))
-				},
-				Headroom: func(arriving float64, boot time.Duration, spot bool) float64 {
-					return c.policy.Headroom(policy.Arrivals{Arriving: arriving, BootS: boot.Seconds(), Spot: spot})
-				},
-				Refused: refusedPause,
-			}),
+			plan:    fleet.NewLeader(c.fleetConfig()),
 			rentals: map[string]record.Rental{}, fresh: map[string]time.Time{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
 			backs: map[string]bool{},
 		}
 	}
 	l := c.lead
 	c.mu.Unlock()
-	if !l.resumed {
-		if err := c.resumeRentals(ctx, l); err != nil {
-			return
-		}
-		l.resumed = true
-	}
 	claims, hand, alone := c.owners(ctx, now)
 	if alone {
 		c.standAside(ctx)
@@ -321,7 +321,9 @@
 	l.grants = c.share(needs, turn)
 	c.setBudget(l.grants.requests[c.cfg.Label], l.grants.changes[c.cfg.Label], now)
 	sums = append(sums, c.summaries(now)...)
-	c.complete(l, sums, now)
+	c.takeUp(ctx, l)
+	c.remember(l, now)
+	c.complete(sums, l.rentals)
 	orders, rents := l.plan.Plan(sums, now)
 	for _, s := range sums {
 		c.log.Debug("plan", "part", s.Part, "state", s, "rentals", len(l.rentals))
@@ -448,8 +450,9 @@
 	}
 }
 
-// complete adds to the summaries what is rented but not yet told by owners.
-func (c *Controller) complete(l *leading, sums []fleet.Summary, now time.Time) {
+// complete adds to the summaries what is rented but not yet told by owners. The
+// lock is held.
+func (c *Controller) complete(sums []fleet.Summary, rentals map[string]record.Rental) {
 	at := map[int]int{}
 	told := map[string]bool{}
 	for i, s := range sums {
@@ -472,23 +475,37 @@
 		}
 	}
 	c.fleet.Each(func(id string, v record.View) {
-		l.known[id] = now
 		if !told[id] && v.Phase == record.InUse {
 			coming(id, v.Type, v.Zone, v.Spot, v.Part)
 		}
 	})
-	for id, at := range l.known {
-		if now.Sub(at) > time.Duration(knownLags)*config.Seconds(c.cfg.Params.Cloud.ListLagS) {
-			delete(l.known, id)
+	under := map[string]record.Rental{}
+	for name, r := range c.fleet.Unfinished() {
+		under[name] = r.Rec
+	}
+	for name, r := range rentals {
+		if rec, ok := c.fleet.Rental(name); !ok || len(rec.IDs) == 0 {
+			under[name] = r // those whose machines are known were counted above
 		}
 	}
-	for _, r := range l.rentals {
+	for _, r := range under {
 		for _, part := range r.Parts {
 			coming("", r.Type, r.Zone, r.Spot, part)
 		}
 	}
 }
 
+// remember notes which machines are ours, so that the cloud's list, which lags,
+// does not make strangers of those that are gone. The lock is held.
+func (c *Controller) remember(l *leading, now time.Time) {
+	c.fleet.Each(func(id string, _ record.View) { l.known[id] = now })
+	for id, at := range l.known {
+		if now.Sub(at) > time.Duration(knownLags)*config.Seconds(c.cfg.Params.Cloud.ListLagS) {
+			delete(l.known, id)
+		}
+	}
+}
+
 // knownLags is for how many of the list's lags a machine that is gone is not
 // taken for a stranger.
 const knownLags = 6
@@ -665,30 +682,6 @@
 // clearAtOnce bounds one clearing, so that it takes little of the budget.
 const clearAtOnce = 4
 
-// resumeRentals takes up what an earlier leader began.
-func (c *Controller) resumeRentals(ctx context.Context, l *leading) error {
-	entries, _, err := c.store.List(ctx, statestore.Urgent("lead"), record.RentalPrefix)
-	if err != nil {
-		return err
-	}
-	for _, e := range entries {
-		var r record.Rental
-		if err := decode(e.Value, &r); err != nil {
-			c.log.Error("rental record", "key", e.Key, "err", err)
-			continue
-		}
-		if len(r.IDs) > 0 {
-			continue
-		}
-		name := record.Last(e.Key)
-		c.mu.Lock()
-		l.rentals[name] = r
-		c.mu.Unlock()
-		go c.finishRental(ctx, l, name, r, e.Version)
-	}
-	return nil
-}
-
 // lookForStrangers reads the cloud's list for machines that nobody recorded,
 // as a request executed late leaves them, and gives them back.
 func (c *Controller) lookForStrangers(ctx context.Context, l *leading) {
--- a/internal/record/fleet.go
+++ b/internal/record/fleet.go
@@ -255,6 +255,12 @@
 	return t, len(t.Then) > 0
 }
 
+// Rental returns a rental's record.
+func (f *Fleet) Rental(name string) (Rental, bool) {
+	r, ok := f.rentals[name]
+	return r.rec, ok
+}
+
 // Unfinished returns the rentals whose machines are not known yet.
 func (f *Fleet) Unfinished() map[string]Versioned[Rental] {
 	out := map[string]Versioned[Rental]{}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -51,6 +51,13 @@
 
 var _ statestore.Store = (*State)(nil)
 
+// Outage begins or ends an outage, also while other goroutines use the state.
+func (s *State) Outage(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Down = down
+}
+
 // Get implements statestore.Store.
 func (s *State) Get(_ context.Context, _ statestore.Use, key string) (wire.Entry, error) {
 	s.mu.Lock()
