--- /dev/null
+++ b/internal/controller/claim.go
@@ -0,0 +1,201 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"time"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/record"
+	"bramblespur/internal/sched"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+func (c *Controller) home(part int) string { return c.cfg.Labels()[part%c.cfg.Params.Count] }
+
+func (c *Controller) live() []string {
+	var out []string
+	for l := range c.members {
+		out = append(out, l)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// considerClaims claims what is this controller's to claim: its own parts after
+// a restart, parts offered to it, and those of owners that are gone.
+func (c *Controller) considerClaims(ctx context.Context, now time.Time) {
+	if c.schedCfg == nil || !c.sure(now) || c.viewAt.IsZero() {
+		return
+	}
+	owners := map[int]string{}
+	for id, r := range c.partRecs {
+		owners[id] = r.rec.Owner
+	}
+	for id := range c.cfg.Params.Count {
+		if c.parts[id] != nil || c.claiming[id] {
+			continue
+		}
+		r, known := c.partRecs[id]
+		_, ownerLives := c.members[r.rec.Owner]
+		mine := false
+		switch {
+		case known && r.rec.To == c.cfg.Label:
+			mine = true
+		case known && r.rec.Owner == c.cfg.Label:
+			mine = true // a restart, or records read back after an outage
+		case !known && c.home(id) == c.cfg.Label:
+			mine = true
+		case !ownerLives && now.Sub(c.viewAt) < 2*c.watchWait() && len(c.members) > 0:
+			home := c.home(id)
+			if !known && now.Sub(c.leaseAt) < leaseTTL && c.firstSeen(home, now) {
+				continue // it is probably about to start
+			}
+			mine = fleet.Claimant(c.live(), owners, home) == c.cfg.Label
+		}
+		if mine {
+			c.claim(ctx, id)
+		}
+	}
+}
+
+// firstSeen reports whether a controller may still be on its first start: no
+// part record of its own exists and this one has run only for a short time.
+func (c *Controller) firstSeen(label string, now time.Time) bool {
+	if c.started.IsZero() {
+		c.started = now
+	}
+	return now.Sub(c.started) < 2*leaseTTL
+}
+
+// claim takes a part over: the claim's revision becomes its token, then the
+// records are read. The lock is held by the caller.
+func (c *Controller) claim(ctx context.Context, id int) {
+	c.claiming[id] = true
+	r := c.partRecs[id]
+	inc := c.inc
+	go func() {
+		err := c.takeOver(ctx, id, r, inc)
+		c.mu.Lock()
+		delete(c.claiming, id)
+		c.mu.Unlock()
+		if err != nil {
+			c.log.Info("claim failed", "part", id, "err", err)
+		}
+	}()
+}
+
+func (c *Controller) takeOver(ctx context.Context, id int, r versioned[record.Part], inc uint64) error {
+	key := record.PartKey(id)
+	rec := record.Part{Owner: c.cfg.Label, Inc: inc}
+	token, err := c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: r.version}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
+	})
+	if err != nil {
+		if e, gerr := c.store.Get(ctx, statestore.Urgent("claim"), key); gerr == nil {
+			var cur record.Part
+			if decode(e.Value, &cur) == nil {
+				c.mu.Lock()
+				c.setPart(id, cur, e.Version)
+				c.mu.Unlock()
+			}
+		}
+		return fmt.Errorf("claim: %w", err)
+	}
+	c.mu.Lock()
+	c.setPart(id, rec, token)
+	cfg := c.schedCfg
+	c.mu.Unlock()
+	for ctx.Err() == nil {
+		p, err := c.load(ctx, cfg, id, token)
+		if err == nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.partRecs[id].version > token {
+				return fmt.Errorf("claim: part claimed by %s meanwhile", c.partRecs[id].rec.Owner)
+			}
+			c.parts[id] = p
+			now := time.Now()
+			// Views may have moved on while the records were read.
+			c.fleet.Each(func(mid string, v record.View) {
+				if v.Part != id {
+					return
+				}
+				if err := p.SetMachine(mid, v, now); err != nil {
+					c.log.Error("machine record", "machine", mid, "err", err)
+				}
+			})
+			c.log.Info("part claimed", "part", id, "token", token)
+			c.pump(p, now)
+			go c.rereadOpen(ctx, p)
+			return nil
+		}
+		c.log.Info("loading part", "part", id, "err", err)
+		if !sleep(ctx, jitter(300*time.Millisecond)) {
+			break
+		}
+		c.mu.Lock()
+		lost := c.partRecs[id].version > token
+		c.mu.Unlock()
+		if lost {
+			return errors.New("claim: part lost while loading")
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *Controller) load(ctx context.Context, cfg *sched.Config, id int, token uint64) (*sched.Part, error) {
+	use := statestore.Urgent("take over")
+	entries, _, err := c.store.List(ctx, use, record.FleetPrefix)
+	if err != nil {
+		return nil, err
+	}
+	fl := record.NewFleet()
+	for _, e := range entries {
+		if _, err := fl.Change(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}); err != nil {
+			return nil, err
+		}
+	}
+	open, _, err := c.store.List(ctx, use, record.OpenPrefix)
+	if err != nil {
+		return nil, err
+	}
+	slots, _, err := c.store.List(ctx, use, record.SlotsOf(id))
+	if err != nil {
+		return nil, err
+	}
+	p := sched.New(cfg, id, token)
+	return p, p.Load(fl, open, slots, time.Now())
+}
+
+// rereadOpen reads the open jobs once more after a claim: one accepted between
+// the first reading and the part's being there was told to nobody.
+func (c *Controller) rereadOpen(ctx context.Context, p *sched.Part) {
+	for ctx.Err() == nil {
+		open, _, err := c.store.List(ctx, statestore.Urgent("take over"), record.OpenPrefix)
+		if err != nil {
+			sleep(ctx, jitter(300*time.Millisecond))
+			continue
+		}
+		now := time.Now()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.parts[p.ID()] != p {
+			return
+		}
+		for _, e := range open {
+			var o record.Open
+			if err := decode(e.Value, &o); err != nil {
+				c.log.Error("job record", "key", e.Key, "err", err)
+				continue
+			}
+			p.SetJob(record.Last(e.Key), o, e.Version, now)
+		}
+		c.pump(p, now)
+		return
+	}
+}
--- /dev/null
+++ b/internal/controller/election.go
@@ -0,0 +1,226 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"bramblespur/internal/config"
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// Defaults of who leads and who is heard.
+const (
+	standAside  = 4 * time.Second // a leader that reaches nobody gives up after this
+	deafAfter   = 4 * time.Second // without an answer from any controller
+	pingTimeout = 900 * time.Millisecond
+	quietAfter  = 15 * time.Second // and does not lead for this long
+)
+
+func (c *Controller) leads(now time.Time) bool {
+	return c.leader.rec.Label == c.cfg.Label && c.leader.rec.Inc == c.inc && c.inc != 0 && c.sure(now)
+}
+
+// pingPeers learns which controllers answer, and whether they reach the state
+// service.
+func (c *Controller) pingPeers() {
+	var wg sync.WaitGroup
+	for label, p := range c.peers {
+		wg.Go(func() {
+			var ok bool
+			err := p.Call("Ping", c.cfg.Label, &ok, pingTimeout)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.answered(label, err, ok)
+		})
+	}
+	wg.Wait()
+}
+
+// answered takes in whether another controller answered. The lock is held.
+func (c *Controller) answered(label string, err error, stateOK bool) {
+	now := time.Now()
+	if err != nil {
+		delete(c.peerSince, label)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.peerRefused[label] = now
+		}
+		return
+	}
+	c.peerOK[label] = now
+	if _, ok := c.peerSince[label]; !ok {
+		c.peerSince[label] = now
+	}
+	if stateOK {
+		c.peerState[label] = now
+	}
+}
+
+// Ping implements peer.Handler.
+func (c *Controller) Ping() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sure(time.Now())
+}
+
+// hearing is whether a controller hears anybody.
+type hearing struct {
+	alone bool // no other controller
+	deaf  bool // nor any worker
+}
+
+// listen keeps the member record's word on whether this controller hears
+// anybody. A deaf one is still the owner of its parts, but of no use to them.
+func (c *Controller) listen(ctx context.Context) {
+	c.mu.Lock()
+	now := time.Now()
+	h := hearing{alone: len(c.peers) > 0}
+	for label := range c.peers {
+		if now.Sub(c.peerOK[label]) < deafAfter {
+			h.alone = false
+		}
+	}
+	h.deaf = h.alone && c.fleet.Len() > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
+	change := h != c.hears && c.sure(now)
+	inc, lease := c.inc, c.lease
+	c.mu.Unlock()
+	if !change {
+		return
+	}
+	rec := record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}
+	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(rec), Lease: lease}
+	if _, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}}); err != nil {
+		return
+	}
+	c.mu.Lock()
+	c.hears = h
+	c.mu.Unlock()
+	c.log.Info("hearing", "deaf", h.deaf, "alone", h.alone)
+}
+
+func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
+	c.mu.Lock()
+	head := record.Head{Label: c.cfg.Label, Inc: c.inc}
+	lease := c.lease
+	c.mu.Unlock()
+	rev, err := c.store.Txn(ctx, statestore.Urgent("lead"), wire.Txn{
+		If:   []wire.Cond{{Key: record.Leader, Version: cur.version}},
+		Then: []wire.Op{{Put: record.Leader, Value: record.Encode(head), Lease: lease}},
+	})
+	if err != nil {
+		return
+	}
+	c.log.Info("leading")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rev > c.leader.version {
+		c.leader = versioned[record.Head]{head, rev}
+	}
+}
+
+// handHome gives a part back to its home: whoever writes the record loses the
+// token with it, so the core is dropped first. The lock is held.
+func (c *Controller) handHome(ctx context.Context, id int) {
+	r := c.partRecs[id]
+	home := c.home(id)
+	if c.parts[id] == nil || home == c.cfg.Label {
+		return
+	}
+	go func() {
+		_, err := c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
+			If:   []wire.Cond{{Key: record.PartKey(id), Version: r.version}},
+			Then: []wire.Op{{Put: record.PartKey(id), Value: record.Encode(record.Part{To: home})}},
+		})
+		c.log.Info("part handed home", "part", id, "to", home, "err", err)
+		c.rereadPart(id)
+	}()
+}
+
+// owners looks at who owns what: parts of deaf owners are to be claimed by
+// somebody who hears, parts away from a stable home go back. An owner that only
+// the leader can't reach keeps its parts: between two zones cut off from each
+// other there is nothing to gain. It also tells whether this leader is the one
+// that is cut off.
+func (c *Controller) owners(ctx context.Context, now time.Time) (claims, hand map[string][]int, alone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	claims, hand = map[string][]int{}, map[string][]int{}
+	reach := []string{c.cfg.Label}
+	for label, m := range c.members {
+		if label != c.cfg.Label && !m.Deaf && c.reachable(label, now) {
+			reach = append(reach, label)
+		}
+	}
+	if c.hears.deaf || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) {
+		return nil, nil, true
+	}
+	owners := map[int]string{}
+	for id, r := range c.partRecs {
+		owners[id] = r.rec.Owner
+	}
+	for id, r := range c.partRecs {
+		owner, home := r.rec.Owner, c.home(id)
+		m, lives := c.members[owner]
+		if lives && m.Deaf && owner != c.cfg.Label {
+			to := fleet.Claimant(reach, owners, "")
+			if to == c.cfg.Label {
+				if !c.claiming[id] {
+					c.claim(ctx, id)
+				}
+			} else {
+				claims[to] = append(claims[to], id)
+			}
+			continue
+		}
+		if owner == home || !lives {
+			continue
+		}
+		switch since, ok := c.peerSince[home]; {
+		case home == c.cfg.Label:
+			if now.Sub(c.lead.started) > homeStable {
+				hand[owner] = append(hand[owner], id)
+			}
+		case !ok || now.Sub(since) < homeStable || !c.reachable(home, now) || now.Sub(c.peerState[home]) > peerFresh || c.members[home].Deaf || c.members[home].Inc == 0:
+			// One that answers but is refused by the state service could not
+			// claim its part, and another would, for ever in turn.
+		case owner == c.cfg.Label:
+			c.handHome(ctx, id)
+		default:
+			hand[owner] = append(hand[owner], id)
+		}
+	}
+	return claims, hand, false
+}
+
+// othersMeet reports whether other controllers hear each other: then one of
+// them leads better than a leader that hears none. When all are alone, as when
+// connections between controllers are refused, nobody would.
+func (c *Controller) othersMeet() bool {
+	n := 0
+	for label, m := range c.members {
+		if label != c.cfg.Label && !m.Alone {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// standAside gives the lead up: nobody can be reached from here.
+func (c *Controller) standAside(ctx context.Context) {
+	c.mu.Lock()
+	version := c.leader.version
+	c.quietUntil = time.Now().Add(quietAfter)
+	c.lead = nil
+	c.mu.Unlock()
+	c.log.Info("standing aside as leader")
+	if _, err := c.store.Txn(ctx, statestore.Urgent("lead"), wire.Txn{
+		If: []wire.Cond{{Key: record.Leader, Version: version}}, Then: []wire.Op{{Delete: record.Leader}},
+	}); err != nil {
+		c.log.Info("give up lead", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/controller/rentals.go
@@ -0,0 +1,305 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"bramblespur/internal/cloud"
+	"bramblespur/internal/config"
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// complete adds to the summaries what is rented but not yet told by owners. The
+// lock is held.
+func (c *Controller) complete(sums []fleet.Summary, rentals map[string]record.Rental) {
+	at := map[int]int{}
+	told := map[string]bool{}
+	for i, s := range sums {
+		at[s.Part] = i
+		for _, m := range s.Machines {
+			told[m.ID] = true
+		}
+	}
+	coming := func(id, typ, zone string, spot bool, part int) {
+		i, ok := at[part]
+		if !ok {
+			return
+		}
+		for _, t := range c.types {
+			if t.Name == typ {
+				sums[i].Machines = append(sums[i].Machines, fleet.Machine{
+					ID: id, Type: typ, Zone: zone, Spot: spot, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB,
+				})
+			}
+		}
+	}
+	c.fleet.Each(func(id string, v record.View) {
+		if !told[id] && v.Phase == record.InUse {
+			coming(id, v.Type, v.Zone, v.Spot, v.Part)
+		}
+	})
+	under := map[string]record.Rental{}
+	for name, r := range c.fleet.Unfinished() {
+		under[name] = r.Rec
+	}
+	for name, r := range rentals {
+		if rec, ok := c.fleet.Rental(name); !ok || len(rec.IDs) == 0 {
+			under[name] = r // those whose machines are known were counted above
+		}
+	}
+	for _, r := range under {
+		for _, part := range r.Parts {
+			coming("", r.Type, r.Zone, r.Spot, part)
+		}
+	}
+}
+
+// remember notes which machines are ours, so that the cloud's list, which lags,
+// does not make strangers of those that are gone. The lock is held.
+func (c *Controller) remember(l *leading, now time.Time) {
+	c.fleet.Each(func(id string, _ record.View) { l.known[id] = now })
+	for id, at := range l.known {
+		if now.Sub(at) > time.Duration(knownLags)*config.Seconds(c.cfg.Params.Cloud.ListLagS) {
+			delete(l.known, id)
+		}
+	}
+}
+
+// knownLags is for how many of the list's lags a machine that is gone is not
+// taken for a stranger.
+const knownLags = 6
+
+// rent begins a rental. The lock is held.
+func (c *Controller) rent(ctx context.Context, l *leading, r fleet.Rent) {
+	l.seq++
+	name := fmt.Sprintf("%s-%d-%d", c.cfg.Label, c.leader.version, l.seq)
+	rec := record.Rental{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Parts: r.Parts}
+	l.rentals[name] = rec
+	leader := c.leader.version
+	go func() {
+		// The record comes first, under the lead it was decided under: a name
+		// is never used again, and whoever leads next repeats the request.
+		rev, err := c.store.Txn(ctx, statestore.Urgent("rental"), wire.Txn{
+			If:   []wire.Cond{{Key: record.RentalPrefix + name}, {Key: record.Leader, Version: leader}},
+			Then: []wire.Op{{Put: record.RentalPrefix + name, Value: record.Encode(rec)}},
+		})
+		if err != nil {
+			// Perhaps written all the same: then the next leader finishes it.
+			c.dropRental(l, name)
+			return
+		}
+		c.finishRental(ctx, l, name, rec, rev)
+	}()
+}
+
+func (c *Controller) dropRental(l *leading, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(l.rentals, name)
+}
+
+func (c *Controller) finishRental(ctx context.Context, l *leading, name string, rec record.Rental, version uint64) {
+	defer c.dropRental(l, name)
+	key := record.RentalPrefix + name
+	cond := []wire.Cond{{Key: key, Version: version}}
+	for ctx.Err() == nil {
+		ids, err := c.cloud.Rent(ctx, wire.Rental{Request: name, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, Count: len(rec.Parts)})
+		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+			c.log.Info("rental", "name", name, "err", err)
+			c.mu.Lock()
+			leads := c.lead == l
+			c.mu.Unlock()
+			if !leads {
+				return // the record stays for the next leader
+			}
+			sleep(ctx, jitter(time.Second))
+			continue
+		}
+		now := time.Now()
+		pool := fleet.Rent{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
+		ids = ids[:min(len(ids), len(rec.Parts))]
+		c.mu.Lock()
+		if len(ids) < len(rec.Parts) {
+			l.plan.Refused(pool, now)
+		} else {
+			l.plan.Granted(pool)
+		}
+		c.mu.Unlock()
+		c.log.Info("rented", "name", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "asked", len(rec.Parts), "got", len(ids))
+		op := wire.Op{Delete: key}
+		if len(ids) > 0 {
+			rec.Parts, rec.IDs, rec.Born = rec.Parts[:len(ids)], ids, now.UnixMilli()
+			op = wire.Op{Put: key, Value: record.Encode(rec)}
+		}
+		for ctx.Err() == nil {
+			t := wire.Txn{If: cond, Then: []wire.Op{op}}
+			rev, err := c.store.Txn(ctx, statestore.Urgent("rental"), t)
+			if err == nil {
+				c.mu.Lock()
+				c.applied(t, rev, now)
+				c.mu.Unlock()
+				return
+			}
+			var conflict *statestore.ConflictError
+			if errors.As(err, &conflict) {
+				return // done by us with no answer, or by another leader
+			}
+			sleep(ctx, jitter(500*time.Millisecond))
+		}
+	}
+}
+
+// returns gives back what the parts' owners have recorded as to be given back,
+// several batches with one call. The answer is recorded: it proves gone what
+// ran on the machines, to whoever owns their parts by then.
+func (c *Controller) returns(ctx context.Context, l *leading) {
+	c.mu.Lock()
+	var ids []string
+	batches := map[string]record.Versioned[record.Back]{}
+	for key, b := range c.fleet.Pending() {
+		if l.backs[key] || len(ids)+len(b.Rec.IDs) > maxReturn {
+			continue
+		}
+		l.backs[key] = true
+		batches[key] = b
+		ids = append(ids, b.Rec.IDs...)
+	}
+	c.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	go func() {
+		defer func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for key := range batches {
+				delete(l.backs, key)
+			}
+		}()
+		ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+		defer cancel()
+		err := c.cloud.Return(ctx, ids)
+		c.log.Info("machines returned", "machines", ids, "err", err)
+		if err != nil {
+			return // asked again with the next step
+		}
+		for key, b := range batches {
+			c.returned(ctx, key, b)
+		}
+	}()
+}
+
+// maxReturn is the protocol's bound of one return.
+const maxReturn = 100
+
+// returned records that a batch is gone.
+func (c *Controller) returned(ctx context.Context, key string, b record.Versioned[record.Back]) {
+	t := wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: b.Version}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(record.Back{IDs: b.Rec.IDs, Done: true})}},
+	}
+	for ctx.Err() == nil {
+		rev, err := c.store.Txn(ctx, statestore.Urgent("back"), t)
+		if err == nil {
+			c.mu.Lock()
+			c.applied(t, rev, time.Now())
+			c.mu.Unlock()
+			return
+		}
+		var conflict *statestore.ConflictError
+		if errors.As(err, &conflict) {
+			return // recorded already
+		}
+		sleep(ctx, jitter(500*time.Millisecond))
+	}
+}
+
+// clear removes records of machines that are long gone, a few at a time.
+func (c *Controller) clear(ctx context.Context, l *leading, now time.Time) {
+	if now.Before(l.clearing) {
+		return
+	}
+	l.clearing = now.Add(clearEvery)
+	c.mu.Lock()
+	t, ok := c.fleet.Clear(clearAtOnce)
+	c.mu.Unlock()
+	if !ok {
+		return
+	}
+	go func() {
+		rev, err := c.store.Txn(ctx, statestore.Routine("clear"), t)
+		if err != nil {
+			c.log.Debug("clear records", "err", err)
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.applied(t, rev, time.Now())
+	}()
+}
+
+// clearAtOnce bounds one clearing, so that it takes little of the budget.
+const clearAtOnce = 4
+
+// lookForStrangers reads the cloud's list for machines that nobody recorded,
+// as a request executed late leaves them, and gives them back.
+func (c *Controller) lookForStrangers(ctx context.Context, l *leading) {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	list, err := c.cloud.List(ctx)
+	if err != nil {
+		c.log.Debug("machine list", "err", err)
+		return
+	}
+	c.mu.Lock()
+	var odd []string
+	for _, m := range list {
+		_, ours := c.fleet.Machine(m.ID)
+		if _, lately := l.known[m.ID]; ours || lately {
+			delete(l.strange, m.ID)
+			continue // the list lags
+		}
+		l.strange[m.ID]++
+		if l.strange[m.ID] >= strangeLists && len(odd) < maxReturn {
+			odd = append(odd, m.ID)
+		}
+	}
+	busy := len(l.rentals) > 0
+	c.mu.Unlock()
+	if len(odd) == 0 || busy {
+		return
+	}
+	// The view may be behind: the records decide.
+	entries, _, err := c.store.List(ctx, statestore.Routine("strangers"), record.FleetPrefix)
+	if err != nil {
+		return
+	}
+	fl := record.NewFleet()
+	for _, e := range entries {
+		if _, err := fl.Change(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}); err != nil {
+			c.log.Error("fleet record", "err", err)
+			return
+		}
+	}
+	if len(fl.Unfinished()) > 0 {
+		return
+	}
+	var back []string
+	for _, id := range odd {
+		if _, ok := fl.Machine(id); !ok {
+			back = append(back, id)
+		}
+	}
+	if len(back) > 0 {
+		err := c.cloud.Return(ctx, back)
+		c.log.Info("unexpected machines returned", "machines", back, "err", err)
+	}
+}
+
+// strangeLists is in how many lists an unrecorded machine must appear.
+const strangeLists = 2
--- /dev/null
+++ b/internal/controller/views.go
@@ -0,0 +1,226 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"math"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// watchLoop keeps a view of the keys with a prefix: all of them first, then
+// each change.
+func (c *Controller) watchLoop(ctx context.Context, prefix string, reset func([]wire.Entry, time.Time), change func(wire.Change, time.Time)) {
+	for ctx.Err() == nil {
+		at := time.Now()
+		entries, rev, err := c.store.List(ctx, statestore.Urgent("view"), prefix)
+		if err != nil {
+			sleep(ctx, jitter(400*time.Millisecond))
+			continue
+		}
+		reset(entries, at)
+		for ctx.Err() == nil {
+			at := time.Now()
+			ch, err := c.store.Watch(ctx, prefix, rev, c.watchWait())
+			if errors.Is(err, statestore.ErrTooOld) {
+				break
+			}
+			if err != nil {
+				sleep(ctx, jitter(400*time.Millisecond))
+				continue
+			}
+			for _, e := range ch.Events {
+				change(e, at)
+			}
+			rev = max(rev, ch.Revision)
+			c.viewed(prefix, at)
+			if len(ch.Events) > 0 {
+				sleep(ctx, watchPause)
+			}
+		}
+	}
+}
+
+func (c *Controller) viewed(prefix string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch prefix {
+	case record.ClusterPrefix:
+		c.viewAt = at
+	case record.OpenPrefix:
+		c.jobsAt = at
+	case record.FleetPrefix:
+		c.fleetAt = at
+	}
+}
+
+func (c *Controller) resetCluster(entries []wire.Entry, at time.Time) {
+	c.mu.Lock()
+	c.partRecs = map[int]versioned[record.Part]{}
+	c.members = map[string]record.Member{}
+	c.leader = versioned[record.Head]{}
+	c.mu.Unlock()
+	for _, e := range entries {
+		c.changeCluster(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
+	}
+	c.viewed(record.ClusterPrefix, at)
+}
+
+func (c *Controller) changeCluster(e wire.Change, _ time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := e.Put + e.Delete
+	gone := e.Put == ""
+	var err error
+	switch {
+	case key == record.Leader:
+		c.leader = versioned[record.Head]{version: e.Version}
+		if gone {
+			c.leader = versioned[record.Head]{}
+		} else {
+			err = decode(e.Value, &c.leader.rec)
+		}
+	case key == record.Types:
+		if !gone && !c.typesSeen {
+			var t []wire.MachineType
+			if err = decode(e.Value, &t); err == nil {
+				c.setTypes(t)
+			}
+		}
+	case hasPrefix(key, record.MemberPrefix):
+		label := record.Last(key)
+		if gone {
+			delete(c.members, label)
+		} else {
+			var m record.Member
+			if err = decode(e.Value, &m); err == nil {
+				c.members[label] = m
+			}
+		}
+	case hasPrefix(key, record.PartPrefix):
+		id, ok := atoi(record.Last(key))
+		if !ok || gone {
+			break
+		}
+		var r record.Part
+		if err = decode(e.Value, &r); err == nil {
+			c.setPart(id, r, e.Version)
+		}
+	}
+	if err != nil {
+		c.log.Error("cluster record", "key", key, "err", err)
+	}
+}
+
+// setPart takes in who owns a part. A claim by somebody else ends ours.
+func (c *Controller) setPart(id int, r record.Part, version uint64) {
+	if old := c.partRecs[id]; version < old.version {
+		return
+	}
+	c.partRecs[id] = versioned[record.Part]{r, version}
+	if p := c.parts[id]; p != nil && version > p.Token() {
+		c.log.Info("part lost", "part", id, "to", r.Owner)
+		delete(c.parts, id)
+	}
+}
+
+// resetFleet takes in all records of machines; what is not there is gone.
+func (c *Controller) resetFleet(entries []wire.Entry, at time.Time) {
+	keep := map[string]bool{}
+	for _, e := range entries {
+		keep[e.Key] = true
+	}
+	c.mu.Lock()
+	keys := c.fleet.Keys()
+	c.mu.Unlock()
+	for _, e := range entries {
+		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
+	}
+	for _, k := range keys {
+		if !keep[k] {
+			c.changeFleet(wire.Change{Delete: k, Version: math.MaxUint64}, at)
+		}
+	}
+	c.viewed(record.FleetPrefix, at)
+}
+
+func (c *Controller) changeFleet(e wire.Change, _ time.Time) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleetChange(e, now)
+	for _, p := range c.parts {
+		c.pump(p, now)
+	}
+}
+
+// fleetChange takes in one record of machines and tells the parts. The lock is
+// held.
+func (c *Controller) fleetChange(e wire.Change, now time.Time) {
+	ids, err := c.fleet.Change(e)
+	if err != nil {
+		c.log.Error("fleet record", "err", err)
+		return
+	}
+	for _, id := range ids {
+		v, ok := c.fleet.Machine(id)
+		for _, p := range c.parts {
+			switch {
+			case !ok:
+				p.DropMachine(id, now)
+			case v.Part == p.ID() || p.HasMachine(id):
+				if err := p.SetMachine(id, v, now); err != nil {
+					c.log.Error("machine record", "machine", id, "err", err)
+				}
+			}
+		}
+	}
+}
+
+// resetOpen takes in all open jobs; what is not there has ended.
+func (c *Controller) resetOpen(entries []wire.Entry, at time.Time) {
+	keep := map[string]bool{}
+	for _, e := range entries {
+		keep[record.Last(e.Key)] = true
+		c.changeOpen(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
+	}
+	c.mu.Lock()
+	for ref := range c.open {
+		if !keep[ref] {
+			delete(c.open, ref)
+		}
+	}
+	c.mu.Unlock()
+	c.viewed(record.OpenPrefix, at)
+}
+
+func (c *Controller) changeOpen(e wire.Change, _ time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openChange(e, time.Now())
+}
+
+// openChange takes in an open job's record and tells its part. The lock is held.
+func (c *Controller) openChange(e wire.Change, now time.Time) {
+	ref := record.Last(e.Put + e.Delete)
+	if c.open[ref].version > e.Version {
+		return
+	}
+	if e.Put == "" {
+		delete(c.open, ref) // the owner ends jobs itself
+		return
+	}
+	var o record.Open
+	if err := decode(e.Value, &o); err != nil {
+		c.log.Error("job record", "key", e.Put, "err", err)
+		return
+	}
+	c.open[ref] = openJob{version: e.Version, part: o.Part, cancelled: o.Cancelled}
+	if p := c.parts[o.Part]; p != nil {
+		p.SetJob(ref, o, e.Version, now)
+		c.pump(p, now)
+	}
+}
--- /dev/null
+++ b/internal/sched/machine_test.go
@@ -0,0 +1,208 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// A silent machine is given back while others are heard, and only that frees
+// its tasks; when all are silent, none is.
+func TestSilentMachine(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	w2 := r.machine("m2", "z1", false)
+	r.beats(2)
+	r.clock.Advance(10 * time.Second)
+	r.settle()
+	if len(r.cloud.Returned) != 0 {
+		t.Fatalf("returned %v though all were silent", r.cloud.Returned)
+	}
+	r.beats(8, w2)
+	if !slices.Equal(r.cloud.Returned, []string{"m1"}) {
+		t.Fatalf("returned %v, want m1", r.cloud.Returned)
+	}
+	delete(r.workers, "m1")
+	r.beats(2)
+	if r.on("run-000001/0") != "m2" {
+		t.Fatal("not started again after the return")
+	}
+}
+
+// Machines cut off together fall silent one shortly after the other: the first
+// must not be given up because the rest was heard a moment later.
+func TestZoneFallsSilentTogether(t *testing.T) {
+	r := newRig(t)
+	w1, w2, w3 := r.machine("m1", "z1", false), r.machine("m2", "z1", false), r.machine("m3", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Service, "prod", 3, 2))
+	r.beats(4)
+	r.beat(w1)
+	r.beat(w2, w3)
+	for range 12 {
+		r.clock.Advance(time.Second)
+		r.settle()
+	}
+	if len(r.cloud.Returned) != 0 {
+		t.Fatalf("returned %v", r.cloud.Returned)
+	}
+}
+
+// After a cut the machines of a zone come back one by one: those that were
+// heard first must not make the others count as lost, neither to an owner that
+// knew them nor to one that took over meanwhile.
+func TestZoneComesBackTogether(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		r := newRig(t)
+		var ws []*testkit.Worker
+		for i := range 6 {
+			ws = append(ws, r.machine(fmt.Sprintf("m%d", i), "z1", false))
+		}
+		r.submit(spec("run-000001", "b", wire.Service, "prod", 6, 2))
+		r.beats(10)
+		if takeOver {
+			r.claim()
+		}
+		r.clock.Advance(15 * time.Second)
+		r.settle()
+		for i := range ws {
+			r.beat(ws[:i+1]...)
+			r.clock.Advance(-r.cfg.Report * 3 / 4)
+		}
+		r.beats(3)
+		if len(r.cloud.Returned) != 0 {
+			t.Errorf("take-over %t: returned %v", takeOver, r.cloud.Returned)
+		}
+	}
+}
+
+// Errors on one machine end it; errors of one job everywhere hold the job back.
+func TestErrorsFindTheirCause(t *testing.T) {
+	r := newRig(t)
+	for _, id := range []string{"m1", "m2", "m3", "m4", "m5"} {
+		r.machine(id, "z1", false)
+	}
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	for range 30 {
+		for _, w := range r.workers {
+			w.End("run-000001/0", wire.WhyError)
+		}
+		r.beat()
+	}
+	if len(r.cloud.Returned) > 0 {
+		t.Fatalf("a bad job burned machines: %v", r.cloud.Returned)
+	}
+	n := 0
+	for _, w := range r.workers {
+		n += len(w.Started)
+	}
+	if n > 12 {
+		t.Fatalf("%d tries of a job failing everywhere", n)
+	}
+	r = newRig(t)
+	bad := r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	for i := range 4 {
+		r.submit(spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 1, 1))
+	}
+	for range 8 {
+		for name := range bad.Tasks {
+			bad.End(name, wire.WhyError)
+		}
+		r.beat()
+	}
+	if !slices.Equal(r.cloud.Returned, []string{"m1"}) {
+		t.Fatalf("returned %v, want the faulty machine", r.cloud.Returned)
+	}
+}
+
+// Only an empty machine moves, and its record goes with conditions.
+func TestNoticeSavesAndReturns(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", true)
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
+	s.Spot = true
+	r.submit(s)
+	r.beats(3)
+	left := 10.0
+	w.Notice = &left
+	r.beats(4)
+	if len(w.Tasks) != 0 || !slices.Equal(r.cloud.Returned, []string{"m1"}) {
+		t.Fatalf("tasks %v, returned %v", w.Tasks, r.cloud.Returned)
+	}
+}
+
+// deaf lets a worker report without any answer reaching it.
+func (r *rig) deaf(w *testkit.Worker) {
+	rep := w.Report()
+	r.part.Report(&rep, false, r.clock.Now())
+}
+
+// A machine whose reports arrive but which no answer reaches gets no more work
+// once starts don't show, and goes back; its tasks run elsewhere only then, or
+// when its reports prove them absent.
+func TestOneWayMachine(t *testing.T) {
+	r := newRig(t)
+	w1 := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
+	r.settle() // placed and recorded on m1
+	for range 3 {
+		r.clock.Advance(r.cfg.Report)
+		r.deaf(w1)
+		r.settle()
+	}
+	w2 := r.machine("m2", "z1", false)
+	r.submit(spec("run-000002", "b", wire.Array, "normal", 2, 1))
+	for range 6 {
+		r.clock.Advance(r.cfg.Report)
+		r.deaf(w1)
+		r.beat(w2)
+	}
+	w1.Expire()
+	if len(w1.Started) != 0 || len(w2.Started) != 2 {
+		t.Fatalf("starts %v and %v, want two on the machine that hears", w1.Started, w2.Started)
+	}
+	for range 20 {
+		w2.End("run-000001/0", wire.Done)
+		w2.End("run-000001/1", wire.Done)
+		w2.End("run-000002/0", wire.Done)
+		w2.End("run-000002/1", wire.Done)
+		r.deaf(w1)
+		r.beat(w2)
+	}
+	if !slices.Equal(r.cloud.Returned, []string{"m1"}) {
+		t.Fatalf("returned %v, want the machine that hears nothing", r.cloud.Returned)
+	}
+	if len(w2.Started) != 4 {
+		t.Fatalf("starts %v, want all four tasks on m2", w2.Started)
+	}
+}
+
+// A lease that ran out though every report was answered marks such a machine,
+// too; one answer seen to arrive clears it.
+func TestOneWayMachineRecovers(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	for range 10 {
+		r.clock.Advance(r.cfg.Report)
+		r.deaf(w)
+	}
+	w.Expire()
+	r.deaf(w)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(5)
+	if len(w.Started) != 0 {
+		t.Fatalf("started %v on a machine that may hear nothing", w.Started)
+	}
+	r.beats(8) // the session outlives its lease: answers arrive
+	if len(w.Started) != 1 || len(r.cloud.Returned) != 0 {
+		t.Fatalf("starts %v, returned %v: want the machine used again", w.Started, r.cloud.Returned)
+	}
+}
--- /dev/null
+++ b/internal/sched/place_test.go
@@ -0,0 +1,203 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"bramblespur/internal/wire"
+)
+
+func TestGangStartsWhole(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	s.OneZone = true
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z2", false)
+	r.beats(4)
+	if r.on("run-000001/0") != "" || r.on("run-000001/1") != "" {
+		t.Fatal("gang started over two zones")
+	}
+	r.machine("m3", "z2", false)
+	r.beats(4)
+	a, b := r.on("run-000001/0"), r.on("run-000001/1")
+	if a == b || a == "m1" || b == "m1" || a == "" || b == "" {
+		t.Fatalf("gang on %q and %q, want m2 and m3", a, b)
+	}
+	// One machine's session ends: the whole attempt must go before the next.
+	lost := r.workers[a]
+	r.expire(lost)
+	r.beats(5)
+	x, y := r.workers[a].Tasks["run-000001/0"], r.workers[b].Tasks["run-000001/1"]
+	if x == nil {
+		x, y = r.workers[b].Tasks["run-000001/0"], r.workers[a].Tasks["run-000001/1"]
+	}
+	if x == nil || y == nil || x.Attempt != 2 || y.Attempt != 2 {
+		t.Fatalf("want both tasks under attempt 2, got %+v and %+v", x, y)
+	}
+}
+
+// While a gang waits for its last task, one that is lost is replaced under the
+// same attempt.
+func TestGangReplacement(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.beats(2)
+	a, b := r.on("run-000001/0"), r.on("run-000001/1")
+	if a == "" || b == "" {
+		t.Fatal("gang not started")
+	}
+	r.workers[a].Tasks["run-000001/0"].State = wire.Gathering
+	r.workers[b].Tasks["run-000001/1"].State = wire.Fetching
+	r.beat()
+	r.expire(r.workers[b])
+	r.beats(4)
+	if got := r.workers[a].Tasks["run-000001/0"]; got == nil || got.Attempt != 1 || got.State != wire.Gathering {
+		t.Fatalf("the waiting task was disturbed: %+v", got)
+	}
+	if got := r.workers[b].Tasks["run-000001/1"]; got == nil || got.Attempt != 1 {
+		t.Fatalf("replacement %+v, want attempt 1", got)
+	}
+}
+
+// A gang is done when one of its tasks is: they complete together.
+func TestGangDoneTogether(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.beats(4)
+	w := r.workers[r.on("run-000001/0")]
+	w.End("run-000001/0", wire.Done)
+	r.beats(1, w)
+	if r.jobState(s.Ref) != wire.Done {
+		t.Fatal("gang not done")
+	}
+}
+
+func TestSpreadOverZones(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Service, "prod", 3, 1)
+	s.Spread = true
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.beats(4)
+	n := 0
+	for i := range 3 {
+		if r.on(fmt.Sprintf("run-000001/%d", i)) != "" {
+			n++
+		}
+	}
+	if n != 2 {
+		t.Fatalf("%d of 3 in one zone, want 2", n)
+	}
+}
+
+func TestKindsOfMachine(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", true)
+	zone := "z2"
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1) // no spot
+	z := spec("run-000002", "b", wire.Array, "normal", 1, 1)
+	z.Spot, z.Zone = true, &zone // wrong zone
+	r.submit(s)
+	r.submit(z)
+	r.beats(4)
+	if got := r.workers["m1"].Started; len(got) != 0 {
+		t.Fatalf("started %v on a machine that no job allows", got)
+	}
+}
+
+// Higher work takes the place of lower, which saves first.
+func TestPreemption(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
+	r.beats(3)
+	r.submit(spec("run-000002", "b", wire.Service, "prod", 1, 1))
+	r.beats(6)
+	if r.on("run-000002/0") != "m1" {
+		t.Fatalf("prod task waits: %v", w.Started)
+	}
+	if r.on("run-000001/0") != "" && r.on("run-000001/1") != "" {
+		t.Fatal("nothing gave way")
+	}
+	// Its equal does not.
+	r.submit(spec("run-000003", "b", wire.Service, "prod", 2, 1))
+	r.beats(6)
+	if r.on("run-000002/0") != "m1" {
+		t.Fatal("equal priority was preempted")
+	}
+}
+
+// The order in which a team is served: a guarantee before borrowing.
+func TestGuaranteeGoesFirst(t *testing.T) {
+	r := newRig(t)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
+	r.submit(spec("run-000002", "a", wire.Array, "normal", 2, 1))
+	w := r.machine("m1", "z1", false)
+	r.beats(3)
+	if r.on("run-000002/0") == "" || r.on("run-000002/1") == "" {
+		t.Fatalf("guaranteed team waits: %v", w.Started)
+	}
+}
+
+// A service goes to a machine that caches its image even where lower work has
+// to give way there, rather than fetch it on a free one.
+func TestServiceSeeksItsImage(t *testing.T) {
+	r := newRig(t)
+	typ := r.cfg.Types["big"]
+	typ.FetchGBps = 0.2
+	r.cfg.Types["big"] = typ
+	r.machine("m1", "z1", false)
+	first := spec("run-000001", "b", wire.Service, "prod", 1, 2)
+	first.Image = "web"
+	r.submit(first)
+	r.beats(3)
+	r.cancel(first)()
+	r.beats(3)
+	r.submit(spec("run-000002", "b", wire.Array, "normal", 2, 1))
+	r.beats(20)
+	if r.on("run-000002/0") != "m1" || r.on("run-000002/1") != "m1" {
+		t.Fatal("the array did not start")
+	}
+	r.machine("m2", "z1", false)
+	r.beats(2)
+	again := spec("run-000003", "b", wire.Service, "prod", 2, 1)
+	again.Image = "web"
+	r.submit(again)
+	r.beats(4)
+	if a, b := r.on("run-000003/0"), r.on("run-000003/1"); a != "m1" || b != "m1" {
+		t.Fatalf("on %q and %q, want both on the machine with the image", a, b)
+	}
+	r.beats(4)
+	if a, b := r.on("run-000002/0"), r.on("run-000002/1"); a != "m2" || b != "m2" {
+		t.Fatalf("the array is on %q and %q, want it to go on elsewhere", a, b)
+	}
+}
+
+// Machines that come one by one are kept for the gang that waits: smaller work
+// of its priority and below can't starve it.
+func TestGangGathersMachines(t *testing.T) {
+	r := newRig(t)
+	g := spec("run-000001", "b", wire.Gang, "urgent", 3, 2)
+	g.OneZone = true
+	r.submit(g)
+	for i := range 3 {
+		r.submit(spec(fmt.Sprintf("run-00001%d", i), "b", wire.Gang, "urgent", 1, 2))
+		r.submit(spec(fmt.Sprintf("run-00002%d", i), "b", wire.Array, "normal", 2, 1))
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+		r.beats(2)
+	}
+	r.beats(2)
+	for i := range 3 {
+		if name := fmt.Sprintf("run-000001/%d", i); r.on(name) == "" {
+			t.Errorf("%s was starved by smaller work", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/safety_test.go
@@ -0,0 +1,440 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// A start goes out only after its record: nothing runs while the state service
+// refuses, and a start whose transaction failed is never sent.
+func TestNoStartWithoutRecord(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.state.Down = true
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(4)
+	if len(w.Started) != 0 {
+		t.Fatalf("started without a record: %v", w.Started)
+	}
+	r.state.Down = false
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started after the outage")
+	}
+}
+
+// A start given up for want of an answer must not be applied later.
+func TestLateTransactionStartsNothing(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.state.HoldTxns = 1
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle() // its start is held, given up, and placed anew
+	r.beats(3)
+	if got := r.state.Release(); len(got) != 1 || got[0] == nil {
+		t.Fatalf("a late start was still applied: %v", got)
+	}
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v, want one", w.Started)
+	}
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.state.LoseAnswers = 1
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	r.beats(2)
+	if !slices.Equal(w.Started, []string{"run-000001/0#1"}) {
+		t.Fatalf("starts %v, want the recorded first attempt", w.Started)
+	}
+	w.End("run-000001/0", wire.Done)
+	r.state.LoseAnswers = 1
+	r.beats(2)
+	if got := r.jobState("run-000001"); got != wire.Done {
+		t.Fatalf("state %q, want done", got)
+	}
+}
+
+// A new owner knows from the records what may run where, and starts nothing
+// twice even when the machine is silent for long.
+func TestTakeOverKeepsPlaces(t *testing.T) {
+	r := newRig(t)
+	w1 := r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started")
+	}
+	w2 := r.machine("m2", "z1", false)
+	r.claim()
+	r.beats(8, w2)
+	if len(w2.Started) != 0 {
+		t.Fatalf("started on a second machine: %v", w2.Started)
+	}
+	r.beats(2, w1)
+	if r.on("run-000001/0") != "m1" || len(w1.Started) != 1 {
+		t.Fatalf("task did not go on where it was: %v", w1.Started)
+	}
+}
+
+// Crash between record and command: the next owner sees that the task never
+// arrived, and starts it under a new attempt.
+func TestCrashBetweenRecordAndCommand(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	if len(w.Started) != 0 {
+		t.Fatal("started too early for this test")
+	}
+	r.claim()
+	r.beats(4)
+	if !slices.Equal(w.Started, []string{"run-000001/0#2"}) {
+		t.Fatalf("starts %v, want attempt 2 only", w.Started)
+	}
+}
+
+// The late answer of a deposed owner carries a lower token and does nothing;
+// its late write fails on the part's record.
+func TestDeposedOwnerDoesNothing(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	old := r.part
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	rep := w.Report()
+	late, _ := old.Report(&rep, false, r.clock.Now())
+	if len(late.Commands) == 0 {
+		t.Fatal("no start to be late")
+	}
+	r.claim()
+	r.beats(1)
+	if w.Obey(late) {
+		t.Fatal("the worker took an answer under the old token")
+	}
+	r.beats(3)
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v, want one", w.Started)
+	}
+	rep = w.Report()
+	if _, v := old.Report(&rep, false, r.clock.Now()); v != Deposed {
+		t.Fatalf("old owner's verdict %v, want Deposed", v)
+	}
+}
+
+// A cancellation that came while nobody owned the part: its record is read
+// before the placements are, and they must be stopped all the same.
+func TestCancelWhileUnowned(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	s := spec("run-000001", "b", wire.Service, "prod", 1, 1)
+	r.submit(s)
+	r.beats(3)
+	r.cancel(s)
+	r.claim()
+	r.beats(3)
+	if at := r.on(s.Ref + "/0"); at != "" {
+		t.Fatalf("still on %s", at)
+	}
+	r.beats(2)
+	if r.part.HasJob(s.Ref) {
+		t.Fatal("cancelled job never ends")
+	}
+}
+
+// A cancellation the owner has not heard of makes its start fail.
+func TestCancelRacesStart(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
+	r.submit(s)
+	r.cancel(s) // not told: the part is about to record a start
+	r.beats(4)
+	if len(w.Started) != 0 {
+		t.Fatalf("started after the cancellation: %v", w.Started)
+	}
+	if r.jobState(s.Ref) != wire.Cancelled {
+		t.Fatal("cancellation undone")
+	}
+}
+
+// Reports order by session and sequence: an old one proves nothing.
+func TestLateReportIsIgnored(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	empty := w.Report()
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	r.part.Report(&empty, false, r.clock.Now())
+	r.beats(3)
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v, want one", w.Started)
+	}
+}
+
+// A start whose answer was lost is repeated under the same attempt.
+func TestLostStartIsRepeated(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	rep := w.Report()
+	r.part.Report(&rep, false, r.clock.Now()) // the answer is lost
+	r.beats(2)
+	if !slices.Equal(w.Started, []string{"run-000001/0#1"}) {
+		t.Fatalf("starts %v", w.Started)
+	}
+}
+
+// An expired session proves its tasks gone.
+func TestNewSessionFreesTasks(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	r.expire(w)
+	r.beats(3)
+	if !slices.Equal(w.Started, []string{"run-000001/0#1", "run-000001/0#2"}) {
+		t.Fatalf("starts %v, want a second attempt", w.Started)
+	}
+}
+
+// The team's limit counts tasks that can't be reached.
+func TestLimitCountsUnreachable(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.submit(spec("run-000001", "a", wire.Array, "normal", 4, 1))
+	r.beats(3)
+	w3 := r.machine("m3", "z2", false)
+	r.submit(spec("run-000002", "a", wire.Array, "prod", 2, 1))
+	r.beats(3, w3)
+	if len(w3.Started) != 0 {
+		t.Fatalf("over the limit: %v", w3.Started)
+	}
+}
+
+// Old tasks count for zones as long as they are in place: with same_place no
+// other task may start in another zone, with scatter none beyond half in one.
+func TestZonesCountOldTasks(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Array, "normal", 2, 2)
+	s.OneZone = true
+	r.submit(s)
+	w1 := r.machine("m1", "z1", false)
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started")
+	}
+	r.machine("m2", "z2", false)
+	r.claim() // the new owner has not heard m1 yet
+	r.beats(3, r.workers["m2"])
+	if got := r.workers["m2"].Started; len(got) != 0 {
+		t.Fatalf("started %v in a second zone", got)
+	}
+	r.beat(w1)
+	w1.End("run-000001/0", wire.Done)
+	r.beats(3)
+	if r.on("run-000001/1") == "" {
+		t.Fatal("the second task never started")
+	}
+}
+
+// With scatter, a task that can't be reached still counts for its zone.
+func TestSpreadCountsOldTasks(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Service, "prod", 3, 1)
+	s.Spread = true
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.beats(3)
+	r.machine("m2", "z1", false)
+	r.claim()
+	r.beats(3, r.workers["m2"])
+	if got := r.workers["m2"].Started; len(got) != 0 {
+		t.Fatalf("started %v: more than half in one zone", got)
+	}
+}
+
+// All controllers crash at once, again and again, at every step of a job: it is
+// started at most once at a time and ends.
+func TestCrashAtEveryStep(t *testing.T) {
+	for crash := range 8 {
+		r := newRig(t)
+		w := r.machine("m1", "z1", false)
+		s := spec("run-000001", "b", wire.Array, "normal", 2, 1)
+		r.submit(s)
+		for step := range 24 {
+			if step%8 == crash {
+				r.claim()
+			}
+			r.beat()
+			r.on("run-000001/0")
+			r.on("run-000001/1")
+			if step > 12 {
+				w.End("run-000001/0", wire.Done)
+				w.End("run-000001/1", wire.Done)
+			}
+		}
+		if r.jobState(s.Ref) != wire.Done {
+			t.Errorf("crash at step %d: job not done", crash)
+		}
+		if len(w.Started) != 2 {
+			t.Errorf("crash at step %d: starts %v, want two", crash, w.Started)
+		}
+	}
+}
+
+// After a take-over nobody remembers the last report. A late copy of an old one
+// settles, frees and starts nothing and does not count as a sign of life.
+func TestLateCopyAfterTakeOver(t *testing.T) {
+	r := newRig(t)
+	w1, w2 := r.machine("m1", "z1", false), r.machine("m2", "z1", false)
+	r.beats(2)
+	empty := w1.Report()
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
+	zone := "z1"
+	s.Zone = &zone
+	r.submit(s)
+	r.beats(3)
+	at := r.on("run-000001/0")
+	if at == "m2" {
+		w1, w2 = w2, w1
+		empty.Machine = "m2"
+	}
+	r.claim()
+	late := func() {
+		rep := empty
+		if o, _ := r.part.Report(&rep, false, r.clock.Now()); len(o.Commands) != 0 {
+			t.Fatalf("a late copy was answered with %v", o.Commands)
+		}
+		empty.Seq-- // another copy, older still
+		r.settle()
+	}
+	r.submit(spec("run-000002", "b", wire.Array, "normal", 4, 1))
+	for range 10 {
+		r.clock.Advance(r.cfg.Report)
+		late()
+		r.beat(w2)
+	}
+	if got := r.on("run-000001/0"); got != at {
+		t.Fatalf("the task is on %q after late copies, want %q", got, at)
+	}
+	if len(w2.Started) > 2 {
+		t.Fatalf("starts %v: the task of the silent machine runs twice", w2.Started)
+	}
+	for range 15 {
+		r.clock.Advance(r.cfg.Report)
+		late()
+		r.beat(w2)
+	}
+	if !slices.Equal(r.cloud.Returned, []string{at}) {
+		t.Fatalf("returned %v, want the silent machine, whatever late copies say", r.cloud.Returned)
+	}
+}
+
+// While cancellations told elsewhere may be unknown, nothing is started, not
+// even what was recorded before; stops still go out.
+func TestBlindStartsNothing(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	r.part.SetBlind(true)
+	r.beats(3)
+	if len(w.Started) != 0 {
+		t.Fatalf("started %v", w.Started)
+	}
+	r.part.SetBlind(false)
+	r.beats(1)
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v after the views came back", w.Started)
+	}
+}
+
+// Starts of many jobs share one write, and a cancelled one among them does not
+// hold the others up.
+func TestSlotSharesWrites(t *testing.T) {
+	r := newRig(t)
+	r.cfg.SlotTasks = 200
+	for i := range 4 {
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+	}
+	r.beats(2)
+	for i := range 6 {
+		s := spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 1, 1)
+		r.submit(s)
+		if i == 3 {
+			r.cancel(s) // not told to the owner
+		}
+	}
+	eff := r.part.Step(r.clock.Now())
+	if len(eff.Txns) != 1 || len(eff.Txns[0].Body.Then) != 1 {
+		t.Fatalf("%d transactions for six starts, want one with one change", len(eff.Txns))
+	}
+	_, err := r.state.Txn(context.Background(), statestore.Urgent("test"), eff.Txns[0].Body)
+	var conflict *statestore.ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v, want a conflict on the cancelled job", err)
+	}
+	r.part.Conflict(eff.Txns[0], conflict.Keys, r.clock.Now())
+	for _, ref := range r.part.out.RereadJobs {
+		if err := r.part.JobRead(ref, r.get(record.OpenKey(ref)), r.clock.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.part.out.RereadJobs = nil
+	r.beats(3)
+	for i := range 6 {
+		name := fmt.Sprintf("run-00000%d/0", i)
+		if on := r.on(name); (on == "") != (i == 3) {
+			t.Errorf("%s is on %q", name, on)
+		}
+	}
+}
+
+// A return whose answer got lost is recorded once, and its machines never come
+// back into use.
+func TestReturnWithoutAnswer(t *testing.T) {
+	for _, script := range []func(*testkit.State){
+		func(s *testkit.State) { s.LoseAnswers = 1 },
+		func(s *testkit.State) { s.HoldTxns = 1 },
+	} {
+		r := newRig(t)
+		w := r.machine("m1", "z1", false)
+		r.beats(2)
+		r.part.Order(fleet.Order{Machine: "m1", To: fleet.Back}, r.clock.Now())
+		script(r.state)
+		r.beats(1)
+		r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+		r.beats(4)
+		r.state.Release()
+		r.beats(2)
+		if len(w.Started) != 0 {
+			t.Fatalf("started %v on a machine given back", w.Started)
+		}
+		if len(r.cloud.Returned) == 0 || r.part.HasMachine("m1") {
+			t.Fatalf("returned %v", r.cloud.Returned)
+		}
+	}
+}
