--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -32,7 +32,6 @@
 type leading struct {
 	plan     *fleet.Leader
 	rentals  map[string]record.Rental // under way
-	fresh    map[string]time.Time     // machines recorded but perhaps in no summary yet
 	strange  map[string]int           // listed, but unknown to us, so many times
 	known    map[string]time.Time     // machines known at this time
 	started  time.Time
@@ -167,7 +166,7 @@
 	if c.lead == nil {
 		c.lead = &leading{
 			plan:    fleet.NewLeader(c.fleetConfig()),
-			rentals: map[string]record.Rental{}, fresh: map[string]time.Time{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
+			rentals: map[string]record.Rental{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
 			backs: map[string]bool{},
 		}
 	}
