--- a/cmd/bramblespur/main.go
+++ b/cmd/bramblespur/main.go
@@ -77,10 +77,16 @@
 	return cfg, pol, err
 }
 
+// gcPercent lets the heap grow to five times what lives between collections:
+// some megabytes live, and each collection costs a part of the processor's share.
+const gcPercent = 400
+
 func run(cfg *config.Settings, pol *policy.Policy) error {
 	// The machines are small: a share of a core and a hard memory limit, so the
-	// runtime gets no more processors and collects before the limit bites.
+	// runtime gets no more processors, collects garbage seldom, since little of
+	// the memory is in use, and in time before the limit bites.
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Params.Resources.CPUShare))))
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(cfg.Params.Resources.MemoryMB * 0.6 * (1 << 20)))
 	return controller.Run(cfg, pol, logger(os.Getenv("LOG_LEVEL")))
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -349,21 +349,15 @@
 	return cut
 }
 
-func (c *Controller) handle(req httpwire.Request, answer func(reply)) {
+func (c *Controller) handle(req httpwire.Request, answer func(reply)) (reply, bool) {
 	switch {
-	case req.Path == wire.ReportPath:
-		if req.Method != "POST" {
-			answer(reply{status: 405})
-			return
-		}
-		c.handleReport(req, answer)
-	case req.Path == wire.ReadyPath:
-		if req.Method != "GET" {
-			answer(reply{status: 405})
-			return
-		}
-		answer(c.ready())
-	default:
-		c.handleUser(req, answer)
+	case req.Path == wire.ReportPath && req.Method == "POST":
+		return c.handleReport(req, answer)
+	case req.Path == wire.ReadyPath && req.Method == "GET":
+		return c.ready(), true
+	case req.Path == wire.ReportPath, req.Path == wire.ReadyPath:
+		return reply{status: 405}, true
 	}
+	go func() { answer(c.serveUser(req)) }()
+	return reply{}, false
 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -18,9 +18,9 @@
 	retryAfter int // seconds; 0: none
 }
 
-// handler answers requests. It calls answer exactly once, at once or later,
-// from any goroutine.
-type handler func(req httpwire.Request, answer func(reply))
+// handler answers requests: at once with a reply and true, or later by calling
+// answer exactly once, from any goroutine.
+type handler func(req httpwire.Request, answer func(reply)) (reply, bool)
 
 // Connections that say nothing for idleConn, or leave a request unfinished for
 // slowConn, are closed: sockets are few, and half-open ones never end.
@@ -75,46 +75,60 @@
 
 func (s *server) OnTraffic(c gnet.Conn) gnet.Action {
 	st, ok := c.Context().(*connState)
-	if !ok || st.busy {
-		return gnet.None // what follows is looked at once the answer is out
-	}
-	buf, _ := c.Peek(-1)
-	req, n, err := httpwire.ParseRequest(buf)
-	if err != nil {
-		s.log.Debug("malformed request", "from", c.RemoteAddr(), "err", err)
-		c.Write(httpwire.AppendResponse(nil, 400, nil, 0, true))
-		return gnet.Close
+	for ok && !st.busy { // else what follows is looked at once the answer is out
+		buf, _ := c.Peek(-1)
+		req, n, err := httpwire.ParseRequest(buf)
+		if err != nil {
+			s.log.Debug("malformed request", "from", c.RemoteAddr(), "err", err)
+			c.Write(httpwire.AppendResponse(nil, 400, nil, 0, true))
+			return gnet.Close
+		}
+		if n == 0 {
+			if len(buf) > 0 && !st.partial { // the time of a slow request counts from its begin
+				st.partial, st.last = true, time.Now()
+			}
+			return gnet.None
+		}
+		c.Discard(n)
+		st.busy, st.partial, st.last = true, false, time.Now()
+		r, now := s.handle(req, func(r reply) { s.answerLater(c, st, r, req.Close) })
+		if !now {
+			return gnet.None
+		}
+		// Most reports are answered here and now, without another turn of the
+		// event loop.
+		st.busy = false
+		if _, err := c.Write(s.encode(r, req.Close)); err != nil || req.Close {
+			return gnet.Close
+		}
 	}
-	if n == 0 {
-		if !st.partial { // the time of a slow request counts from its begin
-			st.partial, st.last = true, time.Now()
+	return gnet.None
+}
+
+func (s *server) encode(r reply, last bool) []byte {
+	var body []byte
+	if r.body != nil {
+		var err error
+		if body, err = json.Marshal(r.body); err != nil {
+			s.log.Error("encode answer", "err", err)
+			r.status, body = 500, nil
 		}
-		return gnet.None
 	}
-	c.Discard(n)
-	st.busy, st.partial, st.last = true, false, time.Now()
-	s.handle(req, func(r reply) {
-		var body []byte
-		if r.body != nil {
-			var err error
-			if body, err = json.Marshal(r.body); err != nil {
-				s.log.Error("encode answer", "err", err)
-				r.status, body = 500, nil
-			}
+	return httpwire.AppendResponse(nil, r.status, body, r.retryAfter, last)
+}
+
+// answerLater answers from any goroutine and goes on with what came meanwhile.
+func (s *server) answerLater(c gnet.Conn, st *connState, r reply, last bool) {
+	c.AsyncWrite(s.encode(r, last), func(c gnet.Conn, err error) error {
+		st.busy, st.last = false, time.Now()
+		if last || err != nil {
+			return c.Close()
 		}
-		out := httpwire.AppendResponse(nil, r.status, body, r.retryAfter, req.Close)
-		c.AsyncWrite(out, func(c gnet.Conn, err error) error {
-			st.busy, st.last = false, time.Now()
-			if req.Close || err != nil {
-				return c.Close()
-			}
-			if c.InboundBuffered() > 0 {
-				return c.Wake(nil)
-			}
-			return nil
-		})
+		if c.InboundBuffered() > 0 {
+			return c.Wake(nil)
+		}
+		return nil
 	})
-	return gnet.None
 }
 
 // gnetLog brings gnet's own messages into the project's log.
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -24,10 +24,6 @@
 	retryLater    = 1 // seconds, in Retry-After
 )
 
-func (c *Controller) handleUser(req httpwire.Request, answer func(reply)) {
-	go func() { answer(c.serveUser(req)) }()
-}
-
 // serveUser answers a user's request. One that can't be served for want of the
 // state service, or of this controller's part of its limits, is passed on to a
 // controller that reaches it.
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -15,40 +15,32 @@
 	"bramblespur/internal/wire"
 )
 
-func (c *Controller) handleReport(req httpwire.Request, answer func(reply)) {
+func (c *Controller) handleReport(req httpwire.Request, answer func(reply)) (reply, bool) {
 	var r wire.Report
 	if err := json.Unmarshal(req.Body, &r); err != nil || r.Machine == "" {
-		answer(reply{status: 400})
-		return
+		return reply{status: 400}, true
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := time.Now()
 	c.heardAny = now
 	m, known := c.fleet.Machine(r.Machine)
-	p := c.parts[m.Part]
-	if known && p != nil {
+	if !known {
+		c.log.Debug("report of an unknown machine", "machine", r.Machine)
+		return reply{status: 503, retryAfter: 1}, true
+	}
+	if p := c.parts[m.Part]; p != nil {
 		if to := c.sendOn(m.Zone, r.Machine, c.cfg.Label, now); to != "" {
-			c.mu.Unlock()
-			answer(reply{status: 421, body: wire.Redirect{Label: to}})
-			return
+			return reply{status: 421, body: wire.Redirect{Label: to}}, true
 		}
 		rep := c.ownReport(p, &r, now)
 		if o, ok := rep.body.(wire.Orders); ok && len(o.Commands) == 0 {
 			if d := p.Hold(r.Machine, now); d > 0 {
 				c.hold(p, r.Machine, d, answer)
-				c.mu.Unlock()
-				return
+				return reply{}, false
 			}
 		}
-		c.mu.Unlock()
-		answer(rep)
-		return
-	}
-	if !known {
-		c.mu.Unlock()
-		c.log.Debug("report of an unknown machine", "machine", r.Machine)
-		answer(reply{status: 503, retryAfter: 1})
-		return
+		return rep, true
 	}
 	part := c.partRecs[m.Part]
 	owner := part.rec.Owner
@@ -57,45 +49,43 @@
 	_, lives := c.members[owner]
 	if peerc != nil && lives {
 		if to := c.sendOn(m.Zone, r.Machine, owner, now); to != "" {
-			c.mu.Unlock()
-			answer(reply{status: 421, body: wire.Redirect{Label: to}})
-			return
+			return reply{status: 421, body: wire.Redirect{Label: to}}, true
 		}
 	}
 	if peerc == nil || !lives || !c.reachable(owner, now) {
-		c.mu.Unlock()
 		c.log.Debug("report kept", "machine", r.Machine, "owner", owner, "lives", lives)
-		c.keep(&r, token, answer)
+		go c.keep(&r, token, answer)
+		return reply{}, false
+	}
+	go c.relay(&r, m, owner, token, answer) // its place is here, or it was sent on and has come back
+	return reply{}, false
+}
+
+// relay answers a report with what its machine's owner says.
+func (c *Controller) relay(r *wire.Report, m record.View, owner string, token uint64, answer func(reply)) {
+	var rr peer.ReportReply
+	err := c.peers[owner].Call("Report", *r, &rr, relayTimeout)
+	if err == nil && rr.Status != 0 {
+		rep := reply{status: rr.Status, retryAfter: 1}
+		if rr.Status == 200 {
+			rep = reply{status: 200, body: rr.Orders}
+		}
+		answer(rep)
 		return
 	}
-	c.mu.Unlock()
-	// Its place is here, or it was sent on and has come back: relay.
-	go func() {
-		var rr peer.ReportReply
-		err := peerc.Call("Report", r, &rr, relayTimeout)
-		if err == nil && rr.Status != 0 {
-			switch rr.Status {
-			case 200:
-				answer(reply{status: 200, body: rr.Orders})
-			default:
-				answer(reply{status: rr.Status, retryAfter: 1})
-			}
+	c.log.Debug("report not relayed", "machine", r.Machine, "owner", owner, "err", err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.mu.Lock()
+		now := time.Now()
+		c.peerRefused[owner] = now
+		to := c.sendOn(m.Zone, r.Machine, owner, now)
+		c.mu.Unlock()
+		if to != "" {
+			answer(reply{status: 421, body: wire.Redirect{Label: to}})
 			return
 		}
-		c.log.Debug("report not relayed", "machine", r.Machine, "owner", owner, "err", err)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.mu.Lock()
-			now := time.Now()
-			c.peerRefused[owner] = now
-			to := c.sendOn(m.Zone, r.Machine, owner, now)
-			c.mu.Unlock()
-			if to != "" {
-				answer(reply{status: 421, body: wire.Redirect{Label: to}})
-				return
-			}
-		}
-		c.keep(&r, token, answer)
-	}()
+	}
+	c.keep(r, token, answer)
 }
 
 // sendOn returns the controller that a worker is to be sent to, if it is not
@@ -192,19 +182,17 @@
 		answer(rep)
 		return
 	}
-	go func() {
-		for range int(keepHold / keepLook) {
-			sleep(context.Background(), keepLook)
-			c.mu.Lock()
-			m, _ := c.fleet.Machine(r.Machine)
-			token = max(c.partRecs[m.Part].version, m.Version)
-			c.mu.Unlock()
-			if rep = c.keepAlive(r, token); rep.status == 200 {
-				break
-			}
+	for range int(keepHold / keepLook) {
+		sleep(context.Background(), keepLook)
+		c.mu.Lock()
+		m, _ := c.fleet.Machine(r.Machine)
+		token = max(c.partRecs[m.Part].version, m.Version)
+		c.mu.Unlock()
+		if rep = c.keepAlive(r, token); rep.status == 200 {
+			break
 		}
-		answer(rep)
-	}()
+	}
+	answer(rep)
 }
 
 // A report that can't be answered is held for keepHold and looked at again each
