--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -413,6 +413,10 @@
 	c := newTest(t, testkit.NewState())
 	now := time.Now()
 	c.cfg.Zone = "z"
+	if got := c.reportsTo("y", "m", "c-0", now); got != "c-0" {
+		t.Errorf("where leases outlast a search for another controller it reports to %s, want the owner", got)
+	}
+	c.cfg.Params.Count = 5
 	c.cfg.Peers = []config.Peer{{Label: "c-1", Zone: "y"}, {Label: "c-2", Zone: "y"}, {Label: "c-3", Zone: "x"}}
 	for _, l := range []string{"c-0", "c-1", "c-2", "c-3"} {
 		c.members[l] = record.Member{Inc: 1}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -108,7 +108,7 @@
 // also where connections between controllers are refused, which says nothing of
 // those between it and the worker. The lock is held.
 func (c *Controller) reportsTo(zone, machine, owner string, now time.Time) string {
-	if now.Sub(c.peerRefused[owner]) < peerFresh {
+	if !c.searchIsLong() || now.Sub(c.peerRefused[owner]) < peerFresh {
 		return owner
 	}
 	var near []string
@@ -130,6 +130,23 @@
 	return near[record.Hash(machine)%uint32(len(near))]
 }
 
+// searchIsLong reports whether a worker that is cut off from its controller may
+// lose its lease before it has tried all the others. Else relaying reports
+// within a zone costs more than it saves: the load of a zone's machines then
+// falls on its controllers, however few they are.
+func (c *Controller) searchIsLong() bool {
+	w := c.cfg.Params.Workers
+	search := time.Duration(c.cfg.Params.Count-1) * (workerWait + workerPause)
+	return search+config.Seconds(w.ReportS) >= config.Seconds(w.LeaseS)
+}
+
+// A worker waits workerWait for an answer and tries the next controller after
+// workerPause, as the protocol has it.
+const (
+	workerWait  = 4 * time.Second
+	workerPause = time.Second
+)
+
 func (c *Controller) zoneOf(label string) string {
 	for _, p := range c.cfg.Peers {
 		if p.Label == label {
