--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -101,6 +101,7 @@
 // place starts what can be started: team by team, in turn by shares.
 func (p *Part) place(now time.Time) {
 	p.gathers = nil
+	p.weighKept()
 	queues := map[string][]*Job{}
 	for _, j := range p.jobs {
 		if !p.waiting(j, now) {
@@ -120,6 +121,11 @@
 		}
 		sort.Slice(q, func(a, b int) bool {
 			x, y := q[a], q[b]
+			if old := p.aged(x, now); old != p.aged(y, now) {
+				return old
+			} else if old {
+				return x.accepted.Before(y.accepted)
+			}
 			if x.rank != y.rank {
 				return x.rank > y.rank
 			}
@@ -136,7 +142,7 @@
 			if len(q) == 0 {
 				continue
 			}
-			if bestJob == nil || p.before(q[0], team, bestJob, best) {
+			if bestJob == nil || p.before(q[0], team, bestJob, best, now) {
 				best, bestJob = team, q[0]
 			}
 		}
@@ -150,9 +156,42 @@
 	}
 }
 
-// before orders the heads of two teams' queues: work within a guarantee goes
-// first, then priority, then the team with less of its share.
-func (p *Part) before(a *Job, teamA string, b *Job, teamB string) bool {
+// Priorities are strict, so that more work of a higher one than the machines
+// can do would starve the rest for ever. A job of which nothing has run for
+// agedAfter goes before all others, and what it then gets is not taken from it;
+// such jobs of one priority together hold at most agedShare of a part's machines.
+const (
+	agedAfter = 2 * time.Minute
+	agedShare = 0.2
+)
+
+func (p *Part) aged(j *Job, now time.Time) bool {
+	return (j.kept || j.nPlaced+j.nDone == 0) && now.Sub(j.accepted) > agedAfter && p.keptLoad[j.rank] < agedShare
+}
+
+// weighKept computes the share of the part's machines that kept jobs hold.
+func (p *Part) weighKept() {
+	p.keptLoad = [highestRank + 1]float64{}
+	var all float64
+	for _, m := range p.machines {
+		all += m.Type.CPUs
+	}
+	for _, j := range p.jobs {
+		if j.kept && all > 0 {
+			p.keptLoad[j.rank] += float64(j.nPlaced) * j.spec.CPUs / all
+		}
+	}
+}
+
+// before orders the heads of two teams' queues: what has waited too long goes
+// first, then work within a guarantee, then priority, then the team with less of
+// its share.
+func (p *Part) before(a *Job, teamA string, b *Job, teamB string, now time.Time) bool {
+	if old := p.aged(a, now); old != p.aged(b, now) {
+		return old
+	} else if old {
+		return a.accepted.Before(b.accepted)
+	}
 	if x, y := p.guaranteed(a, a.unit()), p.guaranteed(b, b.unit()); x != y {
 		return x
 	}
@@ -186,6 +225,10 @@
 	if wait, more := p.seek(j, where[0], now); wait {
 		return more
 	}
+	if p.aged(j, now) {
+		j.kept = true
+		defer p.weighKept()
+	}
 	gang := j.attempt()
 	for _, m := range where {
 		i := j.nextIdle()
@@ -282,7 +325,7 @@
 			continue
 		}
 		if m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT) {
-			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && o.rank >= j.rank {
+			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && o.rank >= j.rank && !p.aged(j, now) {
 				continue
 			}
 		}
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"bramblespur/internal/wire"
 )
@@ -201,3 +203,84 @@
 		}
 	}
 }
+
+// play lets tasks end after so many beats and calls arrive before each.
+func (r *rig) play(beats, life int, arrive func(beat int)) {
+	began := map[string]int{}
+	for beat := range beats {
+		arrive(beat)
+		for _, w := range r.workers {
+			for name, t := range w.Tasks {
+				if t.State != wire.Running {
+					continue
+				}
+				if _, ok := began[name]; !ok {
+					began[name] = beat
+				}
+				if beat-began[name] >= life {
+					w.End(name, wire.Done)
+				}
+			}
+		}
+		r.beat()
+	}
+}
+
+// The largest gang starts within four minutes although smaller ones of its
+// priority never end to come and no machine can be added.
+func TestLargestGangIsServed(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+	}
+	n := 0
+	small := func(beat int) {
+		if beat%2 == 0 {
+			n++
+			r.submit(spec(fmt.Sprintf("run-1%05d", n), "b", wire.Gang, "urgent", 1, 2))
+		}
+	}
+	r.play(20, 8, small)
+	large := spec("run-000001", "b", wire.Gang, "urgent", 4, 2)
+	large.OneZone = true
+	r.submit(large)
+	r.play(int(4*time.Minute/r.cfg.Report), 8, small)
+	started := 0
+	for _, w := range r.workers {
+		for _, s := range w.Started {
+			if strings.HasPrefix(s, large.Ref) {
+				started++
+			}
+		}
+	}
+	if started < 4 {
+		t.Fatalf("%d of the largest gang's 4 tasks started in four minutes", started)
+	}
+}
+
+// Low work is served as well, though higher work asks for more than there is
+// all the time, and it is not taken off again.
+func TestLowWorkIsServed(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+	}
+	n, low := 0, 0
+	done := 0
+	r.play(400, 10, func(beat int) {
+		n++
+		r.submit(spec(fmt.Sprintf("run-1%05d", n), "b", wire.Gang, "urgent", 1, 2))
+		if beat%40 == 0 && beat < 200 {
+			low++
+			r.submit(spec(fmt.Sprintf("run-2%05d", low), "b", wire.Array, "low", 2, 1))
+		}
+	})
+	for i := range low {
+		if r.jobState(fmt.Sprintf("run-2%05d", i+1)) == wire.Done {
+			done++
+		}
+	}
+	if done < low {
+		t.Fatalf("%d of %d low jobs done while higher ones never ended", done, low)
+	}
+}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -48,6 +48,9 @@
 				r = room{r.cpus + k.job.spec.CPUs, r.gpus + k.job.spec.GPUs, r.mem + k.job.spec.MemoryGB}
 				continue
 			}
+			if k.job.kept {
+				continue
+			}
 			if k.job.rank < j.rank || (within && k.job.spec.Team != j.spec.Team && p.borrowed(k.job.spec.Team)) {
 				ks = append(ks, k)
 				cost[k], _ = p.stopping(k, now)
@@ -213,7 +216,7 @@
 		f = f.less(s, m.heldFor(j, now))
 		for k, t := range m.on {
 			v := k.job.spec
-			if t.stop || k.job.rank >= j.rank || v.Kind != wire.Array || !roomFor(s, f.cpus+v.CPUs, f.gpus+v.GPUs, f.mem+v.MemoryGB) {
+			if t.stop || k.job.kept || k.job.rank >= j.rank || v.Kind != wire.Array || !roomFor(s, f.cpus+v.CPUs, f.gpus+v.GPUs, f.mem+v.MemoryGB) {
 				continue
 			}
 			if l, _ := p.stopping(k, now); l < bestLoss || (l == bestLoss && m.ID < best.ID) {
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -72,6 +72,9 @@
 		}
 		for k := range m.on {
 			fm.TopRank = max(fm.TopRank, k.job.rank)
+			if k.job.kept {
+				fm.TopRank = highestRank
+			}
 		}
 		s.Machines = append(s.Machines, fm)
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -138,6 +138,7 @@
 	stuck     time.Time // since when something waits that fits nowhere
 	rank      int
 	madeRoom  time.Time // until when room made for it is awaited
+	kept      bool      // started after too long a wait: nothing takes its place
 }
 
 // chunk is a range of a job's tasks; its placements lie in a slot.
@@ -281,9 +282,10 @@
 	leaveAt  time.Time // when that batch is due
 	back     *batch
 	backs    int
-	gathers  *Job          // the gang that machines are kept for in this pass
-	backlog  time.Duration // how long changes wait for the state service's budget
-	blind    bool          // cancellations told elsewhere may be unknown here
+	keptLoad [highestRank + 1]float64 // the share of the machines that kept jobs hold, by priority
+	gathers  *Job                     // the gang that machines are kept for in this pass
+	backlog  time.Duration            // how long changes wait for the state service's budget
+	blind    bool                     // cancellations told elsewhere may be unknown here
 	teams    map[string]*usage
 	out      Effects
 	changed  bool // something that may allow a placement
@@ -358,10 +360,13 @@
 
 func (p *Part) cond() wire.Cond { return wire.Cond{Key: record.PartKey(p.id), Version: p.token} }
 
+// highestRank is that of the highest priority: nothing goes before it.
+const highestRank = 3
+
 func rank(priority string) int {
 	switch priority {
 	case "prod":
-		return 3
+		return highestRank
 	case "urgent":
 		return 2
 	case "normal":
