--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -124,7 +124,7 @@
 			if old := p.aged(x, now); old != p.aged(y, now) {
 				return old
 			} else if old {
-				return x.accepted.Before(y.accepted)
+				return beforeAged(x, y)
 			}
 			if x.rank != y.rank {
 				return x.rank > y.rank
@@ -169,6 +169,15 @@
 	return (j.kept || j.nPlaced+j.nDone == 0) && now.Sub(j.accepted) > agedAfter && p.keptLoad[j.rank] < agedShare
 }
 
+// beforeAged orders jobs that have waited too long: the lowest priority first,
+// since its share can't be used up by the others, then the oldest.
+func beforeAged(a, b *Job) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	return a.accepted.Before(b.accepted)
+}
+
 // weighKept computes the share of the part's machines that kept jobs hold.
 func (p *Part) weighKept() {
 	p.keptLoad = [highestRank + 1]float64{}
@@ -190,7 +199,7 @@
 	if old := p.aged(a, now); old != p.aged(b, now) {
 		return old
 	} else if old {
-		return a.accepted.Before(b.accepted)
+		return beforeAged(a, b)
 	}
 	if x, y := p.guaranteed(a, a.unit()), p.guaranteed(b, b.unit()); x != y {
 		return x
