--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -82,6 +82,9 @@
 	for _, id := range eff.RereadMachines {
 		go c.rereadMachine(p, id)
 	}
+	for _, ref := range eff.RereadPipes {
+		go c.rereadPipe(p, ref)
+	}
 	for _, d := range eff.Direct {
 		go c.direct(p, d)
 	}
@@ -205,6 +208,10 @@
 	c.reread(p, record.OwnKey(id), func(e *wire.Entry, now time.Time) error { return p.MachineRead(id, e, now) })
 }
 
+func (c *Controller) rereadPipe(p *sched.Part, ref string) {
+	c.reread(p, record.PipeKey(ref), func(e *wire.Entry, now time.Time) error { return p.PipeRead(ref, e, now) })
+}
+
 func (c *Controller) rereadPart(id int) {
 	ctx := context.Background()
 	for range 10 {
--- /dev/null
+++ b/internal/controller/pipelines.go
@@ -0,0 +1,277 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// Pipelines are an extension of ours, documented in docs/api.md. One is accepted
+// with all its jobs in one transaction or not at all; what it releases is its
+// owner's to decide, see package sched.
+
+// submitPipeline accepts a pipeline whole, or refuses it.
+func (c *Controller) submitPipeline(body []byte) reply {
+	var w wire.Pipeline
+	if json.Unmarshal(body, &w) != nil || !validName(w.Ref, "pipe-") || len(w.Jobs) == 0 {
+		return reply{status: 400}
+	}
+	c.mu.Lock()
+	types := c.types
+	c.mu.Unlock()
+	if types == nil || c.down() {
+		return later()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	defer cancel()
+	use := statestore.Urgent("accept")
+	// What is known is never refused, whatever the settings say by now.
+	if rec, _, err := c.pipe(ctx, use, w.Ref); err == nil {
+		return reply{status: 200, body: wire.Brief{Ref: w.Ref, State: c.pipeState(&rec)}}
+	} else if !errors.Is(err, statestore.ErrNotFound) {
+		return later()
+	}
+	rec := record.Pipe{}
+	var specs []*wire.Spec
+	for _, raw := range w.Jobs {
+		s, ok := parseSpec(raw)
+		if !ok {
+			return reply{status: 400}
+		}
+		specs = append(specs, s)
+		rec.Jobs = append(rec.Jobs, s.Ref)
+	}
+	for _, l := range w.Links {
+		rec.Links = append(rec.Links, record.Link{From: l.From, To: l.To})
+	}
+	for _, ch := range w.Choices {
+		rec.Choices = append(rec.Choices, record.Choice{At: ch.At, Done: ch.Done, Cancelled: ch.Cancelled})
+	}
+	if !wellFormed(&rec) || slices.ContainsFunc(specs, func(s *wire.Spec) bool { return s.Team != specs[0].Team }) {
+		return reply{status: 400}
+	}
+	if slices.ContainsFunc(specs, func(s *wire.Spec) bool { return !c.canRun(s, types) }) {
+		return reply{status: 422}
+	}
+	rec.Part = record.PartOf(c.teams, specs[0].Team, w.Ref, c.cfg.Params.Count)
+	t, ok := c.pipelineTxn(w.Ref, rec, specs)
+	if !ok {
+		return reply{status: 422}
+	}
+	rev, err := c.store.Txn(ctx, use, t)
+	var conflict *statestore.ConflictError
+	switch {
+	case err == nil:
+		c.tellOwner(rec.Part, t, rev)
+		return reply{status: 201, body: wire.Brief{Ref: w.Ref, State: wire.Pending}}
+	case errors.As(err, &conflict):
+		rec, _, err := c.pipe(ctx, use, w.Ref)
+		if err == nil {
+			return reply{status: 200, body: wire.Brief{Ref: w.Ref, State: c.pipeState(&rec)}}
+		}
+		if errors.Is(err, statestore.ErrNotFound) {
+			return reply{status: 400} // one of its jobs' references is in use
+		}
+	}
+	return later()
+}
+
+// wellFormed checks references, structure, and that each choice is stated.
+func wellFormed(rec *record.Pipe) bool {
+	net, err := rec.Net()
+	if err != nil {
+		return false
+	}
+	open := net.Choices()
+	for _, ch := range rec.Choices {
+		branches, ok := open[ch.At]
+		if !ok || !slices.Contains(branches, ch.Done) || (ch.Cancelled != "" && !slices.Contains(branches, ch.Cancelled)) {
+			return false // no choice there, or stated twice, or for a job that is no branch
+		}
+		delete(open, ch.At)
+	}
+	return len(open) == 0
+}
+
+// pipelineTxn records a pipeline and its jobs, all but the first held. It
+// reports false if a record would be too large, or a step that follows.
+func (c *Controller) pipelineTxn(ref string, rec record.Pipe, specs []*wire.Spec) (wire.Txn, bool) {
+	p := c.cfg.Params.State
+	// The record grows by each job's end.
+	whole := rec
+	for _, j := range rec.Jobs {
+		whole.Ended = append(whole.Ended, record.PipeEnd{Ref: j, State: wire.Cancelled})
+	}
+	fits := float64(len(record.Encode(whole))) <= p.ValueKB*1024
+	t := wire.Txn{
+		If:   []wire.Cond{{Key: record.PipeKey(ref)}},
+		Then: []wire.Op{{Put: record.PipeKey(ref), Value: record.Encode(rec)}},
+	}
+	follows := map[string]bool{}
+	for _, l := range rec.Links {
+		for _, j := range l.To {
+			follows[j] = true
+		}
+	}
+	size := 0
+	for _, s := range specs {
+		open := record.Encode(record.Open{Spec: *s, Part: rec.Part, At: time.Now().UnixMilli(), Pipe: ref, Held: follows[s.Ref]})
+		size += len(open)
+		fits = fits && float64(len(open)) <= p.ValueKB*1024
+		t.If = append(t.If, wire.Cond{Key: record.JobKey(s.Ref)}, wire.Cond{Key: record.OpenKey(s.Ref)})
+		t.Then = append(t.Then, wire.Op{Put: record.OpenKey(s.Ref), Value: open})
+	}
+	// A job's end takes two changes, its pipeline one, and each job that it
+	// releases one.
+	const endOps = 3
+	widest := 0
+	for _, j := range rec.Jobs {
+		n := 0
+		for _, l := range rec.Links {
+			if slices.Contains(l.From, j) {
+				n++
+			}
+		}
+		widest = max(widest, n)
+	}
+	return t, fits && size <= maxTxnBytes && len(t.Then) <= p.TxnOps && len(t.If) <= 4*p.TxnOps && widest+endOps <= p.TxnOps
+}
+
+// maxTxnBytes keeps a transaction below the protocol's 64 KiB.
+const maxTxnBytes = 48 << 10
+
+// pipe reads a pipeline's record.
+func (c *Controller) pipe(ctx context.Context, u statestore.Use, ref string) (record.Pipe, uint64, error) {
+	var rec record.Pipe
+	e, err := c.store.Get(ctx, u, record.PipeKey(ref))
+	if err != nil {
+		return rec, 0, err
+	}
+	return rec, e.Version, decode(e.Value, &rec)
+}
+
+// pipeState is the state of a pipeline as a whole.
+func (c *Controller) pipeState(rec *record.Pipe) string {
+	if rec.State != "" {
+		return rec.State
+	}
+	if len(rec.Ended) > 0 {
+		return wire.Running
+	}
+	for _, ref := range rec.Jobs {
+		if s, ok := c.ownerStatus(ref); ok && s.State == wire.Running {
+			return wire.Running
+		}
+	}
+	return wire.Pending
+}
+
+// pollPipeline answers with a pipeline's state and those of its jobs.
+func (c *Controller) pollPipeline(ref string) reply {
+	if !validName(ref, "pipe-") {
+		return reply{status: 404}
+	}
+	if c.down() {
+		return later()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	defer cancel()
+	rec, _, err := c.pipe(ctx, statestore.Routine("poll"), ref)
+	switch {
+	case errors.Is(err, statestore.ErrNotFound):
+		return reply{status: 404}
+	case err != nil:
+		return later()
+	}
+	out := wire.PipelineStatus{Ref: ref, State: c.pipeState(&rec)}
+	for _, j := range rec.Jobs {
+		b := wire.Brief{Ref: j, State: wire.Pending}
+		if rec.State != "" {
+			b.State = wire.Cancelled // what has not run by the end never does
+		} else if s, ok := c.ownerStatus(j); ok {
+			b.State = s.State
+		}
+		for _, e := range rec.Ended {
+			if e.Ref == j {
+				b.State = e.State
+			}
+		}
+		out.Jobs = append(out.Jobs, b)
+	}
+	return reply{status: 200, body: out}
+}
+
+// cancelPipeline cancels what is left of a pipeline, with all its jobs at once:
+// no start of any can slip past it.
+func (c *Controller) cancelPipeline(ref string) reply {
+	if !validName(ref, "pipe-") {
+		return reply{status: 404}
+	}
+	if c.down() {
+		return later()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	defer cancel()
+	use := statestore.Urgent("cancel")
+	for range cancelTries {
+		rec, version, err := c.pipe(ctx, use, ref)
+		if errors.Is(err, statestore.ErrNotFound) {
+			return reply{status: 404}
+		}
+		if err != nil {
+			return later()
+		}
+		if rec.State != "" {
+			return reply{status: 200, body: wire.Brief{Ref: ref, State: rec.State}}
+		}
+		rec.State = wire.Cancelled
+		t := wire.Txn{
+			If:   []wire.Cond{{Key: record.PipeKey(ref), Version: version}},
+			Then: []wire.Op{{Put: record.PipeKey(ref), Value: record.Encode(rec)}},
+		}
+		for _, j := range rec.Jobs {
+			e, err := c.store.Get(ctx, use, record.OpenKey(j))
+			if errors.Is(err, statestore.ErrNotFound) {
+				continue // it is over
+			}
+			var o record.Open
+			if err != nil || decode(e.Value, &o) != nil {
+				return later()
+			}
+			o.Cancelled = true
+			t.If = append(t.If, wire.Cond{Key: e.Key, Version: e.Version})
+			t.Then = append(t.Then, wire.Op{Put: e.Key, Value: record.Encode(o)})
+		}
+		rev, err := c.store.Txn(ctx, use, t)
+		if err == nil {
+			c.tellOwner(rec.Part, t, rev)
+			return reply{status: 200, body: wire.Brief{Ref: ref, State: wire.Cancelled}}
+		}
+		var conflict *statestore.ConflictError
+		if !errors.As(err, &conflict) {
+			return later() // perhaps applied: the user's next try finds out
+		}
+	}
+	return later()
+}
+
+// validName checks the form of a reference.
+func validName(ref, prefix string) bool {
+	digits, ok := strings.CutPrefix(ref, prefix)
+	if !ok || len(digits) < 6 || len(digits) > 18 {
+		return false
+	}
+	for _, d := range digits {
+		if d < '0' || d > '9' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/controller/pipelines_test.go
@@ -0,0 +1,136 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/record"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// pipeline makes a submission of so many jobs, numbered from 1, with links
+// given as pairs of numbers.
+func pipeline(t *testing.T, ref string, n int, links [][2]int, change func(*wire.Pipeline)) []byte {
+	t.Helper()
+	name := func(i int) string { return fmt.Sprintf("run-%06d", i) }
+	p := wire.Pipeline{Ref: ref}
+	for i := range n {
+		p.Jobs = append(p.Jobs, body(t, set("ref", name(i+1))))
+	}
+	for _, l := range links {
+		p.Links = append(p.Links, wire.Link{From: []string{name(l[0])}, To: []string{name(l[1])}})
+	}
+	if change != nil {
+		change(&p)
+	}
+	b, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestPipelineSubmissions(t *testing.T) {
+	chain := func(n int) (out [][2]int) {
+		for i := 1; i < n; i++ {
+			out = append(out, [2]int{i, i + 1})
+		}
+		return out
+	}
+	choice := func(p *wire.Pipeline) {
+		p.Links = []wire.Link{{From: []string{"run-000001"}, To: []string{"run-000002", "run-000003"}}}
+		p.Choices = []wire.Choice{{At: "run-000001", Done: "run-000002", Cancelled: "run-000003"}}
+	}
+	for name, x := range map[string]struct {
+		body []byte
+		want int
+	}{
+		"chain":             {pipeline(t, "pipe-000001", 3, chain(3), nil), 201},
+		"choice":            {pipeline(t, "pipe-000001", 3, nil, choice), 201},
+		"not JSON":          {[]byte("{"), 400},
+		"bad reference":     {pipeline(t, "x", 1, nil, nil), 400},
+		"no jobs":           {pipeline(t, "pipe-000001", 0, nil, nil), 400},
+		"malformed job":     {pipeline(t, "pipe-000001", 1, nil, func(p *wire.Pipeline) { p.Jobs[0] = body(t, drop("rank")) }), 400},
+		"cycle":             {pipeline(t, "pipe-000001", 3, [][2]int{{1, 2}, {2, 3}, {3, 2}}, nil), 400},
+		"unlinked job":      {pipeline(t, "pipe-000001", 2, nil, nil), 400},
+		"unknown job":       {pipeline(t, "pipe-000001", 1, [][2]int{{1, 9}}, nil), 400},
+		"job twice":         {pipeline(t, "pipe-000001", 2, chain(2), func(p *wire.Pipeline) { p.Jobs[1] = p.Jobs[0] }), 400},
+		"choice not stated": {pipeline(t, "pipe-000001", 3, nil, func(p *wire.Pipeline) { choice(p); p.Choices = nil }), 400},
+		"choice of no branch": {pipeline(t, "pipe-000001", 3, nil, func(p *wire.Pipeline) {
+			choice(p)
+			p.Choices[0].Done = "run-000001"
+		}), 400},
+		"choice where there is none": {pipeline(t, "pipe-000001", 2, chain(2), func(p *wire.Pipeline) {
+			p.Choices = []wire.Choice{{At: "run-000001", Done: "run-000002"}}
+		}), 400},
+		"a job that can never run": {pipeline(t, "pipe-000001", 2, chain(2), func(p *wire.Pipeline) {
+			p.Jobs[1] = body(t, func(m map[string]any) { m["ref"], m["cores"] = "run-000002", 99 })
+		}), 422},
+		"more than a transaction holds": {pipeline(t, "pipe-000001", 16, chain(16), nil), 422},
+	} {
+		c := newTest(t, testkit.NewState())
+		if got := c.submitPipeline(x.body); got.status != x.want {
+			t.Errorf("%s: status %d, want %d", name, got.status, x.want)
+		}
+		if x.want != 201 && len(c.open) != 0 {
+			t.Errorf("%s: refused, but %d jobs are known", name, len(c.open))
+		}
+	}
+	c := newTest(t, testkit.NewState())
+	if got := c.submit(body(t, set("ref", "run-000002"))); got.status != 201 {
+		t.Fatal(got)
+	}
+	if got := c.submitPipeline(pipeline(t, "pipe-000001", 3, chain(3), nil)); got.status != 400 {
+		t.Errorf("with a job that is known: status %d, want 400", got.status)
+	}
+	if got := c.submitPipeline(pipeline(t, "pipe-000002", 1, nil, nil)); got.status != 201 {
+		t.Errorf("its first job is not taken: status %d", got.status)
+	}
+	if got := c.submitPipeline(pipeline(t, "pipe-000002", 1, nil, nil)); got.status != 200 {
+		t.Errorf("repeat: status %d, want 200", got.status)
+	}
+}
+
+// Every job of a pipeline is known from the first answer on; a withdrawal ends
+// the pipeline and all its jobs for ever.
+func TestPipelineIsKnownAndWithdrawn(t *testing.T) {
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	if got := c.pollPipeline("pipe-000001"); got.status != 404 {
+		t.Fatalf("unknown pipeline: %+v", got)
+	}
+	c.submitPipeline(pipeline(t, "pipe-000001", 3, [][2]int{{1, 2}, {2, 3}}, nil))
+	for i := 1; i <= 3; i++ {
+		if got := other.poll(fmt.Sprintf("run-%06d", i)); got.status != 200 || got.body.(wire.Status).State != wire.Pending {
+			t.Errorf("job %d: %+v", i, got)
+		}
+	}
+	got := other.pollPipeline("pipe-000001")
+	if st, ok := got.body.(wire.PipelineStatus); got.status != 200 || !ok || st.State != wire.Pending || len(st.Jobs) != 3 {
+		t.Fatalf("poll: %+v", got)
+	}
+	work, no := other.route(httpwire.Request{Method: "POST", Path: "/pipelines/pipe-000001/withdraw"})
+	if work == nil {
+		t.Fatal(no)
+	}
+	if got := work(); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
+		t.Fatalf("withdraw: %+v", got)
+	}
+	c.resetOpen(nil, time.Now())
+	for i := 1; i <= 3; i++ {
+		if got := c.poll(fmt.Sprintf("run-%06d", i)); got.body.(wire.Status).State != wire.Cancelled {
+			t.Errorf("job %d after the withdrawal: %+v", i, got)
+		}
+	}
+	if got := c.submitPipeline(pipeline(t, "pipe-000001", 3, [][2]int{{1, 2}, {2, 3}}, nil)); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
+		t.Errorf("repeat after the withdrawal: %+v", got)
+	}
+	state.Put(record.PipeKey("pipe-000002"), record.Pipe{Jobs: []string{"run-000009"}, State: wire.Done})
+	if got := c.cancelPipeline("pipe-000002"); got.body.(wire.Brief).State != wire.Done {
+		t.Errorf("withdrawal of a pipeline that is done: %+v", got)
+	}
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -49,24 +49,37 @@
 
 func (r reply) zero() bool { return r.status == 0 }
 
+// resource is what users submit, poll and cancel under a path.
+type resource struct {
+	submit       func(body []byte) reply
+	poll, cancel func(ref string) reply
+}
+
 // route finds the work that a request asks for, or the answer to one that asks
 // for none.
 func (c *Controller) route(req httpwire.Request) (work func() reply, no reply) {
-	switch {
-	case req.Path == wire.JobsPath:
-		if req.Method != "POST" {
-			return nil, reply{status: 405}
+	for path, r := range map[string]resource{
+		wire.JobsPath:      {c.submit, c.poll, c.cancel},
+		wire.PipelinesPath: {c.submitPipeline, c.pollPipeline, c.cancelPipeline},
+	} {
+		if req.Path == path {
+			if req.Method != "POST" {
+				return nil, reply{status: 405}
+			}
+			return func() reply { return r.submit(req.Body) }, reply{}
+		}
+		rest, ok := strings.CutPrefix(req.Path, path+"/")
+		if !ok {
+			continue
 		}
-		return func() reply { return c.submit(req.Body) }, reply{}
-	case hasPrefix(req.Path, wire.JobsPath+"/"):
-		ref, action, sub := strings.Cut(req.Path[len(wire.JobsPath)+1:], "/")
+		ref, action, sub := strings.Cut(rest, "/")
 		switch {
 		case sub && action != wire.CancelWord:
 			return nil, reply{status: 404}
 		case sub && req.Method == "POST":
-			return func() reply { return c.cancel(ref) }, reply{}
+			return func() reply { return r.cancel(ref) }, reply{}
 		case !sub && req.Method == "GET":
-			return func() reply { return c.poll(ref) }, reply{}
+			return func() reply { return r.poll(ref) }, reply{}
 		default:
 			return nil, reply{status: 405}
 		}
@@ -127,18 +140,7 @@
 }
 
 // validRef checks the form of a job id.
-func validRef(ref string) bool {
-	digits, ok := strings.CutPrefix(ref, "run-")
-	if !ok || len(digits) < 6 || len(digits) > 18 {
-		return false
-	}
-	for _, d := range digits {
-		if d < '0' || d > '9' {
-			return false
-		}
-	}
-	return true
-}
+func validRef(ref string) bool { return validName(ref, "run-") }
 
 // maxTasks is the protocol's bound of a job's tasks.
 const maxTasks = 100000
@@ -444,22 +446,26 @@
 	return later()
 }
 
-// tellOwner brings a job's new record to its owner without waiting for the watch.
+// tellOwner brings jobs' new records to their owner without waiting for the watch.
 func (c *Controller) tellOwner(part int, t wire.Txn, rev uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.applied(t, rev, time.Now())
-	if c.parts[part] != nil {
+	owner := c.peers[c.partRecs[part].rec.Owner]
+	if c.parts[part] != nil || owner == nil {
 		return
 	}
-	if owner := c.peers[c.partRecs[part].rec.Owner]; owner != nil {
-		go func() {
-			a := peer.NudgeArgs{Key: t.Then[0].Put, Value: t.Then[0].Value, Version: rev}
+	go func() {
+		for _, op := range t.Then {
+			if !hasPrefix(op.Put, record.OpenPrefix) {
+				continue
+			}
+			a := peer.NudgeArgs{Key: op.Put, Value: op.Value, Version: rev}
 			if err := owner.Call("Nudge", a, new(struct{}), statusTimeout); err != nil {
 				c.log.Debug("nudge", "key", a.Key, "err", err) // the watch tells it as well
 			}
-		}()
-	}
+		}
+	}()
 }
 
 // Nudge implements peer.Handler: a job's record as the sender has just written it.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"bramblespur/internal/fragment"
 	"bramblespur/internal/wire"
 )
 
@@ -27,6 +28,7 @@
 	BackPrefix    = "fleet/back/"
 	OpenPrefix    = "open/"
 	JobPrefix     = "jobs/"
+	PipePrefix    = "pipes/"
 	SlotPrefix    = "runs/"
 )
 
@@ -51,6 +53,9 @@
 // JobKey names the record of a finished job's state, kept for ever.
 func JobKey(ref string) string { return JobPrefix + ref }
 
+// PipeKey names a pipeline's record, kept for ever.
+func PipeKey(ref string) string { return PipePrefix + ref }
+
 // SlotsOf is the prefix of a part's placement records.
 func SlotsOf(p int) string { return SlotPrefix + strconv.Itoa(p) + "/" }
 
@@ -138,6 +143,66 @@
 	Part      int       `json:"part"`
 	At        int64     `json:"at"` // milliseconds, when it was accepted
 	Cancelled bool      `json:"cancelled,omitempty"`
+	// Pipe is the pipeline it belongs to, if it was submitted with one, and
+	// Held says that it has not been released yet.
+	Pipe string `json:"pipe,omitempty"`
+	Held bool   `json:"held,omitempty"`
+}
+
+// Pipe is a pipeline of several jobs. What was released follows from what has
+// ended, by the paper's algorithm.
+type Pipe struct {
+	Part    int       `json:"part"`
+	Jobs    []string  `json:"jobs"`
+	Links   []Link    `json:"links,omitempty"`
+	Choices []Choice  `json:"choices,omitempty"`
+	Ended   []PipeEnd `json:"ended,omitempty"` // in order
+	State   string    `json:"state,omitempty"` // once it is over or cancelled
+}
+
+// Link says that one of To may run once one of From has ended.
+type Link struct {
+	From []string `json:"from"`
+	To   []string `json:"to"`
+}
+
+// Choice says which job goes on after At, by its outcome. Without Cancelled a
+// cancelled job ends all that follows it.
+type Choice struct {
+	At        string `json:"at"`
+	Done      string `json:"done"`
+	Cancelled string `json:"cancelled,omitempty"`
+}
+
+// PipeEnd is a job of a pipeline that has ended.
+type PipeEnd struct {
+	Ref   string `json:"ref"`
+	State string `json:"state"`
+}
+
+// Net returns the pipeline as a net of its jobs.
+func (p *Pipe) Net() (*fragment.Net, error) {
+	var links []fragment.Place
+	for _, l := range p.Links {
+		links = append(links, fragment.Place{In: l.From, Out: l.To})
+	}
+	return fragment.Linked(p.Jobs, links)
+}
+
+// Finish takes a job's end into a running pipeline.
+func (p *Pipe) Finish(run *fragment.Pipeline, e PipeEnd) {
+	pick, cancelled := "", ""
+	for _, c := range p.Choices {
+		if c.At == e.Ref {
+			pick, cancelled = c.Done, c.Cancelled
+		}
+	}
+	switch {
+	case e.State == wire.Done:
+		run.Finish(e.Ref, pick)
+	case cancelled == "" || !run.Finish(e.Ref, cancelled):
+		run.Abort(e.Ref) // also one that was cancelled before its turn
+	}
 }
 
 // Job is a finished job's durable state.
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -33,7 +33,7 @@
 			delete(p.ending, ref) // a task counted as gone came back into the ledger
 			continue
 		}
-		p.endTxn(j)
+		p.endTxn(j, now)
 	}
 	for _, s := range p.slots {
 		if !s.dirty || s.txn != nil || s.unsure || now.Before(s.retry) {
@@ -58,7 +58,7 @@
 // endTxn records a job's end: its state for ever, and no open record any more.
 // Its placements stay in their slot until that is next written; without an open
 // job a Load passes over them.
-func (p *Part) endTxn(j *Job) {
+func (p *Part) endTxn(j *Job, now time.Time) {
 	open := record.OpenKey(j.ref)
 	rec := record.Job{State: wire.Done, Tasks: len(j.tasks)}
 	if j.cancelled {
@@ -67,6 +67,9 @@
 	t := &Txn{job: j, Purpose: forJobEnd, Routine: true}
 	t.Body.If = []wire.Cond{p.cond(), {Key: open, Version: j.version}}
 	t.Body.Then = []wire.Op{{Put: record.JobKey(j.ref), Value: record.Encode(rec)}, {Delete: open}}
+	if !p.advance(t, j, now) {
+		return // when its pipeline's record is there
+	}
 	j.ending = t
 	p.out.Txns = append(p.out.Txns, t)
 }
@@ -230,6 +233,7 @@
 		t.job.ending = nil
 		p.ended(t.job, now)
 		p.end(t.job, now)
+		p.advanced(t, revision, now)
 	default:
 		p.written(t, revision, now)
 	}
@@ -266,7 +270,9 @@
 
 // end takes a job out whose end is recorded.
 func (p *Part) end(j *Job, now time.Time) {
-	j.pipe.Finish(j.ref, "")
+	if j.line.ref == "" {
+		j.line.run.Finish(j.ref, "")
+	}
 	for i := range j.tasks {
 		if j.tasks[i].state == placed {
 			p.take(key{j, i}, now)
@@ -297,6 +303,7 @@
 		p.rereadMachine(t.machine)
 	case t.job != nil:
 		t.job.ending = nil
+		p.stalled(t.job, false)
 		p.rereadJob(t.job)
 	default:
 		p.slotConflict(t, failed, now)
@@ -341,6 +348,7 @@
 		t.machine.txn, t.machine.retry = nil, at
 	case t.job != nil:
 		t.job.ending, t.job.retry = nil, at
+		p.stalled(t.job, true)
 	default:
 		t.slot.txn, t.slot.retry = nil, at
 		p.revert(t, now, func(key) bool { return false })
@@ -357,6 +365,7 @@
 	case t.machine != nil:
 		p.rereadMachine(t.machine)
 	case t.job != nil:
+		p.stalled(t.job, false)
 		p.rereadJob(t.job)
 	default:
 		p.rereadSlot(t.slot)
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"bramblespur/internal/fragment"
 	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
@@ -243,17 +242,23 @@
 		spec := o.Spec
 		j = &Job{
 			ref: ref, spec: &spec, accepted: time.UnixMilli(o.At), tasks: make([]task, spec.Tasks), nIdle: spec.Tasks,
-			chunks: map[int]*chunk{}, rank: rank(spec.Priority), pipe: fragment.Begin(fragment.Single(ref)),
+			chunks: map[int]*chunk{}, rank: rank(spec.Priority), held: true,
 		}
 		p.jobs[ref] = j
-		if age := now.Sub(j.accepted); age < arrivalFade {
-			p.arrive(j, now)
+		if j.line = alone(ref); o.Pipe != "" {
+			j.line = p.lineOf(o.Pipe)
 		}
 	}
 	if version <= j.version {
 		return
 	}
 	j.version = version
+	if j.held && !o.Held {
+		j.held = false
+		if j.accepted = time.UnixMilli(o.At); now.Sub(j.accepted) < arrivalFade {
+			p.arrive(j, now)
+		}
+	}
 	if o.Cancelled && !j.cancelled {
 		j.cancelled = true
 		for i := range j.tasks {
--- /dev/null
+++ b/internal/sched/pipeline.go
@@ -0,0 +1,182 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	"bramblespur/internal/fragment"
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// line is a pipeline as its owner holds it: its fragments, in memory. The
+// records hold what has ended; the rest follows from that, so that a new owner
+// releases neither more nor less. A job's end, the pipeline's record and the
+// records of the jobs that this releases are one transaction.
+type line struct {
+	ref     string // empty for a pipeline of one job
+	rec     record.Pipe
+	version uint64 // 0: not read yet
+	run     *fragment.Pipeline
+	busy    bool // an end is being recorded
+	unsure  bool // a reread is under way
+}
+
+// alone is the pipeline of a job that was submitted by itself.
+func alone(ref string) *line { return &line{run: fragment.Begin(fragment.Single(ref))} }
+
+// lineOf returns the pipeline of a job; its record is read when it is new.
+func (p *Part) lineOf(ref string) *line {
+	l := p.lines[ref]
+	if l == nil {
+		l = &line{ref: ref}
+		p.lines[ref] = l
+		p.rereadPipe(l)
+	}
+	return l
+}
+
+func (p *Part) rereadPipe(l *line) {
+	if !l.unsure {
+		l.unsure = true
+		p.out.RereadPipes = append(p.out.RereadPipes, l.ref)
+	}
+}
+
+// PipeRead takes in a pipeline's record as read back.
+func (p *Part) PipeRead(ref string, e *wire.Entry, now time.Time) error {
+	l := p.lines[ref]
+	if l == nil {
+		return nil
+	}
+	if e == nil {
+		return fmt.Errorf("pipeline %s has no record", ref)
+	}
+	rec, err := decode[record.Pipe](*e)
+	if err != nil {
+		return err
+	}
+	net, err := rec.Net()
+	if err != nil {
+		return err
+	}
+	l.unsure, l.busy = false, false
+	l.rec, l.version, l.run = rec, e.Version, fragment.Begin(net)
+	for _, end := range rec.Ended {
+		rec.Finish(l.run, end)
+	}
+	p.bury(l, now)
+	p.changed = true
+	for _, ref := range rec.Jobs {
+		if j := p.jobs[ref]; j != nil {
+			p.ends(j)
+		}
+	}
+	return nil
+}
+
+// bury ends the jobs that a pipeline has no use for any more: they follow a
+// cancelled one, or a branch that was not picked.
+func (p *Part) bury(l *line, now time.Time) {
+	left := l.run.Left()
+	for _, ref := range l.rec.Jobs {
+		j := p.jobs[ref]
+		if j == nil || !j.held || (left[ref] && l.rec.State == "") {
+			continue
+		}
+		j.dead, j.cancelled = true, true
+		p.ends(j)
+	}
+}
+
+// after returns the pipeline as it is once a job has ended, and the jobs that
+// this releases. The paper's algorithm decides.
+func (l *line) after(j *Job, p *Part) (*line, []*Job) {
+	end := record.PipeEnd{Ref: j.ref, State: wire.Done}
+	if j.cancelled {
+		end.State = wire.Cancelled
+	}
+	next := &line{ref: l.ref, rec: l.rec, run: l.run.Clone()}
+	next.rec.Ended = append(l.rec.Ended[:len(l.rec.Ended):len(l.rec.Ended)], end)
+	l.rec.Finish(next.run, end)
+	if next.run.Over() {
+		next.rec.State = wire.Done
+		for _, e := range next.rec.Ended {
+			if e.State == wire.Cancelled {
+				next.rec.State = wire.Cancelled
+			}
+		}
+	}
+	var free []*Job
+	for _, ref := range next.run.Ready() {
+		if s := p.jobs[ref]; s != nil && s.held {
+			free = append(free, s)
+		}
+	}
+	return next, free
+}
+
+// advance adds to a job's end what it means for its pipeline. It reports false
+// if that can't be said yet.
+func (p *Part) advance(t *Txn, j *Job, now time.Time) bool {
+	l := j.line
+	if l.ref == "" || j.dead || l.rec.State != "" {
+		return true // alone, or its pipeline is over without it
+	}
+	if l.version == 0 || l.unsure || l.busy {
+		return false
+	}
+	next, free := l.after(j, p)
+	at := record.PipeKey(l.ref)
+	t.Body.If = append(t.Body.If, wire.Cond{Key: at, Version: l.version})
+	t.Body.Then = append(t.Body.Then, wire.Op{Put: at, Value: record.Encode(next.rec)})
+	t.next, t.free = next, map[*Job]record.Open{}
+	for _, s := range free {
+		open := record.Open{Spec: *s.spec, Part: p.id, At: now.UnixMilli(), Pipe: l.ref}
+		key := record.OpenKey(s.ref)
+		t.Body.If = append(t.Body.If, wire.Cond{Key: key, Version: s.version})
+		t.Body.Then = append(t.Body.Then, wire.Op{Put: key, Value: record.Encode(open)})
+		t.free[s] = open
+	}
+	l.busy = true
+	return true
+}
+
+// advanced takes in that a job's end was recorded with its pipeline's step.
+func (p *Part) advanced(t *Txn, revision uint64, now time.Time) {
+	l := t.job.line
+	if t.next == nil {
+		return
+	}
+	l.busy = false
+	l.rec, l.run, l.version = t.next.rec, t.next.run, revision
+	for s, open := range t.free {
+		p.SetJob(s.ref, open, revision, now)
+	}
+	p.bury(l, now)
+	if l.rec.State != "" && len(p.unfinished(l)) == 0 {
+		delete(p.lines, l.ref)
+	}
+}
+
+func (p *Part) unfinished(l *line) []*Job {
+	var out []*Job
+	for _, ref := range l.rec.Jobs {
+		if j := p.jobs[ref]; j != nil {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// stalled takes in that a job's end was not recorded, or perhaps was: its
+// pipeline's record decides.
+func (p *Part) stalled(j *Job, known bool) {
+	if l := j.line; l.ref != "" {
+		if known {
+			l.busy = false
+		} else {
+			p.rereadPipe(l)
+		}
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -89,7 +89,7 @@
 }
 
 func (p *Part) waiting(j *Job, now time.Time) bool {
-	if j.cancelled || j.nIdle == 0 || j.unsure {
+	if j.held || j.cancelled || j.nIdle == 0 || j.unsure {
 		return false
 	}
 	if j.spec.Kind == wire.Gang && !j.gathering() {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -139,7 +139,7 @@
 				}
 			}
 		}
-		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadSlots)+len(eff.RereadMachines)+len(eff.Direct) == 0 {
+		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadSlots)+len(eff.RereadMachines)+len(eff.RereadPipes)+len(eff.Direct) == 0 {
 			return
 		}
 		for _, t := range eff.Txns {
@@ -161,6 +161,11 @@
 				r.t.Fatal(err)
 			}
 		}
+		for _, ref := range eff.RereadPipes {
+			if err := r.part.PipeRead(ref, r.get(record.PipeKey(ref)), now); err != nil {
+				r.t.Fatal(err)
+			}
+		}
 		for _, n := range eff.RereadSlots {
 			if err := r.part.SlotRead(n, r.get(record.SlotKey(0, n)), now); err != nil {
 				r.t.Fatal(err)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -15,7 +15,6 @@
 	"strings"
 	"time"
 
-	"bramblespur/internal/fragment"
 	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
@@ -119,7 +118,9 @@
 type Job struct {
 	ref       string
 	spec      *wire.Spec
-	pipe      *fragment.Pipeline // of one job, see package fragment
+	line      *line // its pipeline; of one job alone unless it was submitted with one
+	held      bool  // not released by its pipeline yet
+	dead      bool  // its pipeline has no use for it any more
 	version   uint64
 	accepted  time.Time
 	cancelled bool
@@ -235,10 +236,12 @@
 // exactly one of Applied, Conflict, Refused and Unknown.
 type Txn struct {
 	Body    wire.Txn
-	Purpose string // for the log
-	Routine bool   // may wait for what users wait for
-	job     *Job   // its end
-	slot    *slot  // placements and completions of the chunks
+	Purpose string               // for the log
+	Routine bool                 // may wait for what users wait for
+	job     *Job                 // its end
+	next    *line                // its pipeline after that
+	free    map[*Job]record.Open // jobs released by it
+	slot    *slot                // placements and completions of the chunks
 	chunks  []*chunk
 	starts  []key
 	dones   []key
@@ -260,6 +263,7 @@
 	RereadJobs     []string
 	RereadSlots    []int
 	RereadMachines []string
+	RereadPipes    []string
 	Direct         []Direct
 	Wake           []string // machines for which a start is ready
 	Started        []Start  // tasks seen to run for the first time
@@ -278,8 +282,9 @@
 	machines map[string]*Machine
 	jobs     map[string]*Job
 	slots    map[int]*slot
-	leaving  []string  // machines to be given back with the next batch
-	leaveAt  time.Time // when that batch is due
+	lines    map[string]*line // pipelines of several jobs
+	leaving  []string         // machines to be given back with the next batch
+	leaveAt  time.Time        // when that batch is due
 	back     *batch
 	backs    int
 	keptLoad [highestRank + 1]float64 // the share of the machines that kept jobs hold, by priority
@@ -302,7 +307,7 @@
 func New(cfg *Config, id int, token uint64) *Part {
 	return &Part{
 		cfg: cfg, id: id, token: token, machines: map[string]*Machine{}, jobs: map[string]*Job{},
-		slots: map[int]*slot{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
+		slots: map[int]*slot{}, lines: map[string]*line{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -53,6 +53,8 @@
 	ReadyPath   = "/ready"
 	ReportPath  = "/agent/beat"
 	CommandPath = "/commands"
+	// PipelinesPath is an extension of ours, see docs/api.md.
+	PipelinesPath = "/pipelines"
 )
 
 // Spec is a job as its user submits it.
@@ -93,6 +95,34 @@
 	State string `json:"bloom"`
 }
 
+// Pipeline is several jobs as their user submits them together.
+type Pipeline struct {
+	Ref     string            `json:"ref"`
+	Jobs    []json.RawMessage `json:"jobs"` // each as for POST /work
+	Links   []Link            `json:"links"`
+	Choices []Choice          `json:"choices"`
+}
+
+// Link lets one of To run once one of From is over.
+type Link struct {
+	From []string `json:"from"`
+	To   []string `json:"to"`
+}
+
+// Choice names the job that goes on after At, by how At ends.
+type Choice struct {
+	At        string `json:"at"`
+	Done      string `json:"done"`
+	Cancelled string `json:"aborted"`
+}
+
+// PipelineStatus is a pipeline's state as its user sees it.
+type PipelineStatus struct {
+	Ref   string  `json:"ref"`
+	State string  `json:"bloom"`
+	Jobs  []Brief `json:"jobs"`
+}
+
 // Report is what a worker tells about its machine.
 type Report struct {
 	Machine string       `json:"bush"`
