--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -183,6 +183,25 @@
 	}
 }
 
+// Room that was made where the image is not cached is used at once: a service
+// does not wait on it for room with the image.
+func TestServiceUsesRoomMadeForIt(t *testing.T) {
+	r := newRig(t)
+	typ := r.cfg.Types["big"]
+	typ.FetchGBps = 0.2
+	r.cfg.Types["big"] = typ
+	r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
+	r.beats(20)
+	s := spec("run-000002", "b", wire.Service, "prod", 1, 2)
+	s.Image = "web"
+	r.submit(s)
+	r.beats(4)
+	if got := r.on("run-000002/0"); got != "m1" {
+		t.Fatalf("on %q after 8 s, want the machine on which others gave way", got)
+	}
+}
+
 // Machines that come one by one are kept for the gang that waits: smaller work
 // of its priority and below can't starve it.
 func TestGangGathersMachines(t *testing.T) {
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -185,16 +185,12 @@
 		limit = (limit + 1) / 2
 	}
 	for _, m := range p.machines {
-		n := m.heldFor(j, now)
-		if n == 0 {
-			continue
-		}
-		if f := free(m); !m.clearing() && (zones[m.Zone]+n > limit || !roomFor(s, f.cpus, f.gpus, f.mem)) {
-			m.reserved, m.reservedN = "", 0 // of no use any more
-			continue
+		// Room that is free by now, or made where the image is not, is not what
+		// is waited for.
+		if n := m.heldFor(j, now); n > 0 && m.hasImage(s.Image) && m.clearing() && zones[m.Zone]+n <= limit {
+			coming += n
+			zones[m.Zone] += n
 		}
-		coming += n
-		zones[m.Zone] += n
 	}
 	if coming >= j.nIdle {
 		return true, false
