--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math"
 	"net"
 	"runtime"
 	"testing"
@@ -379,7 +380,7 @@
 	if got := c.serveUser(req); got.status != 201 {
 		t.Fatalf("passed on: %+v", got)
 	}
-	far.resetOpen(nil, time.Now()) // no watched copy: the record is read
+	far.resetOpen(nil, math.MaxUint64, time.Now()) // no watched copy: the record is read
 	poll := httpwire.Request{Method: "GET", Path: wire.JobsPath + "/run-000412"}
 	if got := c.serveUser(poll); got.status != 200 {
 		t.Fatalf("poll passed on: %+v", got)
@@ -474,7 +475,7 @@
 		}
 		if len(entries) > 0 {
 			name = record.Last(entries[0].Key)
-			leader.resetFleet(entries, now)
+			leader.resetFleet(entries, math.MaxUint64, now)
 			break
 		}
 		runtime.Gosched()
@@ -540,7 +541,7 @@
 	events := map[string]func(*testkit.State, *Controller) *Controller{
 		"outage": func(s *testkit.State, c *Controller) *Controller {
 			s.Outage(true)
-			c.resetOpen(nil, time.Now())
+			c.resetOpen(nil, math.MaxUint64, time.Now())
 			if got := c.poll("run-000001"); got.status == 404 {
 				t.Error("forgotten in an outage")
 			}
@@ -555,7 +556,7 @@
 			return c
 		},
 		"views lost": func(s *testkit.State, c *Controller) *Controller {
-			c.resetOpen(nil, time.Now())
+			c.resetOpen(nil, math.MaxUint64, time.Now())
 			return c
 		},
 		"views read anew": func(s *testkit.State, c *Controller) *Controller {
@@ -563,7 +564,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			c.resetOpen(open, time.Now())
+			c.resetOpen(open, math.MaxUint64, time.Now())
 			return c
 		},
 	}
@@ -580,7 +581,7 @@
 				}
 			}
 			c = second(state, first(state, c))
-			c.resetOpen(nil, time.Now()) // without watched copies the records are read
+			c.resetOpen(nil, math.MaxUint64, time.Now()) // without watched copies the records are read
 			for ref, want := range map[string]string{"run-000001": wire.Pending, "run-000002": wire.Cancelled, "run-000003": wire.Pending} {
 				got := c.poll(ref)
 				if st, ok := got.body.(wire.Status); got.status != 200 || !ok || st.State != want {
@@ -623,17 +624,53 @@
 	now := time.Now()
 	c.submit(body(t, nil))
 	e := state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})
-	c.resetFleet([]wire.Entry{e}, now)
+	c.resetFleet([]wire.Entry{e}, e.Version, now)
 	if _, ok := c.fleet.Machine("m"); !ok || len(c.open) != 1 {
 		t.Fatal("views are empty")
 	}
-	c.resetFleet(nil, now)
-	c.resetOpen(nil, now)
+	c.resetFleet(nil, math.MaxUint64, now)
+	c.resetOpen(nil, math.MaxUint64, now)
 	if _, ok := c.fleet.Machine("m"); ok || len(c.open) != 0 {
 		t.Fatal("views keep what is gone")
 	}
-	c.resetFleet([]wire.Entry{state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})}, now)
+	c.resetFleet([]wire.Entry{state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})}, math.MaxUint64, now)
 	if _, ok := c.fleet.Machine("m"); !ok {
 		t.Fatal("what comes again is not taken in")
 	}
 }
+
+// A part may be taken over before the views are there. Read anew, they must not
+// make its machines gone: not while a machine's own record is known and its
+// rental is not yet, nor for a rental recorded after the list was read.
+func TestViewsReadAnewKeepMachines(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	c := newTest(t, state)
+	now := time.Now()
+	rental := func(name, id string) wire.Entry {
+		return state.Put(record.RentalKey(name), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{id}})
+	}
+	rental("r", "m")
+	state.Put(record.OwnKey("m"), record.Machine{Type: "big", Zone: "z"})
+	state.Put(record.BackKey(9, 9, 9), record.Back{IDs: []string{"x"}})
+	if err := c.takeOver(ctx, 0, versioned[record.Part]{}, 1); err != nil {
+		t.Fatal(err)
+	}
+	entries, rev, err := state.List(ctx, statestore.Urgent("test"), record.FleetPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Recorded here after the list was read.
+	e := rental("s", "n")
+	c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, now)
+	for _, e := range entries { // one by one, as a watch could tell them
+		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, now)
+		if p := c.parts[0]; !p.HasMachine("m") || !p.HasMachine("n") {
+			t.Fatalf("a machine is gone after %s", e.Key)
+		}
+	}
+	c.resetFleet(entries, rev, now)
+	if p := c.parts[0]; !p.HasMachine("m") || !p.HasMachine("n") {
+		t.Fatal("a machine is gone after the views were read anew")
+	}
+}
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -144,7 +144,7 @@
 		e := wire.Change{Put: op.Put, Value: op.Value, Delete: op.Delete, Version: rev}
 		switch key := op.Put + op.Delete; {
 		case hasPrefix(key, record.FleetPrefix):
-			c.fleetChange(e, now)
+			c.takeFleet([]wire.Change{e}, now)
 		case hasPrefix(key, record.OpenPrefix):
 			c.openChange(e, now)
 		}
--- a/internal/controller/pipelines_test.go
+++ b/internal/controller/pipelines_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -120,7 +121,7 @@
 	if got := work(); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
 		t.Fatalf("withdraw: %+v", got)
 	}
-	c.resetOpen(nil, time.Now())
+	c.resetOpen(nil, math.MaxUint64, time.Now())
 	for i := 1; i <= 3; i++ {
 		if got := c.poll(fmt.Sprintf("run-%06d", i)); got.body.(wire.Status).State != wire.Cancelled {
 			t.Errorf("job %d after the withdrawal: %+v", i, got)
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"time"
 
 	"bramblespur/internal/record"
@@ -13,7 +12,7 @@
 
 // watchLoop keeps a view of the keys with a prefix: all of them first, then
 // each change.
-func (c *Controller) watchLoop(ctx context.Context, prefix string, reset func([]wire.Entry, time.Time), change func(wire.Change, time.Time)) {
+func (c *Controller) watchLoop(ctx context.Context, prefix string, reset func([]wire.Entry, uint64, time.Time), change func(wire.Change, time.Time)) {
 	for ctx.Err() == nil {
 		at := time.Now()
 		entries, rev, err := c.store.List(ctx, statestore.Urgent("view"), prefix)
@@ -21,7 +20,7 @@
 			sleep(ctx, jitter(400*time.Millisecond))
 			continue
 		}
-		reset(entries, at)
+		reset(entries, rev, at)
 		for ctx.Err() == nil {
 			at := time.Now()
 			ch, err := c.store.Watch(ctx, prefix, rev, c.watchWait())
@@ -57,7 +56,7 @@
 	}
 }
 
-func (c *Controller) resetCluster(entries []wire.Entry, at time.Time) {
+func (c *Controller) resetCluster(entries []wire.Entry, _ uint64, at time.Time) {
 	c.mu.Lock()
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.members = map[string]record.Member{}
@@ -127,69 +126,82 @@
 	}
 }
 
-// resetFleet takes in all records of machines; what is not there is gone.
-func (c *Controller) resetFleet(entries []wire.Entry, at time.Time) {
+// resetFleet takes in all records of machines as of a revision; what is not
+// there is gone, unless this controller has written it since. All of it counts
+// at once: of a machine's records the first without the others would tell that
+// there is no such machine, and so that its tasks are gone.
+func (c *Controller) resetFleet(entries []wire.Entry, rev uint64, at time.Time) {
 	keep := map[string]bool{}
+	var changes []wire.Change
 	for _, e := range entries {
 		keep[e.Key] = true
+		changes = append(changes, wire.Change{Put: e.Key, Value: e.Value, Version: e.Version})
 	}
 	c.mu.Lock()
-	keys := c.fleet.Keys()
-	c.mu.Unlock()
-	for _, e := range entries {
-		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
-	}
-	for _, k := range keys {
-		if !keep[k] {
-			c.changeFleet(wire.Change{Delete: k, Version: math.MaxUint64}, at)
+	for key, version := range c.fleet.Versions() {
+		if !keep[key] && version <= rev {
+			changes = append(changes, wire.Change{Delete: key, Version: rev})
 		}
 	}
+	c.takeFleet(changes, time.Now())
+	c.mu.Unlock()
 	c.viewed(record.FleetPrefix, at)
 }
 
 func (c *Controller) changeFleet(e wire.Change, _ time.Time) {
-	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fleetChange(e, now)
-	for _, p := range c.parts {
-		c.pump(p, now)
-	}
+	c.takeFleet([]wire.Change{e}, time.Now())
 }
 
-// fleetChange takes in one record of machines and tells the parts. The lock is
-// held.
-func (c *Controller) fleetChange(e wire.Change, now time.Time) {
-	ids, err := c.fleet.Change(e)
-	if err != nil {
-		c.log.Error("fleet record", "err", err)
-		return
+// takeFleet takes in records of machines, all of them before the parts are told.
+// The lock is held.
+func (c *Controller) takeFleet(changes []wire.Change, now time.Time) {
+	gone, changed := map[string]bool{}, map[string]bool{}
+	for _, e := range changes {
+		ids, err := c.fleet.Change(e)
+		if err != nil {
+			c.log.Error("fleet record", "err", err)
+			continue
+		}
+		for _, id := range ids {
+			changed[id] = true
+			// Only a rental's end proves a machine gone; that the rental is not
+			// known here proves nothing.
+			if hasPrefix(e.Delete, record.RentalPrefix) {
+				gone[id] = true
+			}
+		}
 	}
-	for _, id := range ids {
+	for id := range changed {
 		v, ok := c.fleet.Machine(id)
 		for _, p := range c.parts {
 			switch {
-			case !ok:
+			case !ok && gone[id]:
 				p.DropMachine(id, now)
-			case v.Part == p.ID() || p.HasMachine(id):
+			case ok && (v.Part == p.ID() || p.HasMachine(id)):
 				if err := p.SetMachine(id, v, now); err != nil {
 					c.log.Error("machine record", "machine", id, "err", err)
 				}
 			}
 		}
 	}
+	for _, p := range c.parts {
+		c.pump(p, now)
+	}
 }
 
-// resetOpen takes in all open jobs; what is not there has ended.
-func (c *Controller) resetOpen(entries []wire.Entry, at time.Time) {
+// resetOpen takes in all open jobs as of a revision; what is not there has
+// ended, unless it was accepted here since.
+func (c *Controller) resetOpen(entries []wire.Entry, rev uint64, at time.Time) {
 	keep := map[string]bool{}
 	for _, e := range entries {
 		keep[record.Last(e.Key)] = true
 		c.changeOpen(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
 	}
 	c.mu.Lock()
-	for ref := range c.open {
-		if !keep[ref] {
+	for ref, j := range c.open {
+		if !keep[ref] && j.version <= rev {
 			delete(c.open, ref)
 		}
 	}
--- a/internal/record/fleet.go
+++ b/internal/record/fleet.go
@@ -86,17 +86,17 @@
 // Len is the number of machines, those gone but not yet cleared away included.
 func (f *Fleet) Len() int { return len(f.rentalOf) }
 
-// Keys returns the keys of all records held.
-func (f *Fleet) Keys() []string {
-	var out []string
-	for n := range f.rentals {
-		out = append(out, RentalKey(n))
+// Versions returns the versions of all records held, by key.
+func (f *Fleet) Versions() map[string]uint64 {
+	out := map[string]uint64{}
+	for n, r := range f.rentals {
+		out[RentalKey(n)] = r.version
 	}
-	for id := range f.own {
-		out = append(out, OwnKey(id))
+	for id, o := range f.own {
+		out[OwnKey(id)] = o.version
 	}
-	for n := range f.backs {
-		out = append(out, BackPrefix+n)
+	for n, b := range f.backs {
+		out[BackPrefix+n] = b.version
 	}
 	return out
 }
--- a/internal/record/fleet_test.go
+++ b/internal/record/fleet_test.go
@@ -67,8 +67,8 @@
 			change(wire.Change{Delete: op.Delete, Version: 11})
 		}
 	}
-	if len(f.Keys()) != 0 || f.Len() != 0 {
-		t.Fatalf("left: %v", f.Keys())
+	if len(f.Versions()) != 0 || f.Len() != 0 {
+		t.Fatalf("left: %v", f.Versions())
 	}
 }
 
