--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -226,9 +226,10 @@
 	}
 	l.clearing = now.Add(clearEvery)
 	c.mu.Lock()
+	viewed := !c.fleetAt.IsZero() // before that the view may lack rentals
 	t, ok := c.fleet.Clear(clearAtOnce)
 	c.mu.Unlock()
-	if !ok {
+	if !viewed || !ok {
 		return
 	}
 	go func() {
--- a/internal/record/fleet.go
+++ b/internal/record/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"bramblespur/internal/wire"
@@ -205,54 +206,48 @@
 	Version uint64
 }
 
-// Clear proposes one transaction that clears away what nobody needs any more:
-// a rental of which every machine is gone, with its machines' own records, or
-// batches whose machines no rental names any longer. It has at most most changes.
+// Clear proposes one transaction that clears away what nobody needs any more: of
+// a rental of which every machine is gone first the machines' own records, then
+// the rental itself, and last the batches whose machines no rental names any
+// longer. A machine's own record never outlives its rental: to who knows the one
+// and not the other the machine would be somebody else's. It has at most most
+// changes.
 func (f *Fleet) Clear(most int) (wire.Txn, bool) {
+	var t wire.Txn
+	remove := func(key string, version uint64) {
+		t.If = append(t.If, wire.Cond{Key: key, Version: version})
+		t.Then = append(t.Then, wire.Op{Delete: key})
+	}
 	for name, r := range f.rentals {
-		if len(r.rec.IDs) == 0 {
-			continue // still under way
+		if len(r.rec.IDs) == 0 || !f.allGone(r.rec.IDs) {
+			continue // still under way, or in use
 		}
-		t := wire.Txn{If: []wire.Cond{{Key: RentalKey(name), Version: r.version}}, Then: []wire.Op{{Delete: RentalKey(name)}}}
-		all := true
 		for _, id := range r.rec.IDs {
-			if v, _ := f.Machine(id); v.Phase != Gone {
-				all = false
-				break
-			}
 			if o, ok := f.own[id]; ok && len(t.Then) < most {
-				t.If = append(t.If, wire.Cond{Key: OwnKey(id), Version: o.version})
-				t.Then = append(t.Then, wire.Op{Delete: OwnKey(id)})
+				remove(OwnKey(id), o.version)
 			}
 		}
-		if all {
-			return t, true
+		if len(t.Then) == 0 {
+			remove(RentalKey(name), r.version)
 		}
+		return t, true
 	}
-	var t wire.Txn
 	for name, b := range f.backs {
-		if !b.rec.Done || len(t.Then) >= most {
-			continue
-		}
-		used := false
-		for _, id := range b.rec.IDs {
-			if _, ok := f.rentalOf[id]; ok {
-				used = true
-				break
-			}
-		}
-		if !used {
-			t.If = append(t.If, wire.Cond{Key: BackPrefix + name, Version: b.version})
-			t.Then = append(t.Then, wire.Op{Delete: BackPrefix + name})
+		used := func(id string) bool { _, ok := f.rentalOf[id]; return ok }
+		if b.rec.Done && len(t.Then) < most && !slices.ContainsFunc(b.rec.IDs, used) {
+			remove(BackPrefix+name, b.version)
 		}
 	}
-	for id, o := range f.own {
-		if _, ok := f.rentalOf[id]; !ok && len(t.Then) < most {
-			t.If = append(t.If, wire.Cond{Key: OwnKey(id), Version: o.version})
-			t.Then = append(t.Then, wire.Op{Delete: OwnKey(id)})
+	return t, len(t.Then) > 0
+}
+
+func (f *Fleet) allGone(ids []string) bool {
+	for _, id := range ids {
+		if v, _ := f.Machine(id); v.Phase != Gone {
+			return false
 		}
 	}
-	return t, len(t.Then) > 0
+	return true
 }
 
 // Rental returns a rental's record.
--- a/internal/record/fleet_test.go
+++ b/internal/record/fleet_test.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"strings"
 	"testing"
 
 	"bramblespur/internal/wire"
@@ -54,8 +55,8 @@
 		t.Fatal("cleared while one of the rental's machines is in use")
 	}
 	change(put(BackKey(1, 7, 2), Back{IDs: []string{"c"}, Done: true}, 10), "c")
-	// The rental goes first, then what spoke of its machines.
-	for range 3 {
+	// A machine's own record goes before its rental, the batches last.
+	for range 4 {
 		txn, ok := f.Clear(2)
 		if !ok {
 			break
@@ -64,6 +65,12 @@
 			t.Fatalf("clears with %+v", txn)
 		}
 		for _, op := range txn.Then {
+			if _, ok := f.own["a"]; ok && op.Delete == RentalKey("r") {
+				t.Fatal("the rental goes before a machine's own record")
+			}
+			if _, ok := f.rentals["r"]; ok && strings.HasPrefix(op.Delete, BackPrefix) {
+				t.Fatal("a batch goes before the rental of its machines")
+			}
 			change(wire.Change{Delete: op.Delete, Version: 11})
 		}
 	}
