--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -674,3 +674,50 @@
 		t.Fatal("a machine is gone after the views were read anew")
 	}
 }
+
+// forgetful is a state service that has forgotten the changes a watch asks for,
+// so many times.
+type forgetful struct {
+	*testkit.State
+	times int
+}
+
+func (f *forgetful) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (wire.Changes, error) {
+	if f.times--; f.times >= 0 {
+		return wire.Changes{}, statestore.ErrTooOld
+	}
+	<-ctx.Done()
+	return wire.Changes{}, ctx.Err()
+}
+
+// A watch that asks for changes no longer kept leads to reading all anew.
+func TestMissedChangesAreReadAnew(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.store = &forgetful{state, 2}
+	state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	resets := make(chan int)
+	gone := wire.Txn{Then: []wire.Op{{Delete: record.RentalKey("r")}}}
+	go c.watchLoop(ctx, record.FleetPrefix, func(entries []wire.Entry, rev uint64, at time.Time) {
+		c.resetFleet(entries, rev, at)
+		if _, err := state.Txn(ctx, statestore.Urgent("test"), gone); err != nil { // unseen
+			t.Error(err)
+		}
+		select {
+		case resets <- len(entries):
+		case <-ctx.Done():
+		}
+	}, c.changeFleet)
+	for i, want := range []int{1, 0, 0} {
+		if got := <-resets; got != want {
+			t.Fatalf("reading %d: %d records, want %d", i, got, want)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.fleet.Machine("m"); ok {
+		t.Fatal("the view keeps what went while it missed changes")
+	}
+}
