--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -446,5 +446,5 @@
 	if m.Type.CPUs > 0 {
 		used = math.Max(used, m.cpus/m.Type.CPUs)
 	}
-	return v + 20*used - 4*float64(len(m.images))
+	return v + 20*used - float64(len(m.images))/2
 }
