--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -23,10 +23,8 @@
 	if json.Unmarshal(body, &w) != nil || !validName(w.Ref, "pipe-") || len(w.Jobs) == 0 {
 		return reply{status: 400}
 	}
-	c.mu.Lock()
-	types := c.types
-	c.mu.Unlock()
-	if types == nil || c.down() {
+	types, ok := c.decides()
+	if !ok {
 		return later()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
@@ -48,12 +46,7 @@
 		specs = append(specs, s)
 		rec.Jobs = append(rec.Jobs, s.Ref)
 	}
-	for _, l := range w.Links {
-		rec.Links = append(rec.Links, record.Link{From: l.From, To: l.To})
-	}
-	for _, ch := range w.Choices {
-		rec.Choices = append(rec.Choices, record.Choice{At: ch.At, Done: ch.Done, Cancelled: ch.Cancelled})
-	}
+	rec.Links, rec.Choices = w.Links, w.Choices
 	if !wellFormed(&rec) || slices.ContainsFunc(specs, func(s *wire.Spec) bool { return s.Team != specs[0].Team }) {
 		return reply{status: 400}
 	}
@@ -175,11 +168,8 @@
 
 // pollPipeline answers with a pipeline's state and those of its jobs.
 func (c *Controller) pollPipeline(ref string) reply {
-	if !validName(ref, "pipe-") {
-		return reply{status: 404}
-	}
-	if c.down() {
-		return later()
+	if no := c.refuses(ref, "pipe-"); !no.zero() {
+		return no
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
 	defer cancel()
@@ -211,11 +201,8 @@
 // cancelPipeline cancels what is left of a pipeline, with all its jobs at once:
 // no start of any can slip past it.
 func (c *Controller) cancelPipeline(ref string) reply {
-	if !validName(ref, "pipe-") {
-		return reply{status: 404}
-	}
-	if c.down() {
-		return later()
+	if no := c.refuses(ref, "pipe-"); !no.zero() {
+		return no
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
 	defer cancel()
@@ -262,6 +249,18 @@
 	return later()
 }
 
+// refuses answers at once what asks for a malformed reference, or comes while
+// the state service can't be asked.
+func (c *Controller) refuses(ref, prefix string) reply {
+	switch {
+	case !validName(ref, prefix):
+		return reply{status: 404}
+	case c.down():
+		return later()
+	}
+	return reply{}
+}
+
 // validName checks the form of a reference.
 func validName(ref, prefix string) bool {
 	digits, ok := strings.CutPrefix(ref, prefix)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -209,6 +209,15 @@
 	return c.lease == 0 || time.Since(c.leaseAt) > 3*leaseTTL/4
 }
 
+// decides returns the machine types if a submission can be decided on: they are
+// known, and the state service can be asked.
+func (c *Controller) decides() ([]wire.MachineType, bool) {
+	c.mu.Lock()
+	types := c.types
+	c.mu.Unlock()
+	return types, types != nil && !c.down()
+}
+
 func (c *Controller) submit(body []byte) reply {
 	s, ok := parseSpec(body)
 	if !ok {
@@ -217,10 +226,8 @@
 	if j, ok := c.final(s.Ref); ok {
 		return reply{status: 200, body: wire.Brief{Ref: s.Ref, State: j.State}}
 	}
-	c.mu.Lock()
-	types := c.types
-	c.mu.Unlock()
-	if types == nil || c.down() {
+	types, ok := c.decides()
+	if !ok {
 		return later()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -152,26 +152,12 @@
 // Pipe is a pipeline of several jobs. What was released follows from what has
 // ended, by the paper's algorithm.
 type Pipe struct {
-	Part    int       `json:"part"`
-	Jobs    []string  `json:"jobs"`
-	Links   []Link    `json:"links,omitempty"`
-	Choices []Choice  `json:"choices,omitempty"`
-	Ended   []PipeEnd `json:"ended,omitempty"` // in order
-	State   string    `json:"state,omitempty"` // once it is over or cancelled
-}
-
-// Link says that one of To may run once one of From has ended.
-type Link struct {
-	From []string `json:"from"`
-	To   []string `json:"to"`
-}
-
-// Choice says which job goes on after At, by its outcome. Without Cancelled a
-// cancelled job ends all that follows it.
-type Choice struct {
-	At        string `json:"at"`
-	Done      string `json:"done"`
-	Cancelled string `json:"cancelled,omitempty"`
+	Part    int           `json:"part"`
+	Jobs    []string      `json:"jobs"`
+	Links   []wire.Link   `json:"links,omitempty"`
+	Choices []wire.Choice `json:"choices,omitempty"`
+	Ended   []PipeEnd     `json:"ended,omitempty"` // in order
+	State   string        `json:"state,omitempty"` // once it is over or cancelled
 }
 
 // PipeEnd is a job of a pipeline that has ended.
--- a/internal/sched/pipeline_test.go
+++ b/internal/sched/pipeline_test.go
@@ -19,18 +19,18 @@
 	jobD = "run-00000d"
 )
 
-func link(from, to string) record.Link { return record.Link{From: []string{from}, To: []string{to}} }
+func link(from, to string) wire.Link { return wire.Link{From: []string{from}, To: []string{to}} }
 
 // diamond is a split after the first job and its join.
 func diamond() record.Pipe {
-	return record.Pipe{Jobs: []string{jobA, jobB, jobC, jobD}, Links: []record.Link{link(jobA, jobB), link(jobA, jobC), link(jobB, jobD), link(jobC, jobD)}}
+	return record.Pipe{Jobs: []string{jobA, jobB, jobC, jobD}, Links: []wire.Link{link(jobA, jobB), link(jobA, jobC), link(jobB, jobD), link(jobC, jobD)}}
 }
 
 // fork is a choice after the first job: done goes on with B, cancelled with C.
 func fork() record.Pipe {
 	return record.Pipe{Jobs: []string{jobA, jobB, jobC, jobD},
-		Links:   []record.Link{{From: []string{jobA}, To: []string{jobB, jobC}}, {From: []string{jobB, jobC}, To: []string{jobD}}},
-		Choices: []record.Choice{{At: jobA, Done: jobB, Cancelled: jobC}}}
+		Links:   []wire.Link{{From: []string{jobA}, To: []string{jobB, jobC}}, {From: []string{jobB, jobC}, To: []string{jobD}}},
+		Choices: []wire.Choice{{At: jobA, Done: jobB, Cancelled: jobC}}}
 }
 
 // pipeline submits a pipeline as a controller records it.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -109,11 +109,12 @@
 	To   []string `json:"to"`
 }
 
-// Choice names the job that goes on after At, by how At ends.
+// Choice names the job that goes on after At, by how At ends. Without Cancelled
+// a cancelled job ends all that follows it.
 type Choice struct {
 	At        string `json:"at"`
 	Done      string `json:"done"`
-	Cancelled string `json:"aborted"`
+	Cancelled string `json:"aborted,omitempty"`
 }
 
 // PipelineStatus is a pipeline's state as its user sees it.
