--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -80,6 +81,7 @@
 	Machine
 	part  int
 	taken bool // promised to waiting work
+	whole *bin // the machine that this one is, once emptied
 }
 
 func (b *bin) fits(n *Need) bool {
@@ -95,117 +97,193 @@
 	b.taken = true
 }
 
+func (b *bin) pool() pool { return pool{b.Type, b.Zone, b.Spot} }
+
 type waiting struct {
 	Need
 	part int
 }
 
+// plan is one planning's state. There are thousands of machines and hundreds of
+// needs, so that no need looks at all machines: those with room, and those that
+// are unused, are kept apart.
+type plan struct {
+	*Leader
+	now    time.Time
+	sums   []Summary
+	bins   []*bin
+	needs  []*waiting
+	roomy  map[int][]*bin // with room for the least need, by part
+	unused []*bin
+	// emptied is all machines as they are without their tasks, once it is asked for.
+	emptied []*bin
+	fresh   []*bin         // to be rented
+	coming  map[int][]*bin // the same, by part
+	have    map[string]int // machines by zone
+	hungry  map[hunger]int // needs of a part that an unused machine of a pool would serve
+}
+
+type hunger struct {
+	part int
+	pool
+}
+
 // Plan decides from the parts' summaries. Machines already rented but not yet
 // in a summary must have been added to it, so that nothing is rented twice.
 func (l *Leader) Plan(sums []Summary, now time.Time) (orders []Order, rents []Rent) {
-	var bins []*bin
-	var needs []*waiting
-	for _, s := range sums {
-		for _, m := range s.Machines {
-			if !m.Leaving && (m.Usable || !m.Up) {
-				bins = append(bins, &bin{Machine: m, part: s.Part})
-			}
-		}
-		for _, n := range s.Needs {
-			needs = append(needs, &waiting{n, s.Part})
-		}
-	}
-	sort.SliceStable(needs, func(a, b int) bool {
-		if needs[a].Rank != needs[b].Rank {
-			return needs[a].Rank > needs[b].Rank
-		}
-		return needs[a].Waited > needs[b].Waited
-	})
+	p := &plan{Leader: l, now: now, sums: sums, roomy: map[int][]*bin{}, coming: map[int][]*bin{}, have: map[string]int{}, hungry: map[hunger]int{}}
+	p.take()
 	due := !now.Before(l.balance)
 	if due {
 		l.balance = now.Add(l.cfg.Interval)
 	}
-	var fresh []*bin
-	for _, n := range needs {
-		own := filter(bins, func(b *bin) bool { return b.part == n.part })
-		if l.cover(n, own) {
-			continue
-		}
-		// Free machines of parts that have no use for them come first.
-		if due || n.Waited >= l.cfg.MoveAfter {
-			spare := filter(bins, func(b *bin) bool {
-				return b.part != n.part && b.Up && b.Usable && b.Tasks == 0 && b.For == "" && !b.taken && !wanted(needs, b)
-			})
-			// As in a part, a machine that caches the image is preferred.
-			sort.SliceStable(spare, func(a, b int) bool {
-				return slices.Contains(spare[a].Images, n.Image) && !slices.Contains(spare[b].Images, n.Image)
-			})
-			orders = append(orders, l.bring(n, own, spare, 0)...)
-		}
+	for _, n := range p.needs {
+		orders = append(orders, p.serve(n, due)...)
 		if n.Count == 0 {
-			continue
-		}
-		if n.Rank >= takingRank && n.Waited >= l.cfg.TakeAfter {
-			lower := filter(bins, func(b *bin) bool {
-				return b.part != n.part && b.Up && b.Usable && b.For == "" && !b.taken && b.TopRank < n.Rank
-			})
-			for _, b := range lower { // emptied, the whole machine is there
-				if t := l.typ(b.Type); t != nil {
-					b.CPUs, b.GPUs, b.MemoryGB = t.CPUs, t.GPUs, t.MemoryGB
-				}
-			}
-			sort.SliceStable(lower, func(a, b int) bool { return lower[a].Tasks < lower[b].Tasks })
-			orders = append(orders, l.bring(n, own, lower, n.Rank)...)
+			p.hunger(n, -1)
 		}
-		l.rent(n, bins, &fresh, now)
 	}
-	l.ahead(sums, bins, &fresh, false, now)
-	l.ahead(sums, bins, &fresh, true, now)
+	p.ahead(false)
+	p.ahead(true)
 	at := map[pool]int{}
-	for _, b := range fresh {
-		p := pool{b.Type, b.Zone, b.Spot}
-		i, ok := at[p]
+	for _, b := range p.fresh {
+		i, ok := at[b.pool()]
 		if !ok || len(rents[i].Parts) == maxRental {
 			i = len(rents)
-			at[p] = i
+			at[b.pool()] = i
 			rents = append(rents, Rent{Type: b.Type, Zone: b.Zone, Spot: b.Spot})
 		}
 		rents[i].Parts = append(rents[i].Parts, b.part)
 	}
-	return append(orders, l.returns(sums, bins)...), rents
+	return append(orders, p.returns()...), rents
 }
 
-const (
-	// maxRental is the protocol's bound of one rental request.
-	maxRental = 50
-	// takingRank is the priority from which work of other parts gives way.
-	takingRank = 2
-)
+// take reads the summaries.
+func (p *plan) take() {
+	for _, s := range p.sums {
+		for _, n := range s.Needs {
+			w := &waiting{n, s.Part}
+			p.needs = append(p.needs, w)
+			p.hunger(w, 1)
+		}
+	}
+	sort.SliceStable(p.needs, func(a, b int) bool {
+		if p.needs[a].Rank != p.needs[b].Rank {
+			return p.needs[a].Rank > p.needs[b].Rank
+		}
+		return p.needs[a].Waited > p.needs[b].Waited
+	})
+	least := Need{CPUs: math.Inf(1), GPUs: math.Inf(1), MemoryGB: math.Inf(1), Spot: true}
+	for _, n := range p.needs {
+		least.CPUs, least.GPUs, least.MemoryGB = min(least.CPUs, n.CPUs), min(least.GPUs, n.GPUs), min(least.MemoryGB, n.MemoryGB)
+	}
+	for _, s := range p.sums {
+		for _, m := range s.Machines {
+			if m.Leaving || (m.Up && !m.Usable) {
+				continue
+			}
+			b := &bin{Machine: m, part: s.Part}
+			p.bins = append(p.bins, b)
+			p.have[b.Zone]++
+			if b.Tasks == 0 {
+				p.unused = append(p.unused, b)
+			}
+			least.Job = b.For
+			if b.fits(&least) {
+				p.roomy[s.Part] = append(p.roomy[s.Part], b)
+			}
+		}
+	}
+}
 
-// wanted reports whether a machine's own part has work waiting that fits it.
-func wanted(needs []*waiting, b *bin) bool {
-	for _, n := range needs {
-		if n.part == b.part && n.Count > 0 && b.fits(&n.Need) {
-			return true
+// hunger counts a need, or one less, for the pools whose machines would serve it.
+func (p *plan) hunger(n *waiting, by int) {
+	for i := range p.cfg.Types {
+		t := &p.cfg.Types[i]
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				if b := p.empty(t, z, spot); b.fits(&n.Need) {
+					p.hungry[hunger{n.part, b.pool()}] += by
+				}
+			}
 		}
 	}
-	return false
 }
 
-func filter(bins []*bin, keep func(*bin) bool) []*bin {
+// empty is a new machine.
+func (p *plan) empty(t *wire.MachineType, zone string, spot bool) *bin {
+	return &bin{Machine: Machine{Type: t.Name, Zone: zone, Spot: spot, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}}
+}
+
+// serve finds machines for a need: its part's own, others' free ones, others'
+// with lower work, and new ones, in that order.
+func (p *plan) serve(n *waiting, due bool) (orders []Order) {
+	if p.cover(n, p.roomy[n.part]) {
+		return nil
+	}
+	// Free machines of parts that have no use for them come first.
+	if due || n.Waited >= p.cfg.MoveAfter {
+		var spare []*bin
+		for _, b := range p.unused {
+			if p.movable(b, n) && p.hungry[hunger{b.part, b.pool()}] == 0 {
+				spare = append(spare, b)
+			}
+		}
+		// As in a part, a machine that caches the image is preferred.
+		sort.SliceStable(spare, func(a, b int) bool {
+			return slices.Contains(spare[a].Images, n.Image) && !slices.Contains(spare[b].Images, n.Image)
+		})
+		orders = append(orders, p.bring(n, spare, 0)...)
+	}
+	if n.Count == 0 {
+		return orders
+	}
+	if n.Rank >= takingRank && n.Waited >= p.cfg.TakeAfter {
+		orders = append(orders, p.bring(n, p.lower(n), n.Rank)...)
+	}
+	p.rent(n)
+	return orders
+}
+
+// movable reports whether a machine of another part may be moved for a need.
+func (p *plan) movable(b *bin, n *waiting) bool {
+	return b.part != n.part && b.Up && b.Usable && b.For == "" && !b.taken
+}
+
+// lower returns other parts' machines of which all tasks are of lower priority
+// than a need, as they are once emptied.
+func (p *plan) lower(n *waiting) []*bin {
+	if p.emptied == nil {
+		p.emptied = make([]*bin, 0, len(p.bins))
+		for _, b := range p.bins {
+			if t := p.typ(b.Type); t != nil {
+				e := *b
+				e.CPUs, e.GPUs, e.MemoryGB, e.whole = t.CPUs, t.GPUs, t.MemoryGB, b
+				p.emptied = append(p.emptied, &e)
+			}
+		}
+		sort.SliceStable(p.emptied, func(a, b int) bool { return p.emptied[a].Tasks < p.emptied[b].Tasks })
+	}
 	var out []*bin
-	for _, b := range bins {
-		if keep(b) {
-			out = append(out, b)
+	for _, e := range p.emptied {
+		if e.TopRank < n.Rank && p.movable(e.whole, n) {
+			out = append(out, e)
 		}
 	}
 	return out
 }
 
+const (
+	// maxRental is the protocol's bound of one rental request.
+	maxRental = 50
+	// takingRank is the priority from which work of other parts gives way.
+	takingRank = 2
+)
+
 // cover promises room on bins to a need and lowers its Count by what found
 // some; for a gang it is all in one go. It reports whether nothing is left.
-func (l *Leader) cover(n *waiting, bins []*bin) bool {
-	if got := l.assign(n, bins); got != nil {
+func (p *plan) cover(n *waiting, bins []*bin) bool {
+	if got := p.assign(n, bins); got != nil {
 		for _, b := range got {
 			b.use(&n.Need)
 		}
@@ -216,22 +294,23 @@
 
 // assign finds bins for as many of a need's tasks as possible, or for a gang
 // for all of them or none; one bin is named once for each task.
-func (l *Leader) assign(n *waiting, bins []*bin) []*bin {
+func (p *plan) assign(n *waiting, bins []*bin) []*bin {
 	zones := []string{""}
 	if n.OneZone {
-		zones = l.cfg.Zones
+		zones = p.cfg.Zones
 	}
 	var best []*bin
 	for _, z := range zones {
 		var got []*bin
 		for _, b := range bins {
-			if z != "" && b.Zone != z {
+			if len(got) == n.Count {
+				break
+			}
+			if (z != "" && b.Zone != z) || !b.fits(&n.Need) {
 				continue
 			}
-			c := *b
-			for len(got) < n.Count && c.fits(&n.Need) {
+			for c := *b; len(got) < n.Count && c.fits(&n.Need); c.use(&n.Need) {
 				got = append(got, b)
-				c.use(&n.Need)
 			}
 		}
 		if len(got) > len(best) {
@@ -246,14 +325,25 @@
 
 // bring orders machines of other parts to a need's part. A gang may be served
 // by its own part's machines and others' together.
-func (l *Leader) bring(n *waiting, own, others []*bin, below int) []Order {
-	got := l.assign(n, append(slices.Clone(own), others...))
+func (p *plan) bring(n *waiting, others []*bin, below int) []Order {
+	if len(others) == 0 {
+		return nil
+	}
+	got := p.assign(n, append(slices.Clone(p.roomy[n.part]), others...))
 	var orders []Order
 	for _, b := range got {
+		if b.whole != nil {
+			m := b.whole
+			if m.part != n.part {
+				m.CPUs, m.GPUs, m.MemoryGB = b.CPUs, b.GPUs, b.MemoryGB
+			}
+			b = m
+		}
 		b.use(&n.Need)
 		if b.part != n.part {
 			orders = append(orders, Order{Part: b.part, Machine: b.ID, To: n.part, Below: below})
 			b.part = n.part // what is left of it serves the same part
+			p.roomy[n.part] = append(p.roomy[n.part], b)
 		}
 	}
 	n.Count -= len(got)
@@ -278,27 +368,22 @@
 }
 
 // offers returns the pools whose machines fit a need, cheapest first, then
-// those in zones with fewer of the given machines.
-func (l *Leader) offers(n *Need, bins, fresh []*bin, now time.Time) []offer {
-	have := map[string]int{}
-	for _, b := range append(slices.Clone(bins), fresh...) {
-		have[b.Zone]++
-	}
+// those in zones with fewer of our machines.
+func (p *plan) offers(n *Need) []offer {
 	var offers []offer
-	for i := range l.cfg.Types {
-		t := &l.cfg.Types[i]
+	for i := range p.cfg.Types {
+		t := &p.cfg.Types[i]
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				p := pool{t.Name, z, spot}
-				b := &bin{Machine: Machine{Type: t.Name, Zone: z, Spot: spot, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}}
-				if !b.fits(n) || now.Before(l.refused[p].until) {
+				b := p.empty(t, z, spot)
+				if !b.fits(n) || p.now.Before(p.refused[b.pool()].until) {
 					continue
 				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
 				}
-				offers = append(offers, offer{p, t, price, have[z]})
+				offers = append(offers, offer{b.pool(), t, price, p.have[z]})
 			}
 		}
 	}
@@ -311,15 +396,25 @@
 	return offers
 }
 
+// add notes a machine to be rented.
+func (p *plan) add(o offer, part int) *bin {
+	b := p.empty(o.t, o.zone, o.spot)
+	b.part = part
+	p.fresh = append(p.fresh, b)
+	p.coming[part] = append(p.coming[part], b)
+	p.have[o.zone]++
+	return b
+}
+
 // rent adds new machines for what is left of a need, cheapest kind first.
-func (l *Leader) rent(n *waiting, bins []*bin, fresh *[]*bin, now time.Time) {
-	mine := filter(*fresh, func(b *bin) bool { return b.part == n.part })
-	if l.cover(n, mine) {
+func (p *plan) rent(n *waiting) {
+	mine := p.coming[n.part]
+	if p.cover(n, mine) {
 		return
 	}
-	offers := l.offers(&n.Need, bins, *fresh, now)
+	offers := p.offers(&n.Need)
 	if n.Gang && n.OneZone {
-		offers = l.gangZone(n, offers, bins, mine)
+		offers = p.gangZone(n, offers, mine)
 	}
 	for i := 0; n.Count > 0 && len(offers) > 0; i++ {
 		o := offers[0]
@@ -331,8 +426,7 @@
 			}
 			o = offers[i%same]
 		}
-		b := &bin{Machine: Machine{Type: o.typ, Zone: o.zone, Spot: o.spot, CPUs: o.t.CPUs, GPUs: o.t.GPUs, MemoryGB: o.t.MemoryGB}, part: n.part}
-		*fresh = append(*fresh, b)
+		b := p.add(o, n.part)
 		for n.Count > 0 && b.fits(&n.Need) {
 			b.use(&n.Need)
 			n.Count--
@@ -343,14 +437,13 @@
 // gangZone chooses the zone in which the fewest machines are missing for a gang
 // of one zone, promises it those that are there or coming, and returns the
 // offers of that zone for the rest.
-func (l *Leader) gangZone(n *waiting, offers []offer, bins, mine []*bin) []offer {
+func (p *plan) gangZone(n *waiting, offers []offer, mine []*bin) []offer {
 	var got []*bin
 	zone := ""
 	for _, o := range offers { // the cheapest first
 		there := &waiting{n.Need, n.part}
 		there.Gang, there.Zone = false, o.zone
-		own := filter(bins, func(b *bin) bool { return b.part == n.part && b.Zone == o.zone })
-		if all := l.assign(there, append(own, mine...)); zone == "" || len(all) > len(got) {
+		if all := p.assign(there, append(slices.Clone(p.roomy[n.part]), mine...)); zone == "" || len(all) > len(got) {
 			zone, got = o.zone, all
 		}
 	}
@@ -363,19 +456,19 @@
 
 // headroom says how many unused machines of a kind each part should have, from
 // what has lately arrived there and how long a new machine takes.
-func (l *Leader) headroom(sums []Summary, spot bool) (want map[int]float64, total int) {
+func (p *plan) headroom(spot bool) (want map[int]float64, total int) {
 	boot := time.Duration(0)
-	for _, t := range l.cfg.Types {
+	for _, t := range p.cfg.Types {
 		boot = max(boot, time.Duration(t.BootS*float64(time.Second)))
 	}
 	want = map[int]float64{}
 	sum := 0.0
-	for _, s := range sums {
+	for _, s := range p.sums {
 		arriving := s.Arriving
 		if spot {
 			arriving = s.ArrivingSpot
 		}
-		want[s.Part] = l.cfg.Headroom(arriving, boot, spot)
+		want[s.Part] = p.cfg.Headroom(arriving, boot, spot)
 		sum += want[s.Part]
 	}
 	return want, int(sum + 0.5)
@@ -383,45 +476,42 @@
 
 // ahead rents the headroom of a kind: machines with nothing to do, since a boot
 // and an image take longer than most work may wait.
-func (l *Leader) ahead(sums []Summary, bins []*bin, fresh *[]*bin, spot bool, now time.Time) {
-	want, target := l.headroom(sums, spot)
+func (p *plan) ahead(spot bool) {
+	want, target := p.headroom(spot)
 	total := 0
-	for _, b := range append(slices.Clone(bins), *fresh...) {
-		if b.Spot == spot && b.Tasks == 0 && !b.taken {
-			want[b.part]--
-			total++
+	for _, bins := range [][]*bin{p.unused, p.fresh} {
+		for _, b := range bins {
+			if b.Spot == spot && b.Tasks == 0 && !b.taken {
+				want[b.part]--
+				total++
+			}
 		}
 	}
 	for ; total < target; total++ {
 		best := -1
-		for _, s := range sums {
+		for _, s := range p.sums {
 			if best < 0 || want[s.Part] > want[best] {
 				best = s.Part
 			}
 		}
 		want[best]--
-		var o *offer
-		for _, c := range l.offers(&Need{Spot: spot}, bins, *fresh, now) {
-			if c.spot == spot {
-				o = &c
-				break
-			}
-		}
-		if o == nil {
+		offers := p.offers(&Need{Spot: spot})
+		i := slices.IndexFunc(offers, func(o offer) bool { return o.spot == spot })
+		if i < 0 {
 			return
 		}
-		*fresh = append(*fresh, &bin{part: best, Machine: Machine{Type: o.typ, Zone: o.zone, Spot: spot, CPUs: o.t.CPUs, GPUs: o.t.GPUs, MemoryGB: o.t.MemoryGB}})
+		p.add(offers[i], best)
 	}
 }
 
 // returns gives back machines unused for long, keeping the headroom.
-func (l *Leader) returns(sums []Summary, bins []*bin) []Order {
-	_, ordinary := l.headroom(sums, false)
-	_, spots := l.headroom(sums, true)
+func (p *plan) returns() []Order {
+	_, ordinary := p.headroom(false)
+	_, spots := p.headroom(true)
 	headroom := map[bool]int{false: ordinary, true: spots}
 	var idle []*bin
-	for _, b := range bins {
-		if b.Up && b.Tasks == 0 && b.For == "" && !b.taken {
+	for _, b := range p.unused {
+		if b.Up && b.For == "" && !b.taken {
 			idle = append(idle, b)
 		}
 	}
@@ -439,7 +529,7 @@
 			headroom[b.Spot]--
 			continue
 		}
-		if t := l.typ(b.Type); t != nil && b.Idle > l.cfg.Idle(*t, b.Spot) {
+		if t := p.typ(b.Type); t != nil && b.Idle > p.cfg.Idle(*t, b.Spot) {
 			orders = append(orders, Order{Part: b.part, Machine: b.ID, To: Back})
 		}
 	}
--- a/internal/sched/care.go
+++ b/internal/sched/care.go
@@ -39,6 +39,7 @@
 		return
 	}
 	p.lastCare = now
+	p.zones = map[zoneLimit]zoneCount{}
 	for _, m := range p.machines {
 		if m.txn != nil || m.unsure || m.Phase != record.InUse || now.Before(m.retry) {
 			continue
@@ -81,20 +82,8 @@
 	if now.Sub(m.heard) < limit {
 		return false
 	}
-	heard, quiet := 0, 0
-	for _, o := range p.machines {
-		if o == m || o.Zone != m.Zone || (!o.up && len(o.on) == 0) {
-			continue
-		}
-		// Machines cut off together fall silent within one report's time: only
-		// one heard well after m speaks against m. When the cut ends they come
-		// back one by one: only one heard for as long as m is given does.
-		if o.up && now.Sub(o.heard) < limit/2 && now.Sub(o.steady) > limit {
-			heard++
-		} else {
-			quiet++
-		}
-	}
+	others := p.count(zoneLimit{m.Zone, limit}, now)
+	heard, quiet := others.heard, others.quiet-1 // it is one of the quiet ones itself
 	if heard > 0 && heard >= quiet {
 		return true
 	}
@@ -105,6 +94,40 @@
 	return (heard+quiet == 0 || p.cut[m.Zone]) && now.Sub(m.heard) > patience
 }
 
+// zoneLimit is a zone, and how long a machine there may be silent.
+type zoneLimit struct {
+	zone  string
+	limit time.Duration
+}
+
+// zoneCount is how many machines of a zone are heard and how many are not.
+type zoneCount struct{ heard, quiet int }
+
+// count counts a zone's machines once for all that are looked at together: when
+// a zone falls silent, that is all of its machines.
+func (p *Part) count(at zoneLimit, now time.Time) zoneCount {
+	if n, ok := p.zones[at]; ok {
+		return n
+	}
+	var n zoneCount
+	for _, o := range p.machines {
+		if o.Zone != at.zone || (!o.up && len(o.on) == 0) {
+			continue
+		}
+		// Machines cut off together fall silent within one report's time: only
+		// one heard well after another speaks against that. When the cut ends they
+		// come back one by one: only one heard for as long as those that are silent
+		// are given does.
+		if o.up && now.Sub(o.heard) < at.limit/2 && now.Sub(o.steady) > at.limit {
+			n.heard++
+		} else {
+			n.quiet++
+		}
+	}
+	p.zones[at] = n
+	return n
+}
+
 // overdue reports whether a machine never came up.
 func (p *Part) overdue(m *Machine, now time.Time) bool {
 	limit := time.Duration(p.cfg.BootFactor * m.Type.BootS * float64(time.Second))
@@ -141,11 +164,8 @@
 // directs sends stops straight to the workers: a report may be seconds away,
 // and a gang's tasks must be told within a short time of each other.
 func (p *Part) directs(now time.Time) {
-	for _, m := range p.machines {
-		if !m.direct {
-			continue
-		}
-		m.direct = false
+	for m := range p.index.direct {
+		delete(p.index.direct, m)
 		if m.Addr == "" || m.session == 0 {
 			continue
 		}
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -184,6 +184,7 @@
 func (p *Part) giveBack(m *Machine, why string, now time.Time) {
 	p.out.Given = append(p.out.Given, Give{Machine: m.ID, Why: why, Tasks: len(m.on), Silent: now.Sub(m.heard)})
 	m.Phase = record.Returning
+	p.index.file(m)
 	if len(p.leaving) == 0 {
 		p.leaveAt = now.Add(p.cfg.GatherBacks)
 	}
@@ -283,6 +284,8 @@
 		delete(c.slot.chunks, record.RunName(j.ref, n))
 	}
 	delete(p.jobs, j.ref)
+	delete(p.index.waiting, j.ref)
+	delete(p.kept, j)
 	delete(p.ending, j.ref)
 	p.changed = true
 }
--- /dev/null
+++ b/internal/sched/index.go
@@ -0,0 +1,145 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// With thousands of machines and tasks nothing that a report or a placement
+// brings about may look at all of them. What it looks for is indexed: machines by
+// their free room, by the images that they cache and by the priority of what runs
+// there, kept ones by their job, and the jobs that wait.
+
+// class is what machines have in common for a placement: their kind, whether
+// they take new work, and their free room, rounded down.
+type class struct {
+	typ, zone  string
+	spot       bool
+	open       bool // takes new work, as far as that does not depend on the time
+	cpus, gpus int
+}
+
+type machines map[*Machine]struct{}
+
+// index finds machines without walking all of them.
+type index struct {
+	byRoom  map[class]machines
+	byImage map[string]machines
+	byRank  [highestRank + 1]machines // those with a task of this priority
+	kept    map[string]machines       // by the job that room is, or was, kept for
+	direct  machines                  // for which a direct command is due
+	// clearing are those with a task that is being stopped.
+	clearing machines
+	waiting  map[string]*Job // jobs with a task that has no place
+	cpus     float64         // of all machines
+}
+
+func newIndex() index {
+	x := index{byRoom: map[class]machines{}, byImage: map[string]machines{}, kept: map[string]machines{}, direct: machines{}, clearing: machines{}, waiting: map[string]*Job{}}
+	for r := range x.byRank {
+		x.byRank[r] = machines{}
+	}
+	return x
+}
+
+func insert[K comparable](sets map[K]machines, k K, m *Machine) {
+	s := sets[k]
+	if s == nil {
+		s = machines{}
+		sets[k] = s
+	}
+	s[m] = struct{}{}
+}
+
+func remove[K comparable](sets map[K]machines, k K, m *Machine) {
+	if s := sets[k]; s != nil {
+		delete(s, m)
+		if len(s) == 0 {
+			delete(sets, k)
+		}
+	}
+}
+
+func (m *Machine) class() class {
+	f := free(m)
+	return class{
+		typ: m.Type.Name, zone: m.Zone, spot: m.Spot,
+		open: m.up && m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.muteAt.IsZero(),
+		cpus: int(math.Floor(f.cpus + slack)), gpus: int(math.Floor(f.gpus + slack)),
+	}
+}
+
+// file puts a machine where it belongs after its room or its state has changed.
+func (x *index) file(m *Machine) {
+	c := m.class()
+	if m.filed && c == m.at {
+		return
+	}
+	if m.filed {
+		remove(x.byRoom, m.at, m)
+	} else {
+		x.cpus += m.Type.CPUs
+		for _, i := range m.images {
+			insert(x.byImage, i.Name, m)
+		}
+	}
+	m.filed, m.at = true, c
+	insert(x.byRoom, c, m)
+}
+
+// drop forgets a machine.
+func (x *index) drop(m *Machine) {
+	if !m.filed {
+		return
+	}
+	m.filed = false
+	x.cpus -= m.Type.CPUs
+	remove(x.byRoom, m.at, m)
+	for _, i := range m.images {
+		remove(x.byImage, i.Name, m)
+	}
+	for r := range x.byRank {
+		delete(x.byRank[r], m)
+	}
+	remove(x.kept, m.reserved, m)
+	delete(x.direct, m)
+	delete(x.clearing, m)
+}
+
+// holds counts a task of some priority on a machine, or one less.
+func (x *index) holds(m *Machine, rank, n int) {
+	if m.ranks[rank] += n; m.ranks[rank] > 0 {
+		x.byRank[rank][m] = struct{}{}
+	} else {
+		delete(x.byRank[rank], m)
+	}
+}
+
+// queue notes whether a job has a task without a place.
+func (x *index) queue(j *Job) {
+	if j.nIdle > 0 {
+		x.waiting[j.ref] = j
+	} else {
+		delete(x.waiting, j.ref)
+	}
+}
+
+// roomy calls f for the machines that may have room for a task of s now. Machines
+// that only look as if they had are few: rooms are rounded down.
+func (p *Part) roomy(s *wire.Spec, now time.Time, f func(*Machine)) {
+	for c, ms := range p.index.byRoom {
+		if !c.open || (c.spot && !s.Spot) || (s.Zone != nil && *s.Zone != c.zone) ||
+			s.CPUs >= float64(c.cpus+1) || s.GPUs >= float64(c.gpus+1) {
+			continue
+		}
+		for m := range ms {
+			p.looked++
+			if r := free(m); roomFor(s, r.cpus, r.gpus, r.mem) && allows(s, m) && p.usable(m, now) {
+				f(m)
+			}
+		}
+	}
+}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -17,8 +17,11 @@
 	*t = task{state: placed, attempt: attempt, machine: m}
 	j.nIdle--
 	j.nPlaced++
+	j.zones[m.Zone]++
+	p.index.queue(j)
 	s := j.spec
 	m.on[k] = t
+	p.index.holds(m, j.rank, 1)
 	m.cpus += s.CPUs
 	m.gpus += s.GPUs
 	m.mem += s.MemoryGB
@@ -26,6 +29,7 @@
 	u.cpus += s.CPUs
 	u.gpus += s.GPUs
 	m.idleSince = time.Time{}
+	p.index.file(m)
 	c := p.touch(k, now)
 	c.attempt = max(c.attempt, attempt)
 	c.slot.urgent = true
@@ -40,6 +44,7 @@
 	m := t.machine
 	s := j.spec
 	delete(m.on, k)
+	p.index.holds(m, j.rank, -1)
 	m.cpus -= s.CPUs
 	m.gpus -= s.GPUs
 	m.mem -= s.MemoryGB
@@ -47,12 +52,21 @@
 		m.cpus, m.gpus, m.mem = 0, 0, 0
 		m.idleSince = now
 	}
+	p.index.file(m)
+	if t.stop && !m.clearing() {
+		delete(p.index.clearing, m)
+	}
+	t.reported(j, "")
 	u := p.usage(s.Team)
 	u.cpus -= s.CPUs
 	u.gpus -= s.GPUs
 	*t = task{state: idle}
 	j.nPlaced--
 	j.nIdle++
+	if j.zones[m.Zone]--; j.zones[m.Zone] == 0 {
+		delete(j.zones, m.Zone)
+	}
+	p.index.queue(j)
 	j.firstIdle = min(j.firstIdle, k.i)
 	p.touch(k, now)
 	p.ends(j)
@@ -71,6 +85,7 @@
 	*t = task{state: done}
 	j.nIdle--
 	j.nDone++
+	p.index.queue(j)
 	j.fails = 0
 	p.touch(k, now)
 	p.ends(j)
@@ -242,9 +257,10 @@
 		spec := o.Spec
 		j = &Job{
 			ref: ref, spec: &spec, accepted: time.UnixMilli(o.At), tasks: make([]task, spec.Tasks), nIdle: spec.Tasks,
-			chunks: map[int]*chunk{}, rank: rank(spec.Priority), held: true,
+			chunks: map[int]*chunk{}, zones: map[string]int{}, rank: rank(spec.Priority), held: true,
 		}
 		p.jobs[ref] = j
+		p.index.queue(j)
 		if j.line = alone(ref); o.Pipe != "" {
 			j.line = p.lineOf(o.Pipe)
 		}
@@ -322,7 +338,7 @@
 	m := p.machines[id]
 	if v.Part != p.id {
 		if m != nil && v.Version > m.version && len(m.on) == 0 {
-			delete(p.machines, id)
+			p.forgetMachine(m, now)
 		}
 		return nil
 	}
@@ -345,6 +361,7 @@
 		m.fenced = false
 	}
 	m.Phase = max(m.Phase, v.Phase)
+	p.index.file(m)
 	if m.Phase == record.Gone {
 		p.forgetMachine(m, now)
 	}
@@ -365,6 +382,7 @@
 		p.lose(k, now)
 	}
 	delete(p.machines, m.ID)
+	p.index.drop(m)
 	p.changed = true
 }
 
@@ -391,12 +409,7 @@
 	if j == nil {
 		return wire.Status{}, false
 	}
-	s := wire.Status{Ref: ref, State: wire.Pending, Done: j.nDone}
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == placed && t.phase == wire.Running {
-			s.Running++
-		}
-	}
+	s := wire.Status{Ref: ref, State: wire.Pending, Done: j.nDone, Running: j.nRunning}
 	if s.Running > 0 {
 		s.State = wire.Running
 	}
@@ -411,7 +424,8 @@
 	}
 	if !t.stop || grace < t.grace {
 		t.stop, t.grace = true, grace
-		t.machine.direct = true
+		p.index.clearing[t.machine] = struct{}{}
+		p.index.direct[t.machine] = struct{}{}
 	}
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -100,10 +100,11 @@
 
 // place starts what can be started: team by team, in turn by shares.
 func (p *Part) place(now time.Time) {
-	p.gathers = nil
+	p.gathers, p.found = nil, found{}
 	p.weighKept()
 	queues := map[string][]*Job{}
-	for _, j := range p.jobs {
+	for _, j := range p.index.waiting {
+		p.looked++
 		if !p.waiting(j, now) {
 			j.stuck = time.Time{}
 			continue
@@ -181,13 +182,9 @@
 // weighKept computes the share of the part's machines that kept jobs hold.
 func (p *Part) weighKept() {
 	p.keptLoad = [highestRank + 1]float64{}
-	var all float64
-	for _, m := range p.machines {
-		all += m.Type.CPUs
-	}
-	for _, j := range p.jobs {
-		if j.kept && all > 0 {
-			p.keptLoad[j.rank] += float64(j.nPlaced) * j.spec.CPUs / all
+	for j := range p.kept {
+		if p.index.cpus > 0 {
+			p.keptLoad[j.rank] += float64(j.nPlaced) * j.spec.CPUs / p.index.cpus
 		}
 	}
 }
@@ -236,6 +233,7 @@
 	}
 	if p.aged(j, now) {
 		j.kept = true
+		p.kept[j] = true
 		defer p.weighKept()
 	}
 	gang := j.attempt()
@@ -249,7 +247,7 @@
 			a = gang
 		}
 		p.put(key{j, i}, m, a, now)
-		m.use(j)
+		p.use(m, j)
 	}
 	if j.nIdle == 0 {
 		j.stuck = time.Time{}
@@ -271,38 +269,35 @@
 	p.gathers = j
 	byZone := map[string][]*Machine{}
 	units := map[string]int{}
-	for _, m := range p.machines {
-		if !allows(j.spec, m) || !p.usable(m, now) || (m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT)) {
-			continue
+	p.roomy(j.spec, now, func(m *Machine) {
+		if m.keptFromOthers(j, now) {
+			return
 		}
 		fits := 0
 		for r := free(m); fits < n && roomFor(j.spec, r.cpus, r.gpus, r.mem); r = r.less(j.spec, 1) {
 			fits++
 		}
-		if fits == 0 {
-			continue
-		}
 		z := m.Zone
 		if !j.spec.OneZone {
 			z = ""
 		}
 		byZone[z] = append(byZone[z], m)
 		units[z] += fits
-	}
+	})
 	best, most := "", 0
 	for z, u := range units {
 		if u > most || (u == most && z < best) {
 			best, most = z, u
 		}
 	}
-	for _, m := range p.machines {
-		if m.reserved == j.ref && !m.clearing() {
-			m.reserved, m.reservedN = "", 0
+	for m := range p.index.kept[j.ref] {
+		if !m.clearing() {
+			p.release(m)
 		}
 	}
 	for _, m := range byZone[best] {
 		if m.reserved == "" || !now.Before(m.reservedT) {
-			m.reserve(j, 1, now.Add(gatherFor))
+			p.reserve(m, j, 1, now.Add(gatherFor))
 		}
 	}
 	p.alarm(now.Add(gatherFor / 2))
@@ -325,51 +320,45 @@
 // all of them.
 func (p *Part) find(j *Job, n int, now time.Time) []*Machine {
 	s := j.spec
+	if n == 1 && p.found.job == j {
+		return p.next(j)
+	}
+	p.found.job = nil
 	var cands []*Machine
-	for _, m := range p.machines {
-		if !allows(s, m) || !p.usable(m, now) || !roomFor(s, free(m).cpus, free(m).gpus, free(m).mem) {
-			continue
-		}
+	p.roomy(s, now, func(m *Machine) {
 		if j.failedOn[m.ID] && !j.atFault() {
-			continue
+			return
 		}
-		if m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT) {
+		if m.keptFromOthers(j, now) {
 			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && o.rank >= j.rank && !p.aged(j, now) {
-				continue
+				return
 			}
 		}
 		cands = append(cands, m)
-	}
+	})
 	if len(cands) == 0 {
 		return nil
 	}
-	scores := make(map[*Machine]float64, len(cands))
-	for _, m := range cands {
-		scores[m] = p.score(j, m)
+	limit := len(j.tasks)
+	if s.Spread {
+		limit = (len(j.tasks) + 1) / 2
 	}
-	sort.Slice(cands, func(a, b int) bool {
-		if x, y := scores[cands[a]], scores[cands[b]]; x != y {
-			return x > y
-		}
-		return cands[a].ID < cands[b].ID
-	})
-	zones := map[string]int{}
 	only := ""
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == placed {
-			zones[t.machine.Zone]++
-			only = t.machine.Zone
+	if s.OneZone {
+		for z := range j.zones {
+			only = z
 		}
 	}
-	limit := len(j.tasks)
-	if s.Spread {
-		limit = (len(j.tasks) + 1) / 2
+	if n == 1 && (s.Spread || s.OneZone || j.nIdle == 1) {
+		return p.best(j, cands, limit, only)
 	}
-	if !s.OneZone {
-		return pick(s, cands, n, zones, limit, "")
+	scores := p.sortByScore(j, cands)
+	if n == 1 {
+		p.found = found{j, cands}
+		return p.next(j)
 	}
-	if only != "" {
-		return pick(s, cands, n, zones, limit, only)
+	if !s.OneZone || only != "" {
+		return pick(s, cands, n, j.zones, limit, only)
 	}
 	// The zone that serves the whole gang best: it starts when the last of its
 	// tasks has the image.
@@ -381,7 +370,7 @@
 			continue
 		}
 		tried[m.Zone] = true
-		got := pick(s, cands, n, zones, limit, m.Zone)
+		got := pick(s, cands, n, j.zones, limit, m.Zone)
 		if got == nil {
 			continue
 		}
@@ -396,6 +385,60 @@
 	return best
 }
 
+// found is the candidates for a job's tasks, the best first, while no other
+// job's task is placed.
+type found struct {
+	job  *Job
+	list []*Machine
+}
+
+// next returns the machine for the next task of a job that places one after the
+// other: a wide array would else look at all free machines for each of them. A
+// machine that took one is fuller, and so stays the best until it is full.
+func (p *Part) next(j *Job) []*Machine {
+	for len(p.found.list) > 0 {
+		m := p.found.list[0]
+		if r := free(m); roomFor(j.spec, r.cpus, r.gpus, r.mem) {
+			return p.found.list[:1]
+		}
+		p.found.list = p.found.list[1:]
+	}
+	return nil
+}
+
+// sortByScore puts the best machines first.
+func (p *Part) sortByScore(j *Job, ms []*Machine) map[*Machine]float64 {
+	scores := make(map[*Machine]float64, len(ms))
+	for _, m := range ms {
+		scores[m] = p.score(j, m)
+	}
+	sort.Slice(ms, func(a, b int) bool {
+		if x, y := scores[ms[a]], scores[ms[b]]; x != y {
+			return x > y
+		}
+		return ms[a].ID < ms[b].ID
+	})
+	return scores
+}
+
+// best returns the best of the candidates for one task.
+func (p *Part) best(j *Job, cands []*Machine, limit int, only string) []*Machine {
+	var best *Machine
+	top := 0.0
+	for _, m := range cands {
+		if (only != "" && m.Zone != only) || j.zones[m.Zone] >= limit {
+			continue
+		}
+		if v := p.score(j, m); best == nil || v > top || (v == top && m.ID < best.ID) {
+			best, top = m, v
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*Machine{best}
+}
+
 // pick takes machines in order, several tasks to one where they fit.
 func pick(s *wire.Spec, cands []*Machine, n int, placed map[string]int, limit int, only string) []*Machine {
 	zones := make(map[string]int, len(placed))
@@ -433,11 +476,7 @@
 		v += 30
 	}
 	if j.spec.Spread {
-		for i := range j.tasks {
-			if t := &j.tasks[i]; t.state == placed && t.machine.Zone == m.Zone {
-				v -= 10
-			}
-		}
+		v -= 10 * float64(j.zones[m.Zone])
 	}
 	used := 0.0
 	if m.Type.GPUs > 0 {
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"math"
 	"sort"
 	"time"
@@ -19,6 +20,10 @@
 	if now.Before(j.madeRoom) {
 		return
 	}
+	if again := j.roomTried.Add(roomAgain); now.Before(again) {
+		p.alarm(again)
+		return
+	}
 	type option struct {
 		m       *Machine
 		victims []key
@@ -27,9 +32,9 @@
 	}
 	byZone := map[string][]option{}
 	within := p.guaranteed(j, n)
-	for _, m := range p.machines {
-		if !allows(j.spec, m) || !p.usable(m, now) || (m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT)) {
-			continue
+	p.mayYield(j, within, now, func(m *Machine) {
+		if !allows(j.spec, m) || !p.usable(m, now) || m.keptFromOthers(j, now) {
+			return
 		}
 		r := free(m)
 		o := option{m: m}
@@ -72,14 +77,14 @@
 			r = room{r.cpus + s.CPUs, r.gpus + s.GPUs, r.mem + s.MemoryGB}
 		}
 		if o.units = fits(); o.units == 0 {
-			continue
+			return
 		}
 		zone := m.Zone
 		if !j.spec.OneZone {
 			zone = ""
 		}
 		byZone[zone] = append(byZone[zone], o)
-	}
+	})
 	var best []option
 	bestLoss := math.Inf(1)
 	for _, os := range byZone {
@@ -105,14 +110,54 @@
 		for _, k := range o.victims {
 			p.giveWay(k, now)
 		}
-		o.m.reserve(j, o.units, now.Add(reserveFor))
+		p.reserve(o.m, j, o.units, now.Add(reserveFor))
 	}
 	if best != nil {
 		j.madeRoom = now.Add(reserveFor / 2)
 		p.alarm(j.madeRoom)
 	} else {
-		p.alarm(now.Add(time.Second))
+		j.roomTried = now
+		p.alarm(now.Add(roomAgain))
+	}
+}
+
+// roomAgain is when room that could not be made is sought again.
+const roomAgain = time.Second
+
+// mayYield calls f for the machines that have room for a task of j or may have it
+// once others have stopped.
+func (p *Part) mayYield(j *Job, within bool, now time.Time, f func(*Machine)) {
+	seen := machines{}
+	look := func(m *Machine) {
+		if _, ok := seen[m]; !ok {
+			p.looked++
+			seen[m] = struct{}{}
+			f(m)
+		}
 	}
+	p.roomy(j.spec, now, look)
+	for m := range p.index.clearing {
+		look(m)
+	}
+	top := j.rank
+	if within && p.othersBorrow(j.spec.Team) {
+		top = highestRank + 1 // whatever its priority
+	}
+	for _, ms := range p.index.byRank[:top] {
+		for m := range ms {
+			look(m)
+		}
+	}
+}
+
+// othersBorrow reports whether another team runs beyond its guarantee here.
+func (p *Part) othersBorrow(team string) bool {
+	for t, u := range p.teams {
+		if t != team && u.gpus+u.cpus > 0 && p.borrowed(t) {
+			return true
+		}
+	}
+	return false
 }
 
 // reserveFor is how long room made by stopping others is kept for its job.
@@ -173,18 +218,13 @@
 	if fetch < seekWorth || now.Sub(j.accepted) > seekFor {
 		return false, false
 	}
-	zones := map[string]int{}
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == placed {
-			zones[t.machine.Zone]++
-		}
-	}
+	zones := maps.Clone(j.zones)
 	coming := 0
 	limit := len(j.tasks)
 	if s.Spread {
 		limit = (limit + 1) / 2
 	}
-	for _, m := range p.machines {
+	for m := range p.index.kept[j.ref] {
 		// Room that is free by now, or made where the image is not, is not what
 		// is waited for.
 		if n := m.heldFor(j, now); n > 0 && m.hasImage(s.Image) && m.clearing() && zones[m.Zone]+n <= limit {
@@ -198,9 +238,8 @@
 	var best *Machine
 	var victim key
 	bestLoss := math.Inf(1)
-	for _, m := range p.machines {
-		if !m.hasImage(s.Image) || !allows(s, m) || !p.usable(m, now) || zones[m.Zone] >= limit ||
-			(m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT)) {
+	for m := range p.index.byImage[s.Image] {
+		if !allows(s, m) || !p.usable(m, now) || zones[m.Zone] >= limit || m.keptFromOthers(j, now) {
 			continue
 		}
 		f := free(m)
@@ -224,7 +263,7 @@
 		return false, false
 	}
 	p.giveWay(victim, now)
-	best.reserve(j, 1, now.Add(seekFor))
+	p.reserve(best, j, 1, now.Add(seekFor))
 	p.alarm(best.reservedT)
 	return true, true
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -35,6 +35,7 @@
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return orders, Answered // a late copy: it settles, starts and renews nothing
 	}
+	defer p.index.file(m)
 	m.outlived(r)
 	p.session(m, r, now)
 	m.seq = r.Seq
@@ -261,9 +262,9 @@
 		p.started(k, t, now)
 	}
 	if (rt.State == wire.Running || rt.State == wire.Gathering) && t.phase != rt.State {
-		m.keepsImage(j.spec.Image, j.spec.ImageGB)
+		p.keepsImage(m, j.spec.Image, j.spec.ImageGB)
 	}
-	t.phase = rt.State
+	t.reported(j, rt.State)
 	if rt.State != wire.Exited {
 		return
 	}
@@ -288,6 +289,16 @@
 	}
 }
 
+// reported takes in what a report says of a placed task.
+func (t *task) reported(j *Job, phase string) {
+	if t.phase == wire.Running {
+		j.nRunning--
+	}
+	if t.phase = phase; phase == wire.Running {
+		j.nRunning++
+	}
+}
+
 // step notes one of the steps of a start that is still followed.
 func (t *task) step(note func(*steps)) {
 	if t.steps != nil {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -14,7 +14,7 @@
 
 // rig plays one part against a scripted state service, cloud and workers.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	clock   *testkit.Clock
 	state   *testkit.State
 	cloud   *testkit.Cloud
@@ -26,7 +26,7 @@
 	sendStart func(d Direct)
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	r := &rig{t: t, clock: testkit.NewClock(), state: testkit.NewState(), cloud: &testkit.Cloud{}, workers: map[string]*testkit.Worker{}}
 	r.cfg = &Config{
 		Teams:  map[string]Team{"a": {Name: "a", GPUs: 2, MaxGPUs: 4}, "b": {Name: "b"}},
--- /dev/null
+++ b/internal/sched/size_test.go
@@ -0,0 +1,104 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// The most machines that one part may come to hold, when one controller takes
+// over all parts of the largest deployment there is to be.
+const manyMachines = 2400
+
+// crowd makes a part of many machines in two zones, all of them busy, with jobs
+// that wait for room.
+func crowd(t testing.TB, machines, waiting int) *rig {
+	r := newRig(t)
+	r.cfg.SlotTasks, r.cfg.TxnOps = SlotTasks(16), 24
+	r.cfg.PreemptAfter = time.Second
+	delete(r.cfg.Teams, "a")
+	for at := 0; at < machines; at += 50 {
+		zone := []string{"z1", "z2"}[at/50%2]
+		rental := record.Rental{Type: "big", Zone: zone, Born: r.clock.Now().UnixMilli()}
+		for i := at; i < min(at+50, machines); i++ {
+			id := fmt.Sprintf("i-%06d", i)
+			rental.IDs, rental.Parts = append(rental.IDs, id), append(rental.Parts, 0)
+			r.workers[id] = testkit.NewWorker(id, "big", zone, false)
+		}
+		r.sync(r.state.Put(record.RentalKey(fmt.Sprint("r", at)), rental))
+	}
+	r.beat()
+	for i := range machines / 40 {
+		s := spec(fmt.Sprintf("run-%06d", i), "b", wire.Array, "normal", 80, 1)
+		s.Image = fmt.Sprint("img-", i%16)
+		r.submit(s)
+	}
+	r.settle()
+	r.beats(2)
+	for i := range waiting {
+		kind, priority, tasks, gpus := wire.Array, "normal", 20, 1.0
+		switch i % 4 {
+		case 0:
+			kind, priority, tasks, gpus = wire.Gang, "normal", 8, 2
+		case 1:
+			kind, priority, tasks = wire.Service, "normal", 4
+		}
+		s := spec(fmt.Sprintf("run-9%05d", i), "b", kind, priority, tasks, gpus)
+		s.Image = fmt.Sprint("img-", i%16)
+		s.OneZone, s.Spread = kind == wire.Gang, kind == wire.Service
+		r.submit(s)
+	}
+	r.settle()
+	return r
+}
+
+// BenchmarkReport is a report in which nothing has changed.
+func BenchmarkReport(b *testing.B) {
+	r := crowd(b, manyMachines, 100)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		w := r.workers[fmt.Sprintf("i-%06d", i%manyMachines)]
+		rep := w.Report()
+		r.clock.Advance(r.cfg.Report / manyMachines)
+		r.part.Report(&rep, false, r.clock.Now())
+		r.part.Step(r.clock.Now())
+	}
+}
+
+// BenchmarkTaskEnds is a report of a task's end, after which the next one is
+// placed.
+func BenchmarkTaskEnds(b *testing.B) {
+	r := crowd(b, manyMachines, 100)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		w := r.workers[fmt.Sprintf("i-%06d", i%manyMachines)]
+		for name, t := range w.Tasks {
+			if t.State == wire.Running {
+				w.End(name, wire.Done)
+				break
+			}
+		}
+		rep := w.Report()
+		r.clock.Advance(10 * time.Millisecond)
+		now := r.clock.Now()
+		if o, v := r.part.Report(&rep, false, now); v == Answered {
+			w.Obey(o)
+		}
+		for _, t := range r.part.Step(now).Txns {
+			r.part.Applied(t, r.state.Put("x", 1).Version, now)
+		}
+	}
+}
+
+// BenchmarkSummary is what the leader is told each second.
+func BenchmarkSummary(b *testing.B) {
+	r := crowd(b, manyMachines, 100)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.part.Summary(r.clock.Now())
+	}
+}
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -13,7 +13,7 @@
 func (p *Part) Summary(now time.Time) fleet.Summary {
 	p.fade(now)
 	s := fleet.Summary{Part: p.id, Arriving: p.arrived / arrivalFade.Seconds(), ArrivingSpot: p.arrivedSpot / arrivalFade.Seconds()}
-	for _, j := range p.jobs {
+	for _, j := range p.index.waiting {
 		if !p.waiting(j, now) || now.Before(j.hold) {
 			continue
 		}
@@ -26,7 +26,7 @@
 			n--
 		}
 		if j.spec.Kind != wire.Gang {
-			for _, m := range p.machines {
+			for m := range p.index.kept[j.ref] {
 				n = max(0, n-m.heldFor(j, now))
 			}
 		} else if now.Before(j.madeRoom) {
@@ -96,6 +96,7 @@
 			return // in use by now
 		}
 	}
+	defer p.index.file(m)
 	if o.To == fleet.Back {
 		m.drain = true
 		return
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -130,8 +130,10 @@
 	nDone     int
 	firstIdle int // no idle task before it
 	chunks    map[int]*chunk
-	ending    *Txn // its end, under way
-	unsure    bool // the record's version is unknown; a reread is under way
+	zones     map[string]int // placed tasks by zone
+	nRunning  int            // placed tasks reported as running
+	ending    *Txn           // its end, under way
+	unsure    bool           // the record's version is unknown; a reread is under way
 	retry     time.Time
 	hold      time.Time // not to be placed before, after failures
 	fails     int
@@ -139,6 +141,7 @@
 	stuck     time.Time // since when something waits that fits nowhere
 	rank      int
 	madeRoom  time.Time // until when room made for it is awaited
+	roomTried time.Time // when room was last sought in vain
 	kept      bool      // started after too long a wait: nothing takes its place
 }
 
@@ -207,12 +210,14 @@
 	txn       *Txn // its move, under way
 	unsure    bool
 	retry     time.Time
-	direct    bool                  // a direct command is due
 	runs      map[string]*directRun // starts sent straight to it, by task
 	kept      int                   // exited tasks in its last report that it may not forget
 	reserved  string                // job for which room was made
 	reservedN int                   // for so many of its tasks
 	reservedT time.Time
+	filed     bool  // in the index,
+	at        class // there
+	ranks     [highestRank + 1]int
 }
 
 type key struct {
@@ -287,8 +292,12 @@
 	leaveAt  time.Time        // when that batch is due
 	back     *batch
 	backs    int
+	index    index
+	looked   int                      // machines and jobs that placements have looked at, for tests
+	kept     map[*Job]bool            // see Job.kept
 	keptLoad [highestRank + 1]float64 // the share of the machines that kept jobs hold, by priority
 	gathers  *Job                     // the gang that machines are kept for in this pass
+	found    found                    // for the job whose tasks are being placed
 	backlog  time.Duration            // how long changes wait for the state service's budget
 	blind    bool                     // cancellations told elsewhere may be unknown here
 	teams    map[string]*usage
@@ -298,6 +307,7 @@
 	ending   map[string]*Job // jobs whose end is to be recorded
 	lastCare time.Time
 	cut      map[string]bool
+	zones    map[zoneLimit]zoneCount // since the last care
 	// Machines' worth that arrived, fading; what may use spot machines apart.
 	arrived, arrivedSpot float64
 	arriveAt             time.Time
@@ -308,6 +318,7 @@
 	return &Part{
 		cfg: cfg, id: id, token: token, machines: map[string]*Machine{}, jobs: map[string]*Job{},
 		slots: map[int]*slot{}, lines: map[string]*line{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
+		index: newIndex(), kept: map[*Job]bool{},
 	}
 }
 
@@ -319,14 +330,18 @@
 
 func (m *Machine) token(p *Part) uint64 { return max(p.token, m.version) }
 
-// keepsImage takes in that an image was used, and which older ones the cache
-// can no longer hold.
-func (m *Machine) keepsImage(name string, gb float64) {
+// keepsImage takes in that an image was used on a machine, and which older ones
+// its cache can no longer hold.
+func (p *Part) keepsImage(m *Machine, name string, gb float64) {
 	m.images = slices.DeleteFunc(m.images, func(i record.Image) bool { return i.Name == name })
 	m.images = append(m.images, record.Image{Name: name, GB: gb})
+	insert(p.index.byImage, name, m)
 	sum := 0.0
 	for i := len(m.images) - 1; i >= 0; i-- {
 		if sum += m.images[i].GB; sum > m.Type.CacheGB && i < len(m.images)-1 {
+			for _, old := range m.images[:i+1] {
+				remove(p.index.byImage, old.Name, m)
+			}
 			m.images = slices.Clone(m.images[i+1:])
 			break
 		}
@@ -346,23 +361,36 @@
 }
 
 // reserve keeps room on a machine for some tasks of a job.
-func (m *Machine) reserve(j *Job, n int, until time.Time) {
+func (p *Part) reserve(m *Machine, j *Job, n int, until time.Time) {
 	if m.reserved != j.ref {
-		m.reserved, m.reservedN = j.ref, 0
+		p.release(m)
+		m.reserved = j.ref
+		insert(p.index.kept, j.ref, m)
 	}
 	m.reservedN += n
 	m.reservedT = until
 }
 
 // use takes in that a task of a job came to where room was kept for it.
-func (m *Machine) use(j *Job) {
+func (p *Part) use(m *Machine, j *Job) {
 	if m.reserved == j.ref {
 		if m.reservedN--; m.reservedN <= 0 {
-			m.reserved, m.reservedN = "", 0
+			p.release(m)
 		}
 	}
 }
 
+// release keeps a machine's room for nobody any more.
+func (p *Part) release(m *Machine) {
+	remove(p.index.kept, m.reserved, m)
+	m.reserved, m.reservedN = "", 0
+}
+
+// keptFromOthers reports whether room on a machine is kept for a job other than j.
+func (m *Machine) keptFromOthers(j *Job, now time.Time) bool {
+	return m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT)
+}
+
 func (p *Part) cond() wire.Cond { return wire.Cond{Key: record.PartKey(p.id), Version: p.token} }
 
 // highestRank is that of the highest priority: nothing goes before it.
