Users are told of cancellations once nothing runs; leases are renewed meanwhile

A cancellation is now told only when the owner has proven every task gone, so no lease needs to run out; a controller that lost the state service sends workers to one that has not, or to look for one once.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -62,7 +62,8 @@
 	claiming   map[int]bool
 	partRecs   map[int]versioned[record.Part]
 	fleet      *record.Fleet
-	open       map[string]openJob // unfinished jobs as the watch tells them
+	open       map[string]openJob       // unfinished jobs as the watch tells them
+	ends       map[string]chan struct{} // closed when such a job is over, if that is awaited
 	members    map[string]record.Member
 	leader     versioned[record.Head]
 	typesSeen  bool
@@ -88,7 +89,9 @@
 	syncedAt    time.Time // when the leader last asked
 	quietUntil  time.Time // not to lead before
 	started     time.Time
-	hears       hearing // as the member record says
+	begun       time.Time            // when this process began
+	searched    map[string]time.Time // when a machine was last sent on, see elsewhere
+	hears       hearing              // as the member record says
 	kept        map[string]kept
 	held        map[string]*held
 	budgetAt    time.Time // when the leader last gave a budget
@@ -167,6 +170,9 @@
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
+	c.ends = map[string]chan struct{}{}
+	c.begun = c.syncedAt
+	c.searched = map[string]time.Time{}
 	c.members = map[string]record.Member{}
 	c.finals = map[string]record.Job{}
 	c.redirected = map[string]redirect{}
@@ -323,6 +329,9 @@
 				delete(c.redirected, id)
 			}
 		}
+		if !blind {
+			clear(c.searched)
+		}
 		c.mu.Unlock()
 	}
 }
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -31,10 +31,8 @@
 	defer cancel()
 	use := statestore.Urgent("accept")
 	// What is known is never refused, whatever the settings say by now.
-	if rec, _, err := c.pipe(ctx, use, w.Ref); err == nil {
-		return reply{status: 200, body: wire.Brief{Ref: w.Ref, State: c.pipeState(&rec)}}
-	} else if !errors.Is(err, statestore.ErrNotFound) {
-		return later()
+	if r := c.knownPipeline(ctx, use, w.Ref); r.status != 404 {
+		return r
 	}
 	rec := record.Pipe{}
 	var specs []*wire.Spec
@@ -65,13 +63,11 @@
 		c.tellOwner(rec.Part, t, rev)
 		return reply{status: 201, body: wire.Brief{Ref: w.Ref, State: wire.Pending}}
 	case errors.As(err, &conflict):
-		rec, _, err := c.pipe(ctx, use, w.Ref)
-		if err == nil {
-			return reply{status: 200, body: wire.Brief{Ref: w.Ref, State: c.pipeState(&rec)}}
-		}
-		if errors.Is(err, statestore.ErrNotFound) {
+		r := c.knownPipeline(ctx, use, w.Ref)
+		if r.status == 404 {
 			return reply{status: 400} // one of its jobs' references is in use
 		}
+		return r
 	}
 	return later()
 }
@@ -150,9 +146,45 @@
 	return rec, e.Version, decode(e.Value, &rec)
 }
 
+// knownPipeline answers with the state of an accepted pipeline, 404 if there is
+// none.
+func (c *Controller) knownPipeline(ctx context.Context, u statestore.Use, ref string) reply {
+	rec, _, err := c.pipe(ctx, u, ref)
+	if errors.Is(err, statestore.ErrNotFound) {
+		return reply{status: 404}
+	}
+	over := false
+	if err == nil {
+		over, err = c.pipeOver(ctx, u, &rec)
+	}
+	if err != nil {
+		return later()
+	}
+	return reply{status: 200, body: wire.Brief{Ref: ref, State: c.pipeState(&rec, over)}}
+}
+
+// pipeOver reports whether a pipeline has its final state: as with a single job,
+// it is called cancelled only once none of its jobs is open any more, and so all
+// tasks are proven gone.
+func (c *Controller) pipeOver(ctx context.Context, u statestore.Use, rec *record.Pipe) (bool, error) {
+	if rec.State != wire.Cancelled {
+		return rec.State != "", nil
+	}
+	t := wire.Txn{Then: []wire.Op{}}
+	for _, ref := range rec.Jobs {
+		t.If = append(t.If, wire.Cond{Key: record.OpenKey(ref)})
+	}
+	_, err := c.store.Txn(ctx, u, t)
+	var conflict *statestore.ConflictError
+	if errors.As(err, &conflict) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // pipeState is the state of a pipeline as a whole.
-func (c *Controller) pipeState(rec *record.Pipe) string {
-	if rec.State != "" {
+func (c *Controller) pipeState(rec *record.Pipe, over bool) string {
+	if over {
 		return rec.State
 	}
 	if len(rec.Ended) > 0 {
@@ -180,10 +212,14 @@
 	case err != nil:
 		return later()
 	}
-	out := wire.PipelineStatus{Ref: ref, State: c.pipeState(&rec)}
+	over, err := c.pipeOver(ctx, statestore.Routine("poll"), &rec)
+	if err != nil {
+		return later()
+	}
+	out := wire.PipelineStatus{Ref: ref, State: c.pipeState(&rec, over)}
 	for _, j := range rec.Jobs {
 		b := wire.Brief{Ref: j, State: wire.Pending}
-		if rec.State != "" {
+		if over {
 			b.State = wire.Cancelled // what has not run by the end never does
 		} else if s, ok := c.ownerStatus(j); ok {
 			b.State = s.State
@@ -216,7 +252,7 @@
 			return later()
 		}
 		if rec.State != "" {
-			return reply{status: 200, body: wire.Brief{Ref: ref, State: rec.State}}
+			return c.pipelineOver(ctx, ref, &rec)
 		}
 		rec.State = wire.Cancelled
 		t := wire.Txn{
@@ -239,7 +275,7 @@
 		rev, err := c.store.Txn(ctx, use, t)
 		if err == nil {
 			c.tellOwner(rec.Part, t, rev)
-			return reply{status: 200, body: wire.Brief{Ref: ref, State: wire.Cancelled}}
+			return c.pipelineOver(ctx, ref, &rec)
 		}
 		var conflict *statestore.ConflictError
 		if !errors.As(err, &conflict) {
@@ -249,6 +285,23 @@
 	return later()
 }
 
+// pipelineOver answers with the final state of a pipeline once all its jobs are
+// over.
+func (c *Controller) pipelineOver(ctx context.Context, ref string, rec *record.Pipe) reply {
+	for _, j := range rec.Jobs {
+		if rec.State == wire.Cancelled && !c.awaitEnd(ctx, j) {
+			return ending()
+		}
+	}
+	switch over, err := c.pipeOver(ctx, statestore.Urgent("cancel"), rec); {
+	case err != nil:
+		return later()
+	case !over:
+		return ending()
+	}
+	return reply{status: 200, body: wire.Brief{Ref: ref, State: rec.State}}
+}
+
 // refuses answers at once what asks for a malformed reference, or comes while
 // the state service can't be asked.
 func (c *Controller) refuses(ref, prefix string) reply {
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -15,7 +15,8 @@
 type reply struct {
 	status     int
 	body       any
-	retryAfter int // seconds; 0: none
+	retryAfter int  // seconds; 0: none
+	settled    bool // no other controller would answer otherwise
 }
 
 // handler answers requests: at once with a reply and true, or later by calling
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -39,7 +39,7 @@
 		return work()
 	}
 	r := work()
-	if r.status == 503 {
+	if r.status == 503 && !r.settled {
 		if other, ok := c.passOn(req); ok {
 			return other
 		}
@@ -282,15 +282,7 @@
 func (c *Controller) state(ctx context.Context, u statestore.Use, ref string) (string, error) {
 	e, err := c.store.Get(ctx, u, record.OpenKey(ref))
 	if err == nil {
-		var o record.Open
-		if err := decode(e.Value, &o); err != nil {
-			return "", err
-		}
-		if !o.Cancelled {
-			return wire.Pending, nil
-		}
-		c.keepFinal(ref, record.Job{State: wire.Cancelled})
-		return wire.Cancelled, nil
+		return wire.Pending, nil // also of one that is being cancelled: see cancel
 	}
 	if !errors.Is(err, statestore.ErrNotFound) {
 		return "", err
@@ -399,6 +391,11 @@
 // cancelTries bounds how often a cancellation races with other writes.
 const cancelTries = 4
 
+// cancel records a cancellation and waits until the job's owner has proven every
+// task gone and recorded that the job is over: only then is a user told. Whatever
+// is cut off, stands still or comes late, no task can outlive what was told, and
+// so leases may be renewed by who can't hear of cancellations. Until then the
+// user is asked to come again.
 func (c *Controller) cancel(ref string) reply {
 	if !validRef(ref) {
 		return reply{status: 404}
@@ -432,27 +429,61 @@
 		if err != nil || decode(e.Value, &o) != nil {
 			return later()
 		}
-		cancelled := reply{status: 200, body: wire.Brief{Ref: ref, State: wire.Cancelled}}
-		if o.Cancelled {
-			c.keepFinal(ref, record.Job{State: wire.Cancelled})
-			return cancelled
-		}
-		o.Cancelled = true
-		t := wire.Txn{If: []wire.Cond{{Key: key, Version: e.Version}}, Then: []wire.Op{{Put: key, Value: record.Encode(o)}}}
-		rev, err := c.store.Txn(ctx, use, t)
-		if err == nil {
-			c.keepFinal(ref, record.Job{State: wire.Cancelled})
+		if !o.Cancelled {
+			o.Cancelled = true
+			t := wire.Txn{If: []wire.Cond{{Key: key, Version: e.Version}}, Then: []wire.Op{{Put: key, Value: record.Encode(o)}}}
+			rev, err := c.store.Txn(ctx, use, t)
+			var conflict *statestore.ConflictError
+			if errors.As(err, &conflict) {
+				continue
+			}
+			if err != nil {
+				return later() // perhaps applied: the user's next try finds out
+			}
 			c.tellOwner(o.Part, t, rev)
-			return cancelled
 		}
-		var conflict *statestore.ConflictError
-		if !errors.As(err, &conflict) {
-			return later() // perhaps applied: the user's next try finds out
+		if !c.awaitEnd(ctx, ref) {
+			return ending()
 		}
 	}
 	return later()
 }
 
+// ending answers a cancellation whose tasks are not all proven gone yet, which
+// every controller would answer alike.
+func ending() reply { return reply{status: 503, retryAfter: retryLater, settled: true} }
+
+// awaitEnd waits until a job is not open any more, as far as is known here. It
+// reports false when that takes too long.
+func (c *Controller) awaitEnd(ctx context.Context, ref string) bool {
+	c.mu.Lock()
+	if _, open := c.open[ref]; !open {
+		c.mu.Unlock()
+		return true
+	}
+	over := c.ends[ref]
+	if over == nil {
+		over = make(chan struct{})
+		c.ends[ref] = over
+	}
+	c.mu.Unlock()
+	select {
+	case <-over:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// closeOpen takes in that a job is not open any more. The lock is held.
+func (c *Controller) closeOpen(ref string) {
+	delete(c.open, ref)
+	if over := c.ends[ref]; over != nil {
+		close(over)
+		delete(c.ends, ref)
+	}
+}
+
 // tellOwner brings jobs' new records to their owner without waiting for the watch.
 func (c *Controller) tellOwner(part int, t wire.Txn, rev uint64) {
 	c.mu.Lock()
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -202,7 +202,7 @@
 	c.mu.Lock()
 	for ref, j := range c.open {
 		if !keep[ref] && j.version <= rev {
-			delete(c.open, ref)
+			c.closeOpen(ref)
 		}
 	}
 	c.mu.Unlock()
@@ -222,7 +222,7 @@
 		return
 	}
 	if e.Put == "" {
-		delete(c.open, ref) // the owner ends jobs itself
+		c.closeOpen(ref) // the owner ends jobs itself
 		return
 	}
 	var o record.Open
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -27,7 +27,8 @@
 	m, known := c.fleet.Machine(r.Machine)
 	if !known {
 		c.log.Debug("report of an unknown machine", "machine", r.Machine)
-		return reply{status: 503, retryAfter: 1}, true
+		go c.keep(&r, 0, answer) // restarted while the state service is out of reach
+		return reply{}, false
 	}
 	if p := c.parts[m.Part]; p != nil {
 		if to := c.sendOn(m.Zone, r.Machine, c.cfg.Label, now); to != "" {
@@ -159,53 +160,109 @@
 // keepAlive answers for an owner that can't be reached from here, as when two
 // zones are cut off from each other, or that is gone and not yet replaced: the
 // same token is accepted from any controller, so the worker's lease is renewed
-// and its tasks live. No commands are given. It ends early enough that tasks of
-// a cancelled job, which can't be stopped from here, are gone by their leases in
-// time: counted from when the cancellation was seen or, cut off from the state
-// service, may first have been missed.
+// and its tasks live. No commands are given. While a report shows tasks of a job
+// that is cancelled or over, that ends after a while, so that they end too.
 func (c *Controller) keepAlive(r *wire.Report, token uint64) reply {
-	lease := config.Seconds(c.cfg.Params.Workers.LeaseS)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	seen := c.jobsAt
-	for _, at := range []time.Time{c.viewAt, c.fleetAt} {
-		if at.Before(seen) {
-			seen = at
+	blind := c.blind(now)
+	if to, look := c.elsewhere(r.Machine, now); look {
+		return reply{status: 421, body: wire.Redirect{Label: to}}
+	}
+	if r.Token > token {
+		if !blind {
+			return reply{status: 503, retryAfter: 1}
 		}
+		token = r.Token // given by an owner that this controller can't know of yet
 	}
-	if r.Token > token || now.Sub(seen) > c.blindFor() {
+	if token == 0 {
 		return reply{status: 503, retryAfter: 1}
 	}
 	k := c.kept[r.Machine]
-	if now.Sub(k.last) > lease || (!c.blind(now) && !c.mustEnd(r)) {
+	if now.Sub(k.last) > config.Seconds(c.cfg.Params.Workers.LeaseS) || blind || !c.mustEnd(r) {
 		k.since = now
 	}
 	k.last = now
 	c.kept[r.Machine] = k
-	if now.Sub(k.since) > c.blindFor() {
+	if now.Sub(k.since) > c.mustEndFor() {
 		return reply{status: 503, retryAfter: 1}
 	}
 	return reply{status: 200, body: wire.Orders{Token: token, Commands: []wire.Command{}}}
 }
 
+// elsewhere says where a worker is better off than with a controller that has
+// lost the state service, and whether it is to look there. Its machine's part has
+// probably another owner by now, so a controller that reaches the state service
+// is best. One that reaches nobody but its workers can't tell whether they are as
+// cut off as it is: each is sent on once, to a controller of the zone that does
+// not answer here or, alone in its zone, to search as far as its lease allows, and
+// stays if it comes back. In an outage for all no place is better, nor in a zone
+// cut off with several controllers. The lock is held.
+func (c *Controller) elsewhere(machine string, now time.Time) (to string, look bool) {
+	if !c.blind(now) || c.sure(now) {
+		return "", false
+	}
+	var near []string // in this zone
+	far, silent := 0, 0
+	for _, p := range c.cfg.Peers {
+		answers := now.Sub(c.peerOK[p.Label]) < peerFresh
+		switch {
+		case answers && now.Sub(c.peerState[p.Label]) < peerFresh:
+			return p.Label, true
+		case p.Zone != c.cfg.Zone:
+			far++
+		case answers:
+			return "", false
+		default:
+			near = append(near, p.Label)
+		}
+		if !answers {
+			silent++
+		}
+	}
+	w := c.cfg.Params.Workers
+	lease, report := config.Seconds(w.LeaseS), config.Seconds(w.ReportS)
+	if silent == 0 || now.Sub(c.searched[machine]) < searchAgain*lease {
+		return "", false
+	}
+	if len(near) > 0 {
+		to = near[record.Hash(machine)%uint32(len(near))]
+	} else if time.Duration(far)*(workerWait+workerPause)+2*report > lease {
+		return "", false
+	}
+	c.searched[machine] = now
+	return to, true
+}
+
+// searchAgain is after how many leases a worker is sent on once more.
+const searchAgain = 3
+
+// mustEndFor is how long leases are renewed while tasks of a job that is over
+// live by them: whoever owns them may yet be heard.
+func (c *Controller) mustEndFor() time.Duration {
+	return config.Seconds(c.cfg.Params.Workers.LeaseS)
+}
+
 // keep answers a report for an owner out of reach. Where the lease may not be
 // renewed for now, the answer is held as long as it would still be taken: what
 // cut this controller off may end meanwhile, and a worker sent away would lose
 // its lease asking controllers that are cut off from it.
 func (c *Controller) keep(r *wire.Report, token uint64, answer func(reply)) {
 	rep := c.keepAlive(r, token)
-	if rep.status == 200 {
+	if rep.status != 503 {
 		answer(rep)
 		return
 	}
 	for range int(keepHold / keepLook) {
 		sleep(context.Background(), keepLook)
 		c.mu.Lock()
-		m, _ := c.fleet.Machine(r.Machine)
-		token = max(c.partRecs[m.Part].version, m.Version)
+		token = 0
+		if m, known := c.fleet.Machine(r.Machine); known {
+			token = max(c.partRecs[m.Part].version, m.Version)
+		}
 		c.mu.Unlock()
-		if rep = c.keepAlive(r, token); rep.status == 200 {
+		if rep = c.keepAlive(r, token); rep.status != 503 {
 			break
 		}
 	}
@@ -232,17 +289,6 @@
 	return false
 }
 
-// blindFor is how long leases may be renewed without hearing of cancellations:
-// a lease must still be able to run out before a cancellation's time is over.
-// Where the two are close together it is at least a few turns of the watch.
-func (c *Controller) blindFor() time.Duration {
-	spare := config.Seconds(c.cfg.Params.Workers.CancelS - c.cfg.Params.Workers.LeaseS)
-	return max(spare-min(spare/4, blindMargin), 3*c.watchWait())
-}
-
-// blindMargin is kept between the last lease's end and a cancellation's time.
-const blindMargin = 750 * time.Millisecond
-
 // watchWait is how long a watch may be silent: short where cancellations must
 // be known soon.
 func (c *Controller) watchWait() time.Duration {
@@ -292,8 +338,8 @@
 
 // ownReport answers a report of one of our machines. The lock is held.
 func (c *Controller) ownReport(p *sched.Part, r *wire.Report, now time.Time) reply {
-	if !c.mayAnswer(now) {
-		return reply{status: 503, retryAfter: 1}
+	if to, look := c.elsewhere(r.Machine, now); look {
+		return reply{status: 421, body: wire.Redirect{Label: to}}
 	}
 	orders, verdict := p.Report(r, false, now)
 	c.pump(p, now)
@@ -308,26 +354,14 @@
 	return reply{status: 503, retryAfter: 1}
 }
 
-// mayAnswer reports whether leases may still be renewed. Without the state
-// service we do not hear of cancellations, so a worker's tasks must be able to
-// end by their lease in time, unless every other controller is as cut off and
-// can't have told a user anything.
-func (c *Controller) mayAnswer(now time.Time) bool {
-	if now.Sub(c.jobsAt) < c.blindFor() {
-		return true
-	}
-	for label := range c.peers {
-		if now.Sub(c.peerOK[label]) > 3*time.Second || now.Sub(c.peerState[label]) < 3*time.Second {
-			return false
-		}
-	}
-	return true
-}
-
 // blind reports whether cancellations told elsewhere may have been unknown here
 // for some turns of the watch.
 func (c *Controller) blind(now time.Time) bool {
-	return now.Sub(c.jobsAt) > 2*c.watchWait()+callSlack
+	seen := c.jobsAt
+	if seen.IsZero() {
+		seen = c.begun
+	}
+	return now.Sub(seen) > 2*c.watchWait()+callSlack
 }
 
 // callSlack is what a watch may be late besides its wait.
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -64,7 +64,7 @@
 	if j.cancelled {
 		rec = record.Job{State: wire.Cancelled}
 	}
-	t := &Txn{job: j, Purpose: forJobEnd, Routine: true}
+	t := &Txn{job: j, Purpose: forJobEnd, Routine: !j.cancelled} // a user waits for a cancellation
 	t.Body.If = []wire.Cond{p.cond(), {Key: open, Version: j.version}}
 	t.Body.Then = []wire.Op{{Put: record.JobKey(j.ref), Value: record.Encode(rec)}, {Delete: open}}
 	if !p.advance(t, j, now) {
