Ask machines whose reports are overdue

One that doesn't answer two probes while another of its zone does is lost; one that answers is alive whatever became of its reports.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,26 +14,39 @@
 // callTimeout bounds one command.
 const callTimeout = 3 * time.Second
 
+// probeTimeout bounds the asking for a report: an answer takes milliseconds.
+const probeTimeout = 1500 * time.Millisecond
+
 // Command sends orders straight to a worker and returns its report, given both
 // when they were carried out (ok) and when they were refused. Connections are
 // not kept: direct commands are rare and sockets few.
 func Command(ctx context.Context, addr string, o wire.DirectOrders) (r wire.Report, ok bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	body, err := json.Marshal(o)
 	if err != nil {
 		return r, false, fmt.Errorf("encode: %w", err)
 	}
-	c := httpwire.NewClient(addr, 0)
-	resp, err := c.Do(ctx, "POST", wire.CommandPath, body)
+	status, err := call(ctx, addr, callTimeout, "POST", wire.CommandPath, body, &r)
+	return r, status == 200, err
+}
+
+// Show asks a worker for its report.
+func Show(ctx context.Context, addr string) (r wire.Report, err error) {
+	_, err = call(ctx, addr, probeTimeout, "GET", wire.ShowPath, nil, &r)
+	return r, err
+}
+
+func call(ctx context.Context, addr string, timeout time.Duration, method, path string, body []byte, r *wire.Report) (status int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := httpwire.NewClient(addr, 0).Do(ctx, method, path, body)
 	if err != nil {
-		return r, false, fmt.Errorf("worker %s: %w", addr, err)
+		return 0, fmt.Errorf("worker %s: %w", addr, err)
 	}
 	if resp.Status != 200 && resp.Status != 409 {
-		return r, false, fmt.Errorf("worker %s: status %d", addr, resp.Status)
+		return 0, fmt.Errorf("worker %s: status %d", addr, resp.Status)
 	}
-	if err := json.Unmarshal(resp.Body, &r); err != nil {
-		return r, false, fmt.Errorf("worker's answer: %w", err)
+	if err := json.Unmarshal(resp.Body, r); err != nil {
+		return 0, fmt.Errorf("worker's answer: %w", err)
 	}
-	return r, resp.Status == 200, nil
+	return resp.Status, nil
 }
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -20,6 +20,7 @@
 const (
 	silentReports = 3               // reports missed before a machine counts as lost
 	silentExtra   = 2 * time.Second // on top of them
+	probeSockets  = 32              // one in so many sockets may ask a silent machine
 	bootFactor    = 3               // of the nominal boot time, before a machine is replaced
 	preemptAfter  = 2 * time.Second // a free machine from another part may come first
 	gatherEnds    = time.Second     // of the 3 s by which a told state may lag
@@ -36,6 +37,7 @@
 		SilentAfter:  config.Seconds(p.Workers.ReportS)*silentReports + silentExtra,
 		BootFactor:   bootFactor,
 		PreemptAfter: preemptAfter,
+		Probes:       max(1, p.Resources.MaxSockets/probeSockets),
 		TxnOps:       p.State.TxnOps,
 		SlotTasks:    sched.SlotTasks(p.State.ValueKB),
 		GatherEnds:   gatherEnds,
@@ -88,6 +90,9 @@
 	for _, d := range eff.Direct {
 		go c.direct(p, d)
 	}
+	for _, q := range eff.Probes {
+		go c.probe(p, q)
+	}
 	for _, id := range eff.Wake {
 		if c.held[id] != nil {
 			c.release(id, now)
@@ -231,6 +236,24 @@
 	}
 }
 
+// probe asks a worker for its report and tells the part.
+func (c *Controller) probe(p *sched.Part, q sched.Probe) {
+	r, err := agent.Show(context.Background(), q.Addr)
+	if err == nil && r.Machine != q.Machine {
+		err = fmt.Errorf("%s answers for %s", r.Machine, q.Machine) // another has its address by now
+	}
+	if err != nil {
+		c.log.Debug("probe", "machine", q.Machine, "err", err)
+	}
+	c.locked(p, func(now time.Time) {
+		if err != nil {
+			p.Probed(q.Machine, nil, now)
+			return
+		}
+		p.Probed(q.Machine, &r, now)
+	})
+}
+
 // direct sends commands straight to a worker and tells the part what came of it.
 func (c *Controller) direct(p *sched.Part, d sched.Direct) {
 	r, ok, err := agent.Command(context.Background(), d.Addr, d.Orders)
--- a/internal/sched/care.go
+++ b/internal/sched/care.go
@@ -40,12 +40,15 @@
 	}
 	p.lastCare = now
 	p.zones = map[zoneLimit]zoneCount{}
+	p.probe(now)
 	for _, m := range p.machines {
 		if m.txn != nil || m.unsure || m.Phase != record.InUse || now.Before(m.retry) {
 			continue
 		}
 		// Only the answered return proves gone what may run there.
 		switch {
+		case p.unanswering(m, now):
+			p.giveBack(m, "no answer", now)
 		case p.silent(m, now):
 			p.giveBack(m, "silent", now)
 		case p.overdue(m, now):
--- /dev/null
+++ b/internal/sched/probe.go
@@ -0,0 +1,98 @@
+package sched
+
+import (
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// A machine whose report is overdue is asked directly. One that answers is alive,
+// whatever became of its reports; one that doesn't, while another of its zone
+// answers the same controller, is lost. That tells a machine that died or hangs
+// from a cut between its zone, or all workers, and this controller, sooner than
+// waiting for several reports would, and also where most of a zone's machines are
+// lost together.
+
+// Probe is a question to a worker for its report.
+type Probe struct{ Machine, Addr string }
+
+// probing is what is known from a machine's probes since it was last heard.
+type probing struct {
+	asked  bool // under way
+	failed int
+	at     time.Time // when the last one failed
+}
+
+const (
+	// overdueSlack is how long a report may be late besides the quarter of its
+	// interval that the protocol allows.
+	overdueSlack = 500 * time.Millisecond
+	// probePause is between two probes of one machine.
+	probePause = 500 * time.Millisecond
+	// probesLost is how many probes in a row must fail: one packet may be lost.
+	probesLost = 2
+)
+
+// reportDue is how long after one report the next must have come.
+func (p *Part) reportDue() time.Duration { return p.cfg.Report*5/4 + overdueSlack }
+
+// probe asks the machines that are overdue, and for each zone in which one did
+// not answer another one that was heard lately.
+func (p *Part) probe(now time.Time) {
+	doubted := map[string]bool{}
+	for _, m := range p.machines {
+		if !m.up || m.Phase != record.InUse || m.Addr == "" || now.Sub(m.heard) < p.reportDue() {
+			continue
+		}
+		if m.probes.failed > 0 && !p.zoneSeen[m.Zone].After(m.probes.at) {
+			doubted[m.Zone] = true
+		}
+		if m.probes.failed < probesLost && now.Sub(m.probes.at) >= probePause {
+			p.ask(m)
+		}
+	}
+	for zone := range doubted {
+		var witness *Machine
+		for _, m := range p.machines {
+			if m.Zone == zone && m.up && m.Addr != "" && m.probes.failed == 0 && now.Sub(m.heard) < p.reportDue() && (witness == nil || m.heard.After(witness.heard)) {
+				witness = m
+			}
+		}
+		if witness != nil && now.Sub(witness.probes.at) >= probePause {
+			p.ask(witness)
+		}
+	}
+}
+
+func (p *Part) ask(m *Machine) {
+	if m.probes.asked || p.asked >= p.cfg.Probes {
+		return
+	}
+	m.probes.asked = true
+	p.asked++
+	p.out.Probes = append(p.out.Probes, Probe{m.ID, m.Addr})
+}
+
+// Probed takes in the answer to a probe, nil if none came.
+func (p *Part) Probed(id string, r *wire.Report, now time.Time) {
+	p.asked--
+	m := p.machines[id]
+	if m == nil {
+		return
+	}
+	m.probes.asked = false
+	if r == nil {
+		m.probes.failed++
+		m.probes.at = now
+		return
+	}
+	p.zoneSeen[m.Zone] = now
+	p.Report(r, true, now)
+	m.probes.failed, m.probes.at = 0, now
+}
+
+// unanswering reports whether a machine did not answer while its zone did.
+func (p *Part) unanswering(m *Machine, now time.Time) bool {
+	return m.up && now.Sub(m.heard) >= p.reportDue() && m.probes.failed >= probesLost && p.zoneSeen[m.Zone].After(m.probes.at)
+}
--- /dev/null
+++ b/internal/sched/probe_test.go
@@ -0,0 +1,121 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// probed lets a time go by in which only the machines that answer answer probes,
+// and none reports. It returns how many probes there were.
+func (r *rig) probed(d time.Duration, answers ...string) (asked int) {
+	for end := r.clock.Now().Add(d); r.clock.Now().Before(end); {
+		r.clock.Advance(250 * time.Millisecond)
+		now := r.clock.Now()
+		eff := r.part.Step(now)
+		for _, q := range eff.Probes {
+			asked++
+			if slices.Contains(answers, q.Machine) {
+				rep := r.workers[q.Machine].Report()
+				r.part.Probed(q.Machine, &rep, now)
+			} else {
+				r.part.Probed(q.Machine, nil, now)
+			}
+		}
+		for _, t := range eff.Txns {
+			r.part.Applied(t, r.state.Put("x", 1).Version, now)
+		}
+	}
+	return asked
+}
+
+func (r *rig) phase(id string) int { return int(r.part.machines[id].Phase) }
+
+// A machine whose report is overdue and that does not answer is lost as soon as
+// another of its zone answers; without such a witness it may be the controller
+// that is cut off, and one that answers is alive whatever became of its reports.
+func TestOverdueMachinesAreAsked(t *testing.T) {
+	for name, x := range map[string]struct {
+		answers []string
+		lost    []string
+	}{
+		"one died":           {[]string{"m2", "m3"}, []string{"m1"}},
+		"most died together": {[]string{"m3"}, []string{"m1", "m2"}},
+		"all out of reach":   {nil, nil},
+		"reports go astray":  {[]string{"m1", "m2", "m3"}, nil},
+		"only another zone":  {[]string{"n1"}, nil},
+	} {
+		r := newRig(t)
+		r.cfg.Probes = 8
+		for _, id := range []string{"m1", "m2", "m3"} {
+			r.machine(id, "z1", false)
+		}
+		r.machine("n1", "z2", false)
+		r.submit(spec("run-000001", "b", wire.Array, "normal", 8, 1))
+		r.beats(4)
+		lostAfter := r.part.reportDue() + 2*time.Second
+		if r.probed(lostAfter, x.answers...) == 0 {
+			t.Errorf("%s: nobody is asked", name)
+		}
+		for _, id := range []string{"m1", "m2", "m3", "n1"} {
+			if (r.phase(id) > 0) != slices.Contains(x.lost, id) {
+				t.Errorf("%s: %s is in phase %d", name, id, r.phase(id))
+			}
+		}
+		r.probed(2*r.cfg.SilentAfter, x.answers...)
+		for _, id := range x.answers {
+			if r.phase(id) > 0 {
+				t.Errorf("%s: %s is given back though it answers", name, id)
+			}
+		}
+	}
+}
+
+// A controller that stood still has heard nobody: nobody is lost by that, since
+// everybody answers once it goes on, and a probe that it sent before proves
+// nothing.
+func TestStandingStillLosesNobody(t *testing.T) {
+	r := newRig(t)
+	r.cfg.Probes = 8
+	ids := []string{"m1", "m2", "m3"}
+	for _, id := range ids {
+		r.machine(id, "z1", false)
+	}
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 6, 1))
+	r.beats(4)
+	r.clock.Advance(r.part.reportDue())
+	eff := r.part.Step(r.clock.Now())
+	if len(eff.Probes) != len(ids) {
+		t.Fatalf("asks %v", eff.Probes)
+	}
+	r.clock.Advance(40 * time.Second) // it stands still
+	for _, q := range eff.Probes {
+		r.part.Probed(q.Machine, nil, r.clock.Now())
+	}
+	r.probed(r.cfg.Report, ids...)
+	r.beats(3)
+	for _, id := range ids {
+		if r.phase(id) > 0 {
+			t.Errorf("%s is given back", id)
+		}
+	}
+}
+
+// Only so many machines are asked at a time: each takes a socket.
+func TestProbesAreBounded(t *testing.T) {
+	r := newRig(t)
+	r.cfg.Probes = 2
+	for _, id := range []string{"m1", "m2", "m3", "m4"} {
+		r.machine(id, "z1", false)
+	}
+	r.beats(2)
+	r.clock.Advance(r.part.reportDue())
+	for range 3 {
+		if eff := r.part.Step(r.clock.Now()); len(eff.Probes) > 2 || r.part.asked > 2 {
+			t.Fatalf("asks %v at once", eff.Probes)
+		}
+		r.clock.Advance(careEvery)
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -48,6 +48,10 @@
 			m.steady = now
 		}
 		m.heard = now
+		m.probes.failed = 0
+		if !direct {
+			m.reported = now
+		}
 	}
 	if live && !m.up {
 		m.up = true
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -40,7 +40,9 @@
 	// PreemptAfter is how long a task waits for a free machine from elsewhere
 	// before it takes the place of lower work.
 	PreemptAfter time.Duration
-	TxnOps       int
+	// Probes is how many machines may be asked for their reports at a time.
+	Probes int
+	TxnOps int
 	// SlotTasks bounds the tasks whose placements share one record.
 	SlotTasks int
 	// GatherEnds is how long completions wait for others to share their write.
@@ -190,9 +192,10 @@
 	session   uint64
 	seq       uint64
 	up        bool
-	fenced    bool // has reported our token
-	inherited bool // may hold what an earlier owner started
-	heard     time.Time
+	fenced    bool      // has reported our token
+	inherited bool      // may hold what an earlier owner started
+	heard     time.Time // last report, or answer to a direct command or a probe
+	reported  time.Time // last report that could be answered
 	steady    time.Time // since when it was heard without a gap
 	answered  time.Time // when a report of this session was last answered
 	muteAt    time.Time // since when no answer seems to reach it; zero: they do
@@ -215,6 +218,7 @@
 	reserved  string                // job for which room was made
 	reservedN int                   // for so many of its tasks
 	reservedT time.Time
+	probes    probing
 	filed     bool  // in the index,
 	at        class // there
 	ranks     [highestRank + 1]int
@@ -270,6 +274,7 @@
 	RereadMachines []string
 	RereadPipes    []string
 	Direct         []Direct
+	Probes         []Probe
 	Wake           []string // machines for which a start is ready
 	Started        []Start  // tasks seen to run for the first time
 	Ended          []End    // jobs that are over
@@ -306,6 +311,8 @@
 	wake     time.Time
 	ending   map[string]*Job // jobs whose end is to be recorded
 	lastCare time.Time
+	asked    int                  // probes under way
+	zoneSeen map[string]time.Time // when a probe of a zone's machine was last answered
 	cut      map[string]bool
 	zones    map[zoneLimit]zoneCount // since the last care
 	// Machines' worth that arrived, fading; what may use spot machines apart.
@@ -318,7 +325,7 @@
 	return &Part{
 		cfg: cfg, id: id, token: token, machines: map[string]*Machine{}, jobs: map[string]*Job{},
 		slots: map[int]*slot{}, lines: map[string]*line{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
-		index: newIndex(), kept: map[*Job]bool{},
+		index: newIndex(), kept: map[*Job]bool{}, zoneSeen: map[string]time.Time{},
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -53,6 +53,7 @@
 	ReadyPath   = "/ready"
 	ReportPath  = "/agent/beat"
 	CommandPath = "/commands"
+	ShowPath    = "/show"
 	// PipelinesPath is an extension of ours, see docs/api.md.
 	PipelinesPath = "/pipelines"
 )
