--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -354,16 +354,19 @@
 	return reply{status: 503, retryAfter: 1}
 }
 
-// blind reports whether cancellations told elsewhere may have been unknown here
-// for some turns of the watch.
+// blind reports whether what others wrote, such as cancellations, may have been
+// unknown here for some turns of the watch. The lock is held.
 func (c *Controller) blind(now time.Time) bool {
-	seen := c.jobsAt
-	if seen.IsZero() {
-		seen = c.begun
+	if c.jobsAt.IsZero() {
+		return now.Sub(c.begun) > firstView
 	}
-	return now.Sub(seen) > 2*c.watchWait()+callSlack
+	return now.Sub(c.jobsAt) > 2*c.watchWait()+callSlack
 }
 
+// firstView is how long a controller waits for its first view: workers that find
+// it restarted while the state service is out of reach keep their leases.
+const firstView = keepHold - keepLook
+
 // callSlack is what a watch may be late besides its wait.
 const callSlack = 2 * time.Second
 
