Look before sending after a standstill; keep sockets for users and peers; clear records faster

A controller whose lease may have ended starts nothing, also before any of its loops has run again. Above 5/8 of the sockets workers' connections close after each answer; direct commands and probes take one socket in 16 and 32.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -96,6 +96,7 @@
 	held        map[string]*held
 	budgetAt    time.Time // when the leader last gave a budget
 	readiness   readiness
+	commands    chan struct{} // direct commands under way, each on a socket of its own
 }
 
 // openJob is what polls need to know of an unfinished job.
@@ -141,7 +142,8 @@
 	defer cancel()
 	errs := make(chan error, 2)
 	go func() { errs <- peer.Serve(ln, c) }()
-	srv := &server{handle: c.handle, log: log, maxConn: p.Resources.MaxSockets * 3 / 4, conns: map[gnet.Conn]*connState{}}
+	srv := &server{handle: c.handle, log: log, conns: map[gnet.Conn]*connState{},
+		maxConn: p.Resources.MaxSockets * 3 / 4, workerConn: p.Resources.MaxSockets * 5 / 8}
 	go func() {
 		errs <- gnet.Run(srv, "tcp4://"+cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(16<<10),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
@@ -171,6 +173,7 @@
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
 	c.ends = map[string]chan struct{}{}
+	c.commands = make(chan struct{}, max(1, c.cfg.Params.Resources.MaxSockets/commandSockets))
 	c.begun = c.syncedAt
 	c.searched = map[string]time.Time{}
 	c.members = map[string]record.Member{}
@@ -315,10 +318,9 @@
 		now := time.Now()
 		c.mu.Lock()
 		cut := c.cutZones(now)
-		blind, backlog := c.blind(now), c.store.Backlog()
+		backlog := c.store.Backlog()
 		for _, p := range c.parts {
 			p.SetCut(cut)
-			p.SetBlind(blind)
 			p.SetBacklog(backlog)
 			c.pump(p, now)
 		}
@@ -329,9 +331,14 @@
 				delete(c.redirected, id)
 			}
 		}
-		if !blind {
+		if !c.blind(now) {
 			clear(c.searched)
 		}
+		for id, k := range c.kept {
+			if now.Sub(k.last) > config.Seconds(c.cfg.Params.Workers.LeaseS) {
+				delete(c.kept, id)
+			}
+		}
 		c.mu.Unlock()
 	}
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -814,3 +814,47 @@
 		t.Fatal("the view keeps what went while it missed changes")
 	}
 }
+
+// A controller that stood still while its clocks ran on sends nothing that was
+// recorded before: it looks at what it still is before it answers, though none of
+// its loops has run again.
+func TestStandingStillStartsNothing(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.viewAt, c.jobsAt, c.fleetAt = time.Now(), time.Now(), time.Now()
+	if err := c.takeOver(ctx, 0, versioned[record.Part]{}, 1); err != nil {
+		t.Fatal(err)
+	}
+	e := state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})
+	c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	w := testkit.NewWorker("m", "big", "z", false)
+	r := w.Report()
+	r.Addr = "" // nothing is sent straight to it
+	c.mu.Lock()
+	c.ownReport(c.parts[0], &r, time.Now())
+	c.mu.Unlock()
+	// held is an answer kept back that is due after the lease's last renewal.
+	held := func(renewed time.Time) (starts int) {
+		got := make(chan reply, 1)
+		c.mu.Lock()
+		c.leaseAt = renewed
+		c.hold(c.parts[0], "m", time.Hour, func(r reply) { got <- r })
+		c.release("m", time.Now())
+		c.mu.Unlock()
+		o, _ := (<-got).body.(wire.Orders)
+		return len(o.Commands)
+	}
+	if got := c.submit(body(t, func(m map[string]any) { m["berries"] = 1 })); got.status != 201 {
+		t.Fatalf("submission: %+v", got)
+	}
+	for held(time.Now()) == 0 { // until the start is recorded
+		runtime.Gosched()
+	}
+	if held(time.Now().Add(-30*time.Second)) > 0 {
+		t.Fatal("starts what it recorded before it stood still")
+	}
+	if held(time.Now()) == 0 {
+		t.Fatal("the start is lost")
+	}
+}
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -21,11 +21,14 @@
 	silentReports = 3               // reports missed before a machine counts as lost
 	silentExtra   = 2 * time.Second // on top of them
 	probeSockets  = 32              // one in so many sockets may ask a silent machine
-	bootFactor    = 3               // of the nominal boot time, before a machine is replaced
-	preemptAfter  = 2 * time.Second // a free machine from another part may come first
-	gatherEnds    = time.Second     // of the 3 s by which a told state may lag
-	gatherStarts  = 150 * time.Millisecond
-	gatherBacks   = 2 * time.Second // unused machines cost little in that time
+	// commandSockets is the same for direct commands: a wave of them to machines
+	// that hang must leave sockets for peers and the state service.
+	commandSockets = 16
+	bootFactor     = 3               // of the nominal boot time, before a machine is replaced
+	preemptAfter   = 2 * time.Second // a free machine from another part may come first
+	gatherEnds     = time.Second     // of the 3 s by which a told state may lag
+	gatherStarts   = 150 * time.Millisecond
+	gatherBacks    = 2 * time.Second // unused machines cost little in that time
 )
 
 func (c *Controller) newSchedConfig(types []wire.MachineType) *sched.Config {
@@ -67,6 +70,7 @@
 	if c.parts[p.ID()] != p {
 		return
 	}
+	c.lookUp(p, now)
 	eff := p.Step(now)
 	if p.Lost() {
 		delete(c.parts, p.ID())
@@ -113,6 +117,13 @@
 	}
 }
 
+// lookUp tells a part whether it may still start anything. A controller that stood
+// still finds its lease ended, and its timers and answers due, before any of its
+// loops has run again: it must not send what was recorded before.
+func (c *Controller) lookUp(p *sched.Part, now time.Time) {
+	p.SetBlind(c.blind(now) || !c.sure(now))
+}
+
 // locked runs f on a part under the lock, then pumps it.
 func (c *Controller) locked(p *sched.Part, f func(now time.Time)) {
 	c.mu.Lock()
@@ -256,7 +267,9 @@
 
 // direct sends commands straight to a worker and tells the part what came of it.
 func (c *Controller) direct(p *sched.Part, d sched.Direct) {
+	c.commands <- struct{}{}
 	r, ok, err := agent.Command(context.Background(), d.Addr, d.Orders)
+	<-c.commands
 	if err == nil && r.Machine != d.Machine {
 		err = fmt.Errorf("%s answers for %s", r.Machine, d.Machine) // another has its address by now
 	}
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -227,7 +227,7 @@
 	l.clearing = now.Add(clearEvery)
 	c.mu.Lock()
 	viewed := !c.fleetAt.IsZero() // before that the view may lack rentals
-	t, ok := c.fleet.Clear(clearAtOnce)
+	t, ok := c.fleet.Clear(c.cfg.Params.State.TxnOps)
 	c.mu.Unlock()
 	if !viewed || !ok {
 		return
@@ -244,9 +244,6 @@
 	}()
 }
 
-// clearAtOnce bounds one clearing, so that it takes little of the budget.
-const clearAtOnce = 4
-
 // lookForStrangers reads the cloud's list for machines that nobody recorded,
 // as a request executed late leaves them, and gives them back.
 func (c *Controller) lookForStrangers(ctx context.Context, l *leading) {
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -9,6 +9,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"bramblespur/internal/httpwire"
+	"bramblespur/internal/wire"
 )
 
 // reply is an answer to a request.
@@ -37,7 +38,11 @@
 	handle  handler
 	log     *slog.Logger
 	maxConn int
-	conns   map[gnet.Conn]*connState // only the event loop touches it
+	// workerConn is from how many connections on those of workers are closed after
+	// each answer: when a neighbour's workers all come over, more may report than
+	// there are sockets, and users' and peers' connections go on.
+	workerConn int
+	conns      map[gnet.Conn]*connState // only the event loop touches it
 }
 
 // connState is a connection's; only the event loop touches it.
@@ -92,6 +97,7 @@
 		}
 		c.Discard(n)
 		st.busy, st.partial, st.last = true, false, time.Now()
+		req.Close = req.Close || (req.Path == wire.ReportPath && len(s.conns) > s.workerConn)
 		r, now := s.handle(req, func(r reply) { s.answerLater(c, st, r, req.Close) })
 		if !now {
 			return gnet.None
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -329,6 +329,7 @@
 	h.timer.Stop()
 	rep := reply{status: 503, retryAfter: 1}
 	if c.parts[h.part.ID()] == h.part {
+		c.lookUp(h.part, now)
 		if o, ok := h.part.Held(machine, now); ok {
 			rep = reply{status: 200, body: o}
 		}
@@ -341,6 +342,7 @@
 	if to, look := c.elsewhere(r.Machine, now); look {
 		return reply{status: 421, body: wire.Redirect{Label: to}}
 	}
+	c.lookUp(p, now)
 	orders, verdict := p.Report(r, false, now)
 	c.pump(p, now)
 	switch verdict {
