Take-overs ask the machines whose addresses are recorded

A rental's record now tells its machines' addresses; the new owner asks each for its session and brings it the token.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -41,6 +41,7 @@
 	backs    map[string]bool // batches being given back
 	grants   budgets
 	synced   time.Time
+	addrs    map[string]string // of machines, as their owners tell
 }
 
 // leadLoop leads when this controller is the leader, and otherwise stands for
@@ -167,7 +168,7 @@
 		c.lead = &leading{
 			plan:    fleet.NewLeader(c.fleetConfig()),
 			rentals: map[string]record.Rental{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
-			backs: map[string]bool{},
+			backs: map[string]bool{}, addrs: map[string]string{},
 		}
 	}
 	l := c.lead
@@ -194,6 +195,7 @@
 	sums = append(sums, c.summaries(now)...)
 	c.takeUp(ctx, l)
 	c.remember(l, now)
+	c.address(ctx, l, sums)
 	c.complete(sums, l.rentals)
 	orders, rents := l.plan.Plan(sums, now)
 	for _, s := range sums {
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -59,6 +59,58 @@
 	}
 }
 
+// address records the addresses of a rental's machines once all that will come up
+// have reported, a few rentals at a time. The lock is held.
+func (c *Controller) address(ctx context.Context, l *leading, sums []fleet.Summary) {
+	for _, s := range sums {
+		for _, m := range s.Machines {
+			if m.Addr != "" {
+				l.addrs[m.ID] = m.Addr
+			}
+		}
+	}
+	left := addressesAtOnce
+	for name, r := range c.fleet.Unaddressed() {
+		addrs, found := make([]string, len(r.Rec.IDs)), false
+		for i, id := range r.Rec.IDs {
+			v, _ := c.fleet.Machine(id)
+			if addrs[i] = l.addrs[id]; addrs[i] == "" && v.Phase == record.InUse {
+				found = false
+				break
+			}
+			found = found || addrs[i] != ""
+		}
+		if !found {
+			continue
+		}
+		if left--; left < 0 {
+			return
+		}
+		for _, id := range r.Rec.IDs {
+			delete(l.addrs, id)
+		}
+		rec := r.Rec
+		rec.Addrs = addrs
+		t := wire.Txn{
+			If:   []wire.Cond{{Key: record.RentalKey(name), Version: r.Version}},
+			Then: []wire.Op{{Put: record.RentalKey(name), Value: record.Encode(rec)}},
+		}
+		go func() {
+			rev, err := c.store.Txn(ctx, statestore.Routine("addresses"), t)
+			if err != nil {
+				c.log.Debug("addresses", "rental", name, "err", err)
+				return // told and tried again
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.applied(t, rev, time.Now())
+		}()
+	}
+}
+
+// addressesAtOnce bounds the rentals whose addresses are recorded in one turn.
+const addressesAtOnce = 3
+
 // remember notes which machines are ours, so that the cloud's list, which lags,
 // does not make strangers of those that are gone. The lock is held.
 func (c *Controller) remember(l *leading, now time.Time) {
@@ -66,6 +118,7 @@
 	for id, at := range l.known {
 		if now.Sub(at) > time.Duration(knownLags)*config.Seconds(c.cfg.Params.Cloud.ListLagS) {
 			delete(l.known, id)
+			delete(l.addrs, id)
 		}
 	}
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -42,6 +42,7 @@
 	Idle     time.Duration
 	Images   []string // believed to be cached
 	For      string   // job that it is kept for
+	Addr     string   // its address, if that is known and not recorded yet
 }
 
 // Summary is one part's state for the leader.
--- a/internal/record/fleet.go
+++ b/internal/record/fleet.go
@@ -25,6 +25,7 @@
 	Machine
 	Version uint64
 	Phase   Phase
+	Addr    string // empty while it is not recorded
 }
 
 // Fleet is all machines as the records under FleetPrefix tell them. It takes
@@ -64,6 +65,9 @@
 	}
 	r := f.rentals[at.rental].rec
 	v := View{Machine: Machine{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Part: r.Parts[at.at], Born: r.Born}}
+	if len(r.Addrs) > 0 {
+		v.Addr = r.Addrs[at.at]
+	}
 	if o, ok := f.own[id]; ok {
 		v.Machine, v.Version = o.rec, o.version
 	}
@@ -144,6 +148,9 @@
 		if len(r.IDs) > len(r.Parts) {
 			return nil, fmt.Errorf("%s: %d machines for %d parts", e.Put, len(r.IDs), len(r.Parts))
 		}
+		if len(r.Addrs) > 0 && len(r.Addrs) != len(r.IDs) {
+			return nil, fmt.Errorf("%s: %d addresses of %d machines", e.Put, len(r.Addrs), len(r.IDs))
+		}
 	}
 	changed := old.rec.IDs
 	if had {
@@ -256,6 +263,17 @@
 	return r.rec, ok
 }
 
+// Unaddressed returns the rentals of which no addresses are recorded yet.
+func (f *Fleet) Unaddressed() map[string]Versioned[Rental] {
+	out := map[string]Versioned[Rental]{}
+	for n, r := range f.rentals {
+		if len(r.rec.IDs) > 0 && len(r.rec.Addrs) == 0 {
+			out[n] = Versioned[Rental]{r.rec, r.version}
+		}
+	}
+	return out
+}
+
 // Unfinished returns the rentals whose machines are not known yet.
 func (f *Fleet) Unfinished() map[string]Versioned[Rental] {
 	out := map[string]Versioned[Rental]{}
--- a/internal/record/fleet_test.go
+++ b/internal/record/fleet_test.go
@@ -40,6 +40,11 @@
 	if v, ok := f.Machine("c"); !ok || v.Part != 1 || v.Version != 0 || v.Phase != InUse {
 		t.Fatalf("got %+v %t", v, ok)
 	}
+	rental.Addrs = []string{"x:1", "", "z:1"} // one never came up
+	change(put(RentalKey("r"), rental, 3), "a", "b", "c")
+	if v, _ := f.Machine("c"); v.Addr != "z:1" || len(f.Unaddressed()) != 0 {
+		t.Fatalf("got %+v", v)
+	}
 	change(put(OwnKey("a"), Machine{Type: "big", Zone: "z", Part: 1}, 5), "a")
 	change(put(OwnKey("a"), Machine{Type: "big", Zone: "z", Part: 0}, 4)) // older news
 	if v, _ := f.Machine("a"); v.Part != 1 || v.Version != 5 {
@@ -84,6 +89,7 @@
 	for _, e := range []wire.Change{
 		{Put: RentalKey("r"), Value: []byte(`"x"`), Version: 1},
 		put(RentalKey("r"), Rental{IDs: []string{"a"}}, 1),
+		put(RentalKey("r"), Rental{IDs: []string{"a", "b"}, Parts: []int{0, 0}, Addrs: []string{"x"}}, 1),
 		{Put: OwnKey("a"), Value: []byte(`[]`), Version: 1},
 		{Put: BackPrefix + "x", Value: []byte(`3`), Version: 1},
 	} {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -128,6 +128,9 @@
 	Parts []int    `json:"parts"` // whom each machine is for
 	IDs   []string `json:"ids,omitempty"`
 	Born  int64    `json:"born,omitempty"`
+	// Addrs are the machines' addresses, in the order of IDs, once they have
+	// reported: who takes a part over can ask its machines at once.
+	Addrs []string `json:"addrs,omitempty"`
 }
 
 // Back is a batch of machines to be given back. Nothing may start on them any
--- a/internal/sched/care.go
+++ b/internal/sched/care.go
@@ -178,7 +178,8 @@
 				o.Commands = append(o.Commands, halt(k.name(), t.attempt, t.grace))
 			}
 		}
-		if len(o.Commands) > 0 {
+		if len(o.Commands) > 0 || m.greet {
+			m.greet = false
 			p.out.Direct = append(p.out.Direct, Direct{Machine: m.ID, Addr: m.Addr, Orders: o})
 		}
 	}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -360,6 +360,12 @@
 		m.version = v.Version
 		m.fenced = false
 	}
+	if v.Addr != "" {
+		m.addressed = true
+		if m.Addr == "" {
+			m.Addr = v.Addr
+		}
+	}
 	m.Phase = max(m.Phase, v.Phase)
 	p.index.file(m)
 	if m.Phase == record.Gone {
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -37,12 +37,27 @@
 // reportDue is how long after one report the next must have come.
 func (p *Part) reportDue() time.Duration { return p.cfg.Report*5/4 + overdueSlack }
 
-// probe asks the machines that are overdue, and for each zone in which one did
+// greets is how often a machine is asked after a take-over before its own report
+// is awaited.
+const greets = 3
+
+// unmet reports whether a machine was taken over and has not been heard since.
+// The token can only be brought to it with the session that it is in, so it is
+// asked first. It then reports at once, and need not wait until its next report is
+// due, or until it finds its new owner.
+func (p *Part) unmet(m *Machine) bool {
+	return m.inherited && !m.fenced && m.Phase == record.InUse && m.Addr != "" && m.probes.failed < greets
+}
+
+// probe asks the machines that are overdue or were taken over, and for each zone in which one did
 // not answer another one that was heard lately.
 func (p *Part) probe(now time.Time) {
 	doubted := map[string]bool{}
 	for _, m := range p.machines {
-		if !m.up || m.Phase != record.InUse || m.Addr == "" || now.Sub(m.heard) < p.reportDue() {
+		if p.unmet(m) && now.Sub(m.probes.at) >= probePause {
+			p.ask(m)
+		}
+		if !(m.up || m.inherited) || m.Phase != record.InUse || m.Addr == "" || now.Sub(m.heard) < p.reportDue() {
 			continue
 		}
 		if m.probes.failed > 0 && !p.zoneSeen[m.Zone].After(m.probes.at) {
@@ -90,9 +105,13 @@
 	p.zoneSeen[m.Zone] = now
 	p.Report(r, true, now)
 	m.probes.failed, m.probes.at = 0, now
+	if m.inherited && !m.fenced && r.Token < m.token(p) {
+		m.greet = true
+		p.index.direct[m] = struct{}{}
+	}
 }
 
 // unanswering reports whether a machine did not answer while its zone did.
 func (p *Part) unanswering(m *Machine, now time.Time) bool {
-	return m.up && now.Sub(m.heard) >= p.reportDue() && m.probes.failed >= probesLost && p.zoneSeen[m.Zone].After(m.probes.at)
+	return (m.up || m.inherited) && now.Sub(m.heard) >= p.reportDue() && m.probes.failed >= probesLost && p.zoneSeen[m.Zone].After(m.probes.at)
 }
--- a/internal/sched/probe_test.go
+++ b/internal/sched/probe_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
@@ -119,3 +120,39 @@
 		r.clock.Advance(careEvery)
 	}
 }
+
+// After a take-over the machines whose addresses are recorded are asked, and
+// brought the new token, before any of them has reported: one that answers takes
+// work at once, one that doesn't while its zone does is lost without the patience
+// that a worker looking for its new owner gets.
+func TestTakeOverAsksMachines(t *testing.T) {
+	r := newRig(t)
+	r.cfg.Probes = 8
+	w1 := r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	for _, id := range []string{"m1", "m2"} {
+		r.sync(r.state.Put(record.RentalKey(id), record.Rental{Type: "big", Zone: "z1", Parts: []int{0}, IDs: []string{id},
+			Addrs: []string{"10.1.0.1:9000"}, Born: r.clock.Now().UnixMilli()}))
+	}
+	r.submit(spec("run-000001", "b", wire.Service, "prod", 3, 1))
+	r.beats(4)
+	r.claim()
+	if n := r.probed(careEvery, "m1"); n != 2 {
+		t.Fatalf("%d machines asked, want 2", n)
+	}
+	now := r.clock.Now()
+	eff := r.part.Step(now)
+	if len(eff.Direct) != 1 || eff.Direct[0].Machine != "m1" || len(eff.Direct[0].Orders.Commands) != 0 {
+		t.Fatalf("sends %+v", eff.Direct)
+	}
+	w1.Obey(wire.Orders{Token: eff.Direct[0].Orders.Token})
+	rep := w1.Report()
+	r.part.Report(&rep, true, now)
+	if m := r.part.machines["m1"]; !m.fenced || !r.part.usable(m, now) {
+		t.Fatal("asked and told, but takes no work")
+	}
+	r.probed(r.part.reportDue()+time.Second, "m1")
+	if r.phase("m1") > 0 || r.phase("m2") == 0 {
+		t.Errorf("phases %d and %d, want m2 given back", r.phase("m1"), r.phase("m2"))
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -49,7 +49,7 @@
 		}
 		m.heard = now
 		m.probes.failed = 0
-		if !direct {
+		if !direct || !m.fenced { // one that was greeted reports at once
 			m.reported = now
 		}
 	}
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -64,6 +64,9 @@
 		if len(m.on) == 0 && m.up && !m.idleSince.IsZero() {
 			fm.Idle = now.Sub(m.idleSince)
 		}
+		if !m.addressed {
+			fm.Addr = m.Addr
+		}
 		for _, i := range m.images {
 			fm.Images = append(fm.Images, i.Name)
 		}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -219,6 +219,8 @@
 	reservedN int                   // for so many of its tasks
 	reservedT time.Time
 	probes    probing
+	addressed bool  // its address is recorded
+	greet     bool  // a command without orders is due, to bring our token there
 	filed     bool  // in the index,
 	at        class // there
 	ranks     [highestRank + 1]int
