--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -8,11 +8,12 @@
 )
 
 // A machine whose report is overdue is asked directly. One that answers is alive,
-// whatever became of its reports; one that doesn't, while another of its zone
-// answers the same controller, is lost. That tells a machine that died or hangs
-// from a cut between its zone, or all workers, and this controller, sooner than
-// waiting for several reports would, and also where most of a zone's machines are
-// lost together.
+// whatever became of its reports; one that doesn't, while others of its zone
+// answer the same controller both before and after, is lost. That tells a machine
+// that died or hangs from a cut between its zone, or all workers, and this
+// controller, sooner than waiting for several reports would, and also where most of
+// a zone's machines are lost together. When a cut ends and the first machine
+// answers, what the others did not answer before proves nothing.
 
 // Probe is a question to a worker for its report.
 type Probe struct{ Machine, Addr string }
@@ -21,7 +22,8 @@
 type probing struct {
 	asked  bool // under way
 	failed int
-	at     time.Time // when the last one failed
+	at     time.Time // when the last one ended
+	fair   bool      // the last one began when its zone had answered since the one before
 }
 
 const (
@@ -46,7 +48,7 @@
 // asked first. It then reports at once, and need not wait until its next report is
 // due, or until it finds its new owner.
 func (p *Part) unmet(m *Machine) bool {
-	return m.inherited && !m.fenced && m.Phase == record.InUse && m.Addr != "" && m.probes.failed < greets
+	return m.inherited && !m.fenced && m.Phase == record.InUse && m.Addr != ""
 }
 
 // probe asks the machines that are overdue or were taken over, and for each zone in which one did
@@ -54,16 +56,17 @@
 func (p *Part) probe(now time.Time) {
 	doubted := map[string]bool{}
 	for _, m := range p.machines {
-		if p.unmet(m) && now.Sub(m.probes.at) >= probePause {
+		if p.unmet(m) && m.probes.failed < greets && now.Sub(m.probes.at) >= probePause {
 			p.ask(m)
 		}
 		if !(m.up || m.inherited) || m.Phase != record.InUse || m.Addr == "" || now.Sub(m.heard) < p.reportDue() {
 			continue
 		}
-		if m.probes.failed > 0 && !p.zoneSeen[m.Zone].After(m.probes.at) {
+		seen := p.zoneSeen[m.Zone].After(m.probes.at)
+		if m.probes.failed > 0 && !seen {
 			doubted[m.Zone] = true
 		}
-		if m.probes.failed < probesLost && now.Sub(m.probes.at) >= probePause {
+		if (m.probes.failed < probesLost || seen) && now.Sub(m.probes.at) >= probePause && !p.unanswering(m, now) {
 			p.ask(m)
 		}
 	}
@@ -84,7 +87,7 @@
 	if m.probes.asked || p.asked >= p.cfg.Probes {
 		return
 	}
-	m.probes.asked = true
+	m.probes.asked, m.probes.fair = true, p.zoneSeen[m.Zone].After(m.probes.at)
 	p.asked++
 	p.out.Probes = append(p.out.Probes, Probe{m.ID, m.Addr})
 }
@@ -113,5 +116,6 @@
 
 // unanswering reports whether a machine did not answer while its zone did.
 func (p *Part) unanswering(m *Machine, now time.Time) bool {
-	return (m.up || m.inherited) && now.Sub(m.heard) >= p.reportDue() && m.probes.failed >= probesLost && p.zoneSeen[m.Zone].After(m.probes.at)
+	return (m.up || m.inherited) && now.Sub(m.heard) >= p.reportDue() && m.probes.failed >= probesLost && !m.probes.asked &&
+		m.probes.fair && p.zoneSeen[m.Zone].After(m.probes.at)
 }
--- a/internal/sched/probe_test.go
+++ b/internal/sched/probe_test.go
@@ -9,24 +9,29 @@
 	"bramblespur/internal/wire"
 )
 
-// probed lets a time go by in which only the machines that answer answer probes,
-// and none reports. It returns how many probes there were.
+// probe lets the machines that answer probes do so.
+func (r *rig) probe(eff Effects) {
+	for _, q := range eff.Probes {
+		if slices.Contains(r.answers, q.Machine) {
+			rep := r.workers[q.Machine].Report()
+			r.part.Probed(q.Machine, &rep, r.clock.Now())
+		} else {
+			r.part.Probed(q.Machine, nil, r.clock.Now())
+		}
+	}
+}
+
+// probed lets a time go by in which only some machines answer probes, and none
+// reports. It returns how many probes there were.
 func (r *rig) probed(d time.Duration, answers ...string) (asked int) {
+	r.answers = answers
 	for end := r.clock.Now().Add(d); r.clock.Now().Before(end); {
-		r.clock.Advance(250 * time.Millisecond)
-		now := r.clock.Now()
-		eff := r.part.Step(now)
-		for _, q := range eff.Probes {
-			asked++
-			if slices.Contains(answers, q.Machine) {
-				rep := r.workers[q.Machine].Report()
-				r.part.Probed(q.Machine, &rep, now)
-			} else {
-				r.part.Probed(q.Machine, nil, now)
-			}
-		}
+		r.clock.Advance(careEvery)
+		eff := r.part.Step(r.clock.Now())
+		asked += len(eff.Probes)
+		r.probe(eff)
 		for _, t := range eff.Txns {
-			r.part.Applied(t, r.state.Put("x", 1).Version, now)
+			r.part.Applied(t, r.state.Put("x", 1).Version, r.clock.Now())
 		}
 	}
 	return asked
@@ -74,6 +79,35 @@
 	}
 }
 
+// When a zone's cut ends, what its machines did not answer while it lasted does
+// not count: the first that answers must not make the others lost.
+func TestCutEndsForAll(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		r := newRig(t)
+		r.cfg.Probes = 8
+		ids := []string{"m1", "m2", "m3", "m4"}
+		for _, id := range ids {
+			r.machine(id, "z1", false)
+			r.sync(r.state.Put(record.RentalKey(id), record.Rental{Type: "big", Zone: "z1", Parts: []int{0}, IDs: []string{id},
+				Addrs: []string{"10.1.0.1:9000"}, Born: r.clock.Now().UnixMilli()}))
+		}
+		r.submit(spec("run-000001", "b", wire.Service, "prod", 8, 1))
+		r.beats(4)
+		if takeOver {
+			r.claim()
+		}
+		r.probed(2 * r.part.reportDue())
+		r.answers = ids
+		r.beat(r.workers["m1"])
+		r.probed(r.cfg.Report, ids...)
+		for _, id := range ids {
+			if r.phase(id) > 0 {
+				t.Errorf("take-over %t: %s is given back", takeOver, id)
+			}
+		}
+	}
+}
+
 // A controller that stood still has heard nobody: nobody is lost by that, since
 // everybody answers once it goes on, and a probe that it sent before proves
 // nothing.
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -22,6 +22,8 @@
 	part    *Part
 	fleet   *record.Fleet
 	workers map[string]*testkit.Worker
+	// answers are the machines that answer probes.
+	answers []string
 	// sendStart, if set, carries direct starts to their workers.
 	sendStart func(d Direct)
 }
@@ -139,6 +141,7 @@
 				}
 			}
 		}
+		r.probe(eff)
 		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadSlots)+len(eff.RereadMachines)+len(eff.RereadPipes)+len(eff.Direct) == 0 {
 			return
 		}
