--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -89,9 +89,9 @@
 	syncedAt    time.Time // when the leader last asked
 	quietUntil  time.Time // not to lead before
 	started     time.Time
-	begun       time.Time            // when this process began
-	searched    map[string]time.Time // when a machine was last sent on, see elsewhere
-	hears       hearing              // as the member record says
+	begun       time.Time         // when this process began
+	searches    map[string]search // of workers, see elsewhere
+	hears       hearing           // as the member record says
 	kept        map[string]kept
 	held        map[string]*held
 	budgetAt    time.Time // when the leader last gave a budget
@@ -175,7 +175,7 @@
 	c.ends = map[string]chan struct{}{}
 	c.commands = make(chan struct{}, max(1, c.cfg.Params.Resources.MaxSockets/commandSockets))
 	c.begun = c.syncedAt
-	c.searched = map[string]time.Time{}
+	c.searches = map[string]search{}
 	c.members = map[string]record.Member{}
 	c.finals = map[string]record.Job{}
 	c.redirected = map[string]redirect{}
@@ -332,7 +332,7 @@
 			}
 		}
 		if !c.blind(now) {
-			clear(c.searched)
+			clear(c.searches)
 		}
 		for id, k := range c.kept {
 			if now.Sub(k.last) > config.Seconds(c.cfg.Params.Workers.LeaseS) {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -276,6 +276,10 @@
 				c.peerState[label] = now
 			}
 		}
+		if to, look := c.elsewhere("m", now); look && to != "far" {
+			t.Errorf("%s: sent to %q though its lease may be nearly over", name, to)
+		}
+		now = now.Add(time.Second) // it was answered and is back
 		if to, look := c.elsewhere("m", now); to != x.want || look != x.look {
 			t.Errorf("%s: sent to %q %t, want %q %t", name, to, look, x.want, x.look)
 		}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	leaderShare   = 0.95
 	followerShare = 0.05
 	rentalsAtOnce = 3
+	returnCalls   = 3.0 // while machines are rented, every third call returns some
 	returnTimeout = 15 * time.Second
 	clearEvery    = 5 * time.Second // records of machines long gone are cleared
 )
@@ -42,6 +44,7 @@
 	grants   budgets
 	synced   time.Time
 	addrs    map[string]string // of machines, as their owners tell
+	returned time.Time         // when machines were last given back
 }
 
 // leadLoop leads when this controller is the leader, and otherwise stands for
@@ -216,11 +219,21 @@
 	}
 	// A queue of requests would go stale before the cloud's few calls got to
 	// it: what is not asked for now is planned anew, with what came since.
-	for _, r := range rents {
-		if len(l.rentals) < rentalsAtOnce {
-			c.rent(ctx, l, r)
+	for len(l.rentals) < rentalsAtOnce && len(rents) > 0 {
+		// What is most urgent comes first; the last place is the largest
+		// request's, which brings most for a call.
+		i := 0
+		if len(l.rentals) == rentalsAtOnce-1 {
+			for k := range rents {
+				if len(rents[k].Parts) > len(rents[i].Parts) {
+					i = k
+				}
+			}
 		}
+		c.rent(ctx, l, rents[i])
+		rents = slices.Delete(rents, i, i+1)
 	}
+	busy := len(l.rentals) > 0
 	c.mu.Unlock()
 	for owner, os := range byOwner {
 		if p := c.peers[owner]; p != nil {
@@ -231,7 +244,11 @@
 			}()
 		}
 	}
-	c.returns(ctx, l)
+	// While machines are to be rented, returns leave most of the cloud's calls to
+	// that: each takes more machines the longer it waits.
+	if pause := config.Seconds(returnCalls / c.cfg.Params.Cloud.RPS); !busy || now.Sub(l.returned) >= pause {
+		c.returns(ctx, l, now)
+	}
 	c.clear(ctx, l, now)
 	if now.After(l.nextList) {
 		l.nextList = now.Add(time.Duration(listFactor * float64(config.Seconds(c.cfg.Params.Cloud.ListLagS))))
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -210,7 +210,7 @@
 // returns gives back what the parts' owners have recorded as to be given back,
 // several batches with one call. The answer is recorded: it proves gone what
 // ran on the machines, to whoever owns their parts by then.
-func (c *Controller) returns(ctx context.Context, l *leading) {
+func (c *Controller) returns(ctx context.Context, l *leading, now time.Time) {
 	c.mu.Lock()
 	var ids []string
 	batches := map[string]record.Versioned[record.Back]{}
@@ -226,6 +226,7 @@
 	if len(ids) == 0 {
 		return
 	}
+	l.returned = now
 	go func() {
 		defer func() {
 			c.mu.Lock()
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -223,7 +223,13 @@
 	}
 	w := c.cfg.Params.Workers
 	lease, report := config.Seconds(w.LeaseS), config.Seconds(w.ReportS)
-	if silent == 0 || now.Sub(c.searched[machine]) < searchAgain*lease {
+	s := c.searches[machine]
+	met := s.met
+	s.met = now
+	c.searches[machine] = s
+	// One that has just come may have spent most of its lease looking for this
+	// controller: it is sent on when it has been answered here once.
+	if silent == 0 || now.Sub(met) > 2*report || now.Sub(s.sent) < searchAgain*lease {
 		return "", false
 	}
 	if len(near) > 0 {
@@ -231,10 +237,15 @@
 	} else if time.Duration(far)*(workerWait+workerPause)+2*report > lease {
 		return "", false
 	}
-	c.searched[machine] = now
+	s.sent = now
+	c.searches[machine] = s
 	return to, true
 }
 
+// search is when a worker last came to a controller that had lost the state
+// service, and when it was sent away.
+type search struct{ met, sent time.Time }
+
 // searchAgain is after how many leases a worker is sent on once more.
 const searchAgain = 3
 
