--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -219,19 +218,8 @@
 	}
 	// A queue of requests would go stale before the cloud's few calls got to
 	// it: what is not asked for now is planned anew, with what came since.
-	for len(l.rentals) < rentalsAtOnce && len(rents) > 0 {
-		// What is most urgent comes first; the last place is the largest
-		// request's, which brings most for a call.
-		i := 0
-		if len(l.rentals) == rentalsAtOnce-1 {
-			for k := range rents {
-				if len(rents[k].Parts) > len(rents[i].Parts) {
-					i = k
-				}
-			}
-		}
-		c.rent(ctx, l, rents[i])
-		rents = slices.Delete(rents, i, i+1)
+	for _, r := range chosen(rents, rentalsAtOnce-len(l.rentals)) {
+		c.rent(ctx, l, r)
 	}
 	busy := len(l.rentals) > 0
 	c.mu.Unlock()
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bramblespur/internal/cloud"
@@ -127,6 +128,22 @@
 // taken for a stranger.
 const knownLags = 6
 
+// chosen returns the requests to make when there is room for n: the most urgent
+// first, and in the last place the largest, which brings most for a call. Small
+// urgent ones would else take every place for ever when much is missing.
+func chosen(rents []fleet.Rent, n int) []fleet.Rent {
+	if n <= 0 || len(rents) <= n {
+		return rents[:min(len(rents), max(n, 0))]
+	}
+	last := rents[n-1]
+	for _, r := range rents[n-1:] {
+		if len(r.Parts) > len(last.Parts) {
+			last = r
+		}
+	}
+	return append(slices.Clone(rents[:n-1]), last)
+}
+
 // rent begins a rental. The lock is held.
 func (c *Controller) rent(ctx context.Context, l *leading, r fleet.Rent) {
 	l.seq++
--- /dev/null
+++ b/internal/controller/wave_test.go
@@ -0,0 +1,128 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// When much is missing at once, the most urgent requests come first, but the
+// largest is not put off for ever.
+func TestLargestRentalHasAPlace(t *testing.T) {
+	rent := func(zone string, n int) fleet.Rent { return fleet.Rent{Zone: zone, Parts: make([]int, n)} }
+	rents := []fleet.Rent{rent("a", 3), rent("b", 2), rent("c", 4), rent("d", 50), rent("e", 9)}
+	for n, want := range map[int]string{-1: "", 0: "", 1: "d", 2: "ad", 3: "abd", 4: "abcd", 5: "abcde", 9: "abcde"} {
+		got := ""
+		for _, r := range chosen(rents, n) {
+			got += r.Zone
+		}
+		if got != want {
+			t.Errorf("room for %d: %q, want %q", n, got, want)
+		}
+	}
+}
+
+// A rental's addresses are recorded once every machine that will come up has told
+// its own, and not again.
+func TestAddressesAreRecorded(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	c := newTest(t, state)
+	put := func(key string, v any) {
+		e := state.Put(key, v)
+		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	}
+	put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0, 0, 0}, IDs: []string{"a", "b", "c"}})
+	l := &leading{addrs: map[string]string{}}
+	tell := func(id, addr string) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.address(ctx, l, []fleet.Summary{{Machines: []fleet.Machine{{ID: id, Addr: addr}}}})
+	}
+	tell("a", "a:1")
+	tell("b", "b:1")
+	if len(c.fleet.Unaddressed()) != 1 || len(l.addrs) != 2 {
+		t.Fatal("recorded though a machine may yet come up")
+	}
+	put(record.BackKey(0, 1, 1), record.Back{IDs: []string{"c"}}) // it never did
+	tell("b", "b:1")
+	for { // the write is another goroutine's
+		c.mu.Lock()
+		left := len(c.fleet.Unaddressed())
+		v, _ := c.fleet.Machine("a")
+		c.mu.Unlock()
+		if left == 0 {
+			if v.Addr != "a:1" {
+				t.Fatalf("got %+v", v)
+			}
+			break
+		}
+		runtime.Gosched()
+	}
+	e, err := state.Get(ctx, statestore.Urgent("test"), record.RentalKey("r"))
+	if err != nil || !strings.Contains(string(e.Value), `"addrs":["a:1","b:1",""]`) {
+		t.Fatalf("record %s, %v", e.Value, err)
+	}
+}
+
+// conn is a scripted connection.
+type conn struct {
+	gnet.Conn
+	in, out bytes.Buffer
+	ctx     any
+}
+
+func (c *conn) Peek(int) ([]byte, error)       { return c.in.Bytes(), nil }
+func (c *conn) Discard(n int) (int, error)     { c.in.Next(n); return n, nil }
+func (c *conn) Write(b []byte) (int, error)    { return c.out.Write(b) }
+func (c *conn) Context() any                   { return c.ctx }
+func (c *conn) SetContext(v any)               { c.ctx = v }
+func (c *conn) closed(action gnet.Action) bool { return action == gnet.Close }
+
+// When a neighbour's workers all come over, each keeps its connection only as long
+// as there are sockets to spare: what is left is for users and other controllers.
+func TestWorkersLeaveSockets(t *testing.T) {
+	s := &server{log: slog.New(slog.DiscardHandler), conns: map[gnet.Conn]*connState{}, maxConn: 4, workerConn: 2,
+		handle: func(httpwire.Request, func(reply)) (reply, bool) { return reply{status: 200}, true }}
+	ask := func(method, path string) (kept bool) {
+		t.Helper()
+		c := &conn{}
+		if _, action := s.OnOpen(c); action == gnet.Close {
+			return false
+		}
+		c.in.Write(httpwire.AppendRequest(nil, method, path, "x", nil))
+		if c.closed(s.OnTraffic(c)) {
+			s.OnClose(c, nil)
+			return false
+		}
+		if !strings.HasPrefix(c.out.String(), "HTTP/1.1 200") {
+			t.Fatalf("answered %q", c.out.String())
+		}
+		return true
+	}
+	for i, x := range []struct {
+		method, path string
+		kept         bool
+	}{
+		{"POST", wire.ReportPath, true}, {"POST", wire.ReportPath, true}, {"POST", wire.ReportPath, false},
+		{"GET", wire.JobsPath + "/run-000001", true}, {"POST", wire.ReportPath, false},
+		{"GET", wire.ReadyPath, true}, {"GET", wire.ReadyPath, false},
+	} {
+		if kept := ask(x.method, x.path); kept != x.kept {
+			t.Errorf("request %d, %s: kept %t", i, x.path, kept)
+		}
+	}
+}
--- a/internal/sched/size_test.go
+++ b/internal/sched/size_test.go
@@ -56,6 +56,29 @@
 	return r
 }
 
+// What a report or a task's end brings about looks at the jobs that wait and at
+// the machines that may serve them, not at all machines.
+func TestPlacementLooksAtFew(t *testing.T) {
+	const machines, waiting = 600, 60
+	r := crowd(t, machines, waiting)
+	r.clock.Advance(roomAgain)
+	r.settle() // room for what waits was just sought in vain
+	r.part.looked = 0
+	w := r.workers["i-000007"]
+	for name := range w.Tasks {
+		w.End(name, wire.Done)
+		break
+	}
+	rep := w.Report()
+	r.part.Report(&rep, false, r.clock.Now())
+	if eff := r.part.Step(r.clock.Now()); len(eff.Txns) == 0 {
+		t.Fatal("nothing placed where a task ended")
+	}
+	if r.part.looked > 2*waiting {
+		t.Errorf("looked at %d machines and jobs, with %d jobs waiting and %d machines", r.part.looked, waiting, machines)
+	}
+}
+
 // BenchmarkReport is a report in which nothing has changed.
 func BenchmarkReport(b *testing.B) {
 	r := crowd(b, manyMachines, 100)
