--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -26,9 +26,11 @@
 	commandSockets = 16
 	bootFactor     = 3               // of the nominal boot time, before a machine is replaced
 	preemptAfter   = 2 * time.Second // a free machine from another part may come first
-	gatherEnds     = time.Second     // of the 3 s by which a told state may lag
-	gatherStarts   = 150 * time.Millisecond
-	gatherBacks    = 2 * time.Second // unused machines cost little in that time
+	// gatherEnds: the end of a job is recorded at once, and what has ended of one
+	// that goes on is kept by its worker until it is recorded.
+	gatherEnds   = 3 * time.Second
+	gatherStarts = 150 * time.Millisecond
+	gatherBacks  = 2 * time.Second // unused machines cost little in that time
 )
 
 func (c *Controller) newSchedConfig(types []wire.MachineType) *sched.Config {
