--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -100,7 +100,7 @@
 
 // place starts what can be started: team by team, in turn by shares.
 func (p *Part) place(now time.Time) {
-	p.gathers, p.found = nil, found{}
+	p.gathers, p.found = map[string]*Job{}, found{}
 	p.weighKept()
 	queues := map[string][]*Job{}
 	for _, j := range p.index.waiting {
@@ -130,6 +130,13 @@
 			if x.rank != y.rank {
 				return x.rank > y.rank
 			}
+			// Gangs that have waited for long go by their age alone: the small
+			// and the short ones would else overtake the large for ever.
+			if late := x.late(now); late != y.late(now) {
+				return late
+			} else if late && !x.accepted.Equal(y.accepted) {
+				return x.accepted.Before(y.accepted)
+			}
 			if urgency[x] != urgency[y] {
 				return urgency[x] < urgency[y]
 			}
@@ -171,11 +178,15 @@
 }
 
 // beforeAged orders jobs that have waited too long: the lowest priority first,
-// since its share can't be used up by the others, then the oldest.
+// since its share can't be used up by the others, then the largest gang, which
+// finds room nowhere else, then the oldest.
 func beforeAged(a, b *Job) bool {
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
+	if x, y := a.unit(), b.unit(); x != y {
+		return x > y
+	}
 	return a.accepted.Before(b.accepted)
 }
 
@@ -222,7 +233,7 @@
 		if j.stuck.IsZero() {
 			j.stuck = now
 		}
-		if j.spec.Kind == wire.Gang && p.gathers == nil {
+		if j.spec.Kind == wire.Gang && (len(p.gathers) == 0 || j.late(now)) {
 			p.gather(j, n, now)
 		}
 		p.makeRoom(j, n, now)
@@ -264,13 +275,16 @@
 
 // gather keeps the machines that are free for the first gang that waits, in the
 // zone that has most for it, so that smaller work can't take them one by one.
-// Only one gang of a part gathers at a time: several could hold up each other.
+// Those that have waited for long gather too, each in a zone of its own: two in
+// one zone could hold up each other.
 func (p *Part) gather(j *Job, n int, now time.Time) {
-	p.gathers = j
+	if _, anywhere := p.gathers[""]; anywhere || (!j.spec.OneZone && len(p.gathers) > 0) {
+		return
+	}
 	byZone := map[string][]*Machine{}
 	units := map[string]int{}
 	p.roomy(j.spec, now, func(m *Machine) {
-		if m.keptFromOthers(j, now) {
+		if m.keptFromOthers(j, now) || p.gathers[m.Zone] != nil {
 			return
 		}
 		fits := 0
@@ -295,6 +309,10 @@
 			p.release(m)
 		}
 	}
+	if most == 0 {
+		return
+	}
+	p.gathers[best] = j
 	for _, m := range byZone[best] {
 		if m.reserved == "" || !now.Before(m.reservedT) {
 			p.reserve(m, j, 1, now.Add(gatherFor))
@@ -303,6 +321,15 @@
 	p.alarm(now.Add(gatherFor / 2))
 }
 
+// late reports whether a gang has waited so long that more seems to be asked than
+// can be done.
+func (j *Job) late(now time.Time) bool {
+	return j.spec.Kind == wire.Gang && now.Sub(j.accepted) > lateAfter
+}
+
+// lateAfter is above what a boot and the fetch of an image take.
+const lateAfter = 45 * time.Second
+
 // gatherFor is how long a free machine is kept for a gang unless that is renewed.
 const gatherFor = 4 * time.Second
 
@@ -330,7 +357,7 @@
 			return
 		}
 		if m.keptFromOthers(j, now) {
-			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && o.rank >= j.rank && !p.aged(j, now) {
+			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && p.yields(j, o, now) {
 				return
 			}
 		}
@@ -421,6 +448,17 @@
 	return scores
 }
 
+// yields reports whether a job leaves alone what is kept for another. One that has
+// waited too long takes it from those that have not, but not from those that go
+// before it: small gangs, which find room soon, would keep the largest from ever
+// having gathered enough.
+func (p *Part) yields(j, other *Job, now time.Time) bool {
+	if p.aged(j, now) {
+		return p.aged(other, now) && beforeAged(other, j)
+	}
+	return other.rank >= j.rank
+}
+
 // best returns the best of the candidates for one task.
 func (p *Part) best(j *Job, cands []*Machine, limit int, only string) []*Machine {
 	var best *Machine
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -33,7 +33,7 @@
 	byZone := map[string][]option{}
 	within := p.guaranteed(j, n)
 	p.mayYield(j, within, now, func(m *Machine) {
-		if !allows(j.spec, m) || !p.usable(m, now) || m.keptFromOthers(j, now) {
+		if !allows(j.spec, m) || !p.usable(m, now) || m.keptFromOthers(j, now) || p.awaited(m, j, now) {
 			return
 		}
 		r := free(m)
@@ -106,6 +106,14 @@
 			}
 		}
 	}
+	if best == nil && j.late(now) {
+		// Too much for one moment: what the gang gathers grows step by step.
+		for zone, os := range byZone {
+			if p.gathers[zone] == j {
+				best = os
+			}
+		}
+	}
 	for _, o := range best {
 		for _, k := range o.victims {
 			p.giveWay(k, now)
@@ -124,6 +132,16 @@
 // roomAgain is when room that could not be made is sought again.
 const roomAgain = time.Second
 
+// awaited reports whether a gang that has waited for long gathers machines where m
+// is: one that is no more urgent makes no room for itself there meanwhile.
+func (p *Part) awaited(m *Machine, j *Job, now time.Time) bool {
+	g := p.gathers[m.Zone]
+	if g == nil {
+		g = p.gathers[""]
+	}
+	return g != nil && g != j && g.late(now) && g.rank >= j.rank
+}
+
 // mayYield calls f for the machines that have room for a task of j or may have it
 // once others have stopped.
 func (p *Part) mayYield(j *Job, within bool, now time.Time, f func(*Machine)) {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -303,7 +303,7 @@
 	looked   int                      // machines and jobs that placements have looked at, for tests
 	kept     map[*Job]bool            // see Job.kept
 	keptLoad [highestRank + 1]float64 // the share of the machines that kept jobs hold, by priority
-	gathers  *Job                     // the gang that machines are kept for in this pass
+	gathers  map[string]*Job          // the gangs that machines are kept for in this pass, by zone
 	found    found                    // for the job whose tasks are being placed
 	backlog  time.Duration            // how long changes wait for the state service's budget
 	blind    bool                     // cancellations told elsewhere may be unknown here
