--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -303,3 +303,47 @@
 		t.Fatalf("%d of %d low jobs done while higher ones never ended", done, low)
 	}
 }
+
+// Where more gangs wait than fit for minutes, the largest begin within four
+// minutes: small ones that have waited too long as well take nothing from what a
+// larger one has gathered, and do not go past it.
+func TestLargestGangsAreNotOvertaken(t *testing.T) {
+	r := newRig(t)
+	r.cfg.Urgency = func(s *wire.Spec, waited time.Duration) float64 { return s.EstimateS - waited.Seconds() }
+	for i := range 8 {
+		r.machine(fmt.Sprintf("m%d", i), []string{"z1", "z2"}[i/4], false)
+	}
+	const largest = 4
+	accepted, began := map[string]time.Time{}, map[string]time.Time{}
+	submit := func(beat, tasks int) {
+		s := spec(fmt.Sprintf("run-%d%05d", tasks, beat), "b", wire.Gang, "urgent", tasks, 2)
+		s.OneZone = true
+		accepted[s.Ref] = r.clock.Now()
+		r.submit(s)
+	}
+	r.play(int(14*time.Minute/r.cfg.Report), 25, func(beat int) {
+		for _, w := range r.workers {
+			for name := range w.Tasks {
+				if ref, _, _ := SplitTask(name); began[ref].IsZero() {
+					began[ref] = r.clock.Now()
+				}
+			}
+		}
+		if beat < int(6*time.Minute/r.cfg.Report) {
+			if beat%20 == 0 {
+				submit(beat, largest)
+			}
+			if beat%3 == 0 {
+				submit(beat, 1)
+			}
+		}
+	})
+	for ref, at := range accepted {
+		first, ok := began[ref]
+		if !ok {
+			t.Errorf("%s never began", ref)
+		} else if first.Sub(at) > 4*time.Minute && strings.HasPrefix(ref, fmt.Sprint("run-", largest)) {
+			t.Errorf("%s, one of the largest, began after %v", ref, first.Sub(at))
+		}
+	}
+}
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -51,8 +51,8 @@
 	return m.inherited && !m.fenced && m.Phase == record.InUse && m.Addr != ""
 }
 
-// probe asks the machines that are overdue or were taken over, and for each zone in which one did
-// not answer another one that was heard lately.
+// probe asks the machines that are overdue or were taken over, and for each zone
+// in which one did not answer another one that was heard lately.
 func (p *Part) probe(now time.Time) {
 	doubted := map[string]bool{}
 	for _, m := range p.machines {
