--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -206,6 +206,9 @@
 	if len(orders) > 0 {
 		c.log.Debug("orders", "orders", orders)
 	}
+	for _, r := range rents {
+		c.log.Debug("wanted", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "machines", len(r.Parts))
+	}
 	byOwner := map[string][]fleet.Order{}
 	for _, o := range orders {
 		if p := c.parts[o.Part]; p != nil {
