--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -327,8 +327,10 @@
 	return j.spec.Kind == wire.Gang && now.Sub(j.accepted) > lateAfter
 }
 
-// lateAfter is above what a boot and the fetch of an image take.
-const lateAfter = 45 * time.Second
+// lateAfter is well above what a boot and the fetch of an image take, so that a
+// machine lost here and there makes no gang late: those that can still start in
+// time go first.
+const lateAfter = 90 * time.Second
 
 // gatherFor is how long a free machine is kept for a gang unless that is renewed.
 const gatherFor = 4 * time.Second
