--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"sort"
 	"time"
@@ -82,6 +83,55 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are the limits that it will have from some moment on, without
+	// notice; what is not given stays as it is.
+	Next NextState `toml:"next"`
+}
+
+// NextState holds the state service's limits to come.
+type NextState struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// Tight returns the tighter of the limits now and those to come: what keeps to
+// it is taken whichever are in force.
+func (s State) Tight() State {
+	t := State{RPS: s.RPS, WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps}
+	lower(&t.RPS, s.Next.RPS)
+	lower(&t.WriteRPS, s.Next.WriteRPS)
+	lower(&t.ValueKB, s.Next.ValueKB)
+	lower(&t.TxnOps, s.Next.TxnOps)
+	return t
+}
+
+func lower[N int | float64](to *N, next *N) {
+	if next != nil {
+		*to = min(*to, *next)
+	}
+}
+
+// Bytes is the largest value that it takes.
+func (s State) Bytes() int { return int(s.ValueKB * 1024) }
+
+// leastOps is the changes in the transaction that ends a job.
+const leastOps = 2
+
+func (s NextState) check() error {
+	for _, f := range []struct {
+		name string
+		v    *float64
+	}{{"rps", s.RPS}, {"write_rps", s.WriteRPS}, {"value_kb", s.ValueKB}} {
+		if f.v != nil && !(*f.v > 0 && !math.IsInf(*f.v, 0)) {
+			return fmt.Errorf("settings: params.state.next.%s must be above 0", f.name)
+		}
+	}
+	if s.TxnOps != nil && *s.TxnOps < leastOps {
+		return fmt.Errorf("settings: params.state.next.txn_ops must be %d at least", leastOps)
+	}
+	return nil
 }
 
 // Cloud holds the cloud's limits.
@@ -148,6 +198,9 @@
 			return fmt.Errorf("settings: %s must be above 0", a.name)
 		}
 	}
+	if err := p.State.Next.check(); err != nil {
+		return err
+	}
 	if p.Workers.LeaseS <= p.Workers.ReportS {
 		return fmt.Errorf("settings: params.workers.lease_s must be above params.workers.report_s")
 	}
--- a/internal/controller/budget.go
+++ b/internal/controller/budget.go
@@ -25,7 +25,7 @@
 // turn. One that lives but did not answer may be using its equal share, so that
 // is left to it. The lock is held.
 func (c *Controller) share(needs map[string]fleet.Use, turn time.Duration) budgets {
-	s := c.cfg.Params.State
+	s := c.rates()
 	rps, writes := s.RPS*budgetUse, s.WriteRPS*budgetUse
 	requests, changes := map[string]float64{}, map[string]float64{}
 	for _, l := range c.cfg.Labels() {
@@ -53,7 +53,7 @@
 func (c *Controller) checkBudget(now time.Time) {
 	if now.Sub(c.budgetAt) > budgetLife {
 		n := float64(c.cfg.Params.Count)
-		c.store.Budget(c.cfg.Params.State.RPS/n, c.cfg.Params.State.WriteRPS/n)
+		c.store.Budget(c.rates().RPS/n, c.rates().WriteRPS/n)
 	}
 }
 
--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -50,7 +50,7 @@
 		all := c.waiting
 		c.waiting = nil
 		c.mu.Unlock()
-		for batch := range slices.Chunk(all, 4*c.cfg.Params.State.TxnOps) {
+		for batch := range slices.Chunk(all, 4*c.limits().TxnOps) {
 			go c.confirm(ctx, batch)
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -67,9 +67,10 @@
 	members    map[string]record.Member
 	leader     versioned[record.Head]
 	typesSeen  bool
-	viewAt     time.Time // the cluster view was true at this time or later
-	jobsAt     time.Time // so was the view of open jobs
-	fleetAt    time.Time // and that of the machines
+	viewAt     time.Time                // the cluster view was true at this time or later
+	formats    map[string]record.Format // by controller, what it writes and reads
+	jobsAt     time.Time                // so was the view of open jobs
+	fleetAt    time.Time                // and that of the machines
 	waiting    []*confirmation
 	lease      uint64
 	leaseAt    time.Time // last renewal's request
@@ -152,6 +153,7 @@
 			gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLog{log}))
 	}()
 	go c.leaseLoop(ctx)
+	go c.formatLoop(ctx)
 	go c.watchLoop(ctx, record.ClusterPrefix, c.resetCluster, c.changeCluster)
 	go c.watchLoop(ctx, record.FleetPrefix, c.resetFleet, c.changeFleet)
 	go c.watchLoop(ctx, record.OpenPrefix, c.resetOpen, c.changeOpen)
@@ -177,6 +179,7 @@
 	c.begun = c.syncedAt
 	c.searches = map[string]search{}
 	c.members = map[string]record.Member{}
+	c.formats = map[string]record.Format{}
 	c.finals = map[string]record.Job{}
 	c.redirected = map[string]redirect{}
 	c.kept = map[string]kept{}
@@ -320,6 +323,9 @@
 		cut := c.cutZones(now)
 		backlog := c.store.Backlog()
 		for _, p := range c.parts {
+			if c.allStated() {
+				p.SetStated()
+			}
 			p.SetCut(cut)
 			p.SetBacklog(backlog)
 			c.pump(p, now)
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -43,7 +43,8 @@
 		BootFactor:   bootFactor,
 		PreemptAfter: preemptAfter,
 		Probes:       max(1, p.Resources.MaxSockets/probeSockets),
-		TxnOps:       p.State.TxnOps,
+		TxnOps:       c.limits().TxnOps,
+		ValueBytes:   c.limits().Bytes(),
 		SlotTasks:    sched.SlotTasks(p.State.ValueKB),
 		GatherEnds:   gatherEnds,
 		GatherStarts: gatherStarts,
@@ -148,6 +149,9 @@
 			p.Conflict(t, conflict.Keys, now)
 		case errors.Is(err, statestore.ErrRefused):
 			p.Refused(t, now)
+		case errors.Is(err, statestore.ErrInvalid):
+			c.log.Error("transaction not taken: writing less from now on", "part", p.ID(), "for", t.Purpose, "err", err)
+			p.Shrink(t, now)
 		default:
 			c.log.Info("transaction without answer", "part", p.ID(), "err", err)
 			p.Unknown(t, now)
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -92,13 +92,13 @@
 // pipelineTxn records a pipeline and its jobs, all but the first held. It
 // reports false if a record would be too large, or a step that follows.
 func (c *Controller) pipelineTxn(ref string, rec record.Pipe, specs []*wire.Spec) (wire.Txn, bool) {
-	p := c.cfg.Params.State
+	p := c.limits()
 	// The record grows by each job's end.
 	whole := rec
 	for _, j := range rec.Jobs {
 		whole.Ended = append(whole.Ended, record.PipeEnd{Ref: j, State: wire.Cancelled})
 	}
-	fits := float64(len(record.Encode(whole))) <= p.ValueKB*1024
+	fits := len(record.Encode(whole)) <= p.Bytes()
 	t := wire.Txn{
 		If:   []wire.Cond{{Key: record.PipeKey(ref)}},
 		Then: []wire.Op{{Put: record.PipeKey(ref), Value: record.Encode(rec)}},
@@ -113,7 +113,7 @@
 	for _, s := range specs {
 		open := record.Encode(record.Open{Spec: *s, Part: rec.Part, At: time.Now().UnixMilli(), Pipe: ref, Held: follows[s.Ref]})
 		size += len(open)
-		fits = fits && float64(len(open)) <= p.ValueKB*1024
+		fits = fits && len(open) <= p.Bytes()
 		t.If = append(t.If, wire.Cond{Key: record.JobKey(s.Ref)}, wire.Cond{Key: record.OpenKey(s.Ref)})
 		t.Then = append(t.Then, wire.Op{Put: record.OpenKey(s.Ref), Value: open})
 	}
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -298,7 +298,7 @@
 	l.clearing = now.Add(clearEvery)
 	c.mu.Lock()
 	viewed := !c.fleetAt.IsZero() // before that the view may lack rentals
-	t, ok := c.fleet.Clear(c.cfg.Params.State.TxnOps)
+	t, ok := c.fleet.Clear(c.limits().TxnOps)
 	c.mu.Unlock()
 	if !viewed || !ok {
 		return
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -233,17 +233,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
 	defer cancel()
 	if !c.canRun(s, types) {
-		switch r := c.known(ctx, s.Ref); r.status {
-		case 404:
-			return reply{status: 422}
-		default:
-			return r // accepted before, or can't tell
-		}
+		return c.unless(ctx, s.Ref, 422)
 	}
 	part := record.PartOf(c.teams, s.Team, s.Ref, c.cfg.Params.Count)
 	open := record.Encode(record.Open{Spec: *s, Part: part, At: time.Now().UnixMilli()})
-	if float64(len(open)) > c.cfg.Params.State.ValueKB*1024 {
-		return reply{status: 422}
+	if len(open) > c.limits().Bytes() {
+		return c.unless(ctx, s.Ref, 422)
 	}
 	t := wire.Txn{
 		If:   []wire.Cond{{Key: record.JobKey(s.Ref)}, {Key: record.OpenKey(s.Ref)}},
@@ -265,6 +260,15 @@
 	return later()
 }
 
+// unless refuses a job, unless it was accepted before: whatever the settings or
+// the state service's limits say by now.
+func (c *Controller) unless(ctx context.Context, ref string, status int) reply {
+	if r := c.known(ctx, ref); r.status != 404 {
+		return r // accepted before, or can't tell
+	}
+	return reply{status: status}
+}
+
 // known answers with the state of an accepted job, 404 if there is none.
 func (c *Controller) known(ctx context.Context, ref string) reply {
 	state, err := c.state(ctx, statestore.Urgent("accept"), ref)
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -61,6 +61,7 @@
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.members = map[string]record.Member{}
 	c.leader = versioned[record.Head]{}
+	// Formats are never taken back, so those known stay.
 	c.mu.Unlock()
 	for _, e := range entries {
 		c.changeCluster(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
@@ -99,6 +100,13 @@
 				c.members[label] = m
 			}
 		}
+	case hasPrefix(key, record.FormatPrefix):
+		var f record.Format
+		if !gone {
+			if err = decode(e.Value, &f); err == nil {
+				c.formats[record.Last(key)] = f
+			}
+		}
 	case hasPrefix(key, record.PartPrefix):
 		id, ok := atoi(record.Last(key))
 		if !ok || gone {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -22,6 +22,7 @@
 	Types         = "ctl/types"
 	MemberPrefix  = "ctl/members/"
 	PartPrefix    = "ctl/parts/"
+	FormatPrefix  = "ctl/formats/"
 	FleetPrefix   = "fleet/"
 	RentalPrefix  = "fleet/rent/"
 	OwnPrefix     = "fleet/own/"
@@ -35,6 +36,10 @@
 // PartKey names a part's record; the version of its last claim is the part's token.
 func PartKey(p int) string { return PartPrefix + strconv.Itoa(p) }
 
+// FormatKey names the record by which a controller tells for ever that it writes
+// records in a later format than that of the first version.
+func FormatKey(label string) string { return FormatPrefix + label }
+
 // RentalKey names a rental; it stands for all its machines.
 func RentalKey(name string) string { return RentalPrefix + name }
 
@@ -62,17 +67,18 @@
 // SlotKey names one of a part's placement records.
 func SlotKey(p, n int) string { return SlotsOf(p) + strconv.Itoa(n) }
 
-// RunName names a range of a job's tasks within a slot.
-func RunName(ref string, chunk int) string { return ref + ":" + strconv.Itoa(chunk) }
+// RunName names a range of a job's tasks within a slot by a number: of the range
+// in a plain slot, of its first task in a stated one.
+func RunName(ref string, n int) string { return ref + ":" + strconv.Itoa(n) }
 
 // SplitRunName undoes RunName.
-func SplitRunName(name string) (ref string, chunk int, ok bool) {
-	ref, n, ok := strings.Cut(name, ":")
+func SplitRunName(name string) (ref string, n int, ok bool) {
+	ref, num, ok := strings.Cut(name, ":")
 	if !ok {
 		return "", 0, false
 	}
-	chunk, err := strconv.Atoi(n)
-	return ref, chunk, err == nil && chunk >= 0
+	n, err := strconv.Atoi(num)
+	return ref, n, err == nil && n >= 0
 }
 
 // Last returns the last element of a key.
@@ -94,6 +100,16 @@
 	Alone bool `json:"alone,omitempty"`
 }
 
+// Format is a controller's word on the records that it writes and reads. Once
+// every configured controller has given its word, none of the first version owns
+// a part again: a process that dies comes back as what it was last.
+type Format struct {
+	N int `json:"n"`
+}
+
+// Stated is the format of records whose ranges of tasks state their own size.
+const Stated = 1
+
 // Part says who owns a part of the work.
 type Part struct {
 	Owner string `json:"owner"`
@@ -198,6 +214,7 @@
 type Job struct {
 	State string `json:"state"`
 	Tasks int    `json:"n,omitempty"`
+	At    int64  `json:"at,omitempty"` // milliseconds, when that was; 0: not told
 }
 
 // Place is where an attempt of a task was recorded.
@@ -229,12 +246,24 @@
 	Attempt uint64        `json:"a"` // highest attempt ever recorded here
 	On      map[int]Place `json:"on,omitempty"`
 	Done    [][2]int      `json:"done,omitempty"` // first and last of each span
+	// Tasks is the range's size and Turn how often it was entered in a slot: of
+	// ranges that overlap the one with the highest counts. Both are 0 in a plain
+	// slot.
+	Tasks int `json:"n,omitempty"`
+	Turn  int `json:"g,omitempty"`
 }
 
 // Slot holds the placements of several jobs of one part, so that one write
 // serves all that changed among them.
+//
+// Upgrade: a slot without a format is a plain one, as the first version writes
+// it. Its ranges are named by their number, and their size follows from the
+// state service's present limit of a value. That version reads and keeps nothing
+// else, so stated ranges are written only once every controller has given its
+// word (Format). Plain slots may be dropped when no deployment has any.
 type Slot struct {
-	Runs map[string]Run `json:"r"`
+	Format int            `json:"f,omitempty"`
+	Runs   map[string]Run `json:"r"`
 }
 
 // Encode marshals a record. The types of this package always marshal.
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -21,6 +21,7 @@
 	forMove   = "move"
 	forBack   = "back"
 	forFence  = "fence"
+	forSplit  = "split"
 )
 
 // flush makes the transactions that bring the records up to the ledger.
@@ -35,8 +36,11 @@
 		}
 		p.endTxn(j, now)
 	}
+	if p.stated {
+		p.retire()
+	}
 	for _, s := range p.slots {
-		if !s.dirty || s.txn != nil || s.unsure || now.Before(s.retry) {
+		if !s.dirty || len(s.left) > 0 || s.txn != nil || s.unsure || now.Before(s.retry) {
 			continue
 		}
 		// Completions alone wait for others to share the write: a user may be
@@ -52,9 +56,27 @@
 		}
 		p.slotTxn(s, now)
 	}
+	p.dropPlain(now)
 	p.flushBack(now)
 }
 
+// dropPlain deletes plain slots that tell nothing any more.
+func (p *Part) dropPlain(now time.Time) {
+	for _, s := range p.plain {
+		if now.Before(s.retry) {
+			p.alarm(s.retry)
+			continue
+		}
+		at := record.SlotKey(p.id, s.n)
+		t := &Txn{slot: s, gone: true, Purpose: forSplit, Routine: true}
+		t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: s.version}}
+		t.Body.Then = []wire.Op{{Delete: at}}
+		s.txn = t
+		p.out.Txns = append(p.out.Txns, t)
+	}
+	p.plain = nil
+}
+
 // endTxn records a job's end: its state for ever, and no open record any more.
 // Its placements stay in their slot until that is next written; without an open
 // job a Load passes over them.
@@ -81,14 +103,15 @@
 	t := &Txn{slot: s, Purpose: forEnds}
 	rec := record.Slot{Runs: map[string]record.Run{}}
 	conds := map[string]uint64{}
-	room := 4*p.cfg.TxnOps - 2
-	s.dirty, s.urgent = false, false
+	room := 4*p.txnOps - 2
+	moved, left := s.moved, false
 	for name, c := range s.chunks {
 		j := c.job
 		run := record.Run{Attempt: c.attempt}
-		left := false
-		per := p.cfg.chunkTasks()
-		for i := c.n * per; i < min((c.n+1)*per, len(j.tasks)); i++ {
+		if s.stated {
+			run.Tasks, run.Turn = c.end-c.first, c.turn
+		}
+		for i := c.first; i < c.end; i++ {
 			k := key{j, i}
 			task := &j.tasks[i]
 			switch task.state {
@@ -117,13 +140,20 @@
 				}
 			}
 		}
-		if c.dirty = left; left {
-			s.dirty, s.urgent = true, true
-		}
 		t.chunks = append(t.chunks, c)
 		rec.Runs[name] = run
 	}
-	if len(t.starts) == 0 && len(t.dones) == 0 {
+	if s.stated {
+		rec.Format = record.Stated
+	}
+	value := record.Encode(rec)
+	s.dirty, s.urgent, s.moved = left, left, false
+	if len(t.starts) == 0 && len(t.dones) == 0 && !moved {
+		return
+	}
+	if !p.fit(s, len(value)) {
+		s.dirty, s.urgent = true, true
+		p.alarm(now) // the slots that take what has no room here come first
 		return
 	}
 	s.written = now
@@ -141,7 +171,7 @@
 	for _, k := range keys {
 		t.Body.If = append(t.Body.If, wire.Cond{Key: k, Version: conds[k]})
 	}
-	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(rec)}}
+	t.Body.Then = []wire.Op{{Put: at, Value: value}}
 	for _, k := range t.starts {
 		k.job.tasks[k.i].inTxn = true
 	}
@@ -243,6 +273,12 @@
 func (p *Part) written(t *Txn, revision uint64, now time.Time) {
 	t.slot.txn = nil
 	t.slot.version = revision
+	if t.gone {
+		delete(p.slots, t.slot.n)
+	}
+	for _, c := range t.chunks {
+		p.settle(c)
+	}
 	for _, k := range t.starts {
 		s := &k.job.tasks[k.i]
 		if s.state == placed && s.inTxn {
@@ -279,9 +315,9 @@
 			p.take(key{j, i}, now)
 		}
 	}
-	for n, c := range j.chunks {
-		c.slot.used -= p.chunkSize(j, n)
-		delete(c.slot.chunks, record.RunName(j.ref, n))
+	for _, c := range slices.Clone(j.chunks) {
+		p.leave(c)
+		p.settle(c)
 	}
 	delete(p.jobs, j.ref)
 	delete(p.index.waiting, j.ref)
@@ -359,6 +395,25 @@
 	p.alarm(at)
 }
 
+// Shrink takes in that the state service does not take a transaction of this
+// size. It is never sent again as it was: what is written from now on is smaller.
+func (p *Part) Shrink(t *Txn, now time.Time) {
+	largest := 0
+	for _, op := range t.Body.Then {
+		largest = max(largest, len(op.Value))
+	}
+	if least := plainPlace * 2 * runOverhead; largest > least {
+		p.valueBytes = min(p.valueBytes, max(least, largest*3/4))
+	}
+	if n := len(t.Body.Then); n > leastOps {
+		p.txnOps = min(p.txnOps, n-1)
+	}
+	p.Refused(t, now)
+}
+
+// leastOps is the changes in the transaction that ends a job.
+const leastOps = 2
+
 // Unknown takes in that a transaction may have been, or may yet be, applied.
 // The records are read back and decide.
 func (p *Part) Unknown(t *Txn, now time.Time) {
@@ -423,9 +478,6 @@
 			}
 		}
 	}
-	for _, c := range t.chunks {
-		c.dirty = true
-	}
 	if !t.slot.dirty {
 		t.slot.since = now
 	}
@@ -484,8 +536,17 @@
 		}
 		return nil
 	}
+	for _, c := range t.chunks {
+		if run, ok := rec.Runs[p.runName(c)]; ok && run.Turn == c.turn {
+			p.settle(c)
+		}
+	}
 	there := func(k key) bool {
-		pl, ok := rec.Runs[record.RunName(k.job.ref, k.i/p.cfg.chunkTasks())].On[k.i]
+		c := k.job.chunkAt(k.i)
+		if c == nil || c.slot != s {
+			return false
+		}
+		pl, ok := rec.Runs[p.runName(c)].On[k.i]
 		task := &k.job.tasks[k.i]
 		return changed && ok && task.machine != nil && pl.Attempt == task.attempt && pl.Machine == task.machine.ID
 	}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"math"
-	"strconv"
+	"slices"
 	"time"
 
 	"bramblespur/internal/record"
@@ -106,58 +106,16 @@
 
 // touch marks the range of a task as changed.
 func (p *Part) touch(k key, now time.Time) *chunk {
-	c := p.chunk(k.job, k.i/p.cfg.chunkTasks())
-	c.dirty = true
+	c := p.chunk(k.job, k.i)
 	if !c.slot.dirty {
 		c.slot.dirty, c.slot.since = true, now
 	}
 	return c
 }
 
-// chunkTasks is the most tasks of one job in one slot.
-func (c *Config) chunkTasks() int { return c.SlotTasks - runOverhead }
-
-// chunk returns a range of a job's tasks, in the first slot that has room for
-// it when it is new.
-func (p *Part) chunk(j *Job, n int) *chunk {
-	if c := j.chunks[n]; c != nil {
-		return c
-	}
-	size := p.chunkSize(j, n)
-	s := p.slots[0]
-	for i := 0; ; i++ {
-		if s = p.slot(i); s.used+size <= p.cfg.SlotTasks {
-			break
-		}
-	}
-	return p.enter(j, n, s)
-}
-
-func (p *Part) chunkSize(j *Job, n int) int {
-	per := p.cfg.chunkTasks()
-	return min(per, len(j.tasks)-n*per) + runOverhead
-}
-
-func (p *Part) slot(n int) *slot {
-	s := p.slots[n]
-	if s == nil {
-		s = &slot{n: n, chunks: map[string]*chunk{}}
-		p.slots[n] = s
-	}
-	return s
-}
-
-func (p *Part) enter(j *Job, n int, s *slot) *chunk {
-	c := &chunk{job: j, n: n, slot: s}
-	s.chunks[record.RunName(j.ref, n)] = c
-	s.used += p.chunkSize(j, n)
-	j.chunks[n] = c
-	return c
-}
-
 func (p *Part) nextAttempt(j *Job, i int) uint64 {
 	if j.spec.Kind != wire.Gang {
-		return p.chunk(j, i/p.cfg.chunkTasks()).attempt + 1
+		return p.chunk(j, i).attempt + 1
 	}
 	var a uint64
 	for _, c := range j.chunks {
@@ -188,40 +146,52 @@
 		}
 		p.SetJob(record.Last(e.Key), o, e.Version, now)
 	}
-	for _, e := range slots {
-		n, err := strconv.Atoi(record.Last(e.Key))
-		if err != nil {
-			return fmt.Errorf("record %s: %w", e.Key, err)
-		}
-		r, err := decode[record.Slot](e)
-		if err != nil {
-			return err
-		}
-		s := p.slot(n)
-		s.version = e.Version
-		for name, run := range r.Runs {
-			ref, c, ok := record.SplitRunName(name)
-			j := p.jobs[ref]
-			if !ok || j == nil || c*p.cfg.chunkTasks() >= len(j.tasks) {
-				continue // left over from a finished job
-			}
-			p.loadRun(p.enter(j, c, s), run, now)
-		}
+	runs, err := p.loadSlots(slots)
+	if err != nil {
+		return err
+	}
+	for _, l := range runs {
+		p.loadRun(l, now)
 	}
 	return nil
 }
 
-func (p *Part) loadRun(c *chunk, r record.Run, now time.Time) {
-	j := c.job
-	c.attempt = max(c.attempt, r.Attempt)
+// loadRun takes in a range, or what is left of it by those that count before it.
+func (p *Part) loadRun(l loaded, now time.Time) {
+	j, r := l.job, l.run
+	fresh := j.uncovered(l.first, l.end, l.end-l.first)
+	if len(fresh) == 1 && fresh[0] == [2]int{l.first, l.end} {
+		c := &chunk{job: j, first: l.first, end: l.end, turn: r.Turn}
+		p.enter(c, l.slot)
+		c.turn = r.Turn
+	} else {
+		for _, span := range fresh {
+			c := &chunk{job: j, first: span[0], end: span[1], turn: r.Turn, from: l.slot}
+			p.enter(c, nil)
+			l.slot.left[c] = struct{}{}
+			if l.slot.stated { // which can't be written before this is
+				c.slot.dirty, c.slot.urgent, c.slot.moved = true, true, true
+			}
+		}
+	}
+	for _, c := range j.chunks {
+		if c.first < l.end && l.first < c.end {
+			c.attempt = max(c.attempt, r.Attempt)
+		}
+	}
+	mine := func(i int) bool {
+		return slices.ContainsFunc(fresh, func(s [2]int) bool { return s[0] <= i && i < s[1] })
+	}
 	for _, span := range r.Done {
 		for i := max(0, span[0]); i <= span[1] && i < len(j.tasks); i++ {
-			p.finish(key{j, i}, now)
-			j.tasks[i].durable = true
+			if mine(i) {
+				p.finish(key{j, i}, now)
+				j.tasks[i].durable = true
+			}
 		}
 	}
 	for i, pl := range r.On {
-		if i < 0 || i >= len(j.tasks) || j.tasks[i].state != idle {
+		if !mine(i) || j.tasks[i].state != idle {
 			continue
 		}
 		m := p.machines[pl.Machine]
@@ -257,7 +227,7 @@
 		spec := o.Spec
 		j = &Job{
 			ref: ref, spec: &spec, accepted: time.UnixMilli(o.At), tasks: make([]task, spec.Tasks), nIdle: spec.Tasks,
-			chunks: map[int]*chunk{}, zones: map[string]int{}, rank: rank(spec.Priority), held: true,
+			zones: map[string]int{}, rank: rank(spec.Priority), held: true,
 		}
 		p.jobs[ref] = j
 		p.index.queue(j)
@@ -355,6 +325,7 @@
 			images: v.Images, moveTo: -1, idleSince: now, heard: now,
 		}
 		p.machines[id] = m
+		p.longestID = max(p.longestID, len(id))
 	}
 	if v.Version > m.version {
 		m.version = v.Version
--- a/internal/sched/safety_test.go
+++ b/internal/sched/safety_test.go
@@ -376,7 +376,8 @@
 // hold the others up.
 func TestSlotSharesWrites(t *testing.T) {
 	r := newRig(t)
-	r.cfg.SlotTasks = 200
+	r.cfg.SlotTasks, r.cfg.ValueBytes = 200, 200*plainPlace
+	r.claim()
 	for i := range 4 {
 		r.machine(fmt.Sprintf("m%d", i), "z1", false)
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -34,7 +34,7 @@
 		Teams:  map[string]Team{"a": {Name: "a", GPUs: 2, MaxGPUs: 4}, "b": {Name: "b"}},
 		Types:  map[string]wire.MachineType{"big": {Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, BootS: 20, CacheGB: 50}},
 		Report: 2 * time.Second, Lease: 20 * time.Second, SilentAfter: 8 * time.Second, BootFactor: 3,
-		PreemptAfter: 2 * time.Second, TxnOps: 16, SlotTasks: 10,
+		PreemptAfter: 2 * time.Second, TxnOps: 16, SlotTasks: 10, ValueBytes: 10 * plainPlace,
 		Urgency: func(s *wire.Spec, waited time.Duration) float64 { return -waited.Seconds() },
 	}
 	r.claim()
@@ -291,7 +291,8 @@
 // The largest job that the protocol allows keeps its records small.
 func TestLargestArray(t *testing.T) {
 	r := newRig(t)
-	r.cfg.SlotTasks = SlotTasks(16)
+	r.cfg.SlotTasks, r.cfg.ValueBytes = SlotTasks(16), 16<<10
+	r.claim()
 	s := spec("run-000001", "b", wire.Array, "normal", 100000, 0)
 	s.CPUs, s.MemoryGB = 1, 1
 	r.submit(s)
--- a/internal/sched/size_test.go
+++ b/internal/sched/size_test.go
@@ -18,7 +18,8 @@
 // that wait for room.
 func crowd(t testing.TB, machines, waiting int) *rig {
 	r := newRig(t)
-	r.cfg.SlotTasks, r.cfg.TxnOps = SlotTasks(16), 24
+	r.cfg.SlotTasks, r.cfg.ValueBytes, r.cfg.TxnOps = SlotTasks(16), 16<<10, 24
+	r.claim()
 	r.cfg.PreemptAfter = time.Second
 	delete(r.cfg.Teams, "a")
 	for at := 0; at < machines; at += 50 {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -42,8 +42,10 @@
 	PreemptAfter time.Duration
 	// Probes is how many machines may be asked for their reports at a time.
 	Probes int
-	TxnOps int
-	// SlotTasks bounds the tasks whose placements share one record.
+	// TxnOps and ValueBytes are the limits to write by: the changes in a
+	// transaction and the size of a record.
+	TxnOps, ValueBytes int
+	// SlotTasks bounds the tasks whose placements share one plain record.
 	SlotTasks int
 	// GatherEnds is how long completions wait for others to share their write.
 	GatherEnds time.Duration
@@ -54,15 +56,6 @@
 	Urgency func(spec *wire.Spec, waited time.Duration) float64
 }
 
-// SlotTasks sizes a record of placements so that it keeps to valueKB: a
-// placement takes less than 64 bytes.
-func SlotTasks(valueKB float64) int {
-	return max(2*runOverhead, min(int(valueKB*1024/64), 256))
-}
-
-// runOverhead is what a range costs in a slot besides its tasks, in tasks.
-const runOverhead = 2
-
 type taskState uint8
 
 const (
@@ -130,8 +123,8 @@
 	nIdle     int
 	nPlaced   int
 	nDone     int
-	firstIdle int // no idle task before it
-	chunks    map[int]*chunk
+	firstIdle int            // no idle task before it
+	chunks    []*chunk       // in order, apart
 	zones     map[string]int // placed tasks by zone
 	nRunning  int            // placed tasks reported as running
 	ending    *Txn           // its end, under way
@@ -147,30 +140,6 @@
 	kept      bool      // started after too long a wait: nothing takes its place
 }
 
-// chunk is a range of a job's tasks; its placements lie in a slot.
-type chunk struct {
-	job     *Job
-	n       int
-	slot    *slot
-	attempt uint64 // highest ever used
-	dirty   bool
-}
-
-// slot is one record of placements, shared by ranges of several jobs.
-type slot struct {
-	n       int
-	version uint64 // 0: no record
-	used    int    // in tasks
-	chunks  map[string]*chunk
-	dirty   bool
-	urgent  bool      // a start waits for it
-	since   time.Time // when it became dirty
-	written time.Time // when it was last written
-	txn     *Txn
-	unsure  bool // a transaction's outcome is unknown; a reread is under way
-	retry   time.Time
-}
-
 // batch is a number of machines to be given back with one record.
 type batch struct {
 	key   string
@@ -253,6 +222,7 @@
 	next    *line                // its pipeline after that
 	free    map[*Job]record.Open // jobs released by it
 	slot    *slot                // placements and completions of the chunks
+	gone    bool                 // the slot's record is deleted
 	chunks  []*chunk
 	starts  []key
 	dones   []key
@@ -294,29 +264,35 @@
 	machines map[string]*Machine
 	jobs     map[string]*Job
 	slots    map[int]*slot
-	lines    map[string]*line // pipelines of several jobs
-	leaving  []string         // machines to be given back with the next batch
-	leaveAt  time.Time        // when that batch is due
-	back     *batch
-	backs    int
-	index    index
-	looked   int                      // machines and jobs that placements have looked at, for tests
-	kept     map[*Job]bool            // see Job.kept
-	keptLoad [highestRank + 1]float64 // the share of the machines that kept jobs hold, by priority
-	gathers  map[string]*Job          // the gangs that machines are kept for in this pass, by zone
-	found    found                    // for the job whose tasks are being placed
-	backlog  time.Duration            // how long changes wait for the state service's budget
-	blind    bool                     // cancellations told elsewhere may be unknown here
-	teams    map[string]*usage
-	out      Effects
-	changed  bool // something that may allow a placement
-	wake     time.Time
-	ending   map[string]*Job // jobs whose end is to be recorded
-	lastCare time.Time
-	asked    int                  // probes under way
-	zoneSeen map[string]time.Time // when a probe of a zone's machine was last answered
-	cut      map[string]bool
-	zones    map[zoneLimit]zoneCount // since the last care
+	// txnOps and valueBytes are the limits to write by: those of the settings,
+	// or less where the state service turned out to have others.
+	txnOps, valueBytes int
+	stated             bool             // ranges state their size: no controller of the first version is left
+	plain              []*slot          // to be deleted
+	lines              map[string]*line // pipelines of several jobs
+	longestID          int              // of the machines' names
+	leaving            []string         // machines to be given back with the next batch
+	leaveAt            time.Time        // when that batch is due
+	back               *batch
+	backs              int
+	index              index
+	looked             int                      // machines and jobs that placements have looked at, for tests
+	kept               map[*Job]bool            // see Job.kept
+	keptLoad           [highestRank + 1]float64 // the share of the machines that kept jobs hold, by priority
+	gathers            map[string]*Job          // the gangs that machines are kept for in this pass, by zone
+	found              found                    // for the job whose tasks are being placed
+	backlog            time.Duration            // how long changes wait for the state service's budget
+	blind              bool                     // cancellations told elsewhere may be unknown here
+	teams              map[string]*usage
+	out                Effects
+	changed            bool // something that may allow a placement
+	wake               time.Time
+	ending             map[string]*Job // jobs whose end is to be recorded
+	lastCare           time.Time
+	asked              int                  // probes under way
+	zoneSeen           map[string]time.Time // when a probe of a zone's machine was last answered
+	cut                map[string]bool
+	zones              map[zoneLimit]zoneCount // since the last care
 	// Machines' worth that arrived, fading; what may use spot machines apart.
 	arrived, arrivedSpot float64
 	arriveAt             time.Time
@@ -325,7 +301,7 @@
 // New makes the core of a part claimed under a token.
 func New(cfg *Config, id int, token uint64) *Part {
 	return &Part{
-		cfg: cfg, id: id, token: token, machines: map[string]*Machine{}, jobs: map[string]*Job{},
+		cfg: cfg, id: id, token: token, txnOps: cfg.TxnOps, valueBytes: cfg.ValueBytes, machines: map[string]*Machine{}, jobs: map[string]*Job{},
 		slots: map[int]*slot{}, lines: map[string]*line{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
 		index: newIndex(), kept: map[*Job]bool{}, zoneSeen: map[string]time.Time{},
 	}
