--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -62,8 +62,10 @@
 	claiming   map[int]bool
 	partRecs   map[int]versioned[record.Part]
 	fleet      *record.Fleet
-	open       map[string]openJob       // unfinished jobs as the watch tells them
-	ends       map[string]chan struct{} // closed when such a job is over, if that is awaited
+	open       map[string]openJob             // unfinished jobs as the watch tells them
+	after      map[string]map[string]struct{} // the open jobs that name one, open or over
+	rootReads  map[string]time.Time           // when final records are read again, or for the first time
+	ends       map[string]chan struct{}       // closed when such a job is over, if that is awaited
 	members    map[string]record.Member
 	leader     versioned[record.Head]
 	typesSeen  bool
@@ -105,6 +107,8 @@
 	version   uint64
 	part      int
 	cancelled bool
+	service   bool
+	roots     []string
 }
 
 type versioned[T any] struct {
@@ -175,6 +179,8 @@
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
 	c.ends = map[string]chan struct{}{}
+	c.after = map[string]map[string]struct{}{}
+	c.rootReads = map[string]time.Time{}
 	c.commands = make(chan struct{}, max(1, c.cfg.Params.Resources.MaxSockets/commandSockets))
 	c.begun = c.syncedAt
 	c.searches = map[string]search{}
@@ -330,6 +336,7 @@
 			p.SetBacklog(backlog)
 			c.pump(p, now)
 		}
+		c.seekRoots(ctx, now)
 		c.considerClaims(ctx, now)
 		c.checkBudget(now)
 		for id, r := range c.redirected {
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -169,6 +169,14 @@
 			c.takeFleet([]wire.Change{e}, now)
 		case hasPrefix(key, record.OpenPrefix):
 			c.openChange(e, now)
+		case hasPrefix(key, record.JobPrefix):
+			var j record.Job
+			if err := decode(op.Value, &j); err != nil {
+				c.log.Error("final record", "key", key, "err", err)
+				continue
+			}
+			c.tellEnd(record.Last(key), op)
+			c.rootEnded(record.Last(key), j, now)
 		}
 	}
 }
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -38,7 +38,7 @@
 	var specs []*wire.Spec
 	for _, raw := range w.Jobs {
 		s, ok := parseSpec(raw)
-		if !ok {
+		if !ok || len(s.Roots) > 0 { // links say what follows what
 			return reply{status: 400}
 		}
 		specs = append(specs, s)
--- /dev/null
+++ b/internal/controller/roots.go
@@ -0,0 +1,215 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// A job may name others, its roots, that have to be done before it starts. It is
+// recorded as held and stays so: its owner lets it start once it knows the final
+// record of each, which never changes. That is told by whoever wrote it, and read
+// by who was not told once the root's open record is gone.
+
+const (
+	// readRootAgain is the pause after a root had neither an open record in the
+	// view nor a final one: the view is behind.
+	readRootAgain = time.Second
+	// cascadeAfter is how long the owner has to end what needs a cancelled job,
+	// before any controller does.
+	cascadeAfter = 4 * time.Second
+)
+
+// checkRoots refuses a submission that names what was never accepted, or a
+// service. What this controller does not know is asked of the state service.
+func (c *Controller) checkRoots(ctx context.Context, s *wire.Spec) reply {
+	use := statestore.Urgent("roots")
+	for _, root := range s.Roots {
+		c.mu.Lock()
+		j, open := c.open[root]
+		_, over := c.finals[root]
+		c.mu.Unlock()
+		switch {
+		case over || (open && !j.service):
+			continue
+		case open:
+			return c.unless(ctx, s.Ref, 422)
+		}
+		// The open record first: a job that has none any more is in the other.
+		e, err := c.store.Get(ctx, use, record.OpenKey(root))
+		var o record.Open
+		switch {
+		case err == nil && decode(e.Value, &o) == nil:
+			if o.Spec.Kind == wire.Service {
+				return c.unless(ctx, s.Ref, 422)
+			}
+			continue
+		case !errors.Is(err, statestore.ErrNotFound):
+			return later()
+		}
+		switch _, err := c.readFinal(ctx, use, root); {
+		case errors.Is(err, statestore.ErrNotFound):
+			return c.unless(ctx, s.Ref, 422)
+		case err != nil:
+			return later()
+		}
+	}
+	return reply{}
+}
+
+// readFinal reads a job's final record.
+func (c *Controller) readFinal(ctx context.Context, u statestore.Use, ref string) (record.Job, error) {
+	var j record.Job
+	e, err := c.store.Get(ctx, u, record.JobKey(ref))
+	if err != nil {
+		return j, err
+	}
+	if err := decode(e.Value, &j); err != nil {
+		return j, err
+	}
+	c.keepFinal(ref, j)
+	return j, nil
+}
+
+// rootEnded takes in a job's final record and tells the parts. The lock is held.
+func (c *Controller) rootEnded(ref string, j record.Job, now time.Time) {
+	c.setFinal(ref, j)
+	if c.after[ref] == nil {
+		return
+	}
+	for _, p := range c.parts {
+		p.RootEnded(ref, j, now)
+		c.pump(p, now)
+	}
+}
+
+// tellEnd brings a job's final record to the owners of jobs that need it, without
+// waiting for their views. The lock is held.
+func (c *Controller) tellEnd(ref string, op wire.Op) {
+	owners := map[*peer.Client]bool{}
+	for d := range c.after[ref] {
+		part := c.open[d].part
+		if owner := c.peers[c.partRecs[part].rec.Owner]; c.parts[part] == nil && owner != nil {
+			owners[owner] = true
+		}
+	}
+	for owner := range owners {
+		go func() {
+			a := peer.NudgeArgs{Key: op.Put, Value: op.Value}
+			if err := owner.Call("Nudge", a, new(struct{}), statusTimeout); err != nil {
+				c.log.Debug("nudge", "key", a.Key, "err", err) // its view tells it as well
+			}
+		}()
+	}
+}
+
+// seekRoots reads the final records of roots that are not open any more: for the
+// parts held here at once, and for others later, in case their owners can't end
+// what needs a cancelled job. The lock is held.
+func (c *Controller) seekRoots(ctx context.Context, now time.Time) {
+	if c.jobsAt.IsZero() {
+		return // before there is a view nothing can be missing from it
+	}
+	mine := map[string]bool{}
+	for _, p := range c.parts {
+		for _, r := range p.Awaited() {
+			if j, ok := c.finals[r]; ok {
+				p.RootEnded(r, j, now)
+				continue
+			}
+			mine[r] = true
+		}
+	}
+	for r, needed := range c.after {
+		if _, open := c.open[r]; open {
+			continue
+		}
+		at, noted := c.rootReads[r]
+		if !noted {
+			at = now
+			if !mine[r] {
+				at = now.Add(jitter(cascadeAfter))
+			}
+			c.rootReads[r] = at
+		}
+		if mine[r] && at.Sub(now) > readRootAgain {
+			at = now // it came to be ours meanwhile
+		}
+		if now.Before(at) {
+			continue
+		}
+		c.rootReads[r] = now.Add(jitter(cascadeAfter))
+		j, known := c.finals[r]
+		if known && j.State == wire.Done {
+			continue
+		}
+		var others []string
+		for d := range needed {
+			if c.parts[c.open[d].part] == nil {
+				others = append(others, d)
+			}
+		}
+		go c.seekRoot(ctx, r, others)
+	}
+}
+
+// seekRoot reads a root's final record and, where it was cancelled, ends jobs of
+// others that need it.
+func (c *Controller) seekRoot(ctx context.Context, root string, others []string) {
+	ctx, cancel := context.WithTimeout(ctx, userTimeout)
+	defer cancel()
+	j, ok := c.final(root)
+	if !ok {
+		var err error
+		if j, err = c.readFinal(ctx, statestore.Urgent("roots"), root); err != nil {
+			c.mu.Lock()
+			c.rootReads[root] = time.Now().Add(readRootAgain)
+			c.mu.Unlock()
+			if !errors.Is(err, statestore.ErrNotFound) {
+				c.log.Debug("root", "ref", root, "err", err)
+			}
+			return
+		}
+		c.mu.Lock()
+		c.rootEnded(root, j, time.Now())
+		c.mu.Unlock()
+	}
+	if j.State != wire.Cancelled {
+		return
+	}
+	for _, d := range others {
+		c.endAfter(ctx, d)
+	}
+}
+
+// endAfter records the end of a job that needs a cancelled one. It has never run,
+// so that needs no word of its owner: only that its record is as it was.
+func (c *Controller) endAfter(ctx context.Context, ref string) {
+	c.mu.Lock()
+	j, open := c.open[ref]
+	c.mu.Unlock()
+	if !open {
+		return
+	}
+	key := record.OpenKey(ref)
+	t := wire.Txn{
+		If: []wire.Cond{{Key: key, Version: j.version}},
+		Then: []wire.Op{
+			{Put: record.JobKey(ref), Value: record.Encode(record.Job{State: wire.Cancelled, At: time.Now().UnixMilli()})},
+			{Delete: key},
+		},
+	}
+	rev, err := c.store.Txn(ctx, statestore.Urgent("cascade"), t)
+	if err != nil {
+		c.log.Debug("cascade", "ref", ref, "err", err) // tried again, or done by its owner
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.applied(t, rev, time.Now())
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -167,7 +167,10 @@
 		slices.Contains([]string{"prod", "urgent", "normal", "low"}, s.Priority) &&
 		s.Tasks >= 1 && s.Tasks <= maxTasks &&
 		amount(s.CPUs) && amount(s.GPUs) && amount(s.MemoryGB) && amount(s.ImageGB) &&
-		amount(s.EstimateS) && amount(s.CheckpointS) && amount(s.SaveS) && (s.DeadlineS == nil || amount(*s.DeadlineS))
+		amount(s.EstimateS) && amount(s.CheckpointS) && amount(s.SaveS) && (s.DeadlineS == nil || amount(*s.DeadlineS)) &&
+		!slices.ContainsFunc(s.Roots, func(r string) bool { return !validRef(r) })
+	slices.Sort(s.Roots)
+	s.Roots = slices.Compact(s.Roots)
 	return &s, ok
 }
 
@@ -236,10 +239,13 @@
 		return c.unless(ctx, s.Ref, 422)
 	}
 	part := record.PartOf(c.teams, s.Team, s.Ref, c.cfg.Params.Count)
-	open := record.Encode(record.Open{Spec: *s, Part: part, At: time.Now().UnixMilli()})
+	open := record.Encode(record.Open{Spec: *s, Part: part, At: time.Now().UnixMilli(), Held: len(s.Roots) > 0})
 	if len(open) > c.limits().Bytes() {
 		return c.unless(ctx, s.Ref, 422)
 	}
+	if no := c.checkRoots(ctx, s); !no.zero() {
+		return no
+	}
 	t := wire.Txn{
 		If:   []wire.Cond{{Key: record.JobKey(s.Ref)}, {Key: record.OpenKey(s.Ref)}},
 		Then: []wire.Op{{Put: record.OpenKey(s.Ref), Value: open}},
@@ -306,6 +312,11 @@
 func (c *Controller) keepFinal(ref string, j record.Job) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.setFinal(ref, j)
+}
+
+// setFinal does the same under the lock.
+func (c *Controller) setFinal(ref string, j record.Job) {
 	if len(c.finals) >= finalsKept {
 		for old := range c.finals { // any will do: the record is the truth
 			delete(c.finals, old)
@@ -481,6 +492,12 @@
 
 // closeOpen takes in that a job is not open any more. The lock is held.
 func (c *Controller) closeOpen(ref string) {
+	for _, r := range c.open[ref].roots {
+		if delete(c.after[r], ref); len(c.after[r]) == 0 {
+			delete(c.after, r)
+			delete(c.rootReads, r)
+		}
+	}
 	delete(c.open, ref)
 	if over := c.ends[ref]; over != nil {
 		close(over)
@@ -510,10 +527,22 @@
 	}()
 }
 
-// Nudge implements peer.Handler: a job's record as the sender has just written it.
+// Nudge implements peer.Handler: a job's record, open or final, as the sender has
+// just written it.
+//
+// Upgrade: the first version takes open records only and passes over others.
 func (c *Controller) Nudge(a peer.NudgeArgs) {
-	if !hasPrefix(a.Key, record.OpenPrefix) {
-		return
+	switch {
+	case hasPrefix(a.Key, record.OpenPrefix):
+		c.changeOpen(wire.Change{Put: a.Key, Value: a.Value, Version: a.Version}, time.Now())
+	case hasPrefix(a.Key, record.JobPrefix):
+		var j record.Job
+		if err := decode(a.Value, &j); err != nil {
+			c.log.Error("final record", "key", a.Key, "err", err)
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.rootEnded(record.Last(a.Key), j, time.Now())
 	}
-	c.changeOpen(wire.Change{Put: a.Key, Value: a.Value, Version: a.Version}, time.Now())
 }
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -230,7 +230,16 @@
 		return
 	}
 	if e.Put == "" {
-		c.closeOpen(ref) // the owner ends jobs itself
+		c.closeOpen(ref) // the owner ends jobs itself, but those that only waited
+		for _, p := range c.parts {
+			if p.HasJob(ref) {
+				p.JobGone(ref, now)
+				c.pump(p, now)
+			}
+		}
+		if c.after[ref] != nil {
+			c.seekRoots(context.Background(), now)
+		}
 		return
 	}
 	var o record.Open
@@ -238,9 +247,18 @@
 		c.log.Error("job record", "key", e.Put, "err", err)
 		return
 	}
-	c.open[ref] = openJob{version: e.Version, part: o.Part, cancelled: o.Cancelled}
+	c.open[ref] = openJob{version: e.Version, part: o.Part, cancelled: o.Cancelled, service: o.Spec.Kind == wire.Service, roots: o.Spec.Roots}
+	for _, r := range o.Spec.Roots {
+		if c.after[r] == nil {
+			c.after[r] = map[string]struct{}{}
+		}
+		c.after[r][ref] = struct{}{}
+	}
 	if p := c.parts[o.Part]; p != nil {
 		p.SetJob(ref, o, e.Version, now)
+		if len(o.Spec.Roots) > 0 {
+			c.seekRoots(context.Background(), now)
+		}
 		c.pump(p, now)
 	}
 }
--- a/internal/fragment/fragment.go
+++ b/internal/fragment/fragment.go
@@ -59,6 +59,24 @@
 	return n
 }
 
+// After begins the pipeline of a job that waits for others, which were submitted
+// before it and are under way or over: a split into these and their join. The
+// job travels, as what follows any join, in one fragment.
+func After(job string, roots []string) *Pipeline {
+	const split = "" // is no job
+	places := []Place{{Out: []string{split}}, {In: []string{job}}}
+	for _, r := range roots {
+		places = append(places, Place{In: []string{split}, Out: []string{r}}, Place{In: []string{r}, Out: []string{job}})
+	}
+	n, err := NewNet(places)
+	if err != nil {
+		panic(err) // one split and one join are always sound
+	}
+	p := Begin(n)
+	p.Finish(split, "")
+	return p
+}
+
 // Fragment is a part of a net, run from its source job on.
 type Fragment struct {
 	Source string
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -82,9 +82,9 @@
 // job a Load passes over them.
 func (p *Part) endTxn(j *Job, now time.Time) {
 	open := record.OpenKey(j.ref)
-	rec := record.Job{State: wire.Done, Tasks: len(j.tasks)}
+	rec := record.Job{State: wire.Done, Tasks: len(j.tasks), At: now.UnixMilli()}
 	if j.cancelled {
-		rec = record.Job{State: wire.Cancelled}
+		rec.State, rec.Tasks = wire.Cancelled, 0
 	}
 	t := &Txn{job: j, Purpose: forJobEnd, Routine: !j.cancelled} // a user waits for a cancellation
 	t.Body.If = []wire.Cond{p.cond(), {Key: open, Version: j.version}}
@@ -319,6 +319,11 @@
 		p.leave(c)
 		p.settle(c)
 	}
+	for _, r := range j.spec.Roots {
+		if delete(p.roots[r], j); len(p.roots[r]) == 0 {
+			delete(p.roots, r)
+		}
+	}
 	delete(p.jobs, j.ref)
 	delete(p.index.waiting, j.ref)
 	delete(p.kept, j)
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -231,35 +231,57 @@
 		}
 		p.jobs[ref] = j
 		p.index.queue(j)
-		if j.line = alone(ref); o.Pipe != "" {
+		switch {
+		case o.Pipe != "":
 			j.line = p.lineOf(o.Pipe)
+		case len(spec.Roots) > 0:
+			p.await(j)
+		default:
+			j.line = alone(ref)
 		}
 	}
 	if version <= j.version {
 		return
 	}
 	j.version = version
-	if j.held && !o.Held {
-		j.held = false
-		if j.accepted = time.UnixMilli(o.At); now.Sub(j.accepted) < arrivalFade {
-			p.arrive(j, now)
-		}
+	if !o.Held {
+		p.free(j, time.UnixMilli(o.At), now)
 	}
-	if o.Cancelled && !j.cancelled {
-		j.cancelled = true
-		for i := range j.tasks {
-			k := key{j, i}
-			if t := &j.tasks[i]; t.state == placed && !t.recorded && !t.inTxn {
-				p.take(k, now) // never recorded, so never sent
-			} else {
-				p.stop(k, 0, now)
-			}
-		}
-		p.ends(j)
+	if o.Cancelled {
+		p.cancel(j, now)
+	}
+	p.changed = true
+}
+
+// free lets a held job start. What waits for it counts from then on.
+func (p *Part) free(j *Job, at, now time.Time) {
+	if !j.held {
+		return
+	}
+	j.held = false
+	if j.accepted = at; now.Sub(at) < arrivalFade {
+		p.arrive(j, now)
 	}
 	p.changed = true
 }
 
+// cancel ends a job: its end is recorded once nothing of it runs.
+func (p *Part) cancel(j *Job, now time.Time) {
+	if j.cancelled {
+		return
+	}
+	j.cancelled = true
+	for i := range j.tasks {
+		k := key{j, i}
+		if t := &j.tasks[i]; t.state == placed && !t.recorded && !t.inTxn {
+			p.take(k, now) // never recorded, so never sent
+		} else {
+			p.stop(k, 0, now)
+		}
+	}
+	p.ends(j)
+}
+
 const arrivalFade = 60 * time.Second
 
 // arrive counts a job for the headroom if it is of the kind that must start
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"bramblespur/internal/fragment"
@@ -25,6 +27,60 @@
 // alone is the pipeline of a job that was submitted by itself.
 func alone(ref string) *line { return &line{run: fragment.Begin(fragment.Single(ref))} }
 
+// await makes a job wait for those that it names. That it was held stays in its
+// record: what it waits for has final records, which never change, and so every
+// owner comes to the same.
+func (p *Part) await(j *Job) {
+	j.line = &line{run: fragment.After(j.ref, j.spec.Roots)}
+	for _, r := range j.spec.Roots {
+		if p.roots[r] == nil {
+			p.roots[r] = map[*Job]struct{}{}
+		}
+		p.roots[r][j] = struct{}{}
+	}
+}
+
+// Awaited returns the jobs, of this part or others, that jobs here wait for.
+func (p *Part) Awaited() []string { return slices.Collect(maps.Keys(p.roots)) }
+
+// RootEnded takes in the final record of a job that others wait for.
+func (p *Part) RootEnded(ref string, end record.Job, now time.Time) {
+	for j := range p.roots[ref] {
+		if end.State != wire.Done {
+			// All that needs a cancelled job is cancelled with it. Nothing of it has
+			// run, so its end can be recorded at once.
+			j.line.run.Abort(ref)
+			j.dead = true
+			p.cancel(j, now)
+			continue
+		}
+		j.line.run.Finish(ref, "")
+		at := now
+		if end.At > 0 && end.At < now.UnixMilli() {
+			at = time.UnixMilli(end.At)
+		}
+		if j.freeAt = later(j.freeAt, at); slices.Contains(j.line.run.Ready(), j.ref) {
+			p.free(j, j.freeAt, now)
+		}
+	}
+	delete(p.roots, ref)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// JobGone takes in that a job that is held here has no open record any more: some
+// controller found a job that it needs cancelled, and recorded its end.
+func (p *Part) JobGone(ref string, now time.Time) {
+	if j := p.jobs[ref]; j != nil && j.held && j.nPlaced == 0 && j.ending == nil && !j.unsure {
+		p.end(j, now)
+	}
+}
+
 // lineOf returns the pipeline of a job; its record is read when it is new.
 func (p *Part) lineOf(ref string) *line {
 	l := p.lines[ref]
@@ -84,8 +140,8 @@
 		if j == nil || !j.held || (left[ref] && l.rec.State == "") {
 			continue
 		}
-		j.dead, j.cancelled = true, true
-		p.ends(j)
+		j.dead = true
+		p.cancel(j, now)
 	}
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -113,9 +113,10 @@
 type Job struct {
 	ref       string
 	spec      *wire.Spec
-	line      *line // its pipeline; of one job alone unless it was submitted with one
-	held      bool  // not released by its pipeline yet
-	dead      bool  // its pipeline has no use for it any more
+	line      *line     // its pipeline; of one job alone unless it was submitted with one
+	held      bool      // not released by its pipeline, or by the jobs that it names, yet
+	freeAt    time.Time // when the last of these that is over was done
+	dead      bool      // its pipeline has no use for it any more
 	version   uint64
 	accepted  time.Time
 	cancelled bool
@@ -267,12 +268,13 @@
 	// txnOps and valueBytes are the limits to write by: those of the settings,
 	// or less where the state service turned out to have others.
 	txnOps, valueBytes int
-	stated             bool             // ranges state their size: no controller of the first version is left
-	plain              []*slot          // to be deleted
-	lines              map[string]*line // pipelines of several jobs
-	longestID          int              // of the machines' names
-	leaving            []string         // machines to be given back with the next batch
-	leaveAt            time.Time        // when that batch is due
+	stated             bool                         // ranges state their size: no controller of the first version is left
+	plain              []*slot                      // to be deleted
+	lines              map[string]*line             // pipelines of several jobs
+	roots              map[string]map[*Job]struct{} // jobs that others here wait for, with these
+	longestID          int                          // of the machines' names
+	leaving            []string                     // machines to be given back with the next batch
+	leaveAt            time.Time                    // when that batch is due
 	back               *batch
 	backs              int
 	index              index
@@ -302,7 +304,7 @@
 func New(cfg *Config, id int, token uint64) *Part {
 	return &Part{
 		cfg: cfg, id: id, token: token, txnOps: cfg.TxnOps, valueBytes: cfg.ValueBytes, machines: map[string]*Machine{}, jobs: map[string]*Job{},
-		slots: map[int]*slot{}, lines: map[string]*line{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
+		slots: map[int]*slot{}, lines: map[string]*line{}, roots: map[string]map[*Job]struct{}{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
 		index: newIndex(), kept: map[*Job]bool{}, zoneSeen: map[string]time.Time{},
 	}
 }
