--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -297,6 +297,9 @@
 		c.mu.Lock()
 		c.setTypes(t)
 		c.mu.Unlock()
+		if len(record.Encode(t)) > c.limits().Bytes() {
+			return // each controller asks the cloud itself
+		}
 		for range 5 {
 			_, err := c.store.Txn(ctx, statestore.Routine("types"), wire.Txn{
 				If:   []wire.Cond{{Key: record.Types}},
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -26,7 +26,8 @@
 	rentalsAtOnce = 3
 	returnCalls   = 3.0 // while machines are rented, every third call returns some
 	returnTimeout = 15 * time.Second
-	clearEvery    = 5 * time.Second // records of machines long gone are cleared
+	clearEvery    = 5 * time.Second // records of machines long gone are cleared;
+	clearOps      = 16              // more often where a transaction holds less
 )
 
 // leading is what a leader holds.
@@ -159,7 +160,8 @@
 		Headroom: func(arriving float64, boot time.Duration, spot bool) float64 {
 			return c.policy.Headroom(policy.Arrivals{Arriving: arriving, BootS: boot.Seconds(), Spot: spot})
 		},
-		Refused: refusedPause,
+		Refused:   refusedPause,
+		MaxRental: c.maxRental(),
 	}
 }
 
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bramblespur/internal/agent"
@@ -239,7 +240,55 @@
 }
 
 func (c *Controller) rereadPipe(p *sched.Part, ref string) {
-	c.reread(p, record.PipeKey(ref), func(e *wire.Entry, now time.Time) error { return p.PipeRead(ref, e, now) })
+	var ends []record.PipeEnd
+	var e *wire.Entry
+	ok := c.again(p, func(ctx context.Context) (err error) {
+		if e, err = c.getIfThere(ctx, record.PipeKey(ref)); err != nil || e == nil {
+			return err
+		}
+		var rec record.Pipe
+		if err = decode(e.Value, &rec); err != nil {
+			return err
+		}
+		c.mu.Lock()
+		held := slices.DeleteFunc(slices.Clone(rec.Jobs), func(ref string) bool { return !p.HasJob(ref) })
+		c.mu.Unlock()
+		ends, err = c.untold(ctx, statestore.Urgent("read back"), &rec, held)
+		return err
+	})
+	if !ok {
+		return
+	}
+	c.locked(p, func(now time.Time) {
+		if err := p.PipeRead(ref, e, ends, now); err != nil {
+			c.log.Error("read back", "pipeline", ref, "err", err)
+		}
+	})
+}
+
+// untold reads the final records of a pipeline's jobs whose ends its own record
+// does not tell: it may have been too large to be written again.
+// Those named are known to be open.
+func (c *Controller) untold(ctx context.Context, u statestore.Use, rec *record.Pipe, open []string) ([]record.PipeEnd, error) {
+	var ends []record.PipeEnd
+	for _, ref := range rec.Untold() {
+		if slices.Contains(open, ref) {
+			continue
+		}
+		j, known := c.final(ref)
+		if !known {
+			var err error
+			j, err = c.readFinal(ctx, u, ref)
+			if errors.Is(err, statestore.ErrNotFound) {
+				continue
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+		ends = append(ends, record.PipeEnd{Ref: ref, State: j.State})
+	}
+	return ends, nil
 }
 
 func (c *Controller) rereadPart(id int) {
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -93,12 +93,7 @@
 // reports false if a record would be too large, or a step that follows.
 func (c *Controller) pipelineTxn(ref string, rec record.Pipe, specs []*wire.Spec) (wire.Txn, bool) {
 	p := c.limits()
-	// The record grows by each job's end.
-	whole := rec
-	for _, j := range rec.Jobs {
-		whole.Ended = append(whole.Ended, record.PipeEnd{Ref: j, State: wire.Cancelled})
-	}
-	fits := len(record.Encode(whole)) <= p.Bytes()
+	fits := !rec.InPieces(p.Bytes(), p.TxnOps)
 	t := wire.Txn{
 		If:   []wire.Cond{{Key: record.PipeKey(ref)}},
 		Then: []wire.Op{{Put: record.PipeKey(ref), Value: record.Encode(rec)}},
@@ -117,20 +112,7 @@
 		t.If = append(t.If, wire.Cond{Key: record.JobKey(s.Ref)}, wire.Cond{Key: record.OpenKey(s.Ref)})
 		t.Then = append(t.Then, wire.Op{Put: record.OpenKey(s.Ref), Value: open})
 	}
-	// A job's end takes two changes, its pipeline one, and each job that it
-	// releases one.
-	const endOps = 3
-	widest := 0
-	for _, j := range rec.Jobs {
-		n := 0
-		for _, l := range rec.Links {
-			if slices.Contains(l.From, j) {
-				n++
-			}
-		}
-		widest = max(widest, n)
-	}
-	return t, fits && size <= maxTxnBytes && len(t.Then) <= p.TxnOps && len(t.If) <= 4*p.TxnOps && widest+endOps <= p.TxnOps
+	return t, fits && size <= maxTxnBytes && len(t.Then) <= p.TxnOps && len(t.If) <= 4*p.TxnOps
 }
 
 // maxTxnBytes keeps a transaction below the protocol's 64 KiB.
@@ -170,16 +152,22 @@
 	if rec.State != wire.Cancelled {
 		return rec.State != "", nil
 	}
-	t := wire.Txn{Then: []wire.Op{}}
-	for _, ref := range rec.Jobs {
-		t.If = append(t.If, wire.Cond{Key: record.OpenKey(ref)})
-	}
-	_, err := c.store.Txn(ctx, u, t)
-	var conflict *statestore.ConflictError
-	if errors.As(err, &conflict) {
-		return false, nil
+	// What is not open is never open again, so it can be asked in several steps.
+	for refs := range slices.Chunk(rec.Jobs, 4*c.limits().TxnOps) {
+		t := wire.Txn{Then: []wire.Op{}}
+		for _, ref := range refs {
+			t.If = append(t.If, wire.Cond{Key: record.OpenKey(ref)})
+		}
+		_, err := c.store.Txn(ctx, u, t)
+		var conflict *statestore.ConflictError
+		if errors.As(err, &conflict) {
+			return false, nil
+		}
+		if err != nil {
+			return false, err
+		}
 	}
-	return err == nil, err
+	return true, nil
 }
 
 // pipeState is the state of a pipeline as a whole.
@@ -216,6 +204,14 @@
 	if err != nil {
 		return later()
 	}
+	ends := rec.Ended
+	if limits := c.limits(); rec.InPieces(limits.Bytes(), limits.TxnOps) {
+		more, err := c.untold(ctx, statestore.Routine("poll"), &rec, nil)
+		if err != nil {
+			return later()
+		}
+		ends = slices.Concat(ends, more)
+	}
 	out := wire.PipelineStatus{Ref: ref, State: c.pipeState(&rec, over)}
 	for _, j := range rec.Jobs {
 		b := wire.Brief{Ref: j, State: wire.Pending}
@@ -224,7 +220,7 @@
 		} else if s, ok := c.ownerStatus(j); ok {
 			b.State = s.State
 		}
-		for _, e := range rec.Ended {
+		for _, e := range ends {
 			if e.Ref == j {
 				b.State = e.State
 			}
@@ -234,8 +230,9 @@
 	return reply{status: 200, body: out}
 }
 
-// cancelPipeline cancels what is left of a pipeline, with all its jobs at once:
-// no start of any can slip past it.
+// cancelPipeline cancels what is left of a pipeline: first the pipeline, so that
+// nothing more is released, then its jobs. The user is told once all are over; until
+// then any controller that is asked again carries on.
 func (c *Controller) cancelPipeline(ref string) reply {
 	if no := c.refuses(ref, "pipe-"); !no.zero() {
 		return no
@@ -251,38 +248,95 @@
 		if err != nil {
 			return later()
 		}
-		if rec.State != "" {
+		if rec.State == wire.Done {
 			return c.pipelineOver(ctx, ref, &rec)
 		}
-		rec.State = wire.Cancelled
-		t := wire.Txn{
-			If:   []wire.Cond{{Key: record.PipeKey(ref), Version: version}},
-			Then: []wire.Op{{Put: record.PipeKey(ref), Value: record.Encode(rec)}},
+		if rec.State == "" {
+			rec.State = wire.Cancelled
+			rec = rec.Over(c.limits().Bytes())
+			t := wire.Txn{
+				If:   []wire.Cond{{Key: record.PipeKey(ref), Version: version}},
+				Then: []wire.Op{{Put: record.PipeKey(ref), Value: record.Encode(rec)}},
+			}
+			_, err := c.store.Txn(ctx, use, t)
+			var conflict *statestore.ConflictError
+			if errors.As(err, &conflict) {
+				continue
+			}
+			if err != nil {
+				return later() // perhaps applied: the user's next try finds out
+			}
 		}
-		for _, j := range rec.Jobs {
-			e, err := c.store.Get(ctx, use, record.OpenKey(j))
-			if errors.Is(err, statestore.ErrNotFound) {
-				continue // it is over
+		if !c.cancelAll(ctx, &rec) {
+			return later()
+		}
+		return c.pipelineOver(ctx, ref, &rec)
+	}
+	return later()
+}
+
+// cancelAll cancels the open jobs of a withdrawn pipeline, as many at once as a
+// transaction holds. Its own record was written before, so nothing more of it is
+// released.
+func (c *Controller) cancelAll(ctx context.Context, rec *record.Pipe) bool {
+	use := statestore.Urgent("cancel")
+	for refs := range slices.Chunk(rec.Jobs, c.limits().TxnOps) {
+		for try := 0; ; try++ {
+			t, err := c.cancelTxn(ctx, use, refs)
+			if err != nil {
+				return false
 			}
-			var o record.Open
-			if err != nil || decode(e.Value, &o) != nil {
-				return later()
+			if len(t.Then) == 0 {
+				break
+			}
+			rev, err := c.store.Txn(ctx, use, t)
+			if err == nil {
+				c.tellOwner(rec.Part, t, rev)
+				break
+			}
+			var conflict *statestore.ConflictError
+			if !errors.As(err, &conflict) || try == cancelTries {
+				return false // perhaps applied: the user's next try finds out
 			}
-			o.Cancelled = true
-			t.If = append(t.If, wire.Cond{Key: e.Key, Version: e.Version})
-			t.Then = append(t.Then, wire.Op{Put: e.Key, Value: record.Encode(o)})
 		}
-		rev, err := c.store.Txn(ctx, use, t)
-		if err == nil {
-			c.tellOwner(rec.Part, t, rev)
-			return c.pipelineOver(ctx, ref, &rec)
+	}
+	return true
+}
+
+// cancelTxn makes the transaction that cancels those of some jobs that are open.
+func (c *Controller) cancelTxn(ctx context.Context, use statestore.Use, refs []string) (wire.Txn, error) {
+	var t wire.Txn
+	for _, ref := range refs {
+		key := record.OpenKey(ref)
+		e, err := c.store.Get(ctx, use, key)
+		if errors.Is(err, statestore.ErrNotFound) {
+			continue // it is over
 		}
-		var conflict *statestore.ConflictError
-		if !errors.As(err, &conflict) {
-			return later() // perhaps applied: the user's next try finds out
+		if err != nil {
+			return t, err
 		}
+		var o record.Open
+		if err := decode(e.Value, &o); err != nil {
+			return t, err
+		}
+		if o.Cancelled {
+			continue
+		}
+		t.If = append(t.If, wire.Cond{Key: key, Version: e.Version})
+		t.Then = append(t.Then, wire.Op{Put: key, Value: c.cancelled(o)})
 	}
-	return later()
+	return t, nil
+}
+
+// cancelled is an open job's record once it is cancelled. One that the state
+// service took when its limits were wider goes without what only a start needs.
+func (c *Controller) cancelled(o record.Open) json.RawMessage {
+	o.Cancelled = true
+	if v := record.Encode(o); len(v) <= c.limits().Bytes() {
+		return v
+	}
+	o.Spec.Types, o.Spec.Roots, o.Spec.Image, o.Spec.Class = nil, nil, "", ""
+	return record.Encode(o)
 }
 
 // pipelineOver answers with the final state of a pipeline once all its jobs are
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"bramblespur/internal/cloud"
@@ -90,8 +92,17 @@
 		for _, id := range r.Rec.IDs {
 			delete(l.addrs, id)
 		}
+		// Whose address finds no room is asked for when it reports.
 		rec := r.Rec
-		rec.Addrs = addrs
+		some := func(n int) any {
+			rec.Addrs = make([]string, len(addrs))
+			copy(rec.Addrs, addrs[:n])
+			return rec
+		}
+		rec = some(record.Within(c.limits().Bytes(), 0, len(addrs), some)).(record.Rental)
+		if len(record.Encode(rec)) > c.limits().Bytes() {
+			continue // written before the limits were known, and too large by itself
+		}
 		t := wire.Txn{
 			If:   []wire.Cond{{Key: record.RentalKey(name), Version: r.Version}},
 			Then: []wire.Op{{Put: record.RentalKey(name), Value: record.Encode(rec)}},
@@ -109,6 +120,19 @@
 	}
 }
 
+// maxRental is how many machines a rental may ask for, so that its record has room
+// for their names and addresses, of the size they usually have.
+func (c *Controller) maxRental() int {
+	id, addr := "i-"+strings.Repeat("0", 8), "255.255.255.255:65535"
+	return record.Within(c.limits().Bytes(), 1, protocolRental, func(n int) any {
+		return record.Rental{Type: strings.Repeat("t", 32), Zone: strings.Repeat("z", 32), Spot: true, Born: math.MaxInt64,
+			Parts: make([]int, n), IDs: slices.Repeat([]string{id}, n), Addrs: slices.Repeat([]string{addr}, n)}
+	})
+}
+
+// protocolRental is the protocol's bound of one rental request.
+const protocolRental = 50
+
 // addressesAtOnce bounds the rentals whose addresses are recorded in one turn.
 const addressesAtOnce = 3
 
@@ -298,7 +322,11 @@
 	l.clearing = now.Add(clearEvery)
 	c.mu.Lock()
 	viewed := !c.fleetAt.IsZero() // before that the view may lack rentals
-	t, ok := c.fleet.Clear(c.limits().TxnOps)
+	ops := c.limits().TxnOps
+	t, ok := c.fleet.Clear(ops)
+	if len(t.Then) == ops && ops < clearOps { // the smaller the steps, the more of them
+		l.clearing = now.Add(clearEvery * time.Duration(ops) / clearOps)
+	}
 	c.mu.Unlock()
 	if !viewed || !ok {
 		return
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -445,8 +445,7 @@
 			return later()
 		}
 		if !o.Cancelled {
-			o.Cancelled = true
-			t := wire.Txn{If: []wire.Cond{{Key: key, Version: e.Version}}, Then: []wire.Op{{Put: key, Value: record.Encode(o)}}}
+			t := wire.Txn{If: []wire.Cond{{Key: key, Version: e.Version}}, Then: []wire.Op{{Put: key, Value: c.cancelled(o)}}}
 			rev, err := c.store.Txn(ctx, use, t)
 			var conflict *statestore.ConflictError
 			if errors.As(err, &conflict) {
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -24,6 +24,8 @@
 	// Headroom is how many unused machines of a kind a part should have, given
 	// what arrives there, in machines a second, and how long one boots.
 	Headroom func(arriving float64, boot time.Duration, spot bool) float64
+	// MaxRental is how many machines one request and its record may ask for.
+	MaxRental int
 	// Refused is the pause after the cloud had nothing of a kind.
 	Refused time.Duration
 }
@@ -148,7 +150,7 @@
 	at := map[pool]int{}
 	for _, b := range p.fresh {
 		i, ok := at[b.pool()]
-		if !ok || len(rents[i].Parts) == maxRental {
+		if !ok || len(rents[i].Parts) == l.cfg.MaxRental {
 			i = len(rents)
 			at[b.pool()] = i
 			rents = append(rents, Rent{Type: b.Type, Zone: b.Zone, Spot: b.Spot})
@@ -274,8 +276,6 @@
 }
 
 const (
-	// maxRental is the protocol's bound of one rental request.
-	maxRental = 50
 	// takingRank is the priority from which work of other parts gives way.
 	takingRank = 2
 )
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -10,7 +10,7 @@
 var testTypes = []wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, Price: 5, SpotPrice: 1, BootS: 20, Zones: []string{"z1", "z2"}}}
 
 func newLeader() *Leader {
-	return NewLeader(Config{Types: testTypes, Zones: []string{"z1", "z2"}, Interval: 30 * time.Second, TakeAfter: 3 * time.Second,
+	return NewLeader(Config{Types: testTypes, Zones: []string{"z1", "z2"}, Interval: 30 * time.Second, TakeAfter: 3 * time.Second, MaxRental: 50,
 		Idle:     func(wire.MachineType, bool) time.Duration { return 30 * time.Second },
 		Headroom: func(arriving float64, boot time.Duration, _ bool) float64 { return arriving * boot.Seconds() / 2 }, Refused: 10 * time.Second})
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -194,6 +195,72 @@
 	return fragment.Linked(p.Jobs, links)
 }
 
+// Replay takes into a running pipeline the ends that its record tells, and then
+// others that are known from the jobs' own final records, in whatever order: a
+// step that was too large to be recorded in one piece left them there alone.
+func (p *Pipe) Replay(run *fragment.Pipeline, others []PipeEnd) {
+	for _, e := range p.Ended {
+		p.Finish(run, e)
+	}
+	left := slices.Clone(others)
+	take := func(want func(PipeEnd) bool) bool {
+		i := slices.IndexFunc(left, want)
+		if i >= 0 {
+			p.Finish(run, left[i])
+			left = slices.Delete(left, i, i+1)
+		}
+		return i >= 0
+	}
+	for {
+		ready, may := run.Ready(), run.Left()
+		if !take(func(e PipeEnd) bool { return slices.Contains(ready, e.Ref) }) &&
+			!take(func(e PipeEnd) bool { return may[e.Ref] && e.State == wire.Cancelled }) {
+			return // what is left has no more use: branches that were not taken
+		}
+	}
+}
+
+// InPieces reports whether steps of a pipeline may be too large to be recorded
+// whole: its record grows by each job's end, and such a step takes two changes for
+// the job, one for the pipeline, and one for each job that it releases.
+func (p *Pipe) InPieces(bytes, ops int) bool {
+	whole := *p
+	whole.Ended = nil
+	widest := 0
+	for _, j := range p.Jobs {
+		whole.Ended = append(whole.Ended, PipeEnd{Ref: j, State: wire.Cancelled})
+		n := 0
+		for _, l := range p.Links {
+			if slices.Contains(l.From, j) {
+				n++
+			}
+		}
+		widest = max(widest, n)
+	}
+	whole.State = wire.Cancelled
+	const endOps = 3
+	return len(Encode(whole)) > bytes || widest+endOps > ops
+}
+
+// Untold returns the jobs whose ends a pipeline's record does not tell.
+func (p *Pipe) Untold() []string {
+	return slices.DeleteFunc(slices.Clone(p.Jobs), func(ref string) bool {
+		return slices.ContainsFunc(p.Ended, func(e PipeEnd) bool { return e.Ref == ref })
+	})
+}
+
+// Over is the record of a pipeline that has come to its end: with all it told if
+// that has room in so many bytes, else without what nobody needs any more.
+func (p Pipe) Over(bytes int) Pipe {
+	if len(Encode(p)) > bytes {
+		p.Links, p.Choices = nil, nil
+	}
+	if len(Encode(p)) > bytes {
+		p.Ended = nil // each job's own record tells it
+	}
+	return p
+}
+
 // Finish takes a job's end into a running pipeline.
 func (p *Pipe) Finish(run *fragment.Pipeline, e PipeEnd) {
 	pick, cancelled := "", ""
@@ -266,6 +333,16 @@
 	Runs   map[string]Run `json:"r"`
 }
 
+// Within returns the largest n up to most for which a record of n elements keeps to
+// so many bytes, and at least one that no record can be without. Its size must
+// grow with n.
+func Within(bytes, least, most int, rec func(n int) any) int {
+	if most <= least {
+		return most
+	}
+	return least + sort.Search(most-least, func(n int) bool { return len(Encode(rec(least+n+1))) > bytes })
+}
+
 // Encode marshals a record. The types of this package always marshal.
 func Encode(v any) json.RawMessage {
 	b, err := json.Marshal(v)
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -200,15 +200,25 @@
 // asked for, it is asked for again until it is known to be recorded, so that no
 // start can come before a late copy of it.
 func (p *Part) moveTxn(m *Machine) {
-	rec := record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: m.moveTo, Born: m.born.UnixMilli(), Images: m.images}
 	at := record.OwnKey(m.ID)
 	t := &Txn{machine: m, Purpose: forMove, Routine: true}
 	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: m.version}}
-	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(rec)}}
+	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(p.own(m, m.moveTo))}}
 	m.txn = t
 	p.out.Txns = append(p.out.Txns, t)
 }
 
+// own is a machine's own record, with as many of its latest images as it holds.
+func (p *Part) own(m *Machine, part int) record.Machine {
+	rec := record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: part, Born: m.born.UnixMilli()}
+	last := func(n int) any {
+		r := rec
+		r.Images = m.images[len(m.images)-n:]
+		return r
+	}
+	return last(record.Within(p.valueBytes, 0, len(m.images), last)).(record.Machine)
+}
+
 // giveBack makes a machine leave for good. Only the answered return, as its
 // batch's record tells, proves gone what may run on it.
 func (p *Part) giveBack(m *Machine, why string, now time.Time) {
@@ -231,7 +241,9 @@
 // cloud; the batch's name is never used again.
 func (p *Part) flushBack(now time.Time) {
 	if p.back == nil && len(p.leaving) > 0 && !now.Before(p.leaveAt) {
-		n := min(len(p.leaving), maxBack)
+		n := record.Within(p.valueBytes, 1, min(len(p.leaving), maxBack), func(n int) any {
+			return record.Back{IDs: p.leaving[:n], Done: true}
+		})
 		p.backs++
 		p.back = &batch{key: record.BackKey(p.id, p.token, p.backs), ids: slices.Clone(p.leaving[:n])}
 		p.leaving = p.leaving[n:]
@@ -497,7 +509,12 @@
 		return nil
 	}
 	if open == nil {
-		p.end(j, now) // our final transaction was applied: only owners end a job
+		// Our final transaction was applied, or that of a controller which found a
+		// job that this one needs cancelled.
+		p.end(j, now)
+		if j.line.ref != "" {
+			p.rereadPipe(j.line)
+		}
 		return nil
 	}
 	o, err := decode[record.Open](*open)
--- a/internal/sched/direct.go
+++ b/internal/sched/direct.go
@@ -133,11 +133,10 @@
 	if !due || !m.fenced || m.txn != nil || m.unsure {
 		return
 	}
-	rec := record.Machine{Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Part: p.id, Born: m.born.UnixMilli(), Images: m.images}
 	at := record.OwnKey(m.ID)
 	t := &Txn{machine: m, fence: true, Purpose: forFence, Routine: true}
 	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: m.version}}
-	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(rec)}}
+	t.Body.Then = []wire.Op{{Put: at, Value: record.Encode(p.own(m, p.id))}}
 	m.txn = t
 	p.out.Txns = append(p.out.Txns, t)
 }
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -20,8 +20,9 @@
 	rec     record.Pipe
 	version uint64 // 0: not read yet
 	run     *fragment.Pipeline
-	busy    bool // an end is being recorded
-	unsure  bool // a reread is under way
+	others  []record.PipeEnd // ends that its record has no room for
+	busy    bool             // an end is being recorded
+	unsure  bool             // a reread is under way
 }
 
 // alone is the pipeline of a job that was submitted by itself.
@@ -99,8 +100,9 @@
 	}
 }
 
-// PipeRead takes in a pipeline's record as read back.
-func (p *Part) PipeRead(ref string, e *wire.Entry, now time.Time) error {
+// PipeRead takes in a pipeline's record as read back, and the ends of those of its
+// jobs that it does not tell.
+func (p *Part) PipeRead(ref string, e *wire.Entry, others []record.PipeEnd, now time.Time) error {
 	l := p.lines[ref]
 	if l == nil {
 		return nil
@@ -112,14 +114,23 @@
 	if err != nil {
 		return err
 	}
-	net, err := rec.Net()
-	if err != nil {
-		return err
+	run := &fragment.Pipeline{} // of one that is over nothing is left
+	if rec.State == "" {
+		net, err := rec.Net()
+		if err != nil {
+			return err
+		}
+		run = fragment.Begin(net)
+		rec.Replay(run, others)
 	}
 	l.unsure, l.busy = false, false
-	l.rec, l.version, l.run = rec, e.Version, fragment.Begin(net)
-	for _, end := range rec.Ended {
-		rec.Finish(l.run, end)
+	l.rec, l.version, l.run, l.others = rec, e.Version, run, others
+	for _, ref := range run.Ready() {
+		// Released by a step that could not be recorded in one piece, if at all:
+		// else the record of the job itself says so.
+		if j := p.jobs[ref]; j != nil && len(others) > 0 {
+			p.free(j, now, now)
+		}
 	}
 	p.bury(l, now)
 	p.changed = true
@@ -132,12 +143,13 @@
 }
 
 // bury ends the jobs that a pipeline has no use for any more: they follow a
-// cancelled one, or a branch that was not picked.
+// cancelled one, or a branch that was not picked. Of one that was withdrawn these
+// are all: a withdrawal may have come no further than the pipeline's own record.
 func (p *Part) bury(l *line, now time.Time) {
 	left := l.run.Left()
 	for _, ref := range l.rec.Jobs {
 		j := p.jobs[ref]
-		if j == nil || !j.held || (left[ref] && l.rec.State == "") {
+		if j == nil || (l.rec.State != wire.Cancelled && (!j.held || (left[ref] && l.rec.State == ""))) {
 			continue
 		}
 		j.dead = true
@@ -152,12 +164,12 @@
 	if j.cancelled {
 		end.State = wire.Cancelled
 	}
-	next := &line{ref: l.ref, rec: l.rec, run: l.run.Clone()}
+	next := &line{ref: l.ref, rec: l.rec, run: l.run.Clone(), others: l.others}
 	next.rec.Ended = append(l.rec.Ended[:len(l.rec.Ended):len(l.rec.Ended)], end)
 	l.rec.Finish(next.run, end)
 	if next.run.Over() {
 		next.rec.State = wire.Done
-		for _, e := range next.rec.Ended {
+		for _, e := range slices.Concat(next.rec.Ended, l.others) {
 			if e.State == wire.Cancelled {
 				next.rec.State = wire.Cancelled
 			}
@@ -185,8 +197,23 @@
 	next, free := l.after(j, p)
 	at := record.PipeKey(l.ref)
 	t.Body.If = append(t.Body.If, wire.Cond{Key: at, Version: l.version})
-	t.Body.Then = append(t.Body.Then, wire.Op{Put: at, Value: record.Encode(next.rec)})
 	t.next, t.free = next, map[*Job]record.Open{}
+	l.busy = true
+	if over := next.rec.Over(p.valueBytes); over.State != "" {
+		next.rec = over
+	}
+	value := record.Encode(next.rec)
+	if len(value) > p.valueBytes || len(t.Body.Then)+1+len(free) > p.txnOps {
+		// Too much for one piece, as the first version may have accepted it. What
+		// is released follows from the jobs' final records, so the job's end is
+		// enough; its condition keeps it from passing a withdrawal.
+		next.rec, next.others = l.rec, append(slices.Clone(l.others), record.PipeEnd{Ref: j.ref, State: t.state()})
+		for _, s := range free {
+			t.free[s] = record.Open{}
+		}
+		return true
+	}
+	t.Body.Then = append(t.Body.Then, wire.Op{Put: at, Value: value})
 	for _, s := range free {
 		open := record.Open{Spec: *s.spec, Part: p.id, At: now.UnixMilli(), Pipe: l.ref}
 		key := record.OpenKey(s.ref)
@@ -194,10 +221,17 @@
 		t.Body.Then = append(t.Body.Then, wire.Op{Put: key, Value: record.Encode(open)})
 		t.free[s] = open
 	}
-	l.busy = true
 	return true
 }
 
+// state is the one that a job's end records.
+func (t *Txn) state() string {
+	if t.job.cancelled {
+		return wire.Cancelled
+	}
+	return wire.Done
+}
+
 // advanced takes in that a job's end was recorded with its pipeline's step.
 func (p *Part) advanced(t *Txn, revision uint64, now time.Time) {
 	l := t.job.line
@@ -205,8 +239,15 @@
 		return
 	}
 	l.busy = false
-	l.rec, l.run, l.version = t.next.rec, t.next.run, revision
+	l.rec, l.run, l.others = t.next.rec, t.next.run, t.next.others
+	if len(t.Body.Then) > leastOps {
+		l.version = revision
+	}
 	for s, open := range t.free {
+		if open.Spec.Ref == "" {
+			p.free(s, now, now)
+			continue
+		}
 		p.SetJob(s.ref, open, revision, now)
 	}
 	p.bury(l, now)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -165,7 +165,8 @@
 			}
 		}
 		for _, ref := range eff.RereadPipes {
-			if err := r.part.PipeRead(ref, r.get(record.PipeKey(ref)), now); err != nil {
+			e := r.get(record.PipeKey(ref))
+			if err := r.part.PipeRead(ref, e, r.endsOf(e), now); err != nil {
 				r.t.Fatal(err)
 			}
 		}
@@ -193,6 +194,25 @@
 	r.t.Fatal("effects never end")
 }
 
+// endsOf returns the ends of a pipeline's jobs that its record does not tell.
+func (r *rig) endsOf(e *wire.Entry) []record.PipeEnd {
+	rec, err := decode[record.Pipe](*e)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	var out []record.PipeEnd
+	for _, ref := range rec.Untold() {
+		if f := r.get(record.JobKey(ref)); f != nil {
+			j, err := decode[record.Job](*f)
+			if err != nil {
+				r.t.Fatal(err)
+			}
+			out = append(out, record.PipeEnd{Ref: ref, State: j.State})
+		}
+	}
+	return out
+}
+
 func (r *rig) get(key string) *wire.Entry {
 	e, err := r.state.Get(context.Background(), statestore.Urgent("test"), key)
 	if err != nil {
