--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -129,6 +129,11 @@
 					c.log.Error("machine record", "machine", mid, "err", err)
 				}
 			})
+			for ref, j := range c.open {
+				if j.part == id {
+					p.Inherit(ref, c.needs.Claim(ref))
+				}
+			}
 			c.log.Info("part claimed", "part", id, "token", token)
 			c.pump(p, now)
 			go c.rereadOpen(ctx, p)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 
 	"bramblespur/internal/cloud"
 	"bramblespur/internal/config"
+	"bramblespur/internal/fragment"
 	"bramblespur/internal/httpwire"
 	"bramblespur/internal/peer"
 	"bramblespur/internal/policy"
@@ -62,10 +63,10 @@
 	claiming   map[int]bool
 	partRecs   map[int]versioned[record.Part]
 	fleet      *record.Fleet
-	open       map[string]openJob             // unfinished jobs as the watch tells them
-	after      map[string]map[string]struct{} // the open jobs that name one, open or over
-	rootReads  map[string]time.Time           // when final records are read again, or for the first time
-	ends       map[string]chan struct{}       // closed when such a job is over, if that is awaited
+	open       map[string]openJob       // unfinished jobs as the watch tells them
+	needs      *fragment.Needs          // how unfinished jobs need each other
+	rootReads  map[string]time.Time     // when final records are read again, or for the first time
+	ends       map[string]chan struct{} // closed when such a job is over, if that is awaited
 	members    map[string]record.Member
 	leader     versioned[record.Head]
 	typesSeen  bool
@@ -108,7 +109,6 @@
 	part      int
 	cancelled bool
 	service   bool
-	roots     []string
 }
 
 type versioned[T any] struct {
@@ -179,7 +179,7 @@
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
 	c.ends = map[string]chan struct{}{}
-	c.after = map[string]map[string]struct{}{}
+	c.needs = fragment.NewNeeds()
 	c.rootReads = map[string]time.Time{}
 	c.commands = make(chan struct{}, max(1, c.cfg.Params.Resources.MaxSockets/commandSockets))
 	c.begun = c.syncedAt
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -50,10 +50,10 @@
 		GatherEnds:   gatherEnds,
 		GatherStarts: gatherStarts,
 		GatherBacks:  gatherBacks,
-		Urgency: func(s *wire.Spec, waited time.Duration) float64 {
+		Urgency: func(s *wire.Spec, waited time.Duration, deadline *float64) float64 {
 			j := policy.Job{Class: s.Class, Team: s.Team, Kind: kinds[s.Kind], Tasks: s.Tasks, WaitedS: waited.Seconds(), EstimateS: s.EstimateS}
-			if s.DeadlineS != nil {
-				j.HasDeadline, j.DeadlineS = true, *s.DeadlineS
+			if deadline != nil {
+				j.HasDeadline, j.DeadlineS = true, *deadline
 			}
 			return c.policy.Urgency(j)
 		},
--- a/internal/controller/roots.go
+++ b/internal/controller/roots.go
@@ -5,8 +5,11 @@
 	"errors"
 	"time"
 
+	"bramblespur/internal/config"
+	"bramblespur/internal/fragment"
 	"bramblespur/internal/peer"
 	"bramblespur/internal/record"
+	"bramblespur/internal/sched"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
 )
@@ -79,7 +82,7 @@
 // rootEnded takes in a job's final record and tells the parts. The lock is held.
 func (c *Controller) rootEnded(ref string, j record.Job, now time.Time) {
 	c.setFinal(ref, j)
-	if c.after[ref] == nil {
+	if len(c.needs.After(ref)) == 0 {
 		return
 	}
 	for _, p := range c.parts {
@@ -92,7 +95,7 @@
 // waiting for their views. The lock is held.
 func (c *Controller) tellEnd(ref string, op wire.Op) {
 	owners := map[*peer.Client]bool{}
-	for d := range c.after[ref] {
+	for d := range c.needs.After(ref) {
 		part := c.open[d].part
 		if owner := c.peers[c.partRecs[part].rec.Owner]; c.parts[part] == nil && owner != nil {
 			owners[owner] = true
@@ -120,14 +123,15 @@
 		for _, r := range p.Awaited() {
 			if j, ok := c.finals[r]; ok {
 				p.RootEnded(r, j, now)
+				c.pump(p, now)
 				continue
 			}
 			mine[r] = true
 		}
 	}
-	for r, needed := range c.after {
+	c.needs.Each(func(r string, needed map[string]struct{}) {
 		if _, open := c.open[r]; open {
-			continue
+			return
 		}
 		at, noted := c.rootReads[r]
 		if !noted {
@@ -141,12 +145,12 @@
 			at = now // it came to be ours meanwhile
 		}
 		if now.Before(at) {
-			continue
+			return
 		}
 		c.rootReads[r] = now.Add(jitter(cascadeAfter))
 		j, known := c.finals[r]
 		if known && j.State == wire.Done {
-			continue
+			return
 		}
 		var others []string
 		for d := range needed {
@@ -155,6 +159,32 @@
 			}
 		}
 		go c.seekRoot(ctx, r, others)
+	})
+	for r := range c.rootReads {
+		if len(c.needs.After(r)) == 0 {
+			delete(c.rootReads, r)
+		}
+	}
+}
+
+// step is an open job as those that it needs see it.
+func step(o *record.Open) fragment.Step {
+	s := fragment.Step{Claim: fragment.Claim{Rank: sched.Rank(o.Spec.Priority)}, Roots: o.Spec.Roots, Length: config.Seconds(o.Spec.EstimateS)}
+	if o.Spec.DeadlineS != nil {
+		s.Due = time.UnixMilli(o.At).Add(config.Seconds(*o.Spec.DeadlineS))
+	}
+	if o.Cancelled {
+		s.Claim = fragment.Claim{} // it asks for nothing any more
+	}
+	return s
+}
+
+// inherit tells the parts what jobs are to be given. The lock is held.
+func (c *Controller) inherit(refs []string) {
+	for _, ref := range refs {
+		if p := c.parts[c.open[ref].part]; p != nil {
+			p.Inherit(ref, c.needs.Claim(ref))
+		}
 	}
 }
 
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -491,13 +491,9 @@
 
 // closeOpen takes in that a job is not open any more. The lock is held.
 func (c *Controller) closeOpen(ref string) {
-	for _, r := range c.open[ref].roots {
-		if delete(c.after[r], ref); len(c.after[r]) == 0 {
-			delete(c.after, r)
-			delete(c.rootReads, r)
-		}
-	}
+	changed := c.needs.Remove(ref)
 	delete(c.open, ref)
+	c.inherit(changed)
 	if over := c.ends[ref]; over != nil {
 		close(over)
 		delete(c.ends, ref)
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -237,7 +237,7 @@
 				c.pump(p, now)
 			}
 		}
-		if c.after[ref] != nil {
+		if len(c.needs.After(ref)) > 0 {
 			c.seekRoots(context.Background(), now)
 		}
 		return
@@ -247,15 +247,14 @@
 		c.log.Error("job record", "key", e.Put, "err", err)
 		return
 	}
-	c.open[ref] = openJob{version: e.Version, part: o.Part, cancelled: o.Cancelled, service: o.Spec.Kind == wire.Service, roots: o.Spec.Roots}
-	for _, r := range o.Spec.Roots {
-		if c.after[r] == nil {
-			c.after[r] = map[string]struct{}{}
-		}
-		c.after[r][ref] = struct{}{}
-	}
-	if p := c.parts[o.Part]; p != nil {
+	c.open[ref] = openJob{version: e.Version, part: o.Part, cancelled: o.Cancelled, service: o.Spec.Kind == wire.Service}
+	changed := c.needs.Set(ref, step(&o))
+	p := c.parts[o.Part]
+	if p != nil {
 		p.SetJob(ref, o, e.Version, now)
+	}
+	c.inherit(changed)
+	if p != nil {
 		if len(o.Spec.Roots) > 0 {
 			c.seekRoots(context.Background(), now)
 		}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -227,7 +227,7 @@
 		spec := o.Spec
 		j = &Job{
 			ref: ref, spec: &spec, accepted: time.UnixMilli(o.At), tasks: make([]task, spec.Tasks), nIdle: spec.Tasks,
-			zones: map[string]int{}, rank: rank(spec.Priority), held: true,
+			zones: map[string]int{}, rank: Rank(spec.Priority), held: true,
 		}
 		p.jobs[ref] = j
 		p.index.queue(j)
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -67,6 +67,31 @@
 	delete(p.roots, ref)
 }
 
+// Inherit gives a job what those that need it ask for.
+func (p *Part) Inherit(ref string, c fragment.Claim) {
+	j := p.jobs[ref]
+	if j == nil || (j.rank == c.Rank && j.due.Equal(c.Due)) {
+		return
+	}
+	for i := range j.tasks {
+		if m := j.tasks[i].machine; m != nil && j.rank != c.Rank {
+			p.index.holds(m, j.rank, -1)
+			p.index.holds(m, c.Rank, 1)
+		}
+	}
+	j.rank, j.due = c.Rank, c.Due
+	p.changed = true
+}
+
+// deadline is when a job is to be done, in seconds since it began to wait.
+func (j *Job) deadline() *float64 {
+	if j.due.IsZero() {
+		return j.spec.DeadlineS
+	}
+	s := j.due.Sub(j.accepted).Seconds()
+	return &s
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -118,7 +118,7 @@
 	for _, q := range queues {
 		urgency := make(map[*Job]float64, len(q))
 		for _, j := range q {
-			urgency[j] = p.cfg.Urgency(j.spec, now.Sub(j.accepted))
+			urgency[j] = p.cfg.Urgency(j.spec, now.Sub(j.accepted), j.deadline())
 		}
 		sort.Slice(q, func(a, b int) bool {
 			x, y := q[a], q[b]
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -309,7 +309,7 @@
 // larger one has gathered, and do not go past it.
 func TestLargestGangsAreNotOvertaken(t *testing.T) {
 	r := newRig(t)
-	r.cfg.Urgency = func(s *wire.Spec, waited time.Duration) float64 { return s.EstimateS - waited.Seconds() }
+	r.cfg.Urgency = func(s *wire.Spec, waited time.Duration, _ *float64) float64 { return s.EstimateS - waited.Seconds() }
 	for i := range 8 {
 		r.machine(fmt.Sprintf("m%d", i), []string{"z1", "z2"}[i/4], false)
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -35,7 +35,7 @@
 		Types:  map[string]wire.MachineType{"big": {Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, BootS: 20, CacheGB: 50}},
 		Report: 2 * time.Second, Lease: 20 * time.Second, SilentAfter: 8 * time.Second, BootFactor: 3,
 		PreemptAfter: 2 * time.Second, TxnOps: 16, SlotTasks: 10, ValueBytes: 10 * plainPlace,
-		Urgency: func(s *wire.Spec, waited time.Duration) float64 { return -waited.Seconds() },
+		Urgency: func(_ *wire.Spec, waited time.Duration, _ *float64) float64 { return -waited.Seconds() },
 	}
 	r.claim()
 	return r
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -52,8 +52,10 @@
 	// GatherStarts and GatherBacks are the same for starts and for machines
 	// given back.
 	GatherStarts, GatherBacks time.Duration
-	// Urgency orders a team's jobs of one priority; smaller goes first.
-	Urgency func(spec *wire.Spec, waited time.Duration) float64
+	// Urgency orders a team's jobs of one priority; smaller goes first. The
+	// deadline, in seconds from when it began to wait, is its own or the one that
+	// those which need it leave.
+	Urgency func(spec *wire.Spec, waited time.Duration, deadline *float64) float64
 }
 
 type taskState uint8
@@ -135,7 +137,8 @@
 	fails     int
 	failedOn  map[string]bool
 	stuck     time.Time // since when something waits that fits nowhere
-	rank      int
+	rank      int       // its priority, or a higher one of those that need it
+	due       time.Time // when it is to be done, for itself and these; zero: whenever
 	madeRoom  time.Time // until when room made for it is awaited
 	roomTried time.Time // when room was last sought in vain
 	kept      bool      // started after too long a wait: nothing takes its place
@@ -383,7 +386,8 @@
 // highestRank is that of the highest priority: nothing goes before it.
 const highestRank = 3
 
-func rank(priority string) int {
+// Rank orders priorities.
+func Rank(priority string) int {
 	switch priority {
 	case "prod":
 		return highestRank
