--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -22,6 +22,8 @@
 	part    *Part
 	fleet   *record.Fleet
 	workers map[string]*testkit.Worker
+	// invalid counts transactions that the state service did not take for their size.
+	invalid int
 	// answers are the machines that answer probes.
 	answers []string
 	// sendStart, if set, carries direct starts to their workers.
@@ -155,6 +157,9 @@
 				r.part.Conflict(t, conflict.Keys, now)
 			case errors.Is(err, statestore.ErrRefused):
 				r.part.Refused(t, now)
+			case errors.Is(err, statestore.ErrInvalid):
+				r.part.Shrink(t, now)
+				r.invalid++
 			default:
 				r.part.Unknown(t, now)
 			}
--- /dev/null
+++ b/internal/sched/upgrade_test.go
@@ -0,0 +1,344 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// The limits of the state service before and after they fall.
+const (
+	wideBytes, wideOps   = 16 << 10, 16
+	tightBytes, tightOps = 2 << 10, 5
+)
+
+// upgradeRig is a part of which the first version wrote the records, as
+// testdata/production.json holds them.
+func upgradeRig(t testing.TB) *rig {
+	t.Helper()
+	data, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(data, &all); err != nil {
+		t.Fatal(err)
+	}
+	r := newRig(t)
+	r.cfg.Teams = map[string]Team{"b": {Name: "b"}}
+	r.cfg.SlotTasks, r.cfg.TxnOps, r.cfg.ValueBytes = SlotTasks(wideBytes/1024), tightOps, tightBytes
+	for key, v := range all {
+		r.state.Put(key, v)
+	}
+	r.claim()
+	for _, m := range r.part.machines {
+		r.workers[m.ID] = testkit.NewWorker(m.ID, m.Type.Name, m.Zone, m.Spot)
+	}
+	return r
+}
+
+// facts are what the records tell of a part's tasks.
+type facts struct {
+	on   map[string]record.Place
+	done map[string]bool
+}
+
+// plainFacts is the first version's reading of slots: the key's number counts
+// ranges of so many tasks, later fields are unknown, and every range counts.
+func plainFacts(t testing.TB, slots []wire.Entry, per int) facts {
+	t.Helper()
+	f := facts{on: map[string]record.Place{}, done: map[string]bool{}}
+	for _, e := range slots {
+		var s struct {
+			Runs map[string]struct {
+				Attempt uint64               `json:"a"`
+				On      map[int]record.Place `json:"on"`
+				Done    [][2]int             `json:"done"`
+			} `json:"r"`
+		}
+		if err := json.Unmarshal(e.Value, &s); err != nil {
+			t.Fatal(err)
+		}
+		for name, run := range s.Runs {
+			ref, n, ok := record.SplitRunName(name)
+			if !ok {
+				t.Fatalf("%s: range %q", e.Key, name)
+			}
+			for i, pl := range run.On {
+				if i < n*per || i >= (n+1)*per {
+					t.Fatalf("%s: task %d in range %s", e.Key, i, name)
+				}
+				f.on[fmt.Sprint(ref, "/", i)] = pl
+			}
+			for _, span := range run.Done {
+				for i := span[0]; i <= span[1]; i++ {
+					f.done[fmt.Sprint(ref, "/", i)] = true
+				}
+			}
+		}
+	}
+	return f
+}
+
+// partFacts is what the part holds as recorded.
+func partFacts(p *Part) facts {
+	f := facts{on: map[string]record.Place{}, done: map[string]bool{}}
+	for _, j := range p.jobs {
+		for i := range j.tasks {
+			switch t := &j.tasks[i]; {
+			case t.state == placed && t.recorded:
+				f.on[key{j, i}.name()] = record.Place{Machine: t.machine.ID, Attempt: t.attempt}
+			case t.state == done && t.durable:
+				f.done[key{j, i}.name()] = true
+			}
+		}
+	}
+	return f
+}
+
+func (f facts) equal(g facts) bool { return maps.Equal(f.on, g.on) && maps.Equal(f.done, g.done) }
+
+func (r *rig) slots() []wire.Entry { return r.list(record.SlotsOf(0)) }
+
+// runAs lets workers run what is recorded, as they did under the first version.
+func (r *rig) runAs(f facts) {
+	for task, pl := range f.on {
+		r.workers[pl.Machine].Tasks[task] = &testkit.WorkerTask{Attempt: pl.Attempt, State: wire.Running}
+	}
+}
+
+// Records of the first version are read as it meant them, and as long as it may
+// come back, what is written is plain and tells it the same.
+func TestUpgradeReadsAndKeepsPlainRecords(t *testing.T) {
+	r := upgradeRig(t)
+	before := plainFacts(t, r.slots(), r.cfg.chunkTasks())
+	if len(before.on) < 200 || len(before.done) < 50 {
+		t.Fatalf("testdata: %d placements, %d completions", len(before.on), len(before.done))
+	}
+	if got := partFacts(r.part); !got.equal(before) {
+		t.Fatalf("read %d placements and %d completions, want %d and %d", len(got.on), len(got.done), len(before.on), len(before.done))
+	}
+	if j := r.part.jobs["run-000008"]; j == nil || !j.held {
+		t.Fatal("a held job without a pipeline was let go")
+	}
+	r.runAs(before)
+	for round := range 6 {
+		r.endSome(round)
+		r.beats(2)
+		for _, e := range r.slots() {
+			var s record.Slot
+			if err := json.Unmarshal(e.Value, &s); err != nil || s.Format != 0 {
+				t.Fatalf("%s: format %d, %v", e.Key, s.Format, err)
+			}
+		}
+		if got, want := plainFacts(t, r.slots(), r.cfg.chunkTasks()), partFacts(r.part); !maps.Equal(onLive(r, got.on), want.on) {
+			t.Fatalf("round %d: the first version would read %d placements, want %d", round, len(got.on), len(want.on))
+		}
+		if round%2 == 1 {
+			r.claim() // perhaps by the first version: nothing but the records counts
+		}
+	}
+}
+
+// onLive leaves the placements that count: of tasks that are proven gone the
+// record is rewritten with the next start only.
+func onLive(r *rig, on map[string]record.Place) map[string]record.Place {
+	live := partFacts(r.part).on
+	out := map[string]record.Place{}
+	for task, pl := range on {
+		if live[task] == pl {
+			out[task] = pl
+		}
+	}
+	return out
+}
+
+// endSome lets about a tenth of what runs end.
+func (r *rig) endSome(seed int) {
+	names := slices.Sorted(maps.Keys(r.workers))
+	n := seed
+	for _, id := range names {
+		w := r.workers[id]
+		for _, task := range slices.Sorted(maps.Keys(w.Tasks)) {
+			if n++; n%10 == 0 && w.Tasks[task].State == wire.Running {
+				w.End(task, wire.Done)
+			}
+		}
+	}
+}
+
+// oneOwner checks that no task runs in two places, whatever the records say.
+func (r *rig) oneOwner() {
+	r.t.Helper()
+	at := map[string]string{}
+	for id, w := range r.workers {
+		for task, wt := range w.Tasks {
+			if wt.State == wire.Exited {
+				continue
+			}
+			if at[task] != "" {
+				r.t.Fatalf("%s runs on %s and on %s", task, at[task], id)
+			}
+			at[task] = id
+		}
+	}
+}
+
+// Once the first version is gone the large records are taken apart, in steps that
+// fit the limits that are to come. A new owner after any of them, an answer that
+// gets lost, and a write that comes late lose nothing and start nothing twice.
+func TestUpgradeSplitsPlainRecords(t *testing.T) {
+	for seed := range uint64(12) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		r := upgradeRig(t)
+		r.runAs(plainFacts(t, r.slots(), r.cfg.chunkTasks()))
+		r.state.Limit(wideBytes, wideOps)
+		at := rnd.IntN(6)
+		for round := range 60 {
+			if round >= at {
+				r.part.SetStated() // each controller's word is there for every owner
+			}
+			if round == at+2 {
+				r.state.Limit(tightBytes, tightOps)
+			}
+			if round < 40 {
+				switch rnd.IntN(5) {
+				case 0:
+					r.claim()
+				case 1:
+					r.state.LoseAnswers = 1 + rnd.IntN(2)
+				case 2:
+					r.state.HoldTxns = 1
+				case 3:
+					r.state.Release()
+				}
+			}
+			if round >= at {
+				r.part.SetStated()
+			}
+			r.endSome(rnd.IntN(10))
+			r.beat()
+			r.oneOwner()
+		}
+		r.state.Release()
+		for range 200 {
+			r.endAll()
+			r.beat()
+			r.oneOwner()
+		}
+		if got := r.jobState("run-000001"); got != wire.Done {
+			t.Errorf("seed %d: the array is %q in the end", seed, got)
+		}
+		for _, e := range r.slots() {
+			var s record.Slot
+			if err := json.Unmarshal(e.Value, &s); err != nil || s.Format != record.Stated || len(e.Value) > tightBytes {
+				t.Errorf("seed %d: %s has format %d and %d bytes, %v", seed, e.Key, s.Format, len(e.Value), err)
+			}
+		}
+		if r.invalid > 0 {
+			t.Errorf("seed %d: %d transactions too large for the state service", seed, r.invalid)
+		}
+	}
+}
+
+// A new owner finds the same in plain and stated records together, whichever of
+// them a crash left behind.
+func TestUpgradeFactsSurviveEveryStep(t *testing.T) {
+	r := upgradeRig(t)
+	r.runAs(plainFacts(t, r.slots(), r.cfg.chunkTasks()))
+	r.state.Limit(tightBytes, tightOps)
+	r.part.SetStated()
+	r.beats(2)
+	for round := range 30 {
+		r.endSome(round)
+		r.beat()
+		want := partFacts(r.part)
+		next := New(r.cfg, 0, r.part.token)
+		if err := next.Load(r.fleet, r.list(record.OpenPrefix), r.slots(), r.clock.Now()); err != nil {
+			t.Fatal(err)
+		}
+		got := partFacts(next)
+		for task, pl := range want.on {
+			if got.on[task] != pl {
+				t.Fatalf("round %d: %s is on %v, and a new owner would find %v", round, task, pl, got.on[task])
+			}
+		}
+		if !maps.Equal(got.done, want.done) {
+			t.Fatalf("round %d: %d tasks are done, and a new owner would find %d", round, len(want.done), len(got.done))
+		}
+	}
+}
+
+// Machines' names longer than any seen before make a stated slot too large: its
+// ranges are moved, also cut, and nothing is lost meanwhile.
+func TestStatedSlotOutgrowsItsRecord(t *testing.T) {
+	r := newRig(t)
+	r.cfg.ValueBytes = 1024
+	r.claim()
+	r.part.SetStated()
+	for i := range 4 {
+		r.submit(spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 8, 0))
+		j := r.part.jobs[fmt.Sprintf("run-00000%d", i)]
+		j.spec.CPUs = 1
+		r.part.chunk(j, 0) // sized by the names known so far
+	}
+	for i := range 40 {
+		r.machine(fmt.Sprintf("i-%060d", i), "z1", false)
+	}
+	for beat := range 30 {
+		r.beat()
+		r.oneOwner()
+		if beat%7 == 3 {
+			r.claim()
+			r.part.SetStated()
+		}
+	}
+	running := 0
+	for _, w := range r.workers {
+		running += len(w.Tasks)
+	}
+	if running != 32 {
+		t.Errorf("%d tasks run, want 32", running)
+	}
+	for _, e := range r.slots() {
+		if len(e.Value) > 1024 {
+			t.Errorf("%s has %d bytes", e.Key, len(e.Value))
+		}
+	}
+}
+
+// A state service that takes less than was known: what it does not take is never
+// sent again as it was, and work goes on.
+func TestShrinks(t *testing.T) {
+	r := newRig(t)
+	r.cfg.SlotTasks, r.cfg.ValueBytes = SlotTasks(16), 4096
+	r.claim()
+	r.part.SetStated()
+	r.state.Limit(1500, 4)
+	for i := range 20 {
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+	}
+	s := spec("run-000001", "b", wire.Array, "normal", 80, 0)
+	s.CPUs = 1
+	r.submit(s)
+	for range 40 {
+		r.endAll()
+		r.beat()
+		r.clock.Advance(time.Second)
+	}
+	if got := r.jobState(s.Ref); got != wire.Done {
+		t.Errorf("the array is %q", got)
+	}
+	if r.invalid == 0 || r.invalid > 8 {
+		t.Errorf("%d transactions were too large: want some, and soon none", r.invalid)
+	}
+}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -41,6 +41,8 @@
 	log     []wire.Change
 	held    []wire.Txn
 
+	MaxValue, MaxOps int // larger values and transactions are not taken; 0: no limit
+
 	Down        bool // every request is refused
 	LoseAnswers int  // so many transactions are applied but not answered
 	HoldTxns    int  // so many transactions are neither applied nor answered, until Release
@@ -96,6 +98,8 @@
 	switch {
 	case s.Down:
 		return 0, statestore.ErrRefused
+	case s.tooLarge(t):
+		return 0, statestore.ErrInvalid
 	case s.HoldTxns > 0:
 		s.HoldTxns--
 		s.held = append(s.held, t)
@@ -109,6 +113,28 @@
 	return rev, err
 }
 
+// Limit sets the largest value and transaction, also while others use the state.
+func (s *State) Limit(value, ops int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.MaxValue, s.MaxOps = value, ops
+}
+
+// condsPerOp is how many conditions the protocol allows for each change.
+const condsPerOp = 4
+
+func (s *State) tooLarge(t wire.Txn) bool {
+	if s.MaxOps > 0 && (len(t.Then) > s.MaxOps || len(t.If) > condsPerOp*s.MaxOps) {
+		return true
+	}
+	for _, op := range t.Then {
+		if s.MaxValue > 0 && len(op.Value) > s.MaxValue {
+			return true
+		}
+	}
+	return false
+}
+
 // Release carries out the held transactions and returns their outcomes.
 func (s *State) Release() []error {
 	s.mu.Lock()
