--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -24,6 +24,8 @@
 	workers map[string]*testkit.Worker
 	// invalid counts transactions that the state service did not take for their size.
 	invalid int
+	// afterTxn, if set, is called after each transaction.
+	afterTxn func()
 	// answers are the machines that answer probes.
 	answers []string
 	// sendStart, if set, carries direct starts to their workers.
@@ -149,6 +151,9 @@
 		}
 		for _, t := range eff.Txns {
 			rev, err := r.state.Txn(ctx, statestore.Urgent("test"), t.Body)
+			if r.afterTxn != nil {
+				r.afterTxn()
+			}
 			var conflict *statestore.ConflictError
 			switch {
 			case err == nil:
