--- a/internal/sched/upgrade_test.go
+++ b/internal/sched/upgrade_test.go
@@ -314,12 +314,14 @@
 	r.cfg.ValueBytes = 1024
 	r.claim()
 	r.part.SetStated()
+	r.machine("m1", "z1", false)
 	for i := range 4 {
-		r.submit(spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 8, 0))
-		j := r.part.jobs[fmt.Sprintf("run-00000%d", i)]
-		j.spec.CPUs = 1
-		r.part.chunk(j, 0) // sized by the names known so far
+		s := spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 8, 0)
+		s.CPUs = 3 // of 16
+		r.submit(s)
+		r.part.chunk(r.part.jobs[s.Ref], 0) // sized by the names known so far
 	}
+	r.beats(2) // some are recorded
 	for i := range 40 {
 		r.machine(fmt.Sprintf("i-%060d", i), "z1", false)
 	}
