--- a/internal/sched/upgrade_test.go
+++ b/internal/sched/upgrade_test.go
@@ -317,7 +317,7 @@
 	r.machine("m1", "z1", false)
 	for i := range 4 {
 		s := spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 8, 0)
-		s.CPUs = 3 // of 16
+		s.CPUs, s.MemoryGB = 1, 1 // of 16
 		r.submit(s)
 		r.part.chunk(r.part.jobs[s.Ref], 0) // sized by the names known so far
 	}
@@ -327,8 +327,8 @@
 	}
 	r.afterTxn = r.known
 	for beat := range 30 {
-		if beat%3 == 1 && beat < 20 {
-			r.state.HoldTxns = beat % 4 // not carried out, and nobody says so
+		if beat < 20 {
+			r.state.HoldTxns = 1 + beat % 2 // not carried out, and nobody says so
 		}
 		r.beat()
 		r.oneOwner()
