--- a/internal/sched/upgrade_test.go
+++ b/internal/sched/upgrade_test.go
@@ -323,7 +323,7 @@
 	}
 	r.beats(2) // some are recorded
 	for i := range 40 {
-		r.machine(fmt.Sprintf("i-%060d", i), "z1", false)
+		r.machine(fmt.Sprintf("i-%080d", i), "z1", false)
 	}
 	r.afterTxn = r.known
 	for beat := range 30 {
