--- a/internal/sched/upgrade_test.go
+++ b/internal/sched/upgrade_test.go
@@ -310,8 +310,15 @@
 // Machines' names longer than any seen before make a stated slot too large: its
 // ranges are moved, also cut, and nothing is lost meanwhile.
 func TestStatedSlotOutgrowsItsRecord(t *testing.T) {
+	for seed := range uint64(20) {
+		outgrow(t, rand.New(rand.NewPCG(seed, 3)))
+	}
+}
+
+func outgrow(t *testing.T, rnd *rand.Rand) {
+	const most = 1024
 	r := newRig(t)
-	r.cfg.ValueBytes = 1024
+	r.cfg.ValueBytes = most
 	r.claim()
 	r.part.SetStated()
 	r.machine("m1", "z1", false)
@@ -328,24 +335,27 @@
 	r.afterTxn = r.known
 	for beat := range 30 {
 		if beat < 20 {
-			r.state.HoldTxns = 1 + beat % 2 // not carried out, and nobody says so
+			r.state.HoldTxns = rnd.IntN(3) // not carried out, and nobody says so
+			r.workers["m1"].End(fmt.Sprintf("run-00000%d/%d", rnd.IntN(2), rnd.IntN(8)), wire.Done)
 		}
 		r.beat()
 		r.oneOwner()
-		if beat%7 == 3 {
+		if rnd.IntN(7) == 0 {
 			r.claim()
 			r.part.SetStated()
 		}
 	}
-	running := 0
-	for _, w := range r.workers {
-		running += len(w.Tasks)
+	for range 10 {
+		r.endAll()
+		r.beat()
 	}
-	if running != 32 {
-		t.Errorf("%d tasks run, want 32", running)
+	for i := range 4 {
+		if got := r.jobState(fmt.Sprintf("run-00000%d", i)); got != wire.Done {
+			t.Errorf("job %d is %q in the end", i, got)
+		}
 	}
 	for _, e := range r.slots() {
-		if len(e.Value) > 1024 {
+		if len(e.Value) > most {
 			t.Errorf("%s has %d bytes", e.Key, len(e.Value))
 		}
 	}
