--- /dev/null
+++ b/internal/sched/roots_test.go
@@ -0,0 +1,289 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/fragment"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// after records a job that names others, as a controller does.
+func (r *rig) after(ref string, roots ...string) wire.Spec {
+	s := spec(ref, "b", wire.Array, "normal", 1, 0)
+	s.CPUs, s.MemoryGB, s.Roots = 1, 1, roots
+	r.open(record.Open{Spec: s, At: r.clock.Now().UnixMilli(), Held: len(roots) > 0})()
+	return s
+}
+
+// tellEnds tells the part which of the jobs that it waits for are over.
+func (r *rig) tellEnds() {
+	for _, ref := range r.part.Awaited() {
+		if e := r.get(record.JobKey(ref)); e != nil {
+			j, err := decode[record.Job](*e)
+			if err != nil {
+				r.t.Fatal(err)
+			}
+			r.part.RootEnded(ref, j, r.clock.Now())
+		}
+	}
+}
+
+func TestWaitsForEveryRoot(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.after(jobA)
+	r.after(jobB)
+	r.after(jobC, jobA, jobB)
+	r.beats(3)
+	before := r.part.arrived
+	if s := r.part.Summary(r.clock.Now()); slices.ContainsFunc(s.Needs, func(n fleet.Need) bool { return n.Job == jobC }) {
+		t.Error("a job that waits for others asks for machines")
+	}
+	w.End(jobA+"/0", wire.Done)
+	r.beats(2)
+	r.tellEnds()
+	r.beats(2)
+	if got := started(w); slices.Contains(got, jobC) {
+		t.Fatalf("started %v with a root left", got)
+	}
+	w.End(jobB+"/0", wire.Done)
+	r.beat()
+	over := r.clock.Now()
+	r.beat()
+	r.tellEnds()
+	r.beats(2)
+	if got := started(w); !slices.Contains(got, jobC) {
+		t.Fatalf("started %v, want the job after both", got)
+	}
+	if r.part.arrived <= before {
+		t.Error("its release is no arrival")
+	}
+	if j := r.part.jobs[jobC]; j.accepted.Sub(over).Abs() > time.Second {
+		t.Errorf("it counts as waiting since %v, want since its last root was done at %v", j.accepted, over)
+	}
+	if o, err := decode[record.Open](*r.get(record.OpenKey(jobC))); err != nil || !o.Held {
+		t.Error("its record says that it is not held any more")
+	}
+}
+
+func TestEndsWithACancelledRoot(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	a := r.after(jobA)
+	r.after(jobB, jobA)
+	r.after(jobC, jobB)
+	r.beats(2)
+	r.cancel(a)()
+	for range 4 {
+		r.beat()
+		r.tellEnds()
+	}
+	for _, ref := range []string{jobA, jobB, jobC} {
+		if r.get(record.OpenKey(ref)) != nil || r.jobState(ref) != wire.Cancelled {
+			t.Errorf("%s is %q", ref, r.jobState(ref))
+		}
+	}
+	// Who comes after the cascade has passed is caught as well.
+	r.after(jobD, jobC)
+	r.tellEnds()
+	r.beats(2)
+	if r.jobState(jobD) != wire.Cancelled || len(r.part.roots) > 0 {
+		t.Errorf("a later one is %q, and %d are waited for", r.jobState(jobD), len(r.part.roots))
+	}
+	if got := started(w); !slices.Equal(got, []string{jobA}) {
+		t.Errorf("started %v", got)
+	}
+}
+
+// A job that another controller has ended, since it found a root cancelled, is
+// gone here, too, whether its own end was under way or not.
+func TestHeldJobEndedElsewhere(t *testing.T) {
+	r := newRig(t)
+	r.after(jobA)
+	r.after(jobB, jobA)
+	e := r.get(record.OpenKey(jobB))
+	_, err := r.state.Txn(t.Context(), statestore.Urgent("test"), wire.Txn{
+		If:   []wire.Cond{{Key: e.Key, Version: e.Version}},
+		Then: []wire.Op{{Put: record.JobKey(jobB), Value: record.Encode(record.Job{State: wire.Cancelled})}, {Delete: e.Key}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.part.RootEnded(jobA, record.Job{State: wire.Cancelled}, r.clock.Now())
+	r.beats(2) // its own write conflicts
+	if r.part.HasJob(jobB) {
+		t.Error("still held after its record was found gone")
+	}
+	r.after(jobC, jobA)
+	r.part.JobGone(jobC, r.clock.Now())
+	r.part.JobGone(jobA, r.clock.Now()) // runs, so only its owner ends it
+	if r.part.HasJob(jobC) || !r.part.HasJob(jobA) {
+		t.Error("a job that waited is still there, or one that runs is not")
+	}
+}
+
+// A job that inherits a priority goes before others of its own, and takes the
+// place of what is lower; without heirs it is as before.
+func TestInheritedPriority(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	low := spec("run-000001", "b", wire.Array, "low", 2, 1)
+	r.submit(low)
+	r.beats(2)
+	step := spec("run-000002", "b", wire.Array, "low", 1, 1)
+	r.submit(step)
+	r.beats(4)
+	if got := started(w); slices.Contains(got, "run-000002") {
+		t.Fatalf("started %v: work of one priority gave way to its equal", got)
+	}
+	due := r.clock.Now().Add(time.Minute)
+	r.part.Inherit("run-000002", fragment.Claim{Rank: Rank("urgent"), Due: due})
+	r.beats(5)
+	if got := started(w); !slices.Contains(got, "run-000002") {
+		t.Fatalf("started %v: lower work did not give way", got)
+	}
+	j := r.part.jobs["run-000002"]
+	if d := j.deadline(); d == nil || *d != due.Sub(j.accepted).Seconds() {
+		t.Errorf("its deadline is %v", d)
+	}
+	r.part.Inherit("run-000002", fragment.Claim{Rank: Rank("low")})
+	for rank, ms := range r.part.index.byRank {
+		for m := range ms {
+			n := 0
+			for k := range m.on {
+				if k.job.rank == rank {
+					n++
+				}
+			}
+			if m.ranks[rank] != n {
+				t.Errorf("the index counts %d tasks of priority %d on %s, which has %d", m.ranks[rank], rank, m.ID, n)
+			}
+		}
+	}
+}
+
+// Random graphs over three parts, with take-overs, cancellations, lost and late
+// writes: nothing starts before all its roots are done, a cancellation reaches all
+// that follows and nothing else, and in the end nothing is stuck.
+func TestRandomGraphsAcrossParts(t *testing.T) {
+	for seed := range uint64(25) {
+		rnd := rand.New(rand.NewPCG(seed, 4))
+		clock, state := testkit.NewClock(), testkit.NewState()
+		var rigs []*rig
+		for id := range 3 {
+			r := newRigOf(t, id, clock, state)
+			r.cfg.SilentAfter, r.cfg.BootFactor = time.Hour, 1e3 // parts take turns, which takes a while
+			for m := range 2 {
+				r.machine(fmt.Sprintf("m%d-%d", id, m), "z1", false)
+			}
+			rigs = append(rigs, r)
+		}
+		var refs []string
+		roots := map[string][]string{}
+		cancelled := map[string]bool{}
+		final := func(ref string) string {
+			if e := rigs[0].get(record.JobKey(ref)); e != nil {
+				return rigs[0].jobState(ref)
+			}
+			return ""
+		}
+		checked := map[*testkit.Worker]int{}
+		check := func() {
+			for _, r := range rigs {
+				for _, w := range r.workers {
+					for _, s := range started(w)[checked[w]:] {
+						for _, root := range roots[s] {
+							if final(root) != wire.Done {
+								t.Fatalf("seed %d: %s was started while %s is %q", seed, s, root, final(root))
+							}
+						}
+					}
+					checked[w] = len(w.Started)
+				}
+			}
+		}
+		owner := func(ref string) *rig { return rigs[int(record.Hash(ref))%len(rigs)] }
+		for round := range 120 {
+			if round < 60 && rnd.IntN(2) == 0 {
+				ref := fmt.Sprintf("run-%06d", rnd.IntN(1e6))
+				if roots[ref] != nil {
+					continue
+				}
+				roots[ref] = []string{}
+				for range rnd.IntN(4) {
+					if len(refs) > 0 {
+						roots[ref] = append(roots[ref], refs[rnd.IntN(len(refs))])
+					}
+				}
+				slices.Sort(roots[ref])
+				roots[ref] = slices.Compact(roots[ref])
+				refs = append(refs, ref)
+				owner(ref).after(ref, roots[ref]...)
+			}
+			if round < 80 && len(refs) > 0 {
+				switch ref := refs[rnd.IntN(len(refs))]; rnd.IntN(8) {
+				case 0:
+					if e := rigs[0].get(record.OpenKey(ref)); e != nil {
+						o, err := decode[record.Open](*e)
+						if err != nil {
+							t.Fatal(err)
+						}
+						cancelled[ref] = true
+						tell := owner(ref).cancel(o.Spec)
+						tell()
+					}
+				case 1:
+					rigs[rnd.IntN(len(rigs))].claim()
+				case 2:
+					state.LoseAnswers = 1
+				case 3:
+					state.HoldTxns = 1
+				case 4:
+					state.Release()
+				}
+			}
+			r := rigs[rnd.IntN(len(rigs))]
+			if rnd.IntN(2) == 0 || round > 90 {
+				for _, r := range rigs {
+					r.endAll()
+				}
+			}
+			r.tellEnds()
+			r.beat()
+			check()
+		}
+		state.Release()
+		for range 12 * len(refs) {
+			for _, r := range rigs {
+				r.endAll()
+				r.tellEnds()
+				r.beat()
+			}
+			check()
+		}
+		doomed := map[string]bool{}
+		for _, ref := range refs { // roots come before what names them
+			doomed[ref] = cancelled[ref] && final(ref) == wire.Cancelled || slices.ContainsFunc(roots[ref], func(r string) bool { return doomed[r] })
+			want := wire.Done
+			if doomed[ref] {
+				want = wire.Cancelled
+			}
+			if got := final(ref); got != want {
+				t.Errorf("seed %d: %s after %v is %q, want %q", seed, ref, roots[ref], got, want)
+			}
+		}
+		for _, r := range rigs {
+			if len(r.part.roots) > 0 || len(r.part.jobs) > 0 {
+				t.Errorf("seed %d: part %d still holds %d jobs and waits for %d", seed, r.id, len(r.part.jobs), len(r.part.roots))
+			}
+		}
+	}
+}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -15,6 +15,7 @@
 // rig plays one part against a scripted state service, cloud and workers.
 type rig struct {
 	t       testing.TB
+	id      int // of the part
 	clock   *testkit.Clock
 	state   *testkit.State
 	cloud   *testkit.Cloud
@@ -32,8 +33,11 @@
 	sendStart func(d Direct)
 }
 
-func newRig(t testing.TB) *rig {
-	r := &rig{t: t, clock: testkit.NewClock(), state: testkit.NewState(), cloud: &testkit.Cloud{}, workers: map[string]*testkit.Worker{}}
+func newRig(t testing.TB) *rig { return newRigOf(t, 0, testkit.NewClock(), testkit.NewState()) }
+
+// newRigOf plays one of several parts that share a state service.
+func newRigOf(t testing.TB, id int, clock *testkit.Clock, state *testkit.State) *rig {
+	r := &rig{t: t, id: id, clock: clock, state: state, cloud: &testkit.Cloud{}, workers: map[string]*testkit.Worker{}}
 	r.cfg = &Config{
 		Teams:  map[string]Team{"a": {Name: "a", GPUs: 2, MaxGPUs: 4}, "b": {Name: "b"}},
 		Types:  map[string]wire.MachineType{"big": {Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, BootS: 20, CacheGB: 50}},
@@ -48,13 +52,13 @@
 // claim makes a new owner: a new token and only what the records hold.
 func (r *rig) claim() {
 	r.t.Helper()
-	e := r.state.Put(record.PartKey(0), record.Part{Owner: "x"})
-	r.part = New(r.cfg, 0, e.Version)
+	e := r.state.Put(record.PartKey(r.id), record.Part{Owner: "x"})
+	r.part = New(r.cfg, r.id, e.Version)
 	r.fleet = record.NewFleet()
 	for _, e := range r.list(record.FleetPrefix) {
 		r.fleetChange(e)
 	}
-	if err := r.part.Load(r.fleet, r.list(record.OpenPrefix), r.list(record.SlotsOf(0)), r.clock.Now()); err != nil {
+	if err := r.part.Load(r.fleet, r.list(record.OpenPrefix), r.list(record.SlotsOf(r.id)), r.clock.Now()); err != nil {
 		r.t.Fatal(err)
 	}
 }
@@ -107,7 +111,7 @@
 }
 
 func (r *rig) machine(id, zone string, spot bool) *testkit.Worker {
-	r.sync(r.state.Put(record.RentalKey(id), record.Rental{Type: "big", Zone: zone, Spot: spot, Parts: []int{0}, IDs: []string{id}, Born: r.clock.Now().UnixMilli()}))
+	r.sync(r.state.Put(record.RentalKey(id), record.Rental{Type: "big", Zone: zone, Spot: spot, Parts: []int{r.id}, IDs: []string{id}, Born: r.clock.Now().UnixMilli()}))
 	w := testkit.NewWorker(id, "big", zone, spot)
 	r.workers[id] = w
 	return w
@@ -123,6 +127,7 @@
 }
 
 func (r *rig) open(o record.Open) (tell func()) {
+	o.Part = r.id
 	e := r.state.Put(record.OpenKey(o.Spec.Ref), o)
 	return func() { r.part.SetJob(o.Spec.Ref, o, e.Version, r.clock.Now()) }
 }
@@ -181,7 +186,7 @@
 			}
 		}
 		for _, n := range eff.RereadSlots {
-			if err := r.part.SlotRead(n, r.get(record.SlotKey(0, n)), now); err != nil {
+			if err := r.part.SlotRead(n, r.get(record.SlotKey(r.id, n)), now); err != nil {
 				r.t.Fatal(err)
 			}
 		}
