--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -71,3 +71,33 @@
 		}
 	}
 }
+
+// Limits to come are optional, each of them, and what is malformed stops the start.
+func TestNextLimits(t *testing.T) {
+	with := func(next string) string {
+		return strings.Replace(good, "[params.cloud]", "[params.state.next]\n"+next+"\n[params.cloud]", 1)
+	}
+	s, err := Parse(with("value_kb = 2.0\ntxn_ops = 20\nother = 1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Params.State.Tight(); got.ValueKB != 2 || got.TxnOps != 16 || got.RPS != 10 || got.Bytes() != 2048 {
+		t.Errorf("tighter limits %+v", got)
+	}
+	if s, err = Parse(good); err != nil || s.Params.State.Tight() != s.Params.State {
+		t.Errorf("without any: %+v, %v", s, err)
+	}
+	for _, c := range []struct{ next, field string }{
+		{"rps = 0.0", "params.state.next.rps"},
+		{"write_rps = -1.0", "params.state.next.write_rps"},
+		{"value_kb = nan", "params.state.next.value_kb"},
+		{"value_kb = inf", "params.state.next.value_kb"},
+		{"txn_ops = 1", "params.state.next.txn_ops"},
+		{"txn_ops = \"x\"", "next"},
+	} {
+		_, err := Parse(with(c.next))
+		if err == nil || !strings.Contains(err.Error(), c.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("with %s: err %v, want one line naming %s", c.next, err, c.field)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/roots_test.go
@@ -0,0 +1,317 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"bramblespur/internal/config"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/sched"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// dependent is a submission of a job that names others.
+func dependent(t *testing.T, ref string, roots any) []byte {
+	t.Helper()
+	return body(t, func(m map[string]any) { m["ref"], m["roots"] = ref, roots })
+}
+
+func TestDependentSubmissions(t *testing.T) {
+	state := testkit.NewState()
+	other := newTest(t, state) // accepted what c has not heard of
+	if got := other.submit(body(t, set("ref", "run-000001"))); got.status != 201 {
+		t.Fatal(got)
+	}
+	if got := other.submit(body(t, func(m map[string]any) { m["ref"], m["habit"] = "run-000002", "standing" })); got.status != 201 {
+		t.Fatal(got)
+	}
+	state.Put(record.JobKey("run-000003"), record.Job{State: wire.Done, Tasks: 2})
+	state.Put(record.JobKey("run-000004"), record.Job{State: wire.Cancelled})
+	var many []string
+	for i := range 400 {
+		ref := fmt.Sprintf("run-9%05d", i)
+		state.Put(record.JobKey(ref), record.Job{State: wire.Done})
+		many = append(many, ref)
+	}
+	for name, x := range map[string]struct {
+		roots any
+		want  int
+	}{
+		"null":                {nil, 201},
+		"none":                {[]string{}, 201},
+		"open":                {[]string{"run-000001"}, 201},
+		"done, named twice":   {[]string{"run-000003", "run-000003"}, 201},
+		"cancelled":           {[]string{"run-000004"}, 201},
+		"several":             {[]string{"run-000003", "run-000001"}, 201},
+		"many":                {many[:40], 201},
+		"more than a record":  {many, 422},
+		"never accepted":      {[]string{"run-000001", "run-000009"}, 422},
+		"itself":              {[]string{"run-000500"}, 422},
+		"a service":           {[]string{"run-000002"}, 422},
+		"no list":             {"run-000001", 400},
+		"numbers":             {[]int{1}, 400},
+		"an object":           {map[string]string{}, 400},
+		"null in the list":    {[]any{nil}, 400},
+		"malformed reference": {[]string{"run-1"}, 400},
+		"a pipeline":          {[]string{"pipe-000001"}, 400},
+	} {
+		c := newTest(t, state)
+		c.cfg.Params.State.Next.ValueKB = new(2.0)
+		if got := c.submit(dependent(t, "run-000500", x.roots)); got.status != x.want {
+			t.Errorf("%s: status %d, want %d", name, got.status, x.want)
+		}
+		e, err := state.Get(context.Background(), statestore.Urgent("test"), record.OpenKey("run-000500"))
+		if (err == nil) != (x.want == 201) {
+			t.Errorf("%s: recorded: %v", name, err)
+		}
+		if err != nil {
+			continue
+		}
+		var o record.Open
+		if err := decode(e.Value, &o); err != nil || o.Held != (len(o.Spec.Roots) > 0) {
+			t.Errorf("%s: held %t with roots %v, %v", name, o.Held, o.Spec.Roots, err)
+		}
+		// A known job is never refused, whatever it names now, and whatever the
+		// limits have become.
+		c.cfg.Params.State.Next.ValueKB = new(0.1)
+		if got := newTest(t, state).submit(dependent(t, "run-000500", []string{"run-000009"})); got.status != 200 {
+			t.Errorf("%s: repeat: status %d, want 200", name, got.status)
+		}
+		if got := c.submit(dependent(t, "run-000500", x.roots)); got.status != 200 {
+			t.Errorf("%s: repeat under tighter limits: status %d, want 200", name, got.status)
+		}
+		if _, err := state.Txn(context.Background(), statestore.Urgent("test"), wire.Txn{Then: []wire.Op{{Delete: e.Key}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := newTest(t, state)
+	state.Down = true
+	if got := c.submit(dependent(t, "run-000501", []string{"run-000009"})); got.status != 503 {
+		t.Errorf("unknown while the state service can't be asked: status %d, want 503", got.status)
+	}
+}
+
+// ending is a record of a job's end as some owner writes it.
+func endedAs(t *testing.T, state *testkit.State, ref, how string) {
+	t.Helper()
+	_, err := state.Txn(context.Background(), statestore.Urgent("test"), wire.Txn{Then: []wire.Op{
+		{Put: record.JobKey(ref), Value: record.Encode(record.Job{State: how})}, {Delete: record.OpenKey(ref)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// view brings a controller's view of open jobs up to date.
+func view(t *testing.T, state *testkit.State, c *Controller) {
+	t.Helper()
+	open, rev, err := state.List(context.Background(), statestore.Urgent("test"), record.OpenPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.resetOpen(open, rev, time.Now())
+}
+
+func finalState(t *testing.T, state *testkit.State, ref string) string {
+	t.Helper()
+	e, err := state.Get(context.Background(), statestore.Urgent("test"), record.JobKey(ref))
+	if err != nil {
+		return ""
+	}
+	var j record.Job
+	if err := decode(e.Value, &j); err != nil {
+		t.Fatal(err)
+	}
+	return j.State
+}
+
+// The owner lets a job start once it reads the ends of all that it names, whether
+// it was told of them or not; and it says pending until then.
+func TestOwnerLearnsOfRoots(t *testing.T) {
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	p := sched.New(c.schedCfg, 0, 1)
+	c.parts[0] = p
+	for _, ref := range []string{"run-000001", "run-000002"} {
+		other.submit(body(t, set("ref", ref)))
+	}
+	view(t, state, c)
+	c.submit(dependent(t, "run-000003", []string{"run-000001", "run-000002"}))
+	if got := p.Awaited(); len(got) != 2 {
+		t.Fatalf("waits for %v, want both", got)
+	}
+	if got, err := c.state(context.Background(), statestore.Urgent("test"), "run-000003"); err != nil || got != wire.Pending {
+		t.Fatalf("state %q, %v", got, err)
+	}
+	// One end is told by its owner, the other only by the state service.
+	endedAs(t, state, "run-000001", wire.Done)
+	c.Nudge(peer.NudgeArgs{Key: record.JobKey("run-000001"), Value: record.Encode(record.Job{State: wire.Done})})
+	if got := p.Awaited(); len(got) != 1 || got[0] != "run-000002" {
+		t.Fatalf("waits for %v after it was told of the first", got)
+	}
+	endedAs(t, state, "run-000002", wire.Done)
+	view(t, state, c)
+	c.seekRoot(context.Background(), "run-000002", nil) // as its loops do
+	if got := p.Awaited(); len(got) != 0 {
+		t.Fatalf("still waits for %v", got)
+	}
+	// What is not known yet is asked for again, not taken for done.
+	other.submit(body(t, set("ref", "run-000004")))
+	c.Nudge(peer.NudgeArgs{Key: record.OpenKey("run-000005"), Version: 99,
+		Value: record.Encode(record.Open{Spec: wire.Spec{Ref: "run-000005", Tasks: 1, Roots: []string{"run-000004"}}, Held: true})})
+	c.seekRoot(context.Background(), "run-000004", nil)
+	if got := p.Awaited(); len(got) != 1 {
+		t.Fatalf("waits for %v, want the one that the view lacks", got)
+	}
+}
+
+// Whoever finds a root cancelled ends what needs it, through any depth, also while
+// the owners are gone, and says so only once it is recorded.
+func TestCascadeWithoutOwners(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	for i := range 12 {
+		roots := []string{"run-000001"}
+		if i > 0 {
+			roots = []string{fmt.Sprintf("run-1%05d", i-1)} // a chain, and branches from its head
+		}
+		if i == 0 {
+			c.submit(body(t, set("ref", "run-000001")))
+		}
+		c.submit(dependent(t, fmt.Sprintf("run-1%05d", i), roots))
+		c.submit(dependent(t, fmt.Sprintf("run-2%05d", i), []string{"run-000001"}))
+	}
+	c.submit(body(t, set("ref", "run-000002")))
+	endedAs(t, state, "run-000001", wire.Cancelled)
+	state.Limit(0, 2)
+	for range 14 { // once each for the depth, and no more
+		view(t, state, c)
+		var roots []string
+		after := map[string][]string{}
+		c.needs.Each(func(r string, needed map[string]struct{}) {
+			if _, open := c.open[r]; open {
+				return
+			}
+			roots = append(roots, r)
+			for d := range needed {
+				after[r] = append(after[r], d)
+			}
+		})
+		for _, r := range roots {
+			c.seekRoot(context.Background(), r, after[r])
+		}
+	}
+	for i := range 12 {
+		for _, ref := range []string{fmt.Sprintf("run-1%05d", i), fmt.Sprintf("run-2%05d", i)} {
+			if finalState(t, state, ref) != wire.Cancelled {
+				t.Errorf("%s is not ended", ref)
+			}
+			if got := c.poll(ref); got.status != 200 || got.body.(wire.Status).State != wire.Cancelled {
+				t.Errorf("%s: poll %+v", ref, got)
+			}
+		}
+	}
+	if finalState(t, state, "run-000002") != "" {
+		t.Error("a job that needs nothing was ended")
+	}
+	if len(c.rootReads) > 24 {
+		t.Errorf("%d reads of roots are remembered", len(c.rootReads))
+	}
+}
+
+// A root that was done lets go what waits; nobody ends it.
+func TestDoneRootEndsNothing(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.submit(body(t, set("ref", "run-000001")))
+	c.submit(dependent(t, "run-000002", []string{"run-000001"}))
+	endedAs(t, state, "run-000001", wire.Done)
+	view(t, state, c)
+	c.seekRoot(context.Background(), "run-000001", []string{"run-000002"})
+	if finalState(t, state, "run-000002") != "" {
+		t.Error("ended though its root was done")
+	}
+}
+
+// The limits to write by are the tighter ones from the start; what only the second
+// version reads is written, and the lower rate used, once every controller of the
+// settings has given its word, and then for ever.
+func TestFormats(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.cfg.Params.State = config.State{RPS: 100, WriteRPS: 40, ValueKB: 16, TxnOps: 16,
+		Next: config.NextState{ValueKB: new(2.0), TxnOps: new(5), WriteRPS: new(28.0)}}
+	c.cfg.Peers = []config.Peer{{Label: "c-1"}, {Label: "c-2"}}
+	if l := c.limits(); l.Bytes() != 2048 || l.TxnOps != 5 {
+		t.Fatalf("writes by %+v", l)
+	}
+	word := func(label string) {
+		e := state.Put(record.FormatKey(label), record.Format{N: record.Stated})
+		c.changeCluster(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	}
+	c.viewAt = time.Now()
+	c.formatLoop(context.Background()) // gives its own word, once
+	c.formatLoop(context.Background())
+	word("c-1")
+	word("c-9") // of no concern
+	if c.allStated() || c.rates().WriteRPS != 40 {
+		t.Fatal("one controller has not given its word")
+	}
+	word("c-2")
+	if !c.allStated() || c.rates().WriteRPS != 28 {
+		t.Fatal("all have given their word")
+	}
+	c.resetCluster(nil, 0, time.Now())
+	if !c.allStated() {
+		t.Error("a word once given was forgotten")
+	}
+	// Where no limits are to come nothing changes.
+	c.cfg.Params.State.Next = config.NextState{}
+	if c.allStated() {
+		t.Error("stated ranges without need")
+	}
+}
+
+// Of each kind of record the largest that is written keeps to the limits to come.
+func TestLargestRecords(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.cfg.Params.State.Next = config.NextState{ValueKB: new(2.0), TxnOps: new(5)}
+	most := c.limits().Bytes()
+	fits := func(name string, v any) {
+		t.Helper()
+		if n := len(record.Encode(v)); n > most {
+			t.Errorf("%s takes %d bytes", name, n)
+		}
+	}
+	n := c.maxRental()
+	if n < 30 {
+		t.Errorf("only %d machines a rental", n)
+	}
+	rental := record.Rental{Type: strings.Repeat("t", 32), Zone: strings.Repeat("z", 32), Spot: true, Born: time.Now().UnixMilli()}
+	for i := range n {
+		rental.Parts = append(rental.Parts, 6)
+		rental.IDs = append(rental.IDs, fmt.Sprintf("i-%08d", i))
+		rental.Addrs = append(rental.Addrs, "255.255.255.255:65535")
+	}
+	fits("a rental", rental)
+	// A submission as long as it may be is refused, not recorded.
+	long := body(t, func(m map[string]any) { m["ref"], m["seedling"] = "run-000777", strings.Repeat("i", 3000) })
+	if got := c.submit(long); got.status != 422 {
+		t.Errorf("a specification of 3,000 bytes: status %d, want 422", got.status)
+	}
+	// One accepted under the wider limits can still be cancelled.
+	o := record.Open{Spec: wire.Spec{Ref: "run-000778", Team: "a", Tasks: 2, Image: strings.Repeat("i", 3000), Types: []string{"big"}}}
+	var short record.Open
+	if err := decode(c.cancelled(o), &short); err != nil || !short.Cancelled || short.Spec.Team != "a" || short.Spec.Tasks != 2 {
+		t.Errorf("cancelled: %+v, %v", short, err)
+	}
+	if n := len(c.cancelled(o)); n > most {
+		t.Errorf("its record takes %d bytes", n)
+	}
+}
--- a/internal/fragment/fragment_test.go
+++ b/internal/fragment/fragment_test.go
@@ -134,3 +134,42 @@
 		t.Fatal("not over")
 	}
 }
+
+// A job that names others is the join of a split into them: it is ready once all
+// are done, in whatever order, and never once one was cancelled.
+func TestAfter(t *testing.T) {
+	roots := []string{"a", "b", "c"}
+	for _, order := range [][]string{{"a", "b", "c"}, {"c", "a", "b"}, {"b", "c", "a"}} {
+		p := After("job", roots)
+		for i, r := range order {
+			if slices.Contains(p.Ready(), "job") {
+				t.Fatalf("ready after %v", order[:i])
+			}
+			if !p.Finish(r, "") {
+				t.Fatalf("%s was not ready", r)
+			}
+		}
+		if got := p.Ready(); len(got) != 1 || got[0] != "job" {
+			t.Fatalf("ready: %v", got)
+		}
+		carried := 0
+		for _, f := range p.pool {
+			if f.Jobs["job"] {
+				carried++
+			}
+		}
+		if carried != 1 {
+			t.Errorf("the job travels in %d fragments", carried)
+		}
+		if !p.Finish("job", "") || !p.Over() {
+			t.Error("not over after the job")
+		}
+	}
+	p := After("job", roots)
+	p.Finish("a", "")
+	p.Abort("b")
+	p.Finish("c", "")
+	if len(p.Ready()) > 0 || p.Left()["job"] {
+		t.Errorf("ready %v, left %v though a root was cancelled", p.Ready(), p.Left())
+	}
+}
--- a/internal/sched/pipeline_test.go
+++ b/internal/sched/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -189,3 +190,115 @@
 		}
 	}
 }
+
+// wide is a pipeline with a split into so many jobs, and its join.
+func wide(n int) record.Pipe {
+	p := record.Pipe{Jobs: []string{"run-000000"}}
+	last := fmt.Sprintf("run-%06d", n+1)
+	for i := range n {
+		ref := fmt.Sprintf("run-%06d", i+1)
+		p.Jobs = append(p.Jobs, ref)
+		p.Links = append(p.Links, link("run-000000", ref), link(ref, last))
+	}
+	p.Jobs = append(p.Jobs, last)
+	return p
+}
+
+// What the first version accepted under wider limits comes to its end under the
+// tighter ones, though neither its record nor its steps fit: each job once, the
+// join last, whoever owns the part and whatever answers are lost.
+func TestPipelineInPieces(t *testing.T) {
+	for seed := range uint64(10) {
+		rnd := rand.New(rand.NewPCG(seed, 5))
+		r := newRig(t)
+		r.cfg.SlotTasks, r.cfg.TxnOps, r.cfg.ValueBytes = SlotTasks(16), 5, 1024
+		r.claim()
+		r.part.SetStated()
+		w := r.machine("m1", "z1", false)
+		p := wide(13)
+		if size := len(record.Encode(p)); size < 1024 || !p.InPieces(1024, 5) {
+			t.Fatalf("a record of %d bytes is not too large", size)
+		}
+		r.pipeline(p)
+		r.state.Limit(1024, 5)
+		last := p.Jobs[len(p.Jobs)-1]
+		for beat := range 120 {
+			if beat < 60 {
+				switch rnd.IntN(4) {
+				case 0:
+					r.claim()
+					r.part.SetStated()
+				case 1:
+					r.state.LoseAnswers = 1
+				case 2:
+					r.state.HoldTxns = 1
+				}
+			} else {
+				r.state.Release()
+			}
+			r.beat()
+			if slices.Contains(started(w), last) {
+				for _, ref := range p.Jobs[:len(p.Jobs)-1] {
+					if r.jobState(ref) != wire.Done {
+						t.Fatalf("seed %d: the join started while %s is %q", seed, ref, r.jobState(ref))
+					}
+				}
+			}
+			r.endAll()
+		}
+		for _, ref := range p.Jobs {
+			if got := r.jobState(ref); got != wire.Done {
+				t.Errorf("seed %d: %s is %q", seed, ref, got)
+			}
+		}
+		if r.pipeState() != wire.Done || r.invalid > 0 {
+			t.Errorf("seed %d: the pipeline is %q, and %d writes were too large", seed, r.pipeState(), r.invalid)
+		}
+	}
+}
+
+// A cancelled job of such a pipeline ends what follows it; a withdrawal that came no
+// further than the pipeline's own record ends all.
+func TestPipelineInPiecesEnds(t *testing.T) {
+	for _, withdrawn := range []bool{false, true} {
+		r := newRig(t)
+		r.cfg.SlotTasks, r.cfg.TxnOps, r.cfg.ValueBytes = SlotTasks(16), 5, 1024
+		r.claim()
+		r.part.SetStated()
+		r.machine("m1", "z1", false)
+		p := wide(13)
+		r.pipeline(p)
+		r.state.Limit(1024, 5)
+		r.beats(2)
+		r.endAll()
+		r.beats(3)
+		if withdrawn {
+			over := p
+			over.State = wire.Cancelled
+			r.state.Put(record.PipeKey("pipe-000001"), over.Over(1024))
+		} else {
+			r.open(record.Open{Spec: spec(p.Jobs[3], "b", wire.Array, "normal", 1, 1), Pipe: "pipe-000001", Held: true, Cancelled: true})()
+		}
+		r.beats(2)
+		r.claim()
+		r.part.SetStated()
+		for range 20 {
+			r.beat()
+			if !withdrawn {
+				r.endAll()
+			}
+		}
+		for i, ref := range p.Jobs {
+			want := wire.Done
+			if i == 3 || i == len(p.Jobs)-1 || (withdrawn && i > 0) {
+				want = wire.Cancelled
+			}
+			if got := r.jobState(ref); got != want || r.get(record.OpenKey(ref)) != nil {
+				t.Errorf("withdrawn %t: %s is %q, want %q", withdrawn, ref, got, want)
+			}
+		}
+		if r.pipeState() != wire.Cancelled || len(r.part.jobs) > 0 {
+			t.Errorf("withdrawn %t: the pipeline is %q with %d jobs left", withdrawn, r.pipeState(), len(r.part.jobs))
+		}
+	}
+}
