--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -503,15 +503,24 @@
 	return nil
 }
 
+// breaksUp is what it counts against a machine that none of its cards is in use.
+const breaksUp = 150
+
 // score ranks a machine for a task: one that caches its image first (DESIGN's
 // stand-in for sending fragments to the data), then a spot machine where the
 // job may use one, then the fullest, so that whole machines stay free, and of
 // these the one with the fewest images, so that caches stay for whom they serve.
+// Work without cards goes beside work with cards, even where its image, which is
+// small, must be fetched first: a machine of which it takes a few cores is lost to
+// a gang that needs all of it.
 func (p *Part) score(j *Job, m *Machine) float64 {
 	v := 0.0
 	if m.hasImage(j.spec.Image) {
 		v += 100
 	}
+	if j.spec.GPUs <= 0 && m.Type.GPUs > 0 && m.gpus <= 0 {
+		v -= breaksUp
+	}
 	if m.Spot {
 		v += 30
 	}
