--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -23,19 +23,22 @@
 // tighter ones, whether they are in force or not. Nothing needs the difference,
 // while each change beyond the rate is refused and comes again. The lock is held.
 func (c *Controller) rates() config.State {
-	if c.allStated() {
+	if c.firstGone() {
 		return c.limits()
 	}
 	return c.cfg.Params.State
 }
 
-// allStated reports whether tighter limits are to come and every controller has
-// given its word that it writes and reads stated ranges. Without tighter limits
-// the first format serves. The lock is held.
+// allStated reports whether ranges of tasks are to state their size: the first
+// version is gone, and smaller records are to come, for which its format does not
+// serve. The lock is held.
 func (c *Controller) allStated() bool {
-	if c.limits().Bytes() >= c.cfg.Params.State.Bytes() && c.limits().TxnOps >= c.cfg.Params.State.TxnOps {
-		return false
-	}
+	return c.limits().Bytes() < c.cfg.Params.State.Bytes() && c.firstGone()
+}
+
+// firstGone reports whether every controller of the settings has given its word
+// on its format, and so none of the first version is left. The lock is held.
+func (c *Controller) firstGone() bool {
 	for _, l := range c.cfg.Labels() {
 		if c.formats[l].N < record.Stated {
 			return false
--- a/internal/controller/roots_test.go
+++ b/internal/controller/roots_test.go
@@ -270,6 +270,10 @@
 	if !c.allStated() {
 		t.Error("a word once given was forgotten")
 	}
+	c.cfg.Params.State.Next = config.NextState{WriteRPS: new(28.0)}
+	if c.allStated() || c.rates().WriteRPS != 28 {
+		t.Error("only the rate is to fall")
+	}
 	// Where no limits are to come nothing changes.
 	c.cfg.Params.State.Next = config.NextState{}
 	if c.allStated() {
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -227,8 +227,14 @@
 	if over := next.rec.Over(p.valueBytes); over.State != "" {
 		next.rec = over
 	}
-	value := record.Encode(next.rec)
-	if len(value) > p.valueBytes || len(t.Body.Then)+1+len(free) > p.txnOps {
+	ops := []wire.Op{{Put: at, Value: record.Encode(next.rec)}}
+	opens := make([]record.Open, len(free))
+	for i, s := range free {
+		opens[i] = record.Open{Spec: *s.spec, Part: p.id, At: now.UnixMilli(), Pipe: l.ref}
+		ops = append(ops, wire.Op{Put: record.OpenKey(s.ref), Value: record.Encode(opens[i])})
+	}
+	large := func(op wire.Op) bool { return len(op.Value) > p.valueBytes }
+	if slices.ContainsFunc(ops, large) || len(t.Body.Then)+len(ops) > p.txnOps {
 		// Too much for one piece, as the first version may have accepted it. What
 		// is released follows from the jobs' final records, so the job's end is
 		// enough; its condition keeps it from passing a withdrawal.
@@ -238,13 +244,10 @@
 		}
 		return true
 	}
-	t.Body.Then = append(t.Body.Then, wire.Op{Put: at, Value: value})
-	for _, s := range free {
-		open := record.Open{Spec: *s.spec, Part: p.id, At: now.UnixMilli(), Pipe: l.ref}
-		key := record.OpenKey(s.ref)
-		t.Body.If = append(t.Body.If, wire.Cond{Key: key, Version: s.version})
-		t.Body.Then = append(t.Body.Then, wire.Op{Put: key, Value: record.Encode(open)})
-		t.free[s] = open
+	t.Body.Then = append(t.Body.Then, ops...)
+	for i, s := range free {
+		t.Body.If = append(t.Body.If, wire.Cond{Key: record.OpenKey(s.ref), Version: s.version})
+		t.free[s] = opens[i]
 	}
 	return true
 }
