--- a/internal/fragment/needs.go
+++ b/internal/fragment/needs.go
@@ -10,6 +10,8 @@
 type Claim struct {
 	Rank int       // priority
 	Due  time.Time // when it is to be done; zero: whenever
+	// Needed says that others wait for its end.
+	Needed bool
 }
 
 // Step is an open job among those that need each other.
@@ -88,6 +90,7 @@
 		return nil
 	}
 	c := s.Claim
+	c.Needed = len(n.after[ref]) > 0
 	for d := range n.after[ref] {
 		e := n.claims[d]
 		c.Rank = max(c.Rank, e.Rank)
@@ -95,7 +98,7 @@
 			c.Due = begin
 		}
 	}
-	if old, known := n.claims[ref]; known && old.Rank == c.Rank && old.Due.Equal(c.Due) {
+	if old, known := n.claims[ref]; known && old.Rank == c.Rank && old.Due.Equal(c.Due) && old.Needed == c.Needed {
 		return nil
 	}
 	n.claims[ref] = c
--- a/internal/fragment/needs_test.go
+++ b/internal/fragment/needs_test.go
@@ -15,6 +15,7 @@
 			if r != ref {
 				continue
 			}
+			c.Needed = true
 			e := claimOf(steps, d)
 			c.Rank = max(c.Rank, e.Rank)
 			if begin := e.Due.Add(-s.Length); !e.Due.IsZero() && (c.Due.IsZero() || begin.Before(c.Due)) {
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -86,7 +86,7 @@
 	if j.cancelled {
 		rec.State, rec.Tasks = wire.Cancelled, 0
 	}
-	t := &Txn{job: j, Purpose: forJobEnd, Routine: !j.cancelled} // a user waits for a cancellation
+	t := &Txn{job: j, Purpose: forJobEnd, Routine: !j.cancelled && !j.needed} // a user waits for a cancellation
 	t.Body.If = []wire.Cond{p.cond(), {Key: open, Version: j.version}}
 	t.Body.Then = []wire.Op{{Put: record.JobKey(j.ref), Value: record.Encode(rec)}, {Delete: open}}
 	if !p.advance(t, j, now) {
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -70,7 +70,10 @@
 // Inherit gives a job what those that need it ask for.
 func (p *Part) Inherit(ref string, c fragment.Claim) {
 	j := p.jobs[ref]
-	if j == nil || (j.rank == c.Rank && j.due.Equal(c.Due)) {
+	if j == nil {
+		return
+	}
+	if j.needed = c.Needed; j.rank == c.Rank && j.due.Equal(c.Due) {
 		return
 	}
 	for i := range j.tasks {
--- a/internal/sched/roots_test.go
+++ b/internal/sched/roots_test.go
@@ -154,7 +154,7 @@
 	if d := j.deadline(); d == nil || *d != due.Sub(j.accepted).Seconds() {
 		t.Errorf("its deadline is %v", d)
 	}
-	r.part.Inherit("run-000002", fragment.Claim{Rank: Rank("low")})
+	r.part.Inherit("run-000002", fragment.Claim{Rank: Rank("low"), Needed: true})
 	for rank, ms := range r.part.index.byRank {
 		for m := range ms {
 			n := 0
@@ -170,6 +170,25 @@
 	}
 }
 
+// The end that others wait for does not let other writes pass.
+func TestNeededEndIsUrgent(t *testing.T) {
+	for _, needed := range []bool{false, true} {
+		r := newRig(t)
+		w := r.machine("m1", "z1", false)
+		r.after(jobA)
+		r.beats(2)
+		r.part.Inherit(jobA, fragment.Claim{Rank: Rank("normal"), Needed: needed})
+		w.End(jobA+"/0", wire.Done)
+		rep := w.Report()
+		r.part.Report(&rep, false, r.clock.Now())
+		eff := r.part.Step(r.clock.Now())
+		i := slices.IndexFunc(eff.Txns, func(t *Txn) bool { return t.Purpose == forJobEnd })
+		if i < 0 || eff.Txns[i].Routine == needed {
+			t.Errorf("needed %t: %d writes, the end routine or missing", needed, len(eff.Txns))
+		}
+	}
+}
+
 // Random graphs over three parts, with take-overs, cancellations, lost and late
 // writes: nothing starts before all its roots are done, a cancellation reaches all
 // that follows and nothing else, and in the end nothing is stuck.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -139,6 +139,7 @@
 	stuck     time.Time // since when something waits that fits nowhere
 	rank      int       // its priority, or a higher one of those that need it
 	due       time.Time // when it is to be done, for itself and these; zero: whenever
+	needed    bool      // others wait for its end
 	madeRoom  time.Time // until when room made for it is awaited
 	roomTried time.Time // when room was last sought in vain
 	kept      bool      // started after too long a wait: nothing takes its place
