A controller's word on its format is passed on by others that it answers

The state service may refuse one controller alone while the limits fall: the others would keep plain records, which can't be written any more, until it is back.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -75,6 +75,7 @@
 		}
 		c.cloud.Budget(c.cfg.Params.Cloud.RPS * share)
 		c.listen(ctx)
+		c.askFormats(ctx)
 	}
 }
 
--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -50,27 +50,53 @@
 // formatLoop gives this controller's word on its format, once for ever.
 //
 // Upgrade: the first version has no such record, and a process that dies before
-// its turn comes back as that version; so it must not be given by anybody else.
-// It may go when no deployment has plain slots left.
+// its turn comes back as that version; so it counts only what a process of this
+// version says itself. It may go when no deployment has plain slots left.
 func (c *Controller) formatLoop(ctx context.Context) {
-	key := record.FormatKey(c.cfg.Label)
-	value := record.Encode(record.Format{N: record.Stated})
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		known, viewed := c.formats[c.cfg.Label].N >= record.Stated, !c.viewAt.IsZero()
 		c.mu.Unlock()
-		if known {
+		if known || (viewed && c.giveWord(ctx, c.cfg.Label, c.Format())) {
 			return
 		}
-		if viewed {
-			// Without conditions: it says the same each time.
-			rev, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{{Put: key, Value: value}}})
-			if err == nil {
-				c.changeCluster(wire.Change{Put: key, Value: value, Version: rev}, time.Now())
-				return
-			}
-			c.log.Debug("format", "err", err)
-		}
 		sleep(ctx, jitter(300*time.Millisecond))
 	}
 }
+
+// Format implements peer.Handler.
+func (c *Controller) Format() int { return record.Stated }
+
+// giveWord records the format of a controller. It needs no conditions: it says the
+// same each time.
+func (c *Controller) giveWord(ctx context.Context, label string, n int) bool {
+	key, value := record.FormatKey(label), record.Encode(record.Format{N: n})
+	rev, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{{Put: key, Value: value}}})
+	if err != nil {
+		c.log.Debug("format", "of", label, "err", err)
+		return false
+	}
+	c.changeCluster(wire.Change{Put: key, Value: value, Version: rev}, time.Now())
+	return true
+}
+
+// askFormats asks controllers whose word is missing and passes it on: one that the
+// state service alone refuses can't give it itself, and the limits may fall
+// meanwhile. That it answers at all shows that it is of this version.
+func (c *Controller) askFormats(ctx context.Context) {
+	for label, p := range c.peers {
+		c.mu.Lock()
+		known := c.formats[label].N >= record.Stated || c.viewAt.IsZero() || !c.sure(time.Now())
+		c.mu.Unlock()
+		if known {
+			continue
+		}
+		go func() {
+			var n int
+			// The first version has no such method; one that is silent says nothing.
+			if err := p.Call("Format", c.cfg.Label, &n, pingTimeout); err == nil && n >= record.Stated {
+				c.giveWord(ctx, label, n)
+			}
+		}()
+	}
+}
--- a/internal/controller/roots_test.go
+++ b/internal/controller/roots_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"net"
+	"net/rpc"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -319,3 +323,62 @@
 		t.Errorf("its record takes %d bytes", n)
 	}
 }
+
+// first is a peer of the first version: it has Ping, and no other method that
+// matters here.
+type first struct{}
+
+func (first) Ping(_ string, r *bool) error { *r = true; return nil }
+
+// A controller that can't reach the state service is asked for its word by others;
+// one of the first version can't give it, and that is no failure.
+func TestWordOfOthers(t *testing.T) {
+	listen := func(name string, serve func(net.Listener)) string {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go serve(ln)
+		return ln.Addr().String()
+	}
+	old := listen("old", func(ln net.Listener) {
+		srv := rpc.NewServer()
+		if err := srv.RegisterName("Controller", first{}); err != nil {
+			return // and the test fails for want of an answer
+		}
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go srv.ServeConn(conn)
+		}
+	})
+	cut := newTest(t, testkit.NewState())
+	second := listen("new", func(ln net.Listener) { _ = peer.Serve(ln, cut) })
+	c := newTest(t, testkit.NewState())
+	c.viewAt = time.Now()
+	c.peers = map[string]*peer.Client{"c-1": peer.NewClient(old), "c-2": peer.NewClient(second)}
+	var ok bool
+	if err := c.peers["c-1"].Call("Ping", "c-0", &ok, time.Minute); err != nil || !ok {
+		t.Fatalf("the old peer: %t, %v", ok, err)
+	}
+	var n int
+	if err := c.peers["c-1"].Call("Format", "c-0", &n, time.Minute); err == nil {
+		t.Fatal("the old peer has a format")
+	}
+	c.askFormats(context.Background())
+	for {
+		c.mu.Lock()
+		got := maps.Clone(c.formats)
+		c.mu.Unlock()
+		if got["c-2"].N == record.Stated {
+			if len(got) != 1 {
+				t.Errorf("words %v", got)
+			}
+			return
+		}
+		runtime.Gosched()
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -70,6 +70,7 @@
 	Status(ref string) (wire.Status, bool)
 	User(UserArgs) UserReply
 	Ping() bool
+	Format() int
 }
 
 // Service is the net/rpc side of a Handler.
@@ -105,6 +106,14 @@
 	return nil
 }
 
+// Format serves Handler.Format: the format of records that this controller writes.
+//
+// Upgrade: the first version has no such method.
+func (s *Service) Format(_ string, r *int) error {
+	*r = s.h.Format()
+	return nil
+}
+
 // ErrNotHere says that a controller does not hold a job.
 var ErrNotHere = errors.New("peer: job not held here")
 
