--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -40,11 +40,14 @@
 	seq      int
 	nextList time.Time
 	clearing time.Time
-	backs    map[string]bool // batches being given back
-	grants   budgets
-	synced   time.Time
-	addrs    map[string]string // of machines, as their owners tell
-	returned time.Time         // when machines were last given back
+	clears   bool // records are being cleared
+	// addressing are the rentals whose addresses are being recorded.
+	addressing map[string]bool
+	backs      map[string]bool // batches being given back
+	grants     budgets
+	synced     time.Time
+	addrs      map[string]string // of machines, as their owners tell
+	returned   time.Time         // when machines were last given back
 }
 
 // leadLoop leads when this controller is the leader, and otherwise stands for
@@ -173,7 +176,7 @@
 		c.lead = &leading{
 			plan:    fleet.NewLeader(c.fleetConfig()),
 			rentals: map[string]record.Rental{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
-			backs: map[string]bool{}, addrs: map[string]string{},
+			backs: map[string]bool{}, addrs: map[string]string{}, addressing: map[string]bool{},
 		}
 	}
 	l := c.lead
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -74,6 +74,9 @@
 	}
 	left := addressesAtOnce
 	for name, r := range c.fleet.Unaddressed() {
+		if l.addressing[name] {
+			continue // a second write would only find that the first came
+		}
 		addrs, found := make([]string, len(r.Rec.IDs)), false
 		for i, id := range r.Rec.IDs {
 			v, _ := c.fleet.Machine(id)
@@ -107,14 +110,16 @@
 			If:   []wire.Cond{{Key: record.RentalKey(name), Version: r.Version}},
 			Then: []wire.Op{{Put: record.RentalKey(name), Value: record.Encode(rec)}},
 		}
+		l.addressing[name] = true
 		go func() {
 			rev, err := c.store.Txn(ctx, statestore.Routine("addresses"), t)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			delete(l.addressing, name)
 			if err != nil {
 				c.log.Debug("addresses", "rental", name, "err", err)
 				return // told and tried again
 			}
-			c.mu.Lock()
-			defer c.mu.Unlock()
 			c.applied(t, rev, time.Now())
 		}()
 	}
@@ -321,24 +326,28 @@
 	}
 	l.clearing = now.Add(clearEvery)
 	c.mu.Lock()
-	viewed := !c.fleetAt.IsZero() // before that the view may lack rentals
+	defer c.mu.Unlock()
+	if c.fleetAt.IsZero() || l.clears {
+		return // before there is a view it may lack rentals
+	}
 	ops := c.limits().TxnOps
 	t, ok := c.fleet.Clear(ops)
+	if !ok {
+		return
+	}
 	if len(t.Then) == ops && ops < clearOps { // the smaller the steps, the more of them
 		l.clearing = now.Add(clearEvery * time.Duration(ops) / clearOps)
 	}
-	c.mu.Unlock()
-	if !viewed || !ok {
-		return
-	}
+	l.clears = true
 	go func() {
 		rev, err := c.store.Txn(ctx, statestore.Routine("clear"), t)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		l.clears = false
 		if err != nil {
 			c.log.Debug("clear records", "err", err)
 			return
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.applied(t, rev, time.Now())
 	}()
 }
--- a/internal/controller/wave_test.go
+++ b/internal/controller/wave_test.go
@@ -35,6 +35,68 @@
 	}
 }
 
+// slowState is a state service whose transactions wait until they are let go.
+type slowState struct {
+	*testkit.State
+	asked, let chan struct{}
+}
+
+func (s *slowState) Txn(ctx context.Context, u statestore.Use, t wire.Txn) (uint64, error) {
+	s.asked <- struct{}{}
+	<-s.let
+	return s.State.Txn(ctx, u, t)
+}
+
+// While changes wait for the state service's budget the leader's turns go on: what
+// waits to be written is not written once more by each, which would only conflict
+// and use the budget up.
+func TestLeaderWritesOnce(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	c := newTest(t, state)
+	put := func(key string, v any) {
+		e := state.Put(key, v)
+		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	}
+	put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"a"}})
+	put(record.RentalKey("gone"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"b"}, Addrs: []string{"b:1"}})
+	put(record.BackKey(0, 1, 1), record.Back{IDs: []string{"b"}, Done: true})
+	slow := &slowState{state, make(chan struct{}, 99), make(chan struct{})}
+	c.store = slow
+	c.fleetAt = time.Now()
+	l := &leading{addrs: map[string]string{}, addressing: map[string]bool{}}
+	turn := func(i int) {
+		c.mu.Lock()
+		c.address(ctx, l, []fleet.Summary{{Machines: []fleet.Machine{{ID: "a", Addr: "a:1"}}}})
+		c.mu.Unlock()
+		c.clear(ctx, l, time.Now().Add(time.Duration(i)*clearEvery*2))
+	}
+	for i := range 4 {
+		turn(i)
+	}
+	<-slow.asked
+	<-slow.asked
+	close(slow.let)
+	for i, writes := 4, 2; ; i++ { // the last of the records goes with a later turn
+		c.mu.Lock()
+		v, _ := c.fleet.Machine("a")
+		left := len(c.fleet.Versions())
+		c.mu.Unlock()
+		turn(i)
+		runtime.Gosched()
+		for len(slow.asked) > 0 {
+			<-slow.asked
+			writes++
+		}
+		if v.Addr == "a:1" && left == 1 {
+			if writes != 3 {
+				t.Errorf("%d writes, want one for the address and two for what is gone", writes)
+			}
+			return
+		}
+	}
+}
+
 // A rental's addresses are recorded once every machine that will come up has told
 // its own, and not again.
 func TestAddressesAreRecorded(t *testing.T) {
@@ -46,7 +108,7 @@
 		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
 	}
 	put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0, 0, 0}, IDs: []string{"a", "b", "c"}})
-	l := &leading{addrs: map[string]string{}}
+	l := &leading{addrs: map[string]string{}, addressing: map[string]bool{}}
 	tell := func(id, addr string) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
