--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -10,6 +10,12 @@
 	"bramblespur/internal/wire"
 )
 
+// endsPatience is how much longer completions of jobs that go on wait for others,
+// in times that changes wait for the state service's budget. Their workers keep them
+// meanwhile, also for a new owner, and nobody waits for them, while each such write
+// is one that a user's request or a start does not get.
+const endsPatience = 8
+
 // retryAfter is the pause after a transaction that the state service refused.
 const retryAfter = 300 * time.Millisecond
 
@@ -46,7 +52,7 @@
 		// Completions alone wait for others to share the write: a user may be
 		// told of the end a little later. Starts that come one shortly after
 		// the other share one, too.
-		due := s.since.Add(p.cfg.GatherEnds)
+		due := s.since.Add(p.cfg.GatherEnds + endsPatience*p.backlog)
 		if s.urgent {
 			due = s.written.Add(p.cfg.GatherStarts + p.backlog)
 		}
