--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -124,10 +124,9 @@
 // Run runs a controller until its server fails.
 func Run(cfg *config.Settings, pol *policy.Policy, log *slog.Logger) error {
 	p := cfg.Params
-	n := float64(p.Count)
 	c := &Controller{
 		cfg: cfg, policy: pol, log: log,
-		store: statestore.New(cfg.Outside.State, p.State.RPS/n, p.State.WriteRPS/n),
+		store: statestore.New(cfg.Outside.State, p.Count, p.State.RPS, p.State.WriteRPS),
 		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*followerShare),
 	}
 	c.init()
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -75,6 +75,7 @@
 	watch   *httpwire.Client
 	reqs    *rate.Limiter
 	changes *rate.Limiter
+	burst   int // of changes
 
 	mu     sync.Mutex
 	counts map[string]Count
@@ -82,29 +83,34 @@
 	queued [2]int // and those waiting
 }
 
-// New returns a client that keeps to its share of the service's budget.
-func New(addr string, rps, writeRPS float64) *Client {
+// New returns a client that keeps to an equal share of the service's budget, which
+// so many controllers have together.
+func New(addr string, controllers int, rps, writeRPS float64) *Client {
+	n := float64(controllers)
 	c := &Client{
-		http: httpwire.NewClient(addr, 4), watch: httpwire.NewClient(addr, 4),
+		burst: max(minBurst, int(writeRPS/2)),
+		http:  httpwire.NewClient(addr, 4), watch: httpwire.NewClient(addr, 4),
 		reqs: rate.NewLimiter(0, 0), changes: rate.NewLimiter(0, 0), counts: map[string]Count{},
 	}
-	c.Budget(rps, writeRPS)
+	c.Budget(rps/n, writeRPS/n)
 	return c
 }
 
 var _ Store = (*Client)(nil)
 
-// Budget implements Store. Bursts are of half a second's worth: the service
-// allows a second's for all controllers together.
+// Budget implements Store. Bursts of requests are of half a second's worth: the
+// service allows a second's for all controllers together. Changes come seldom and
+// several at once, as the jobs of a pipeline, and a controller's part of a second is
+// two or three: so each may use half of what all may, which seldom meet.
 func (c *Client) Budget(rps, writeRPS float64) {
-	set := func(l *rate.Limiter, r float64) {
+	set := func(l *rate.Limiter, r float64, burst int) {
 		if l.Limit() != rate.Limit(r) {
 			l.SetLimit(rate.Limit(r))
-			l.SetBurst(max(minBurst, int(r/2)))
+			l.SetBurst(burst)
 		}
 	}
-	set(c.reqs, rps)
-	set(c.changes, writeRPS)
+	set(c.reqs, rps, max(minBurst, int(rps/2)))
+	set(c.changes, writeRPS, max(c.burst, int(writeRPS/2)))
 }
 
 // minBurst lets the smallest budget still pass a job's end in one go.
