--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -116,7 +116,7 @@
 			"tasks", e.Tasks, "attempts", e.Attempts)
 	}
 	for _, s := range eff.Started {
-		c.log.Debug("task runs", "task", s.Task, "class", s.Class, "machine", s.Machine, "cached", s.Cached, "queued", s.Queued.Round(time.Millisecond),
+		c.log.Debug("task runs", "task", s.Task, "class", s.Class, "machine", s.Machine, "image", s.Image, "gb", s.ImageGB, "cached", s.Cached, "queued", s.Queued.Round(time.Millisecond),
 			"recording", s.Recording.Round(time.Millisecond), "sending", s.Sending.Round(time.Millisecond), "seen", s.Seen.Round(time.Millisecond), "runs", s.Runs.Round(time.Millisecond))
 	}
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -318,7 +318,7 @@
 	}
 	t.steps = nil
 	p.out.Started = append(p.out.Started, Start{
-		Task: k.name(), Class: k.job.spec.Class, Machine: t.machine.ID, Cached: s.cached,
+		Task: k.name(), Class: k.job.spec.Class, Machine: t.machine.ID, Image: k.job.spec.Image, ImageGB: k.job.spec.ImageGB, Cached: s.cached,
 		Queued: s.placed.Sub(k.job.accepted), Recording: s.recorded.Sub(s.placed), Sending: s.sent.Sub(s.recorded),
 		Seen: s.seen.Sub(s.sent), Runs: now.Sub(s.seen),
 	})
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -109,6 +109,8 @@
 	Task, Class, Machine                   string
 	Queued, Recording, Sending, Seen, Runs time.Duration // each after the one before
 	Cached                                 bool
+	Image                                  string
+	ImageGB                                float64
 }
 
 // Job is an unfinished job.
