--- a/internal/controller/wave_test.go
+++ b/internal/controller/wave_test.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// fleetPut writes a machine's record and tells a controller of it.
+func fleetPut(state *testkit.State, c *Controller) func(key string, v any) {
+	return func(key string, v any) {
+		e := state.Put(key, v)
+		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	}
+}
+
 // slowState is a state service whose transactions wait until they are let go.
 type slowState struct {
 	*testkit.State
@@ -54,10 +62,7 @@
 	ctx := context.Background()
 	state := testkit.NewState()
 	c := newTest(t, state)
-	put := func(key string, v any) {
-		e := state.Put(key, v)
-		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
-	}
+	put := fleetPut(state, c)
 	put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"a"}})
 	put(record.RentalKey("gone"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"b"}, Addrs: []string{"b:1"}})
 	put(record.BackKey(0, 1, 1), record.Back{IDs: []string{"b"}, Done: true})
@@ -103,10 +108,7 @@
 	ctx := context.Background()
 	state := testkit.NewState()
 	c := newTest(t, state)
-	put := func(key string, v any) {
-		e := state.Put(key, v)
-		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
-	}
+	put := fleetPut(state, c)
 	put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0, 0, 0}, IDs: []string{"a", "b", "c"}})
 	l := &leading{addrs: map[string]string{}, addressing: map[string]bool{}}
 	tell := func(id, addr string) {
