--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -174,6 +174,11 @@
 		return nil, err
 	}
 	p := sched.New(cfg, id, token)
+	c.mu.Lock()
+	if c.allStated() {
+		p.SetStated() // before it writes anything
+	}
+	c.mu.Unlock()
 	return p, p.Load(fl, open, slots, time.Now())
 }
 
