--- a/internal/sched/upgrade_test.go
+++ b/internal/sched/upgrade_test.go
@@ -254,6 +254,9 @@
 func (r *rig) known() {
 	r.t.Helper()
 	next := New(r.cfg, 0, r.part.token)
+	if r.part.stated {
+		next.SetStated() // as the controller knows from the words of all
+	}
 	if err := next.Load(r.fleet, r.list(record.OpenPrefix), r.slots(), r.clock.Now()); err != nil {
 		r.t.Fatal(err)
 	}
