--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -503,8 +503,13 @@
 	return nil
 }
 
-// breaksUp is what it counts against a machine that none of its cards is in use.
-const breaksUp = 150
+// breaksUp is what it counts against a machine that none of its cards is in use, and
+// holdsUp that all its work is such as may have to give way to a gang: a task that
+// has inherited a priority would not.
+const (
+	breaksUp = 150
+	holdsUp  = 110
+)
 
 // score ranks a machine for a task: one that caches its image first (DESIGN's
 // stand-in for sending fragments to the data), then a spot machine where the
@@ -518,8 +523,13 @@
 	if m.hasImage(j.spec.Image) {
 		v += 100
 	}
-	if j.spec.GPUs <= 0 && m.Type.GPUs > 0 && m.gpus <= 0 {
-		v -= breaksUp
+	if j.spec.GPUs <= 0 && m.Type.GPUs > 0 {
+		switch {
+		case m.gpus <= 0:
+			v -= breaksUp
+		case m.ranks[highestRank]+m.ranks[highestRank-1] == 0:
+			v -= holdsUp
+		}
 	}
 	if m.Spot {
 		v += 30
