--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -347,3 +347,48 @@
 		}
 	}
 }
+
+// Work without cards goes beside work with cards that gives way to no gang, though
+// another machine caches its image: not on one whose work may have to go, nor on one
+// that a gang could use as a whole.
+func TestWithoutCardsBesideWhatStays(t *testing.T) {
+	place := func(with string) string {
+		r := newRig(t)
+		r.machine("m1", "z1", false)
+		r.beats(2)
+		r.submit(spec("run-000001", "b", wire.Array, with, 2, 1))
+		r.beats(2)
+		for _, id := range []string{"m2", "m3"} {
+			r.machine(id, "z1", false)
+		}
+		r.beats(2)
+		r.submit(spec("run-000002", "b", wire.Gang, "urgent", 1, 2))
+		r.beats(2)
+		if r.on("run-000001/0") != "m1" || r.on("run-000001/1") != "m1" || r.on("run-000002/0") == "" {
+			t.Fatalf("the array is on %s, the gang on %s", r.on("run-000001/0"), r.on("run-000002/0"))
+		}
+		s := spec("run-000003", "b", wire.Array, "low", 1, 0)
+		s.CPUs, s.MemoryGB, s.Image = 1, 1, "step"
+		for id, m := range r.part.machines {
+			if id != r.on("run-000002/0") {
+				r.part.keepsImage(m, s.Image, 1) // all but the gang's machine cache it
+			}
+		}
+		r.submit(s)
+		r.beats(2)
+		switch r.on("run-000003/0") {
+		case "":
+			t.Fatal("it does not run")
+		case "m1":
+			return "array's"
+		case r.on("run-000002/0"):
+			return "gang's"
+		}
+		return "unused"
+	}
+	for _, priority := range []string{"normal", "low"} {
+		if got := place(priority); got != "gang's" {
+			t.Errorf("beside an array of priority %s it went to the %s machine", priority, got)
+		}
+	}
+}
