--- a/internal/sched/ranges.go
+++ b/internal/sched/ranges.go
@@ -31,8 +31,8 @@
 	runOverhead = 2
 	// statedPlace is what a placement takes besides its machine's name, and
 	// statedRun a range besides its placements and its job's name.
-	statedPlace = 24
-	statedRun   = 64
+	statedPlace = 16
+	statedRun   = 48
 	// slotEnvelope is what a slot takes besides its ranges.
 	slotEnvelope = 16
 	// longestRef is that of the longest job id.
