What leaves a slot does not come back to it

A stated slot that has outgrown its record hands ranges on. Sized by the names known before, one could be entered in the same slot again, which then waited for itself and was never written. The fall of the limits is now tested after any write of a split.

--- a/internal/sched/ranges.go
+++ b/internal/sched/ranges.go
@@ -157,7 +157,7 @@
 // enter puts a range into a slot, the first with room if none is named.
 func (p *Part) enter(c *chunk, s *slot) *chunk {
 	if s == nil {
-		s = p.roomySlot(p.cost(c, p.stated))
+		s = p.roomySlot(p.cost(c, p.stated), nil)
 	}
 	c.slot, c.cost = s, p.cost(c, s.stated)
 	if s.stated {
@@ -173,15 +173,16 @@
 
 // roomySlot returns the first slot that may take a range. What is written keeps
 // to the tighter of the limits where it can: only a range that is larger by
-// itself gets a slot of its own.
-func (p *Part) roomySlot(cost int) *slot {
+// itself gets a slot of its own. What leaves a slot does not come back to it, which
+// would wait for itself to be written.
+func (p *Part) roomySlot(cost int, leaves *slot) *slot {
 	most := p.valueBytes
 	if p.stated {
 		most -= slotEnvelope
 	}
 	for n := 0; ; n++ {
 		s := p.slot(n)
-		if s.stated == p.stated && len(s.left) == 0 && (len(s.chunks) == 0 || s.used+cost <= most) {
+		if s != leaves && s.stated == p.stated && len(s.left) == 0 && (len(s.chunks) == 0 || s.used+cost <= most) {
 			return s
 		}
 	}
@@ -232,7 +233,7 @@
 	}
 	for first := c.first; first < c.end; first += most {
 		n := &chunk{job: c.job, first: first, end: min(first+most, c.end), turn: c.turn, attempt: c.attempt, from: from}
-		p.enter(n, nil)
+		p.enter(n, p.roomySlot(p.cost(n, p.stated), old))
 		if from.version > 0 {
 			from.left[n] = struct{}{}
 		} else {
--- a/internal/sched/upgrade_test.go
+++ b/internal/sched/upgrade_test.go
@@ -202,14 +202,17 @@
 		r := upgradeRig(t)
 		r.runAs(plainFacts(t, r.slots(), r.cfg.chunkTasks()))
 		r.state.Limit(wideBytes, wideOps)
-		at := rnd.IntN(6)
+		// The limits fall after any of the writes from then on.
+		at, falls, writes := rnd.IntN(6), rnd.IntN(25), 0
+		r.afterTxn = func() {
+			if writes++; r.part.stated && writes > falls {
+				r.state.Limit(tightBytes, tightOps)
+			}
+		}
 		for round := range 60 {
 			if round >= at {
 				r.part.SetStated() // each controller's word is there for every owner
 			}
-			if round == at+2 {
-				r.state.Limit(tightBytes, tightOps)
-			}
 			if round < 40 {
 				switch rnd.IntN(5) {
 				case 0:
@@ -364,6 +367,46 @@
 	}
 }
 
+// A range that leaves a slot goes to another, and until it is written there the slot
+// that tells it is not written without it, whatever else changes in it.
+func TestSlotWaitsForWhatLeft(t *testing.T) {
+	r := newRig(t)
+	r.claim()
+	r.part.SetStated()
+	w := r.machine("m1", "z1", false)
+	for i := range 2 {
+		s := spec(fmt.Sprintf("run-00000%d", i), "b", wire.Array, "normal", 2, 0)
+		s.CPUs, s.MemoryGB = 1, 1
+		r.submit(s)
+	}
+	r.beats(2)
+	moved, stays := r.part.jobs["run-000000"].chunks[0], r.part.jobs["run-000001"].chunks[0]
+	old := moved.slot
+	if stays.slot != old || old.version == 0 {
+		t.Fatal("the jobs do not share a recorded slot")
+	}
+	r.part.move(moved, 2)
+	if now := r.part.jobs["run-000000"].chunks[0].slot; now == old {
+		t.Fatal("the range came back to the slot that it left")
+	}
+	w.End("run-000001/0", wire.Done) // the old slot has something to write
+	rep := w.Report()
+	r.part.Report(&rep, false, r.clock.Now())
+	r.clock.Advance(time.Second)
+	writes := func() []*Txn {
+		return slices.DeleteFunc(r.part.Step(r.clock.Now()).Txns, func(t *Txn) bool { return t.slot == nil })
+	}
+	txns := writes()
+	if len(txns) != 1 || txns[0].slot == old {
+		t.Fatalf("%d writes, want one, of what left", len(txns))
+	}
+	r.part.Applied(txns[0], r.state.Put("x", 1).Version, r.clock.Now())
+	txns = writes()
+	if len(txns) != 1 || txns[0].slot != old {
+		t.Errorf("%d writes after that, want the old slot's", len(txns))
+	}
+}
+
 // A state service that takes less than was known: what it does not take is never
 // sent again as it was, and work goes on.
 func TestShrinks(t *testing.T) {
