--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,10 +17,23 @@
 // probeTimeout bounds the asking for a report: an answer takes milliseconds.
 const probeTimeout = 1500 * time.Millisecond
 
-// Command sends orders straight to a worker and returns its report, given both
-// when they were carried out (ok) and when they were refused. Connections are
-// not kept: direct commands are rare and sockets few.
-func Command(ctx context.Context, addr string, o wire.DirectOrders) (r wire.Report, ok bool, err error) {
+// API is what controllers ask of workers directly.
+type API interface {
+	// Command sends orders straight to a worker and returns its report, given both
+	// when they were carried out (ok) and when they were refused.
+	Command(ctx context.Context, addr string, o wire.DirectOrders) (r wire.Report, ok bool, err error)
+	// Show asks a worker for its report.
+	Show(ctx context.Context, addr string) (wire.Report, error)
+}
+
+// Client is an API over HTTP. Connections are not kept: direct commands are rare
+// and sockets few.
+type Client struct{}
+
+var _ API = Client{}
+
+// Command implements API.
+func (Client) Command(ctx context.Context, addr string, o wire.DirectOrders) (r wire.Report, ok bool, err error) {
 	body, err := json.Marshal(o)
 	if err != nil {
 		return r, false, fmt.Errorf("encode: %w", err)
@@ -29,8 +42,8 @@
 	return r, status == 200, err
 }
 
-// Show asks a worker for its report.
-func Show(ctx context.Context, addr string) (r wire.Report, err error) {
+// Show implements API.
+func (Client) Show(ctx context.Context, addr string) (r wire.Report, err error) {
 	_, err = call(ctx, addr, probeTimeout, "GET", wire.ShowPath, nil, &r)
 	return r, err
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"bramblespur/internal/agent"
 	"bramblespur/internal/cloud"
 	"bramblespur/internal/config"
 	"bramblespur/internal/fragment"
@@ -51,9 +52,11 @@
 	cfg    *config.Settings
 	policy *policy.Policy
 	log    *slog.Logger
+	life   context.Context // ends with the controller
 	store  statestore.Store
 	cloud  cloud.API
-	peers  map[string]*peer.Client
+	agents agent.API
+	peers  map[string]peer.Caller
 	teams  []string // names in order
 
 	mu         sync.Mutex
@@ -124,26 +127,22 @@
 // Run runs a controller until its server fails.
 func Run(cfg *config.Settings, pol *policy.Policy, log *slog.Logger) error {
 	p := cfg.Params
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	c := &Controller{
-		cfg: cfg, policy: pol, log: log,
-		store: statestore.New(cfg.Outside.State, p.Count, p.State.RPS, p.State.WriteRPS),
-		cloud: cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*followerShare),
+		cfg: cfg, policy: pol, log: log, life: ctx,
+		store:  statestore.New(cfg.Outside.State, p.Count, p.State.RPS, p.State.WriteRPS),
+		cloud:  cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*followerShare),
+		agents: agent.Client{},
 	}
 	c.init()
 	for _, q := range cfg.Peers {
 		c.peers[q.Label] = peer.NewClient(q.Addr)
 	}
-	for _, t := range p.Teams {
-		c.teams = append(c.teams, t.Name)
-	}
-	sort.Strings(c.teams)
-
 	ln, err := net.Listen("tcp4", cfg.PeerListen)
 	if err != nil {
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	errs := make(chan error, 2)
 	go func() { errs <- peer.Serve(ln, c) }()
 	srv := &server{handle: c.handle, log: log, conns: map[gnet.Conn]*connState{},
@@ -155,6 +154,14 @@
 			// connections of the one before still linger on it.
 			gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLog{log}))
 	}()
+	c.start()
+	log.Info("controller started", "label", cfg.Label, "zone", cfg.Zone)
+	return fmt.Errorf("server: %w", <-errs)
+}
+
+// start begins all that a controller does by itself, until its life ends.
+func (c *Controller) start() {
+	ctx := c.life
 	go c.leaseLoop(ctx)
 	go c.formatLoop(ctx)
 	go c.watchLoop(ctx, record.ClusterPrefix, c.resetCluster, c.changeCluster)
@@ -165,13 +172,15 @@
 	go c.leadLoop(ctx)
 	go c.confirmLoop(ctx)
 	go c.countLoop(ctx)
-	log.Info("controller started", "label", cfg.Label, "zone", cfg.Zone)
-	return fmt.Errorf("server: %w", <-errs)
 }
 
 func (c *Controller) init() {
+	for _, t := range c.cfg.Params.Teams {
+		c.teams = append(c.teams, t.Name)
+	}
+	sort.Strings(c.teams)
 	c.syncedAt = time.Now()
-	c.peers = map[string]*peer.Client{}
+	c.peers = map[string]peer.Caller{}
 	c.parts = map[int]*sched.Part{}
 	c.claiming = map[int]bool{}
 	c.partRecs = map[int]versioned[record.Part]{}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"bramblespur/internal/agent"
 	"bramblespur/internal/config"
 	"bramblespur/internal/fleet"
 	"bramblespur/internal/httpwire"
@@ -33,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &Controller{cfg: cfg, policy: pol, log: slog.New(slog.DiscardHandler), store: state, teams: []string{"a"}}
+	c := &Controller{cfg: cfg, policy: pol, log: slog.New(slog.DiscardHandler), life: context.Background(), store: state, agents: agent.Client{}}
 	c.init()
 	c.setTypes([]wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, Zones: []string{"z"}}})
 	c.lease, c.leaseAt = 1, time.Now()
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -113,7 +113,7 @@
 
 // Sync implements peer.Handler.
 func (c *Controller) Sync(a peer.SyncArgs) peer.SyncReply {
-	ctx := context.Background()
+	ctx := c.life
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"bramblespur/internal/agent"
 	"bramblespur/internal/config"
 	"bramblespur/internal/httpwire"
 	"bramblespur/internal/policy"
@@ -138,7 +137,7 @@
 }
 
 func (c *Controller) commit(p *sched.Part, t *sched.Txn) {
-	rev, err := c.store.Txn(context.Background(), statestore.Use{For: t.Purpose, Routine: t.Routine}, t.Body)
+	rev, err := c.store.Txn(c.life, statestore.Use{For: t.Purpose, Routine: t.Routine}, t.Body)
 	var conflict *statestore.ConflictError
 	c.locked(p, func(now time.Time) {
 		switch {
@@ -184,12 +183,14 @@
 
 // again repeats a read until it succeeds or the part is not ours any more.
 func (c *Controller) again(p *sched.Part, read func(context.Context) error) bool {
-	ctx := context.Background()
+	ctx := c.life
 	for {
 		if err := read(ctx); err == nil {
 			return true
 		}
-		sleep(ctx, jitter(400*time.Millisecond))
+		if !sleep(ctx, jitter(400*time.Millisecond)) {
+			return false
+		}
 		c.mu.Lock()
 		ours := c.parts[p.ID()] == p
 		c.mu.Unlock()
@@ -292,7 +293,7 @@
 }
 
 func (c *Controller) rereadPart(id int) {
-	ctx := context.Background()
+	ctx := c.life
 	for range 10 {
 		e, err := c.store.Get(ctx, statestore.Urgent("read back"), record.PartKey(id))
 		if err == nil {
@@ -312,7 +313,7 @@
 
 // probe asks a worker for its report and tells the part.
 func (c *Controller) probe(p *sched.Part, q sched.Probe) {
-	r, err := agent.Show(context.Background(), q.Addr)
+	r, err := c.agents.Show(c.life, q.Addr)
 	if err == nil && r.Machine != q.Machine {
 		err = fmt.Errorf("%s answers for %s", r.Machine, q.Machine) // another has its address by now
 	}
@@ -331,7 +332,7 @@
 // direct sends commands straight to a worker and tells the part what came of it.
 func (c *Controller) direct(p *sched.Part, d sched.Direct) {
 	c.commands <- struct{}{}
-	r, ok, err := agent.Command(context.Background(), d.Addr, d.Orders)
+	r, ok, err := c.agents.Command(c.life, d.Addr, d.Orders)
 	<-c.commands
 	if err == nil && r.Machine != d.Machine {
 		err = fmt.Errorf("%s answers for %s", r.Machine, d.Machine) // another has its address by now
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -27,7 +27,7 @@
 	if !ok {
 		return later()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	ctx, cancel := context.WithTimeout(c.life, userTimeout)
 	defer cancel()
 	use := statestore.Urgent("accept")
 	// What is known is never refused, whatever the settings say by now.
@@ -191,7 +191,7 @@
 	if no := c.refuses(ref, "pipe-"); !no.zero() {
 		return no
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	ctx, cancel := context.WithTimeout(c.life, userTimeout)
 	defer cancel()
 	rec, _, err := c.pipe(ctx, statestore.Routine("poll"), ref)
 	switch {
@@ -237,7 +237,7 @@
 	if no := c.refuses(ref, "pipe-"); !no.zero() {
 		return no
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	ctx, cancel := context.WithTimeout(c.life, userTimeout)
 	defer cancel()
 	use := statestore.Urgent("cancel")
 	for range cancelTries {
--- a/internal/controller/roots.go
+++ b/internal/controller/roots.go
@@ -94,7 +94,7 @@
 // tellEnd brings a job's final record to the owners of jobs that need it, without
 // waiting for their views. The lock is held.
 func (c *Controller) tellEnd(ref string, op wire.Op) {
-	owners := map[*peer.Client]bool{}
+	owners := map[peer.Caller]bool{}
 	for d := range c.needs.After(ref) {
 		part := c.open[d].part
 		if owner := c.peers[c.partRecs[part].rec.Owner]; c.parts[part] == nil && owner != nil {
--- a/internal/controller/roots_test.go
+++ b/internal/controller/roots_test.go
@@ -359,7 +359,7 @@
 	second := listen("new", func(ln net.Listener) { _ = peer.Serve(ln, cut) })
 	c := newTest(t, testkit.NewState())
 	c.viewAt = time.Now()
-	c.peers = map[string]*peer.Client{"c-1": peer.NewClient(old), "c-2": peer.NewClient(second)}
+	c.peers = map[string]peer.Caller{"c-1": peer.NewClient(old), "c-2": peer.NewClient(second)}
 	var ok bool
 	if err := c.peers["c-1"].Call("Ping", "c-0", &ok, time.Minute); err != nil || !ok {
 		t.Fatalf("the old peer: %t, %v", ok, err)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -100,7 +100,7 @@
 func (c *Controller) passOn(req httpwire.Request) (reply, bool) {
 	c.mu.Lock()
 	now := time.Now()
-	var best *peer.Client
+	var best peer.Caller
 	for label, p := range c.peers { // any order: they are all as good
 		if now.Sub(c.peerState[label]) < peerFresh && now.Sub(c.peerOK[label]) < peerFresh {
 			best = p
@@ -233,7 +233,7 @@
 	if !ok {
 		return later()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	ctx, cancel := context.WithTimeout(c.life, userTimeout)
 	defer cancel()
 	if !c.canRun(s, types) {
 		return c.unless(ctx, s.Ref, 422)
@@ -348,7 +348,7 @@
 	if c.down() {
 		return later()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	ctx, cancel := context.WithTimeout(c.life, userTimeout)
 	defer cancel()
 	if !c.confirmed(ctx, ref) {
 		state, err := c.state(ctx, statestore.Routine("poll"), ref)
@@ -421,7 +421,7 @@
 	if c.down() {
 		return later()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), userTimeout)
+	ctx, cancel := context.WithTimeout(c.life, userTimeout)
 	defer cancel()
 	use := statestore.Urgent("cancel")
 	for range cancelTries {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"syscall"
@@ -266,7 +265,7 @@
 		return
 	}
 	for range int(keepHold / keepLook) {
-		sleep(context.Background(), keepLook)
+		sleep(c.life, keepLook)
 		c.mu.Lock()
 		token = 0
 		if m, known := c.fleet.Machine(r.Machine); known {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -148,7 +148,14 @@
 // ErrTimeout says that a peer did not answer in time.
 var ErrTimeout = errors.New("peer: no answer in time")
 
-// Client calls one peer over one connection, made again after a failure.
+// Caller calls the methods of one peer's service.
+type Caller interface {
+	Call(method string, args, reply any, timeout time.Duration) error
+}
+
+var _ Caller = (*Client)(nil)
+
+// Client is a Caller over one connection, made again after a failure.
 type Client struct {
 	addr string
 	mu   sync.Mutex
