A job's other tasks wait for machines in the zones that are left to them

Cause: the leader did not know where a service that is spread, or a job of one zone of which some tasks run, may still go. Room in a zone that is full or wrong for it counted as serving it, so nothing was rented and it waited for ever; and room was made and kept, and work stopped, in zones that it could not use. Found by a test in which a service of two tasks never got its second one beside an idle cluster. Tests: TestSpreadNeedsAnotherZone, TestNeedsNameTheZonesLeft and TestNoRoomIsMadeInAnotherZone fail without this.

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -164,6 +165,10 @@
 func (p *plan) take() {
 	for _, s := range p.sums {
 		for _, n := range s.Needs {
+			n.InZone = maps.Clone(n.InZone)
+			if n.ZoneLimit > 0 && n.InZone == nil {
+				n.InZone = map[string]int{}
+			}
 			w := &waiting{n, s.Part}
 			p.needs = append(p.needs, w)
 			p.hunger(w, 1)
@@ -286,6 +291,7 @@
 	if got := p.assign(n, bins); got != nil {
 		for _, b := range got {
 			b.use(&n.Need)
+			n.place(b.Zone)
 		}
 		n.Count -= len(got)
 	}
@@ -302,6 +308,8 @@
 	var best []*bin
 	for _, z := range zones {
 		var got []*bin
+		trial := n.Need
+		trial.InZone = maps.Clone(n.InZone)
 		for _, b := range bins {
 			if len(got) == n.Count {
 				break
@@ -309,7 +317,8 @@
 			if (z != "" && b.Zone != z) || !b.fits(&n.Need) {
 				continue
 			}
-			for c := *b; len(got) < n.Count && c.fits(&n.Need); c.use(&n.Need) {
+			for c := *b; len(got) < n.Count && c.fits(&n.Need) && trial.open(b.Zone); c.use(&n.Need) {
+				trial.place(b.Zone)
 				got = append(got, b)
 			}
 		}
@@ -340,6 +349,7 @@
 			b = m
 		}
 		b.use(&n.Need)
+		n.place(b.Zone)
 		if b.part != n.part {
 			orders = append(orders, Order{Part: b.part, Machine: b.ID, To: n.part, Below: below})
 			b.part = n.part // what is left of it serves the same part
@@ -416,7 +426,11 @@
 	if n.Gang && n.OneZone {
 		offers = p.gangZone(n, offers, mine)
 	}
-	for i := 0; n.Count > 0 && len(offers) > 0; i++ {
+	for i := 0; n.Count > 0; i++ {
+		offers = slices.DeleteFunc(offers, func(o offer) bool { return !n.open(o.zone) })
+		if len(offers) == 0 {
+			return // what may not go to the zones that are left waits
+		}
 		o := offers[0]
 		if !n.OneZone {
 			// Spread over the zones of the cheapest kind.
@@ -427,8 +441,9 @@
 			o = offers[i%same]
 		}
 		b := p.add(o, n.part)
-		for n.Count > 0 && b.fits(&n.Need) {
+		for n.Count > 0 && b.fits(&n.Need) && n.open(b.Zone) {
 			b.use(&n.Need)
+			n.place(b.Zone)
 			n.Count--
 		}
 	}
@@ -449,6 +464,7 @@
 	}
 	for _, b := range got {
 		b.use(&n.Need)
+		n.place(b.Zone)
 	}
 	n.Count -= len(got)
 	return slices.DeleteFunc(offers, func(o offer) bool { return o.zone != zone })
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -165,3 +165,29 @@
 		t.Fatalf("orders %v, want the one without images back", orders)
 	}
 }
+
+// A service that is spread over zones needs a machine in another zone once one has
+// as many of its tasks as it may: room where it may not go is none.
+func TestSpreadNeedsAnotherZone(t *testing.T) {
+	n := need(false, 1, time.Second)
+	n.ZoneLimit, n.InZone = 1, map[string]int{"z1": 1}
+	beside := Machine{ID: "m", Type: "big", Zone: "z1", Up: true, Usable: true, CPUs: 10, GPUs: 1, MemoryGB: 40, Tasks: 1}
+	for name, sums := range map[string][]Summary{
+		"room beside it":         {{Part: 0, Needs: []Need{n}, Machines: []Machine{beside}}},
+		"unused in another part": {{Part: 0, Needs: []Need{n}}, {Part: 1, Machines: []Machine{idleMachine("i", "z1", false)}}},
+	} {
+		orders, rents := newLeader().Plan(sums, start)
+		if len(orders) != 0 || len(rents) != 1 || rents[0].Zone != "z2" || len(rents[0].Parts) != 1 {
+			t.Errorf("%s: orders %v, rents %v, want one machine in z2", name, orders, rents)
+		}
+	}
+	n.Count, n.ZoneLimit, n.InZone = 4, 2, nil
+	_, rents := newLeader().Plan([]Summary{{Part: 0, Needs: []Need{n}}}, start)
+	byZone := map[string]int{}
+	for _, r := range rents {
+		byZone[r.Zone] += len(r.Parts)
+	}
+	if byZone["z1"] != 1 || byZone["z2"] != 1 {
+		t.Errorf("four tasks of half a machine, two a zone: rents %v", rents)
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -23,6 +23,20 @@
 	Count    int
 	Rank     int // priority
 	Waited   time.Duration
+	// ZoneLimit is how many of the job's tasks may be in one zone, 0 for any number,
+	// and InZone how many are in each.
+	ZoneLimit int
+	InZone    map[string]int
+}
+
+// open reports whether one more task may go to a zone.
+func (n *Need) open(zone string) bool { return n.ZoneLimit == 0 || n.InZone[zone] < n.ZoneLimit }
+
+// place takes in that a task goes to a zone.
+func (n *Need) place(zone string) {
+	if n.ZoneLimit > 0 {
+		n.InZone[zone]++
+	}
 }
 
 // Machine is a machine as its part's owner sees it.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -284,7 +284,7 @@
 	byZone := map[string][]*Machine{}
 	units := map[string]int{}
 	p.roomy(j.spec, now, func(m *Machine) {
-		if m.keptFromOthers(j, now) || p.gathers[m.Zone] != nil {
+		if m.keptFromOthers(j, now) || p.gathers[m.Zone] != nil || !j.mayGoTo(m.Zone) {
 			return
 		}
 		fits := 0
@@ -368,10 +368,7 @@
 	if len(cands) == 0 {
 		return nil
 	}
-	limit := len(j.tasks)
-	if s.Spread {
-		limit = (len(j.tasks) + 1) / 2
-	}
+	limit := j.zoneLimit()
 	only := ""
 	if s.OneZone {
 		for z := range j.zones {
@@ -414,6 +411,23 @@
 	return best
 }
 
+// zoneLimit is how many of a job's tasks may be in one zone.
+func (j *Job) zoneLimit() int {
+	if j.spec.Spread {
+		return (len(j.tasks) + 1) / 2
+	}
+	return len(j.tasks)
+}
+
+// mayGoTo reports whether a zone may take one more of a job's tasks, as those that
+// are placed leave it.
+func (j *Job) mayGoTo(zone string) bool {
+	if j.spec.OneZone && len(j.zones) > 0 && j.zones[zone] == 0 {
+		return false
+	}
+	return j.zones[zone] < j.zoneLimit()
+}
+
 // found is the candidates for a job's tasks, the best first, while no other
 // job's task is placed.
 type found struct {
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -392,3 +392,61 @@
 		}
 	}
 }
+
+// What a job's tasks that run leave to the others is told to the leader: a job of
+// one zone waits for a machine there, and one that is spread for one elsewhere.
+func TestNeedsNameTheZonesLeft(t *testing.T) {
+	r := newRig(t)
+	one := spec("run-000001", "b", wire.Array, "prod", 3, 1)
+	one.OneZone = true
+	r.submit(one)
+	r.machine("m1", "z2", false)
+	r.beats(4)
+	apart := spec("run-000002", "b", wire.Service, "prod", 2, 1)
+	apart.Spread = true
+	r.submit(apart)
+	r.machine("m2", "z1", false)
+	r.beats(4)
+	found := 0
+	for _, n := range r.part.Summary(r.clock.Now()).Needs {
+		switch n.Job {
+		case "run-000001":
+			found++
+			if n.Zone != "z2" {
+				t.Errorf("the array's other task is wanted in %q, want z2", n.Zone)
+			}
+		case "run-000002":
+			found++
+			if n.ZoneLimit != 1 || n.InZone["z1"] != 1 {
+				t.Errorf("the service's need: %+v, want one a zone with one in z1", n)
+			}
+		}
+	}
+	if found != 2 {
+		t.Errorf("%d needs told, want 2", found)
+	}
+}
+
+// Room is made, and machines are gathered, only where a job may still go: work in
+// another zone is neither stopped nor kept from others for it.
+func TestNoRoomIsMadeInAnotherZone(t *testing.T) {
+	for kind, n := range map[string]int{wire.Array: 3, wire.Service: 2} {
+		r := newRig(t)
+		bound := spec("run-000001", "b", kind, "prod", n, 1)
+		bound.OneZone, bound.Spread = kind == wire.Array, kind == wire.Service
+		r.submit(bound)
+		first := map[string]string{wire.Array: "z2", wire.Service: "z1"}[kind]
+		r.machine("m1", first, false)
+		r.beats(4)
+		low := spec("run-000002", "b", wire.Array, "low", 2, 1)
+		r.submit(low)
+		r.machine("m2", "z1", false)
+		r.beats(20)
+		for i := range 2 {
+			name := fmt.Sprintf("run-000002/%d", i)
+			if at := r.on(name); at == "" || (kind == wire.Array && at != "m2") {
+				t.Errorf("%s: %s is on %q: its place was kept or taken for what can't use it", kind, name, at)
+			}
+		}
+	}
+}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -33,7 +33,7 @@
 	byZone := map[string][]option{}
 	within := p.guaranteed(j, n)
 	p.mayYield(j, within, now, func(m *Machine) {
-		if !allows(j.spec, m) || !p.usable(m, now) || m.keptFromOthers(j, now) || p.awaited(m, j, now) {
+		if !allows(j.spec, m) || !j.mayGoTo(m.Zone) || !p.usable(m, now) || m.keptFromOthers(j, now) || p.awaited(m, j, now) {
 			return
 		}
 		r := free(m)
@@ -238,10 +238,7 @@
 	}
 	zones := maps.Clone(j.zones)
 	coming := 0
-	limit := len(j.tasks)
-	if s.Spread {
-		limit = (limit + 1) / 2
-	}
+	limit := j.zoneLimit()
 	for m := range p.index.kept[j.ref] {
 		// Room that is free by now, or made where the image is not, is not what
 		// is waited for.
@@ -257,7 +254,7 @@
 	var victim key
 	bestLoss := math.Inf(1)
 	for m := range p.index.byImage[s.Image] {
-		if !allows(s, m) || !p.usable(m, now) || zones[m.Zone] >= limit || m.keptFromOthers(j, now) {
+		if !allows(s, m) || !j.mayGoTo(m.Zone) || !p.usable(m, now) || zones[m.Zone] >= limit || m.keptFromOthers(j, now) {
 			continue
 		}
 		f := free(m)
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -43,6 +44,14 @@
 		if sp.Zone != nil {
 			need.Zone = *sp.Zone
 		}
+		if sp.OneZone {
+			for z := range j.zones {
+				need.Zone = z // the others have to follow
+			}
+		}
+		if sp.Spread {
+			need.ZoneLimit, need.InZone = j.zoneLimit(), maps.Clone(j.zones)
+		}
 		s.Needs = append(s.Needs, need)
 	}
 	sort.Slice(s.Needs, func(a, b int) bool {
