--- /dev/null
+++ b/internal/testkit/checker.go
@@ -0,0 +1,358 @@
+package testkit
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// The protocol's rules as the checker names them, and what else is expected.
+const (
+	RanTwice     = "ran_twice"
+	OverQuota    = "quota"
+	WrongPlace   = "wrong_place"
+	RanCancelled = "ran_cancelled"
+	Forgotten    = "forgotten"
+	Invented     = "invented"
+	NotDone      = "not_done"
+	WentBack     = "went_back"
+	TooEarly     = "too_early"
+	Orphaned     = "orphaned"
+	StartedLate  = "start after a confirmed cancellation"
+	Waited       = "waits though a machine has room"
+	BadAnswer    = "wrong answer to bad input"
+)
+
+// waitLimit is how long a fitting job may wait, and pollLimit how long its polls may
+// stay unanswered, once all troubles are over.
+const (
+	waitLimit = 90 * time.Second
+	pollLimit = 75 * time.Second
+)
+
+// Place is a machine as the checker needs to know it.
+type Place struct {
+	ID, Type, Zone string
+	Spot           bool
+}
+
+// Checker watches what happens on the machines and what users are told, and
+// collects what the protocol's rules forbid.
+type Checker struct {
+	mu      sync.Mutex
+	teams   map[string]float64       // limits in cards, 0: none
+	cancelS time.Duration            // how long a cancelled task may live on
+	jobs    map[string]*watched      // submitted ones
+	on      map[string]map[Place]int // task names by where they are, with a count of attempts
+	broken  []string
+	seen    map[string]bool
+	calm    time.Time // when the last trouble ended, zero while there are some
+}
+
+// watched is what the checker knows of a job.
+type watched struct {
+	spec       wire.Spec
+	accepted   time.Time // when a user was first told so
+	asked      bool      // its user asked for its end
+	cancelled  time.Time // when its user was told so
+	doneTold   time.Time
+	done       map[int]bool
+	lastAnswer time.Time
+	waits      time.Time // since when it waits beside room
+}
+
+// NewChecker returns a checker for teams with limits in cards, 0 for none.
+func NewChecker(teams map[string]float64, cancelAfter time.Duration) *Checker {
+	return &Checker{teams: teams, cancelS: cancelAfter, jobs: map[string]*watched{}, on: map[string]map[Place]int{}, seen: map[string]bool{}}
+}
+
+// Broken returns what was found, each once, in the order found.
+func (c *Checker) Broken() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.broken)
+}
+
+func (c *Checker) fail(rule, format string, args ...any) {
+	text := rule + ": " + fmt.Sprintf(format, args...)
+	if key := rule + strings.Fields(fmt.Sprintf(format, args...))[0]; !c.seen[key] {
+		c.seen[key] = true
+		c.broken = append(c.broken, fmt.Sprintf("%s (%s)", text, time.Now().Format("15:04:05.000")))
+	}
+}
+
+// Submit takes in that a user is about to submit a job.
+func (c *Checker) Submit(s wire.Spec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.jobs[s.Ref] == nil {
+		c.jobs[s.Ref] = &watched{spec: s, done: map[int]bool{}}
+	}
+}
+
+// Cancel takes in that a user asks for a job's end.
+func (c *Checker) Cancel(ref string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[ref]; j != nil {
+		j.asked = true
+	}
+}
+
+// Request is what a user asked of a node.
+type Request int
+
+// The requests that the checker knows.
+const (
+	Submission Request = iota
+	Poll
+	Cancellation
+)
+
+// Answer takes in a node's answer: its status, and the job's state if that is 200
+// or 201.
+func (c *Checker) Answer(kind Request, ref string, asked, got time.Time, status int, state string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[ref]
+	ok := status == 200 || status == 201
+	if j == nil {
+		if ok {
+			c.fail(Invented, "%s was never submitted, answer %d %s", ref, status, state)
+		}
+		return
+	}
+	known := !j.accepted.IsZero() && !asked.Before(j.accepted)
+	switch {
+	case known && kind == Poll && status == 404, known && kind == Submission && (status == 400 || status == 422):
+		c.fail(Forgotten, "%s was accepted, answer %d", ref, status)
+	case known && kind == Cancellation && status >= 400 && status < 500 && status != 429:
+		c.fail(Forgotten, "%s was accepted, its cancellation is answered %d", ref, status)
+	}
+	if !ok {
+		return
+	}
+	j.lastAnswer = got
+	if j.accepted.IsZero() {
+		j.accepted = got
+	}
+	if kind == Cancellation && state != wire.Cancelled && state != wire.Done {
+		c.fail(WentBack, "%s: a cancellation is answered 200 %s", ref, state)
+	}
+	switch {
+	case !j.doneTold.IsZero() && !asked.Before(j.doneTold) && state != wire.Done:
+		c.fail(WentBack, "%s was done, answer %s", ref, state)
+	case !j.cancelled.IsZero() && !asked.Before(j.cancelled) && state != wire.Cancelled:
+		c.fail(WentBack, "%s was cancelled, answer %s", ref, state)
+	case state == wire.Cancelled && !c.mayBeCancelled(j, map[string]bool{}):
+		c.fail(WentBack, "%s is called cancelled though nobody asked for that", ref)
+	case state == wire.Done && len(j.done) < j.spec.Tasks:
+		c.fail(NotDone, "%s is called done with %d of %d tasks", ref, len(j.done), j.spec.Tasks)
+	}
+	if state == wire.Pending || state == wire.Running {
+		for _, root := range j.spec.Roots {
+			if r := c.jobs[root]; r != nil && !r.cancelled.IsZero() && asked.Sub(r.cancelled) > c.cancelS {
+				c.fail(Orphaned, "%s is %s long after %s was cancelled", ref, state, root)
+			}
+		}
+	}
+	if state == wire.Done && j.doneTold.IsZero() {
+		j.doneTold = got
+	}
+	if state == wire.Cancelled && j.cancelled.IsZero() {
+		j.cancelled = got
+	}
+}
+
+// mayBeCancelled reports whether a job's user, or that of one that it needs, asked
+// for its end.
+func (c *Checker) mayBeCancelled(j *watched, seen map[string]bool) bool {
+	if j.asked {
+		return true
+	}
+	for _, root := range j.spec.Roots {
+		if r := c.jobs[root]; r != nil && !seen[root] {
+			seen[root] = true
+			if c.mayBeCancelled(r, seen) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// On takes in that a task starts on a machine.
+func (c *Checker) On(task string, at Place) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ref, _, _ := strings.Cut(task, "/")
+	j := c.jobs[ref]
+	if j == nil {
+		c.fail(Invented, "%s starts, its job was never submitted", task)
+		return
+	}
+	s := j.spec
+	for p := range c.on[task] {
+		if p != at {
+			c.fail(RanTwice, "%s starts on %s while on %s", task, at.ID, p.ID)
+		}
+	}
+	if (s.Types != nil && !slices.Contains(s.Types, at.Type)) || (s.Zone != nil && *s.Zone != at.Zone) || (at.Spot && !s.Spot) {
+		c.fail(WrongPlace, "%s starts on %v", task, at)
+	}
+	if !j.cancelled.IsZero() {
+		c.fail(StartedLate, "%s starts on %s", task, at.ID)
+	}
+	for _, root := range s.Roots {
+		if r := c.jobs[root]; r == nil || len(r.done) < r.spec.Tasks {
+			c.fail(TooEarly, "%s starts before %s is done", task, root)
+		}
+	}
+	if c.on[task] == nil {
+		c.on[task] = map[Place]int{}
+	}
+	c.on[task][at]++
+	zones := map[string]int{}
+	used := 0.0
+	for name, places := range c.on {
+		r, _, _ := strings.Cut(name, "/")
+		other := c.jobs[r]
+		for p := range places {
+			if r == ref && name != task {
+				zones[p.Zone]++
+			}
+			if other.spec.Team == s.Team {
+				used += other.spec.GPUs
+			}
+		}
+	}
+	if limit := c.teams[s.Team]; limit > 0 && used > limit+1e-6 {
+		c.fail(OverQuota, "%s uses %v of %v at %s", s.Team, used, limit, task)
+	}
+	for zone, n := range zones {
+		if s.OneZone && zone != at.Zone {
+			c.fail(WrongPlace, "%s starts in %s while others are in %s", task, at.Zone, zone)
+		}
+		if s.Spread && zone == at.Zone && n+1 > (s.Tasks+1)/2 {
+			c.fail(WrongPlace, "%s starts in %s as number %d of %d there", task, zone, n+1, s.Tasks)
+		}
+	}
+}
+
+// Off takes in that a task is not on a machine any more.
+func (c *Checker) Off(task string, at Place) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.on[task][at]--; c.on[task][at] <= 0 {
+		delete(c.on[task], at)
+	}
+	if len(c.on[task]) == 0 {
+		delete(c.on, task)
+	}
+}
+
+// Done takes in that a task has completed.
+func (c *Checker) Done(ref string, task int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[ref]; j != nil {
+		j.done[task] = true
+	}
+}
+
+// Calm takes in that all troubles are over, or that they begin.
+func (c *Checker) Calm(calm bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calm = time.Time{}
+	if calm {
+		c.calm = time.Now()
+	}
+}
+
+// Room tells whether a task fits on some machine as things stand.
+type Room func(s *wire.Spec) bool
+
+// Look is to be called now and then: it finds what lasts too long.
+func (c *Checker) Look(room Room) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	used := map[string]float64{}
+	for task, places := range c.on {
+		ref, _, _ := strings.Cut(task, "/")
+		j := c.jobs[ref]
+		if j == nil {
+			continue
+		}
+		used[j.spec.Team] += j.spec.GPUs * float64(len(places))
+		if !j.cancelled.IsZero() && now.Sub(j.cancelled) > c.cancelS {
+			c.fail(RanCancelled, "%s is there %v after its user was told", task, now.Sub(j.cancelled).Round(time.Second))
+		}
+	}
+	for ref, j := range c.jobs {
+		if j.accepted.IsZero() || c.calm.IsZero() || j.asked {
+			j.waits = time.Time{}
+			continue
+		}
+		if !j.doneTold.IsZero() || !j.cancelled.IsZero() {
+			continue
+		}
+		if since := later(c.calm, later(j.lastAnswer, j.accepted)); now.Sub(since) > pollLimit {
+			c.fail(Forgotten, "%s: no answer for %v after the troubles", ref, now.Sub(since).Round(time.Second))
+		}
+		if !c.waitsBesideRoom(j, used, room) {
+			j.waits = time.Time{}
+			continue
+		}
+		if j.waits.IsZero() {
+			j.waits = now
+		}
+		if now.Sub(later(c.calm, j.waits)) > waitLimit {
+			c.fail(Waited, "%s has waited since %s", ref, j.waits.Format("15:04:05"))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// waitsBesideRoom reports whether a job has a task that is nowhere, though it may
+// start and a machine has room for it.
+func (c *Checker) waitsBesideRoom(j *watched, used map[string]float64, room Room) bool {
+	s := &j.spec
+	missing := 0
+	for i := range s.Tasks {
+		if !j.done[i] && len(c.on[fmt.Sprintf("%s/%d", s.Ref, i)]) == 0 {
+			missing++
+		}
+	}
+	for _, root := range s.Roots {
+		if r := c.jobs[root]; r == nil || len(r.done) < r.spec.Tasks {
+			return false
+		}
+	}
+	need := 1
+	if s.Kind == wire.Gang {
+		need = missing
+	}
+	limit := c.teams[s.Team]
+	return missing > 0 && (limit <= 0 || used[s.Team]+float64(need)*s.GPUs <= limit+1e-6) && room(s)
+}
+
+// BadInput checks the answer to a request that is to be refused.
+func (c *Checker) BadInput(what string, status, want int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if status != want && status != 503 && status != 429 {
+		c.fail(BadAnswer, "%s answered %d, not %d", what, status, want)
+	}
+}
--- /dev/null
+++ b/internal/testkit/checker_test.go
@@ -0,0 +1,140 @@
+package testkit
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// Each rule is broken by a small script, which the checker must catch; and the
+// scripts without the last step break none.
+func TestCheckerCatches(t *testing.T) {
+	const cancelAfter = 30 * time.Second
+	zoneA, zoneB := Place{ID: "m1", Type: "big", Zone: "a"}, Place{ID: "m2", Type: "big", Zone: "b"}
+	other := Place{ID: "m3", Type: "big", Zone: "a"}
+	now := func() time.Time { return time.Now() }
+	told := func(c *Checker, kind Request, ref string, status int, state string) {
+		c.Answer(kind, ref, now(), now().Add(time.Millisecond), status, state)
+		time.Sleep(2 * time.Millisecond)
+	}
+	job := func(c *Checker, ref string, change func(*wire.Spec)) {
+		s := wire.Spec{Ref: ref, Team: "tight", Kind: wire.Array, Tasks: 2, GPUs: 1}
+		if change != nil {
+			change(&s)
+		}
+		c.Submit(s)
+		told(c, Submission, ref, 201, wire.Pending)
+	}
+	room := func(*wire.Spec) bool { return true }
+	none := func(*wire.Spec) bool { return false }
+	for name, x := range map[string]struct {
+		rule  string
+		ready func(c *Checker)
+		wrong func(c *Checker)
+	}{
+		"on two machines": {RanTwice, func(c *Checker) { job(c, "r1", nil); c.On("r1/0", zoneA) }, func(c *Checker) { c.On("r1/0", zoneB) }},
+		"above the limit": {OverQuota, func(c *Checker) { job(c, "r1", nil); c.On("r1/0", zoneA); job(c, "r2", nil); c.On("r2/0", zoneA) },
+			func(c *Checker) { c.On("r1/1", zoneB) }},
+		"wrong type": {WrongPlace, func(c *Checker) { job(c, "r1", func(s *wire.Spec) { s.Types = []string{"small"} }) }, func(c *Checker) { c.On("r1/0", zoneA) }},
+		"wrong zone": {WrongPlace, func(c *Checker) { job(c, "r1", func(s *wire.Spec) { s.Zone = &zoneB.Zone }) }, func(c *Checker) { c.On("r1/0", zoneA) }},
+		"wrong kind": {WrongPlace, func(c *Checker) { job(c, "r1", nil) }, func(c *Checker) { c.On("r1/0", Place{ID: "s", Type: "big", Zone: "a", Spot: true}) }},
+		"two zones":  {WrongPlace, func(c *Checker) { job(c, "r1", func(s *wire.Spec) { s.OneZone = true }); c.On("r1/0", zoneA) }, func(c *Checker) { c.On("r1/1", zoneB) }},
+		"not spread": {WrongPlace, func(c *Checker) { job(c, "r1", func(s *wire.Spec) { s.Spread = true }); c.On("r1/0", zoneA) }, func(c *Checker) { c.On("r1/1", other) }},
+		"start after a cancellation": {StartedLate, func(c *Checker) { job(c, "r1", nil); c.Cancel("r1"); told(c, Cancellation, "r1", 200, wire.Cancelled) },
+			func(c *Checker) { c.On("r1/0", zoneA) }},
+		"lives on after a cancellation": {RanCancelled, func(c *Checker) {
+			job(c, "r1", nil)
+			c.On("r1/0", zoneA)
+			c.Cancel("r1")
+			told(c, Cancellation, "r1", 200, wire.Cancelled)
+			time.Sleep(cancelAfter - time.Second)
+			c.Look(none)
+		}, func(c *Checker) { time.Sleep(2 * time.Second); c.Look(none) }},
+		"404 for an accepted job":        {Forgotten, func(c *Checker) { job(c, "r1", nil) }, func(c *Checker) { told(c, Poll, "r1", 404, "") }},
+		"422 for a repeat":               {Forgotten, func(c *Checker) { job(c, "r1", nil) }, func(c *Checker) { told(c, Submission, "r1", 422, "") }},
+		"404 for a cancellation":         {Forgotten, func(c *Checker) { job(c, "r1", nil) }, func(c *Checker) { told(c, Cancellation, "r1", 404, "") }},
+		"no answer after the troubles":   {Forgotten, func(c *Checker) { job(c, "r1", nil); c.Calm(true); time.Sleep(pollLimit); c.Look(none) }, func(c *Checker) { time.Sleep(time.Second); c.Look(none) }},
+		"200 for what nobody submitted":  {Invented, func(c *Checker) { told(c, Poll, "r9", 404, "") }, func(c *Checker) { told(c, Poll, "r9", 200, wire.Pending) }},
+		"start of what nobody submitted": {Invented, func(*Checker) {}, func(c *Checker) { c.On("r9/0", zoneA) }},
+		"done too early":                 {NotDone, func(c *Checker) { job(c, "r1", nil); c.Done("r1", 0) }, func(c *Checker) { told(c, Poll, "r1", 200, wire.Done) }},
+		"pending after done": {WentBack, func(c *Checker) {
+			job(c, "r1", nil)
+			c.Done("r1", 0)
+			c.Done("r1", 1)
+			told(c, Poll, "r1", 200, wire.Done)
+		}, func(c *Checker) { told(c, Poll, "r1", 200, wire.Pending) }},
+		"running after a cancellation": {WentBack, func(c *Checker) { job(c, "r1", nil); c.Cancel("r1"); told(c, Cancellation, "r1", 200, wire.Cancelled) }, func(c *Checker) { told(c, Submission, "r1", 200, wire.Running) }},
+		"done after a cancellation": {WentBack, func(c *Checker) {
+			job(c, "r1", nil)
+			c.Done("r1", 0)
+			c.Done("r1", 1)
+			c.Cancel("r1")
+			told(c, Poll, "r1", 200, wire.Cancelled)
+		}, func(c *Checker) { told(c, Poll, "r1", 200, wire.Done) }},
+		"cancelled by nobody":           {WentBack, func(c *Checker) { job(c, "r1", nil) }, func(c *Checker) { told(c, Poll, "r1", 200, wire.Cancelled) }},
+		"cancellation answered pending": {WentBack, func(c *Checker) { job(c, "r1", nil); c.Cancel("r1") }, func(c *Checker) { told(c, Cancellation, "r1", 200, wire.Pending) }},
+		"before its dependency is done": {TooEarly, func(c *Checker) {
+			job(c, "r1", nil)
+			job(c, "r2", func(s *wire.Spec) { s.Roots = []string{"r1"} })
+			c.Done("r1", 0)
+		}, func(c *Checker) { c.On("r2/0", zoneA) }},
+		"after its dependency's end": {Orphaned, func(c *Checker) {
+			job(c, "r1", nil)
+			job(c, "r2", func(s *wire.Spec) { s.Roots = []string{"r1"} })
+			c.Cancel("r1")
+			told(c, Cancellation, "r1", 200, wire.Cancelled)
+			time.Sleep(cancelAfter - time.Second)
+			told(c, Poll, "r2", 200, wire.Pending)
+		}, func(c *Checker) { time.Sleep(2 * time.Second); told(c, Poll, "r2", 200, wire.Pending) }},
+		"waits beside room": {Waited, func(c *Checker) {
+			job(c, "r1", nil)
+			c.Calm(true)
+			for range waitLimit / (10 * time.Second) {
+				told(c, Poll, "r1", 200, wire.Pending)
+				c.Look(room)
+				time.Sleep(10 * time.Second)
+			}
+		}, func(c *Checker) { c.Look(room) }},
+		"bad input accepted": {BadAnswer, func(c *Checker) { c.BadInput("no team", 400, 400) }, func(c *Checker) { c.BadInput("no team", 201, 400) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := NewChecker(map[string]float64{"tight": 2}, cancelAfter)
+				x.ready(c)
+				if b := c.Broken(); len(b) > 0 {
+					t.Fatalf("before anything is wrong: %q", b)
+				}
+				x.wrong(c)
+				if b := c.Broken(); len(b) != 1 || !strings.HasPrefix(b[0], x.rule+":") {
+					t.Errorf("found %q, want one of %s", b, x.rule)
+				}
+			})
+		})
+	}
+}
+
+// What waits for a limit, for a dependency or for a machine waits rightly.
+func TestCheckerLetsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewChecker(map[string]float64{"tight": 2}, time.Minute)
+		c.Submit(wire.Spec{Ref: "r1", Team: "tight", Kind: wire.Array, Tasks: 4, GPUs: 1})
+		c.Submit(wire.Spec{Ref: "r2", Team: "wide", Kind: wire.Array, Tasks: 1, GPUs: 1, Roots: []string{"r1"}})
+		c.Submit(wire.Spec{Ref: "r3", Team: "wide", Kind: wire.Gang, Tasks: 8, GPUs: 1})
+		c.On("r1/0", Place{ID: "m1"})
+		c.On("r1/1", Place{ID: "m2"})
+		c.Calm(true)
+		for range 30 {
+			for _, ref := range []string{"r1", "r2", "r3"} {
+				c.Answer(Poll, ref, time.Now(), time.Now(), 200, wire.Pending)
+			}
+			c.Look(func(s *wire.Spec) bool { return s.Kind != wire.Gang })
+			time.Sleep(5 * time.Second)
+		}
+		if b := c.Broken(); len(b) > 0 {
+			t.Errorf("found %q", b)
+		}
+	})
+}
--- /dev/null
+++ b/internal/testkit/network.go
@@ -0,0 +1,145 @@
+package testkit
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Cut is a rule of a network: messages from one end to another are lost, or held
+// back until the rule is taken away.
+type Cut struct {
+	Match func(from, to string) bool
+	Hold  bool
+}
+
+// Between returns a rule that matches messages both ways between two groups.
+func Between(a, b func(name string) bool) func(from, to string) bool {
+	return func(from, to string) bool { return (a(from) && b(to)) || (b(from) && a(to)) }
+}
+
+// Named returns a group of names.
+func Named(names ...string) func(string) bool {
+	set := map[string]bool{}
+	for _, n := range names {
+		set[n] = true
+	}
+	return func(n string) bool { return set[n] }
+}
+
+// Anyone is the group of all.
+func Anyone(string) bool { return true }
+
+// Network carries calls between named ends, in bubble time.
+type Network struct {
+	mu    sync.Mutex
+	cuts  map[*Cut]bool
+	held  []heldMessage
+	delay time.Duration
+}
+
+type heldMessage struct {
+	from, to string
+	deliver  func()
+}
+
+// NewNetwork returns a network without cuts.
+func NewNetwork() *Network { return &Network{cuts: map[*Cut]bool{}, delay: usualDelay} }
+
+// Cut adds a rule and returns what takes it away and delivers what it held.
+func (n *Network) Cut(c *Cut) (heal func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[c] = true
+	return func() {
+		n.mu.Lock()
+		delete(n.cuts, c)
+		var rest, due []heldMessage
+		for _, h := range n.held {
+			if _, blocked := n.blocked(h.from, h.to); blocked {
+				rest = append(rest, h)
+			} else {
+				due = append(due, h)
+			}
+		}
+		n.held = rest
+		n.mu.Unlock()
+		for _, h := range due {
+			go h.deliver()
+		}
+	}
+}
+
+// Slow adds to the time that each message takes.
+func (n *Network) Slow(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = usualDelay + d
+}
+
+// usualDelay is how long a message takes.
+const usualDelay = time.Millisecond
+
+// Heal takes all rules away.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	clear(n.cuts)
+	n.delay = usualDelay
+	due := n.held
+	n.held = nil
+	n.mu.Unlock()
+	for _, h := range due {
+		go h.deliver()
+	}
+}
+
+// blocked tells whether a rule matches, and whether it holds. The lock is held.
+func (n *Network) blocked(from, to string) (hold, blocked bool) {
+	for c := range n.cuts {
+		if c.Match(from, to) {
+			hold, blocked = hold || c.Hold, true
+		}
+	}
+	return hold, blocked
+}
+
+// send delivers a message, now, later or never.
+func (n *Network) send(from, to string, deliver func()) {
+	n.mu.Lock()
+	hold, blocked := n.blocked(from, to)
+	if hold {
+		n.held = append(n.held, heldMessage{from, to, deliver})
+	}
+	delay := n.delay
+	n.mu.Unlock()
+	if !blocked {
+		time.AfterFunc(delay, deliver)
+	}
+}
+
+// ErrRefused is a connection refused by a machine that runs no such process.
+var ErrRefused = fmt.Errorf("testkit: %w", syscall.ECONNREFUSED)
+
+// Call sends a request to the other end, where serve answers it, and waits for the
+// answer at most timeout. serve also runs when the answer comes too late.
+func Call[T any](n *Network, from, to string, timeout time.Duration, serve func() (T, error)) (T, error) {
+	type answer struct {
+		v   T
+		err error
+	}
+	got := make(chan answer, 1)
+	n.send(from, to, func() {
+		v, err := serve()
+		n.send(to, from, func() { got <- answer{v, err} })
+	})
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case a := <-got:
+		return a.v, a.err
+	case <-t.C:
+		var none T
+		return none, ErrLost
+	}
+}
--- /dev/null
+++ b/internal/testkit/service.go
@@ -0,0 +1,351 @@
+package testkit
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// Fate is what becomes of a transaction.
+type Fate struct {
+	Refused bool          // 503, not carried out
+	Lost    bool          // carried out at once, without an answer
+	Late    time.Duration // carried out so much later, without an answer; 0: at once
+}
+
+// Service is a state service whose leases end and whose watches wait, with
+// troubles for one controller or for all. It keeps time by the standard library's
+// clock, so tests run it in a bubble of testing/synctest.
+type Service struct {
+	state *State
+
+	mu      sync.Mutex
+	down    bool
+	refused map[string]bool
+	cut     map[string]bool
+	leases  map[uint64]*lease
+	changed chan struct{} // closed at the next change
+	slow    time.Duration
+	fate    func(from string, t wire.Txn) Fate
+	writes  []Write
+}
+
+// Write is a transaction that was carried out.
+type Write struct {
+	From string
+	At   time.Time
+	Txn  wire.Txn
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// Delays of the state service and of its clients.
+const (
+	serviceDelay   = 3 * time.Millisecond
+	serviceTimeout = 2500 * time.Millisecond
+)
+
+// NewService returns an empty state service.
+func NewService() *Service {
+	return &Service{state: NewState(), refused: map[string]bool{}, cut: map[string]bool{}, leases: map[uint64]*lease{}, changed: make(chan struct{})}
+}
+
+// Outage begins or ends an outage for all. At its end every lease has its full
+// time again.
+func (s *Service) Outage(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down && !down {
+		for _, l := range s.leases {
+			l.timer.Reset(l.ttl)
+		}
+	}
+	s.down = down
+	s.wake()
+}
+
+// Refuse begins or ends the refusal of one controller alone: its leases run out.
+func (s *Service) Refuse(label string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[label] = on
+	s.wake()
+}
+
+// Cut begins or ends a cut between one controller and the service.
+func (s *Service) Cut(label string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[label] = on
+	s.wake()
+}
+
+// Slow adds to the time that each request takes.
+func (s *Service) Slow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
+// Decide sets what becomes of transactions, nil for nothing special.
+func (s *Service) Decide(fate func(from string, t wire.Txn) Fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fate = fate
+}
+
+// Entry returns a record, and whether there is one.
+func (s *Service) Entry(key string) (wire.Entry, bool) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	e, ok := s.state.entries[key]
+	return e, ok
+}
+
+// Keys returns the keys with a prefix, in order.
+func (s *Service) Keys(prefix string) []string {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	var out []string
+	for k := range s.state.entries {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Writes returns all that was carried out so far.
+func (s *Service) Writes() []Write {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.writes)
+}
+
+// wake lets watches look again. The lock is held.
+func (s *Service) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// apply carries a transaction out. The lock is held.
+func (s *Service) apply(from string, t wire.Txn) (uint64, error) {
+	for _, op := range t.Then {
+		if op.Lease != 0 && s.leases[op.Lease] == nil {
+			return 0, statestore.ErrInvalid
+		}
+	}
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	rev, err := s.state.apply(t)
+	if err == nil && len(t.Then) > 0 {
+		s.writes = append(s.writes, Write{from, time.Now(), t})
+		s.wake()
+	}
+	return rev, err
+}
+
+func (s *Service) expire(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return
+	}
+	if s.down {
+		l.timer.Reset(l.ttl) // an outage ends none
+		return
+	}
+	delete(s.leases, id)
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	var t wire.Txn
+	for k, e := range s.state.entries {
+		if e.Lease == id {
+			t.Then = append(t.Then, wire.Op{Delete: k})
+		}
+	}
+	if len(t.Then) > 0 {
+		s.state.apply(t) // no conditions: it can't fail
+		s.wake()
+	}
+}
+
+// Link is the service as one process of a controller reaches it. It implements
+// statestore.Store.
+type Link struct {
+	s     *Service
+	label string
+	life  context.Context // the process's
+}
+
+var _ statestore.Store = (*Link)(nil)
+
+// Link returns the service for a process that lives as long as ctx.
+func (s *Service) Link(ctx context.Context, label string) *Link {
+	return &Link{s: s, label: label, life: ctx}
+}
+
+// wait sleeps unless the caller or its process ends first.
+func (l *Link) wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return l.life.Err()
+	case <-ctx.Done():
+		return ErrLost
+	case <-l.life.Done():
+		return l.life.Err()
+	}
+}
+
+// begin carries a request to the service, which is locked if it arrives.
+func (l *Link) begin(ctx context.Context) error {
+	l.s.mu.Lock()
+	delay := serviceDelay + l.s.slow
+	l.s.mu.Unlock()
+	if err := l.wait(ctx, delay); err != nil {
+		return err
+	}
+	l.s.mu.Lock()
+	switch {
+	case l.s.cut[l.label]:
+		l.s.mu.Unlock()
+		l.wait(ctx, serviceTimeout)
+		return ErrLost
+	case l.s.down || l.s.refused[l.label]:
+		l.s.mu.Unlock()
+		return statestore.ErrRefused
+	}
+	return nil
+}
+
+// Get implements statestore.Store.
+func (l *Link) Get(ctx context.Context, u statestore.Use, key string) (wire.Entry, error) {
+	if err := l.begin(ctx); err != nil {
+		return wire.Entry{}, err
+	}
+	defer l.s.mu.Unlock()
+	return l.s.state.Get(ctx, u, key)
+}
+
+// List implements statestore.Store.
+func (l *Link) List(ctx context.Context, u statestore.Use, prefix string) ([]wire.Entry, uint64, error) {
+	if err := l.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	defer l.s.mu.Unlock()
+	return l.s.state.List(ctx, u, prefix)
+}
+
+// Txn implements statestore.Store.
+func (l *Link) Txn(ctx context.Context, _ statestore.Use, t wire.Txn) (uint64, error) {
+	if err := l.begin(ctx); err != nil {
+		return 0, err
+	}
+	var f Fate
+	if l.s.fate != nil {
+		f = l.s.fate(l.label, t)
+	}
+	switch {
+	case f.Refused:
+		l.s.mu.Unlock()
+		return 0, statestore.ErrRefused
+	case f.Lost:
+		l.s.apply(l.label, t)
+		l.s.mu.Unlock()
+		l.wait(ctx, serviceTimeout)
+		return 0, ErrLost
+	case f.Late > 0:
+		time.AfterFunc(f.Late, func() {
+			l.s.mu.Lock()
+			defer l.s.mu.Unlock()
+			l.s.apply(l.label, t)
+		})
+		l.s.mu.Unlock()
+		l.wait(ctx, serviceTimeout)
+		return 0, ErrLost
+	}
+	defer l.s.mu.Unlock()
+	return l.s.apply(l.label, t)
+}
+
+// Grant implements statestore.Store.
+func (l *Link) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	if err := l.begin(ctx); err != nil {
+		return 0, err
+	}
+	defer l.s.mu.Unlock()
+	id, err := l.s.state.Grant(ctx, ttl)
+	l.s.leases[id] = &lease{ttl, time.AfterFunc(ttl, func() { l.s.expire(id) })}
+	return id, err
+}
+
+// Renew implements statestore.Store.
+func (l *Link) Renew(ctx context.Context, id uint64) error {
+	if err := l.begin(ctx); err != nil {
+		return err
+	}
+	defer l.s.mu.Unlock()
+	held := l.s.leases[id]
+	if held == nil {
+		return statestore.ErrNoLease
+	}
+	held.timer.Reset(held.ttl)
+	return nil
+}
+
+// Watch implements statestore.Store. One that is open waits through an outage.
+func (l *Link) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (wire.Changes, error) {
+	if err := l.begin(ctx); err != nil {
+		return wire.Changes{}, err
+	}
+	until := time.NewTimer(wait)
+	defer until.Stop()
+	gaveUp := time.NewTimer(wait + serviceTimeout)
+	defer gaveUp.Stop()
+	over := false
+	for { // the service is locked here
+		if !l.s.down && !l.s.refused[l.label] && !l.s.cut[l.label] {
+			ch, err := l.s.state.Watch(ctx, prefix, since, 0)
+			if err != nil || len(ch.Events) > 0 || over {
+				l.s.mu.Unlock()
+				return ch, err
+			}
+		}
+		changed := l.s.changed
+		l.s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-until.C:
+			over = true
+		case <-gaveUp.C:
+			return wire.Changes{}, ErrLost
+		case <-l.life.Done():
+			return wire.Changes{}, l.life.Err()
+		}
+		l.s.mu.Lock()
+	}
+}
+
+// Budget implements statestore.Store: the service has no limits here.
+func (l *Link) Budget(float64, float64) {}
+
+// Needed implements statestore.Store.
+func (l *Link) Needed() (requests, changes int) { return 0, 0 }
+
+// Backlog implements statestore.Store.
+func (l *Link) Backlog() time.Duration { return 0 }
+
+// Counts implements statestore.Store.
+func (l *Link) Counts() map[string]statestore.Count { return nil }
