A cancellation's answer waits only for an end that is under way

Now it waits for what stopping tasks that can be reached and recording that takes, and asks the user to come again at once otherwise. Tests: TestCancellationsAreAnsweredAtOnce; more meetings.

--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -775,3 +776,204 @@
 		}
 	}
 }
+
+// A start that was sent straight to a worker is held up on its way, while the
+// machine's reports and their answers pass, and comes after its job was cancelled:
+// a report without the task must not count as proof that it is gone.
+func TestDirectStartsHeldUp(t *testing.T) {
+	for name, change := range map[string]bool{"same owner": false, "next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				owner := k.ownerOf("wide")
+				sent := 0
+				heal := k.world.Net.Cut(&testkit.Cut{Hold: true, Requests: true, Match: func(from, to string) bool {
+					held := from == owner && k.machines(to)
+					if held {
+						sent++
+					}
+					return held
+				}})
+				k.submitLater(spec(ref(firstOwn), "wide", func(s *wire.Spec) { s.Tasks = 3 }), long)
+				time.Sleep(10 * time.Second)
+				confirmed := k.cancelAll(firstOwn, arrayJob)
+				if change {
+					k.crash(owner)
+				}
+				time.Sleep(k.timing.Cancel / 2)
+				heal()
+				k.happened(sent > 0, "commands are held up")
+				k.restartMissing()
+				k.await(k.timing.Cancel, "the cancellations", confirmed)
+			})
+		})
+	}
+}
+
+// A controller loses its workers and the other controllers but not the state
+// service: others take its parts over while it lives, and its workers may still run
+// what it started last.
+func TestDeafOwner(t *testing.T) {
+	for _, hold := range []bool{false, true} {
+		t.Run(fmt.Sprintf("hold-%t", hold), func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				owner := k.ownerOf("wide")
+				heal := k.world.Net.Cut(&testkit.Cut{Hold: hold, Match: testkit.Between(testkit.Named(owner),
+					func(n string) bool { return n != testkit.UsersEnd && n != testkit.CloudEnd })})
+				k.submitLater(spec(ref(firstOwn), "wide", func(s *wire.Spec) { s.Tasks = 3 }), quick)
+				confirmed := k.cancelAll(arrayJob, limitJob)
+				next := k.successor("wide", owner)
+				k.happened(k.process(owner) != nil && next != owner, "another owner while the first lives")
+				time.Sleep(k.timing.Lease)
+				heal()
+				k.await(k.timing.Cancel+30*time.Second, "the cancellations", confirmed)
+			})
+		})
+	}
+}
+
+// A pipeline is withdrawn, and a job that others need cancelled, across the gap.
+func TestRefusedAloneThenOutageWithPipelines(t *testing.T) {
+	meet(t, func(k *cluster) {
+		first, second := spec(ref(firstOwn+1), "wide", nil), spec(ref(firstOwn+2), "wide", nil)
+		var withdrawn func() bool
+		gap(k, 6*time.Second, func(string) {
+			k.submitPipeline("pipe-000001", first, second, long)
+			k.running(first.Ref, 1)
+			withdrawn = k.withdrawPipeline("pipe-000001", first.Ref, second.Ref)
+		})
+		k.await(k.timing.Cancel, "the pipeline's end", withdrawn)
+		k.await(k.timing.Cancel, "the end of what needs a cancelled job", func() bool { return k.world.Told(ref(firstOwn)) == wire.Cancelled })
+	})
+}
+
+// A cancellation whose tasks can be ended is answered so at the first try, and one
+// whose tasks can't at once with when to come again: no answer is held for that.
+func TestCancellationsAreAnsweredAtOnce(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		on := k.world.On(ref(arrayJob))
+		for _, m := range on {
+			m.Hang(true)
+		}
+		asked := time.Now()
+		status, _ := k.world.Ask(testkit.Cancellation, k.labels[0], ref(arrayJob), nil)
+		if took := time.Since(asked); status != 503 || took > endWait+100*time.Millisecond {
+			k.t.Errorf("with hanging machines: %d after %v", status, took)
+		}
+		for _, m := range on {
+			m.Hang(false)
+		}
+		status, state := k.world.Ask(testkit.Cancellation, k.ownerOf("other"), ref(serviceJob), nil)
+		if status != 200 || state != wire.Cancelled {
+			k.t.Errorf("with machines that answer: %d %s", status, state)
+		}
+		k.await(k.timing.Cancel, "the first cancellation", k.cancel(ref(arrayJob)))
+	})
+}
+
+// Users send what can't be taken, and repeat and cancel what is over, also at
+// controllers that have just begun and without the state service.
+func TestOddRequests(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		k.submit(spec(ref(firstOwn), "wide", nil), testkit.Length{Run: time.Second, Fetch: time.Second})
+		k.await(time.Minute, "the first job", func() bool { return k.world.Told(ref(firstOwn)) == wire.Done })
+		odd := func() {
+			for _, label := range k.labels {
+				for what, x := range map[string]struct {
+					body []byte
+					want int
+				}{
+					"a job without a team":          {without(spec("run-000901", "wide", nil), "keeper"), 400},
+					"a job of an unknown team":      {encode(spec("run-000902", "nobody", nil)), 422},
+					"a job that fits no machine":    {encode(spec("run-000903", "wide", func(s *wire.Spec) { s.CPUs = 17 })), 422},
+					"a gang above its team's limit": {encode(spec("run-000904", "tight", func(s *wire.Spec) { gang(2)(s); s.Tasks = 3 })), 422},
+					"a job in an unknown zone":      {encode(spec("run-000905", "wide", func(s *wire.Spec) { z := "nowhere"; s.Zone = &z })), 422},
+					"no JSON":                       {[]byte("{"), 400},
+				} {
+					status, _ := k.world.Ask(testkit.Submission, label, "run-000900", x.body)
+					k.check.BadInput(what, status, x.want)
+				}
+				for _, kind := range []testkit.Request{testkit.Poll, testkit.Cancellation} {
+					status, _ := k.world.Ask(kind, label, "run-000999", nil)
+					k.check.BadInput("a request about an unknown job", status, 404)
+				}
+				for range 2 {
+					k.world.Ask(testkit.Submission, label, ref(firstOwn), encode(spec(ref(firstOwn), "wide", nil)))
+					k.world.Ask(testkit.Submission, label, ref(arrayJob), encode(spec(ref(arrayJob), "wide", nil)))
+					if status, state := k.world.Ask(testkit.Cancellation, label, ref(firstOwn), nil); status == 200 && state != wire.Done {
+						k.t.Errorf("the cancellation of a done job is answered %s", state)
+					}
+				}
+			}
+		}
+		odd()
+		leader := k.leader()
+		k.crash(leader)
+		k.start(leader)
+		odd() // it doesn't know the machine types yet
+		k.world.State.Outage(true)
+		odd()
+		k.crash(leader)
+		k.start(leader)
+		odd()
+		time.Sleep(10 * time.Second)
+		k.world.State.Outage(false)
+		odd()
+	})
+}
+
+// without encodes a specification without one of its fields.
+func without(s wire.Spec, field string) []byte {
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal(encode(s), &m); err != nil {
+		panic(err)
+	}
+	delete(m, field)
+	return record.Encode(m)
+}
+
+// submitPipeline submits two jobs of which the second follows the first.
+func (k *cluster) submitPipeline(name string, first, second wire.Spec, l testkit.Length) {
+	k.t.Helper()
+	k.world.Register(first, l)
+	after := second
+	after.Roots = []string{first.Ref} // as the checker is to see it
+	k.world.Register(after, l)
+	p := wire.Pipeline{Ref: name, Jobs: []json.RawMessage{encode(first), encode(second)},
+		Links: []wire.Link{{From: []string{first.Ref}, To: []string{second.Ref}}}, Choices: []wire.Choice{}}
+	k.await(time.Minute, name+" accepted", func() bool {
+		status, _, _ := k.process(k.labels[0]).Handle("POST", wire.PipelinesPath, record.Encode(p))
+		return status == 200 || status == 201
+	})
+	k.refs = append(k.refs, first.Ref, second.Ref)
+	k.world.Follow(first.Ref)
+	k.world.Follow(second.Ref)
+}
+
+// withdrawPipeline asks for a pipeline's end until that is confirmed.
+func (k *cluster) withdrawPipeline(name string, refs ...string) (confirmed func() bool) {
+	for _, r := range refs {
+		k.check.Cancel(r)
+	}
+	var done atomic.Bool
+	k.world.Go(func() {
+		for i := 0; !done.Load(); i++ {
+			if p := k.process(k.labels[i%len(k.labels)]); p != nil {
+				asked := time.Now()
+				if status, _, _ := p.Handle("POST", wire.PipelinesPath+"/"+name+"/"+wire.CancelWord, nil); status == 200 {
+					for _, r := range refs {
+						k.check.Answer(testkit.Cancellation, r, asked, time.Now(), status, wire.Cancelled)
+					}
+					done.Store(true)
+				}
+			}
+			if !k.world.Sleep(time.Second) {
+				return
+			}
+		}
+	})
+	return done.Load
+}
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -342,10 +342,8 @@
 // pipelineOver answers with the final state of a pipeline once all its jobs are
 // over.
 func (c *Controller) pipelineOver(ctx context.Context, ref string, rec *record.Pipe) reply {
-	for _, j := range rec.Jobs {
-		if rec.State == wire.Cancelled && !c.awaitEnd(ctx, j) {
-			return ending()
-		}
+	if rec.State == wire.Cancelled && !c.ended(ctx, rec.Jobs...) {
+		return ending()
 	}
 	switch over, err := c.pipeOver(ctx, statestore.Urgent("cancel"), rec); {
 	case err != nil:
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -406,11 +406,16 @@
 // cancelTries bounds how often a cancellation races with other writes.
 const cancelTries = 4
 
-// cancel records a cancellation and waits until the job's owner has proven every
-// task gone and recorded that the job is over: only then is a user told. Whatever
-// is cut off, stands still or comes late, no task can outlive what was told, and
-// so leases may be renewed by who can't hear of cancellations. Until then the
-// user is asked to come again.
+// endWait is how long a cancellation's answer waits for the job's end: what stopping
+// its tasks and recording that takes where nothing is in the way. It is not for
+// keeping the user from asking again: who comes later finds the end recorded.
+const endWait = 500 * time.Millisecond
+
+// cancel records a cancellation. A user is told of it only once the job's owner has
+// proven every task gone and recorded that the job is over. Whatever is cut off,
+// stands still or comes late, no task can outlive what was told, and so leases may
+// be renewed by who can't hear of cancellations. Until then the user is asked to
+// come again.
 func (c *Controller) cancel(ref string) reply {
 	if !validRef(ref) {
 		return reply{status: 404}
@@ -456,7 +461,7 @@
 			}
 			c.tellOwner(o.Part, t, rev)
 		}
-		if !c.awaitEnd(ctx, ref) {
+		if !c.ended(ctx, ref) {
 			return ending()
 		}
 	}
@@ -467,26 +472,30 @@
 // every controller would answer alike.
 func ending() reply { return reply{status: 503, retryAfter: retryLater, settled: true} }
 
-// awaitEnd waits until a job is not open any more, as far as is known here. It
-// reports false when that takes too long.
-func (c *Controller) awaitEnd(ctx context.Context, ref string) bool {
-	c.mu.Lock()
-	if _, open := c.open[ref]; !open {
+// ended reports whether jobs are not open any more, as far as is known here, or come
+// to be so within endWait.
+func (c *Controller) ended(ctx context.Context, refs ...string) bool {
+	ctx, cancel := context.WithTimeout(ctx, endWait)
+	defer cancel()
+	for _, ref := range refs {
+		c.mu.Lock()
+		if _, open := c.open[ref]; !open {
+			c.mu.Unlock()
+			continue
+		}
+		over := c.ends[ref]
+		if over == nil {
+			over = make(chan struct{})
+			c.ends[ref] = over
+		}
 		c.mu.Unlock()
-		return true
-	}
-	over := c.ends[ref]
-	if over == nil {
-		over = make(chan struct{})
-		c.ends[ref] = over
-	}
-	c.mu.Unlock()
-	select {
-	case <-over:
-		return true
-	case <-ctx.Done():
-		return false
+		select {
+		case <-over:
+		case <-ctx.Done():
+			return false
+		}
 	}
+	return true
 }
 
 // closeOpen takes in that a job is not open any more. The lock is held.
--- a/internal/testkit/network.go
+++ b/internal/testkit/network.go
@@ -10,8 +10,9 @@
 // Cut is a rule of a network: messages from one end to another are lost, or held
 // back until the rule is taken away.
 type Cut struct {
-	Match func(from, to string) bool
-	Hold  bool
+	Match    func(from, to string) bool
+	Hold     bool
+	Requests bool // answers pass
 }
 
 // Between returns a rule that matches messages both ways between two groups.
@@ -41,6 +42,7 @@
 
 type heldMessage struct {
 	from, to string
+	answer   bool
 	deliver  func()
 }
 
@@ -57,7 +59,7 @@
 		delete(n.cuts, c)
 		var rest, due []heldMessage
 		for _, h := range n.held {
-			if _, blocked := n.blocked(h.from, h.to); blocked {
+			if _, blocked := n.blocked(h.from, h.to, h.answer); blocked {
 				rest = append(rest, h)
 			} else {
 				due = append(due, h)
@@ -95,9 +97,9 @@
 }
 
 // blocked tells whether a rule matches, and whether it holds. The lock is held.
-func (n *Network) blocked(from, to string) (hold, blocked bool) {
+func (n *Network) blocked(from, to string, answer bool) (hold, blocked bool) {
 	for c := range n.cuts {
-		if c.Match(from, to) {
+		if c.Match(from, to) && !(answer && c.Requests) {
 			hold, blocked = hold || c.Hold, true
 		}
 	}
@@ -105,11 +107,11 @@
 }
 
 // send delivers a message, now, later or never.
-func (n *Network) send(from, to string, deliver func()) {
+func (n *Network) send(from, to string, answer bool, deliver func()) {
 	n.mu.Lock()
-	hold, blocked := n.blocked(from, to)
+	hold, blocked := n.blocked(from, to, answer)
 	if hold {
-		n.held = append(n.held, heldMessage{from, to, deliver})
+		n.held = append(n.held, heldMessage{from, to, answer, deliver})
 	}
 	delay := n.delay
 	n.mu.Unlock()
@@ -129,9 +131,9 @@
 		err error
 	}
 	got := make(chan answer, 1)
-	n.send(from, to, func() {
+	n.send(from, to, false, func() {
 		v, err := serve()
-		n.send(to, from, func() { got <- answer{v, err} })
+		n.send(to, from, true, func() { got <- answer{v, err} })
 	})
 	t := time.NewTimer(timeout)
 	defer t.Stop()
