--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -33,7 +33,11 @@
 		return false
 	}
 	q := &confirmation{wire.Cond{Key: record.OpenKey(ref), Version: j.version}, make(chan bool, 1)}
-	c.waiting = append(c.waiting, q)
+	if c.waiting = append(c.waiting, q); len(c.waiting) == 1 {
+		// A timer only where a poll waits: turns without one cost a small machine
+		// more than its polls do.
+		time.AfterFunc(confirmGather, c.confirmAll)
+	}
 	c.mu.Unlock()
 	select {
 	case ok := <-q.done:
@@ -43,16 +47,14 @@
 	}
 }
 
-// confirmLoop sends one comparison for all polls that wait.
-func (c *Controller) confirmLoop(ctx context.Context) {
-	for sleep(ctx, confirmGather) {
-		c.mu.Lock()
-		all := c.waiting
-		c.waiting = nil
-		c.mu.Unlock()
-		for batch := range slices.Chunk(all, 4*c.limits().TxnOps) {
-			go c.confirm(ctx, batch)
-		}
+// confirmAll sends one comparison for all polls that wait.
+func (c *Controller) confirmAll() {
+	c.mu.Lock()
+	all := c.waiting
+	c.waiting = nil
+	c.mu.Unlock()
+	for batch := range slices.Chunk(all, 4*c.limits().TxnOps) {
+		go c.confirm(context.Background(), batch)
 	}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -170,7 +170,6 @@
 	go c.typesLoop(ctx)
 	go c.tickLoop(ctx)
 	go c.leadLoop(ctx)
-	go c.confirmLoop(ctx)
 	go c.countLoop(ctx)
 }
 
