--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,6 +147,40 @@
 	MaxSockets int     `toml:"max_sockets"`
 }
 
+// What a controller can't do with less of.
+const (
+	// leastCPU is several times what one uses that has no machines and no users.
+	leastCPU = 0.005
+	// leastMemoryMB leaves the runtime some megabytes besides UncountedMB.
+	leastMemoryMB = 24.0
+	// ownSockets are those to the state service and the cloud.
+	ownSockets = 8
+)
+
+// UncountedMB is what the process holds that its runtime does not count: the
+// program's and the C library's pages, 11 MB, and the threads' stacks.
+const UncountedMB = 14.0
+
+// leastSockets is how many a controller among so many needs: a quarter is left for
+// what is neither a worker's nor a user's, two connections to each of the others
+// and its own to the state service and the cloud.
+func leastSockets(controllers int) int { return 4 * (2*(controllers-1) + ownSockets) }
+
+func (r Resources) check(controllers int) error {
+	for _, f := range []struct {
+		name     string
+		v, least float64
+	}{
+		{"cpu_share", r.CPUShare, leastCPU}, {"memory_mb", r.MemoryMB, leastMemoryMB},
+		{"max_sockets", float64(r.MaxSockets), float64(leastSockets(controllers))},
+	} {
+		if !(f.v >= f.least) || math.IsInf(f.v, 0) {
+			return fmt.Errorf("settings: params.resources.%s is %g, a controller needs %g at least", f.name, f.v, f.least)
+		}
+	}
+	return nil
+}
+
 // Seconds converts an amount of seconds.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -191,13 +225,15 @@
 		{"params.workers.cancel_s", p.Workers.CancelS}, {"params.state.rps", p.State.RPS},
 		{"params.state.write_rps", p.State.WriteRPS}, {"params.state.value_kb", p.State.ValueKB},
 		{"params.state.txn_ops", float64(p.State.TxnOps)}, {"params.cloud.rps", p.Cloud.RPS},
-		{"params.resources.memory_mb", p.Resources.MemoryMB}, {"params.resources.max_sockets", float64(p.Resources.MaxSockets)},
 	}
 	for _, a := range amounts {
-		if !(a.v > 0) {
+		if !(a.v > 0) || math.IsInf(a.v, 0) {
 			return fmt.Errorf("settings: %s must be above 0", a.name)
 		}
 	}
+	if p.State.TxnOps < leastOps {
+		return fmt.Errorf("settings: params.state.txn_ops must be %d at least", leastOps)
+	}
 	if err := p.State.Next.check(); err != nil {
 		return err
 	}
@@ -207,6 +243,9 @@
 	if p.Count != len(s.Peers)+1 {
 		return fmt.Errorf("settings: params.count is %d, but seeds names %d other controllers", p.Count, len(s.Peers))
 	}
+	if err := p.Resources.check(p.Count); err != nil {
+		return err
+	}
 	seen := map[string]bool{s.Label: true}
 	for _, q := range s.Peers {
 		if q.Label == "" || q.Addr == "" {
@@ -223,6 +262,9 @@
 			return fmt.Errorf("settings: params.teams: name %q is missing or used twice", t.Name)
 		}
 		teams[t.Name] = true
+		if !(t.CPUs >= 0 && t.GPUs >= 0 && t.CPUsMax >= 0 && t.GPUsMax >= 0) {
+			return fmt.Errorf("settings: params.teams: cpus, gpus, cpus_max and gpus_max of %s must not be below 0", t.Name)
+		}
 		if (t.CPUsMax > 0 && t.CPUs > t.CPUsMax) || (t.GPUsMax > 0 && t.GPUs > t.GPUsMax) {
 			return fmt.Errorf("settings: params.teams: %s is guaranteed more than its limit", t.Name)
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -39,6 +39,7 @@
 [params.cloud]
 rps = 1.0
 [params.resources]
+cpu_share = 0.1
 memory_mb = 100.0
 max_sockets = 100
 `
@@ -64,6 +65,20 @@
 		{`gpus_max = 4.0`, `gpus_max = 1.0`, "params.teams"},
 		{`label = "c-1"`, `label = "c-0"`, "seeds"},
 		{`rps = 1.0`, `rps = "x"`, "rps"},
+		{`txn_ops = 16`, `txn_ops = 1`, "params.state.txn_ops"},
+		{`gpus = 2.0`, `gpus = -1.0`, "params.teams"},
+		{`cpu_share = 0.1`, ``, "params.resources.cpu_share"},
+		{`cpu_share = 0.1`, `cpu_share = 0.0`, "params.resources.cpu_share"},
+		{`cpu_share = 0.1`, `cpu_share = -0.1`, "params.resources.cpu_share"},
+		{`cpu_share = 0.1`, `cpu_share = inf`, "params.resources.cpu_share"},
+		{`cpu_share = 0.1`, `cpu_share = 0.001`, "params.resources.cpu_share"},
+		{`memory_mb = 100.0`, `memory_mb = 0.0`, "params.resources.memory_mb"},
+		{`memory_mb = 100.0`, `memory_mb = -100.0`, "params.resources.memory_mb"},
+		{`memory_mb = 100.0`, `memory_mb = nan`, "params.resources.memory_mb"},
+		{`memory_mb = 100.0`, `memory_mb = 15.0`, "params.resources.memory_mb"},
+		{`max_sockets = 100`, `max_sockets = 0`, "params.resources.max_sockets"},
+		{`max_sockets = 100`, `max_sockets = -5`, "params.resources.max_sockets"},
+		{`max_sockets = 100`, `max_sockets = 39`, "params.resources.max_sockets"},
 	} {
 		_, err := Parse(strings.Replace(good, c.old, c.new, 1))
 		if err == nil || !strings.Contains(err.Error(), c.field) {
