--- a/cmd/bramblespur/main.go
+++ b/cmd/bramblespur/main.go
@@ -81,13 +81,28 @@
 // some megabytes live, and each collection costs a part of the processor's share.
 const gcPercent = 400
 
+// heapShare is the part of the memory left to the runtime that it may fill: its
+// limit is a soft one, which a burst of requests passes before a collection ends.
+const heapShare = 0.85
+
+// memoryLimit is the runtime's memory limit in bytes. What the process holds besides
+// is taken off first: it is the same on small machines as on large ones.
+func memoryLimit(r config.Resources) int64 {
+	return int64((r.MemoryMB - config.UncountedMB) * heapShare * (1 << 20))
+}
+
+// processors is how many threads run Go code at a time. A second one on a share of
+// a core only makes the two wake each other.
+func processors(r config.Resources) int { return max(1, int(math.Ceil(r.CPUShare))) }
+
 func run(cfg *config.Settings, pol *policy.Policy) error {
 	// The machines are small: a share of a core and a hard memory limit, so the
 	// runtime gets no more processors, collects garbage seldom, since little of
 	// the memory is in use, and in time before the limit bites.
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Params.Resources.CPUShare))))
+	r := cfg.Params.Resources
+	runtime.GOMAXPROCS(processors(r))
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(cfg.Params.Resources.MemoryMB * 0.6 * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(r))
 	return controller.Run(cfg, pol, logger(os.Getenv("LOG_LEVEL")))
 }
 
--- /dev/null
+++ b/cmd/bramblespur/main_test.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"testing"
+
+	"bramblespur/internal/config"
+)
+
+// The runtime's settings leave room for what the runtime does not count, at the
+// smallest settings that are taken and at those of the deployments.
+func TestRuntimeSettings(t *testing.T) {
+	for _, x := range []struct {
+		cpu, memory float64
+		procs       int
+	}{{0.005, 24, 1}, {0.036, 49, 1}, {0.072, 147, 1}, {0.24, 234, 1}, {1, 1024, 1}, {2.5, 4096, 3}} {
+		r := config.Resources{CPUShare: x.cpu, MemoryMB: x.memory}
+		if got := processors(r); got != x.procs {
+			t.Errorf("share %g: %d processors, want %d", x.cpu, got, x.procs)
+		}
+		limit := float64(memoryLimit(r)) / (1 << 20)
+		if limit < x.memory/3 || limit+config.UncountedMB > x.memory*0.97 {
+			t.Errorf("%g MB: a limit of %.1f MB", x.memory, limit)
+		}
+	}
+}
