--- a/internal/controller/lean_test.go
+++ b/internal/controller/lean_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
@@ -57,3 +58,22 @@
 		t.Errorf("%d polls took %d requests, want 1", polls, n)
 	}
 }
+
+// Held answers go out at common times, never later than they are due.
+func TestHeldAnswersGoTogether(t *testing.T) {
+	const d = 1200 * time.Millisecond
+	ends := map[time.Duration]bool{}
+	for since := time.Duration(0); since < time.Second; since += 7 * time.Millisecond {
+		got := together(since, d)
+		if got > d || got <= d-holdTogether {
+			t.Errorf("held at %v: %v of %v", since, got, d)
+		}
+		ends[since+got] = true
+	}
+	if len(ends) > 11 {
+		t.Errorf("%d turns in a second, want 11 at most", len(ends))
+	}
+	if got := together(time.Second, 60*time.Millisecond); got != 60*time.Millisecond {
+		t.Errorf("a short wait became %v", got)
+	}
+}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -315,11 +315,23 @@
 	timer  *time.Timer
 }
 
+// holdTogether makes held answers that are due one shortly after the other go out in
+// one turn: each turn costs a small machine more than the answer does.
+const holdTogether = 100 * time.Millisecond
+
+// together shortens a wait so that it ends with those of others.
+func together(since, d time.Duration) time.Duration {
+	if d <= holdTogether {
+		return d
+	}
+	return d - (since+d)%holdTogether
+}
+
 // hold keeps an answer back for at most d. The lock is held.
 func (c *Controller) hold(p *sched.Part, machine string, d time.Duration, answer func(reply)) {
 	c.release(machine, time.Now()) // an older one: its worker has gone on
 	h := &held{part: p, answer: answer}
-	h.timer = time.AfterFunc(d, func() {
+	h.timer = time.AfterFunc(together(time.Since(c.begun), d), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.held[machine] == h {
