--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -54,7 +54,7 @@
 	c.waiting = nil
 	c.mu.Unlock()
 	for batch := range slices.Chunk(all, 4*c.limits().TxnOps) {
-		go c.confirm(context.Background(), batch)
+		go c.confirm(c.life, batch)
 	}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,7 +13,6 @@
 	"net"
 	"sort"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -106,7 +105,8 @@
 	readiness   readiness
 	commands    chan struct{} // direct commands under way, each on a socket of its own
 	pressure    pressure
-	users       atomic.Int64 // their requests being served
+	users       int // their requests being served
+	polls       int // those of them that only ask
 }
 
 // openJob is what polls need to know of an unfinished job.
@@ -406,7 +406,7 @@
 	}
 	go func() {
 		r := c.serveUser(req)
-		c.users.Add(-1)
+		c.letGo(req)
 		answer(r)
 	}()
 	return reply{}, false
--- a/internal/controller/pressure.go
+++ b/internal/controller/pressure.go
@@ -9,8 +9,9 @@
 )
 
 // A processor that gets less than it needs fires its timers late and answers late.
-// Leases, reports and health checks then come first: polls are refused at once, to
-// be repeated, and the leader plans less often.
+// Leases, reports and health checks then come first: only a few polls are served at
+// a time, the others refused at once, to be repeated, and the leader plans less often.
+// A few are served however long it lasts, so that no job is forgotten.
 const (
 	lateMuch   = 300 * time.Millisecond // timers this late, in the mean of some: behind
 	lateLittle = 100 * time.Millisecond // and up to this: not any more
@@ -24,6 +25,8 @@
 	// memory: one of the largest size takes half of that with its copies.
 	usersPerMB = 2
 	leastUsers = 20
+	// pollsBehind is how many polls are served at a time when the process is behind.
+	pollsBehind = 4
 	// memoryShort is the part of the memory limit from which that is said.
 	memoryShort = 0.9
 )
@@ -56,28 +59,36 @@
 }
 
 // maxUsers is how many users' requests are served at a time.
-func maxUsers(r config.Resources) int64 {
-	return max(leastUsers, int64((r.MemoryMB-config.UncountedMB)*usersPerMB))
+func maxUsers(r config.Resources) int {
+	return max(leastUsers, int((r.MemoryMB-config.UncountedMB)*usersPerMB))
 }
 
-// admits takes a user's request in, unless there is no room for more or the
-// processor is behind and the user only asks. What is admitted must be let go.
+// admits takes a user's request in, unless there is no room for more. What is admitted
+// must be let go.
 func (c *Controller) admits(req httpwire.Request) bool {
-	if req.Method == "GET" {
-		c.mu.Lock()
-		behind := c.pressure.behind
-		c.mu.Unlock()
-		if behind {
-			return false
-		}
-	}
-	if c.users.Add(1) > maxUsers(c.cfg.Params.Resources) {
-		c.users.Add(-1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	poll := req.Method == "GET"
+	if c.users >= maxUsers(c.cfg.Params.Resources) || (poll && c.pressure.behind && c.polls >= pollsBehind) {
 		return false
 	}
+	c.users++
+	if poll {
+		c.polls++
+	}
 	return true
 }
 
+// letGo takes in that an admitted request is answered.
+func (c *Controller) letGo(req httpwire.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.users--
+	if req.Method == "GET" {
+		c.polls--
+	}
+}
+
 // memory is what the runtime tells of the process's memory, in bytes.
 type memory struct{ held, live uint64 }
 
