Machines that die together leave nobody to compare with, and are given back too

Cause: where all of a part's machines in a zone were silent and a controller of the zone answered, they were never given back: no other machine could bear witness, and patience was for single machines and for zones cut off only. Their tasks were held to run for ever, and counted for their team's limit. Now such a machine that does not answer when asked goes back once its lease is over.

--- a/internal/sched/care.go
+++ b/internal/sched/care.go
@@ -72,8 +72,11 @@
 func (p *Part) SetCut(zones map[string]bool) { p.cut = zones }
 
 // silent reports whether a machine is lost: its worker says nothing while
-// others in its zone do. When a whole zone is silent and none of its
-// controllers answers, the fault is rather the network's between us.
+// others in its zone do. When all of the part's machines in a zone are silent there
+// is nothing to compare with: they may have died together, or can't be heard from
+// here. Then each is given more than its lease, after which it has lost its tasks if
+// nobody else answers it, and several times that when none of the zone's controllers
+// answers either, since the fault is rather the network's between us.
 func (p *Part) silent(m *Machine, now time.Time) bool {
 	limit := p.cfg.SilentAfter
 	if !m.up {
@@ -91,10 +94,15 @@
 		return true
 	}
 	patience := p.cfg.Lease + limit
-	if p.cut[m.Zone] {
+	switch {
+	case p.cut[m.Zone]:
 		patience *= 3
+	case m.probes.failed >= probesLost:
+		patience = p.cfg.Lease + p.reportDue()
+	case m.Addr != "":
+		return false // it was not asked: this controller may have stood still
 	}
-	return (heard+quiet == 0 || p.cut[m.Zone]) && now.Sub(m.heard) > patience
+	return now.Sub(m.heard) > patience
 }
 
 // zoneLimit is a zone, and how long a machine there may be silent.
--- a/internal/sched/machine_test.go
+++ b/internal/sched/machine_test.go
@@ -206,3 +206,41 @@
 		t.Fatalf("starts %v, returned %v: want the machine used again", w.Started, r.cloud.Returned)
 	}
 }
+
+// Machines of a zone that die together leave nobody of the zone to compare them with.
+// They are given back all the same once their leases are surely over, also by an owner
+// that took them over dead, and their tasks start elsewhere.
+func TestWholeZoneDies(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		r := newRig(t)
+		r.cfg.Probes = 8
+		r.machine("m1", "z1", false)
+		r.machine("m2", "z1", false)
+		r.submit(spec("run-000001", "b", wire.Array, "normal", 4, 1))
+		r.beats(4)
+		r.machine("m3", "z2", false)
+		r.machine("m4", "z2", false)
+		r.beats(2)
+		delete(r.workers, "m1")
+		delete(r.workers, "m2")
+		if takeOver {
+			r.claim()
+		}
+		given := func(id string) bool { return r.part.machines[id] == nil || r.phase(id) > 0 }
+		for i := range 40 {
+			r.probed(r.cfg.Report/2, "m3", "m4")
+			r.beats(1)
+			if early := r.cfg.Report * 3 / 2 * time.Duration(i+1); early < r.cfg.Lease && (given("m1") || given("m2")) {
+				t.Fatalf("take-over %t: given back after %v", takeOver, early)
+			}
+		}
+		if !given("m1") || !given("m2") {
+			t.Errorf("take-over %t: dead machines are kept", takeOver)
+		}
+		for i := range 4 {
+			if at := r.on(fmt.Sprintf("run-000001/%d", i)); at != "m3" && at != "m4" {
+				t.Errorf("take-over %t: task %d is on %q", takeOver, i, at)
+			}
+		}
+	}
+}
