--- /dev/null
+++ b/internal/controller/troubles_test.go
@@ -0,0 +1,202 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// troubles are what may happen at any moment; each begins and returns what ends it.
+var troubles = []struct {
+	name  string
+	begin func(k *cluster, r *rand.Rand) (over func())
+}{
+	{"owner ends", func(k *cluster, r *rand.Rand) func() { return k.crashed(k.owner(r.IntN(k.params.Count))) }},
+	{"leader ends", func(k *cluster, _ *rand.Rand) func() { return k.crashed(k.leader()) }},
+	{"all end", func(k *cluster, _ *rand.Rand) func() {
+		for _, l := range k.labels {
+			k.crash(l)
+		}
+		return k.restartMissing
+	}},
+	{"quick restart", func(k *cluster, r *rand.Rand) func() {
+		k.crash(k.labels[r.IntN(len(k.labels))])
+		time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
+		k.restartMissing()
+		return nil
+	}},
+	{"refused alone", func(k *cluster, r *rand.Rand) func() {
+		l := k.labels[r.IntN(len(k.labels))]
+		if lead := k.leader(); lead != "" && r.IntN(2) == 0 {
+			l = lead
+		}
+		k.world.State.Refuse(l, true)
+		return func() { k.world.State.Refuse(l, false) }
+	}},
+	{"outage", func(k *cluster, _ *rand.Rand) func() {
+		k.world.State.Outage(true)
+		return func() { k.world.State.Outage(false) }
+	}},
+	{"zone cut", func(k *cluster, r *rand.Rand) func() {
+		return k.cutZone(k.params.Zones[r.IntN(len(k.params.Zones))], r.IntN(2) == 0)
+	}},
+	{"isolated", func(k *cluster, r *rand.Rand) func() { return k.isolate(k.labels[r.IntN(len(k.labels))]) }},
+	{"deaf controller", func(k *cluster, r *rand.Rand) func() {
+		l := k.labels[r.IntN(len(k.labels))]
+		return k.world.Net.Cut(&testkit.Cut{Hold: r.IntN(2) == 0, Match: testkit.Between(testkit.Named(l),
+			func(n string) bool { return n != testkit.UsersEnd && n != testkit.CloudEnd })})
+	}},
+	{"controllers apart", func(k *cluster, _ *rand.Rand) func() {
+		return k.world.Net.Cut(&testkit.Cut{Match: testkit.Between(k.controllers, k.controllers)})
+	}},
+	{"mute machines", func(k *cluster, r *rand.Rand) func() { return k.world.Mute(ids(k.some(r))) }},
+	{"deaf machines", func(k *cluster, r *rand.Rand) func() { return k.deaf(ids(k.some(r))) }},
+	{"machines cut off", func(k *cluster, r *rand.Rand) func() {
+		return k.world.Net.Cut(&testkit.Cut{Hold: r.IntN(2) == 0, Match: testkit.Between(ids(k.some(r)), testkit.Anyone)})
+	}},
+	{"machines hang", func(k *cluster, r *rand.Rand) func() {
+		ms := k.some(r)
+		for _, m := range ms {
+			m.Hang(true)
+		}
+		return func() {
+			for _, m := range ms {
+				m.Hang(false)
+			}
+		}
+	}},
+	{"machines die", func(k *cluster, r *rand.Rand) func() {
+		for _, m := range k.some(r) {
+			m.Die()
+		}
+		return nil
+	}},
+	{"commands held", func(k *cluster, _ *rand.Rand) func() {
+		return k.world.Net.Cut(&testkit.Cut{Hold: true, Requests: true, Match: func(from, to string) bool { return k.controllers(from) && k.machines(to) }})
+	}},
+	{"late writes", func(k *cluster, r *rand.Rand) func() {
+		n, one, lost := 0, 2+r.IntN(4), r.IntN(2) == 0
+		k.world.State.Decide(func(string, wire.Txn) testkit.Fate {
+			if n++; n%one != 0 {
+				return testkit.Fate{}
+			}
+			return testkit.Fate{Lost: lost, Late: time.Duration(2+n%11) * time.Second}
+		})
+		return func() { k.world.State.Decide(nil) }
+	}},
+	{"late reports", func(k *cluster, r *rand.Rand) func() {
+		old := k.reports()
+		return func() {
+			k.replay(old)
+		}
+	}},
+	{"slow network", func(k *cluster, r *rand.Rand) func() {
+		k.world.Net.Slow(time.Duration(r.IntN(900)) * time.Millisecond)
+		return func() { k.world.Net.Slow(0) }
+	}},
+	{"slow state service", func(k *cluster, r *rand.Rand) func() {
+		k.world.State.Slow(time.Duration(r.IntN(900)) * time.Millisecond)
+		return func() { k.world.State.Slow(0) }
+	}},
+	{"quick boots", func(k *cluster, _ *rand.Rand) func() {
+		k.world.Boot(500*time.Millisecond, false)
+		return nil
+	}},
+	{"no capacity", func(k *cluster, _ *rand.Rand) func() {
+		k.world.Boot(5*time.Second, true)
+		return func() { k.world.Boot(5*time.Second, false) }
+	}},
+}
+
+// crashed ends a controller, if there is one, until it is started again.
+func (k *cluster) crashed(label string) (over func()) {
+	k.crash(label)
+	return k.restartMissing
+}
+
+// some returns some of the machines.
+func (k *cluster) some(r *rand.Rand) []*testkit.Agent {
+	var out []*testkit.Agent
+	for _, m := range k.world.Machines() {
+		if r.IntN(3) == 0 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Troubles of every kind meet as chance has it, several at a time, while jobs of
+// every kind come and a third of them is cancelled. What is not listed is met here.
+func TestTroublesByChance(t *testing.T) {
+	for name, l := range layouts {
+		for seed := range uint64(chanceSeeds) {
+			t.Run(fmt.Sprintf("%s-%d", name, seed+1), func(t *testing.T) {
+				t.Parallel()
+				play(t, l(seed+1), func(k *cluster) { k.byChance(rand.New(rand.NewPCG(seed, 7)), name == "far") })
+			})
+		}
+	}
+}
+
+// chanceSeeds is how many seeds are played on each layout.
+const chanceSeeds = 12
+
+// byChance plays two minutes of troubles.
+func (k *cluster) byChance(r *rand.Rand, far bool) {
+	k.load()
+	pause := 12 * time.Second
+	if far {
+		pause = 20 * time.Second
+	}
+	n := firstOwn
+	var said []string
+	for end := time.Now().Add(2 * time.Minute); time.Now().Before(end); {
+		x := troubles[r.IntN(len(troubles))]
+		said = append(said, fmt.Sprintf("%s %s", time.Now().Format("04:05"), x.name))
+		over := x.begin(k, r)
+		d := time.Duration(r.Int64N(int64(2 * pause)))
+		if over != nil {
+			k.world.Go(func() {
+				k.world.Sleep(d)
+				over()
+			})
+		}
+		for range r.IntN(3) {
+			s := spec(ref(n), []string{"wide", "tight", "other"}[r.IntN(3)], func(s *wire.Spec) {
+				s.Tasks = 1 + r.IntN(3)
+				s.Priority = []string{"low", "normal", "urgent", "prod"}[r.IntN(4)]
+				s.Spot = r.IntN(3) == 0
+				switch r.IntN(6) {
+				case 0:
+					gang(2)(s)
+				case 1:
+					s.Kind, s.Spread, s.CheckpointS = wire.Service, true, 0
+				case 2:
+					s.OneZone = true
+				case 3:
+					if n > firstOwn+2 {
+						s.Roots = []string{ref(limitJob + 1 + r.IntN(n-firstOwn))}
+					}
+				}
+			})
+			if len(s.Roots) > 0 && (k.world.Told(s.Roots[0]) == "" || k.world.IsService(s.Roots[0])) {
+				s.Roots = nil // users name what was accepted, and no services
+			}
+			k.submitLater(s, testkit.Length{Run: time.Duration(2+r.IntN(40)) * time.Second, Fetch: time.Duration(r.IntN(6000)) * time.Millisecond})
+			if r.IntN(3) == 0 {
+				wait, name := time.Duration(r.Int64N(int64(10*time.Second))), s.Ref
+				k.world.Go(func() {
+					k.world.Sleep(wait)
+					k.cancel(name)
+				})
+			}
+			n++
+		}
+		time.Sleep(time.Duration(r.Int64N(int64(pause))))
+	}
+	k.said = said
+}
