A repeated submission of an open job changes nothing

It was answered only after a transaction whose conditions failed, and the state service counts the changes of such ones too: where users repeat submissions, that took them from acceptances and starts. What the view holds as open is read instead. If the view is behind, the reading tells the final state.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -128,6 +128,41 @@
 	}
 }
 
+// A repeated submission of a job that the view holds as open changes nothing: it
+// must not use the budget of changes, which acceptances and starts share.
+func TestRepeatedSubmissionWritesNothing(t *testing.T) {
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	if got := c.submit(body(t, nil)); got.status != 201 {
+		t.Fatalf("new: %+v, want 201", got)
+	}
+	e, err := state.Get(context.Background(), statestore.Urgent("test"), record.OpenKey("run-000412"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other.changeOpen(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	state.HoldTxns = 2 // none may be asked for
+	for name, at := range map[string]*Controller{"where it was accepted": c, "elsewhere": other} {
+		if got := at.submit(body(t, nil)); got.status != 200 || got.body.(wire.Brief).State != wire.Pending {
+			t.Errorf("repeat %s: %+v, want 200 and pending", name, got)
+		}
+	}
+	if state.HoldTxns != 2 {
+		t.Errorf("repeats asked for %d transactions, want none", 2-state.HoldTxns)
+	}
+	state.HoldTxns = 0
+	// A view that is behind tells nothing older than the records do.
+	endRec := record.Encode(record.Job{State: wire.Done, Tasks: 2})
+	if _, err := state.Txn(context.Background(), statestore.Urgent("test"), wire.Txn{
+		Then: []wire.Op{{Put: record.JobKey("run-000412"), Value: endRec}, {Delete: e.Key}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if got := other.submit(body(t, nil)); got.status != 200 || got.body.(wire.Brief).State != wire.Done {
+		t.Errorf("repeat after the end: %+v, want 200 and done", got)
+	}
+}
+
 func TestPollAndCancel(t *testing.T) {
 	state := testkit.NewState()
 	c, other := newTest(t, state), newTest(t, state)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -235,6 +235,11 @@
 	}
 	ctx, cancel := context.WithTimeout(c.life, userTimeout)
 	defer cancel()
+	if c.isOpen(s.Ref) {
+		// Accepted before: reading tells so without a change, of which the state
+		// service also counts those that fail.
+		return c.known(ctx, s.Ref)
+	}
 	if !c.canRun(s, types) {
 		return c.unless(ctx, s.Ref, 422)
 	}
@@ -266,6 +271,14 @@
 	return later()
 }
 
+// isOpen reports whether the watch has told of an unfinished job.
+func (c *Controller) isOpen(ref string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, open := c.open[ref]
+	return open
+}
+
 // unless refuses a job, unless it was accepted before: whatever the settings or
 // the state service's limits say by now.
 func (c *Controller) unless(ctx context.Context, ref string, status int) reply {
