Idle connections are closed by the event loop, not by gnet's ticker

gnet calls OnTick on a goroutine of its own. It went through the connections while the event loop entered one: the runtime then ends the process ("concurrent map iteration and map write"), as seen when 960 machines came back to three controllers that had stood still. The event loop now looks through them itself, as connections open and requests come, at most once in five seconds.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -155,7 +155,7 @@
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 			// A restarted controller takes its address over at once, though
 			// connections of the one before still linger on it.
-			gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithLogger(gnetLog{log}))
+			gnet.WithReuseAddr(true), gnet.WithLogger(gnetLog{log}))
 	}()
 	c.start()
 	log.Info("controller started", "label", cfg.Label, "zone", cfg.Zone)
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -32,7 +32,8 @@
 	sweepEach = 5 * time.Second
 )
 
-// server is the gnet side: one event loop that cuts bytes into requests.
+// server is the gnet side: one event loop that cuts bytes into requests. gnet calls
+// OnTick on a goroutine of its own, so nothing here relies on its ticker.
 type server struct {
 	gnet.BuiltinEventEngine
 	handle  handler
@@ -43,6 +44,7 @@
 	// there are sockets, and users' and peers' connections go on.
 	workerConn int
 	conns      map[gnet.Conn]*connState // only the event loop touches it
+	swept      time.Time                // when they were last looked through
 }
 
 // connState is a connection's; only the event loop touches it.
@@ -52,19 +54,23 @@
 	partial bool // a request has begun
 }
 
-// OnTick closes idle and slow connections.
-func (s *server) OnTick() (time.Duration, gnet.Action) {
-	now := time.Now()
+// sweep closes idle and slow connections now and then. The event loop does it as
+// connections open and requests come: while there are none, no socket is wanted.
+func (s *server) sweep(now time.Time) {
+	if now.Sub(s.swept) < sweepEach {
+		return
+	}
+	s.swept = now
 	for c, st := range s.conns {
 		quiet := now.Sub(st.last)
 		if !st.busy && (quiet > idleConn || (st.partial && quiet > slowConn)) {
 			c.Close()
 		}
 	}
-	return sweepEach, gnet.None
 }
 
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	s.sweep(time.Now())
 	if len(s.conns) >= s.maxConn {
 		return httpwire.AppendResponse(nil, 503, nil, 1, true), gnet.Close
 	}
@@ -80,6 +86,7 @@
 }
 
 func (s *server) OnTraffic(c gnet.Conn) gnet.Action {
+	s.sweep(time.Now())
 	st, ok := c.Context().(*connState)
 	for ok && !st.busy { // else what follows is looked at once the answer is out
 		buf, _ := c.Peek(-1)
--- a/internal/controller/wave_test.go
+++ b/internal/controller/wave_test.go
@@ -147,9 +147,11 @@
 	gnet.Conn
 	in, out bytes.Buffer
 	ctx     any
+	shut    bool // Close was called
 }
 
 func (c *conn) Peek(int) ([]byte, error)       { return c.in.Bytes(), nil }
+func (c *conn) Close() error                   { c.shut = true; return nil }
 func (c *conn) Discard(n int) (int, error)     { c.in.Next(n); return n, nil }
 func (c *conn) Write(b []byte) (int, error)    { return c.out.Write(b) }
 func (c *conn) Context() any                   { return c.ctx }
@@ -190,3 +192,47 @@
 		}
 	}
 }
+
+// Idle and slow connections are closed by the event loop, as others open or ask. The
+// engine's ticker runs on another goroutine: were it to look through the connections
+// while one opens, the process would end.
+func TestIdleConnectionsAreClosedByTheEventLoop(t *testing.T) {
+	for name, event := range map[string]func(s *server, other *conn){
+		"another opens": func(s *server, _ *conn) { s.OnOpen(&conn{}) },
+		"another asks": func(s *server, other *conn) {
+			other.in.Write(httpwire.AppendRequest(nil, "GET", wire.ReadyPath, "x", nil))
+			s.OnTraffic(other)
+		},
+	} {
+		s := &server{log: slog.New(slog.DiscardHandler), conns: map[gnet.Conn]*connState{}, maxConn: 16, workerConn: 16,
+			handle: func(httpwire.Request, func(reply)) (reply, bool) { return reply{status: 200}, true }}
+		open := func(quiet time.Duration, set func(*connState)) *conn {
+			c := &conn{}
+			s.OnOpen(c)
+			st := c.ctx.(*connState)
+			st.last = st.last.Add(-quiet)
+			set(st)
+			return c
+		}
+		idle := open(2*idleConn, func(*connState) {})
+		slow := open(2*slowConn, func(st *connState) { st.partial = true })
+		busy := open(2*idleConn, func(st *connState) { st.busy = true })
+		fresh := open(0, func(*connState) {})
+		s.OnTick()
+		if idle.shut || slow.shut {
+			t.Errorf("%s: the ticker's goroutine has closed a connection", name)
+		}
+		event(s, fresh)
+		if idle.shut || slow.shut {
+			t.Errorf("%s: connections looked through again at once", name)
+		}
+		s.swept = s.swept.Add(-sweepEach)
+		event(s, fresh)
+		if !idle.shut || !slow.shut {
+			t.Errorf("%s: idle closed %t, slow closed %t, want both", name, idle.shut, slow.shut)
+		}
+		if busy.shut || fresh.shut {
+			t.Errorf("%s: busy closed %t, fresh closed %t, want neither", name, busy.shut, fresh.shut)
+		}
+	}
+}
