--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,7 +33,7 @@
 // Defaults of the shell, each a compromise named here.
 const (
 	leaseTTL      = 4 * time.Second        // a dead controller's parts are free after this
-	tickEvery     = 200 * time.Millisecond // timers of the cores
+	tickEvery     = 250 * time.Millisecond // timers of the cores, which look at machines as often
 	longestWatch  = 4 * time.Second        // how long a watch may be silent
 	shortestWatch = 500 * time.Millisecond
 	watchPause    = 300 * time.Millisecond // changes this close together share one answer
