A controller writes its member record anew when another or none is seen

Cause: a copy of the write of a controller's last process, carried out after the next one's, left a record that went with the older lease. The controller then counted as dead for ever, and its parts changed hands in turn. Found by reading; the test TestMemberRecordOfTheLastProcessComesLate fails without this.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -99,6 +99,7 @@
 	begun       time.Time         // when this process began
 	searches    map[string]search // of workers, see elsewhere
 	hears       hearing           // as the member record says
+	memberPut   time.Time         // when that was last written
 	kept        map[string]kept
 	held        map[string]*held
 	budgetAt    time.Time // when the leader last gave a budget
@@ -265,12 +266,10 @@
 	if inc == 0 {
 		inc = lease // leases are never given twice, so neither are incarnations
 	}
-	key := record.MemberPrefix + c.cfg.Label
 	c.mu.Lock()
 	h := c.hears
 	c.mu.Unlock()
-	put := wire.Op{Put: key, Value: record.Encode(record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}), Lease: lease}
-	if _, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}}); err != nil {
+	if err := c.putMember(ctx, record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}, lease); err != nil {
 		return err
 	}
 	c.mu.Lock()
@@ -279,6 +278,16 @@
 	return nil
 }
 
+// putMember writes this controller's member record.
+func (c *Controller) putMember(ctx context.Context, rec record.Member, lease uint64) error {
+	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(rec), Lease: lease}
+	_, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memberPut = time.Now()
+	return err
+}
+
 // sure reports whether the lease certainly stands.
 func (c *Controller) sure(now time.Time) bool {
 	return c.lease != 0 && now.Sub(c.leaseAt) < leaseTTL*9/10
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -20,6 +20,7 @@
 	deafAfter   = 4 * time.Second // without an answer from any controller
 	pingTimeout = 900 * time.Millisecond
 	quietAfter  = 15 * time.Second // and does not lead for this long
+	memberSeen  = 2 * time.Second  // by then a member record shows in its writer's view
 )
 
 func (c *Controller) leads(now time.Time) bool {
@@ -75,7 +76,9 @@
 }
 
 // listen keeps the member record's word on whether this controller hears
-// anybody. A deaf one is still the owner of its parts, but of no use to them.
+// anybody. A deaf one is still the owner of its parts, but of no use to them. It also
+// writes the record anew where the view shows another or none: one of this label's
+// last process may have come late, and goes with that one's lease.
 func (c *Controller) listen(ctx context.Context) {
 	c.mu.Lock()
 	now := time.Now()
@@ -86,15 +89,15 @@
 		}
 	}
 	h.deaf = h.alone && c.fleet.Len() > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
-	change := h != c.hears && c.sure(now)
 	inc, lease := c.inc, c.lease
+	rec := record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}
+	lost := c.members[c.cfg.Label] != rec && c.viewAt.Sub(c.memberPut) > 0 && now.Sub(c.memberPut) > memberSeen
+	change := (h != c.hears || lost) && c.sure(now)
 	c.mu.Unlock()
 	if !change {
 		return
 	}
-	rec := record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}
-	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(rec), Lease: lease}
-	if _, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}}); err != nil {
+	if c.putMember(ctx, rec, lease) != nil {
 		return
 	}
 	c.mu.Lock()
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -977,3 +977,42 @@
 	})
 	return done.Load
 }
+
+// A process is back within a fraction of a second, and a copy of a write of the one
+// before it comes late: its member record, which goes with the older lease, replaces
+// the newer one. The controller must not be taken for dead for ever.
+func TestMemberRecordOfTheLastProcessComesLate(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		for _, label := range k.labels {
+			before := k.world.State.Writes()
+			k.restart(label, 200*time.Millisecond)
+			time.Sleep(1500 * time.Millisecond)
+			came := false
+			for _, w := range slices.Backward(before) {
+				if writes(w.Txn, record.MemberPrefix+label) {
+					came = k.world.State.Repeat(w) == nil
+					break
+				}
+			}
+			k.happened(came, "the older lease still stands")
+			time.Sleep(15 * time.Second)
+			var m record.Member
+			e, ok := k.world.State.Entry(record.MemberPrefix + label)
+			if ok {
+				if err := decode(e.Value, &m); err != nil {
+					k.t.Fatal(err)
+				}
+			}
+			p := k.process(label)
+			p.c.mu.Lock()
+			inc := p.c.inc
+			p.c.mu.Unlock()
+			if !ok || m.Inc != inc {
+				k.t.Errorf("%s: recorded %t as incarnation %d, is %d", label, ok, m.Inc, inc)
+			}
+		}
+		k.submit(spec(ref(firstOwn), "wide", nil), quick)
+		k.running(ref(firstOwn), 1)
+	})
+}
--- a/internal/testkit/service.go
+++ b/internal/testkit/service.go
@@ -102,6 +102,14 @@
 	s.fate = fate
 }
 
+// Repeat carries a transaction out once more, as a copy of it that comes late.
+func (s *Service) Repeat(w Write) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := s.apply(w.From, w.Txn)
+	return err
+}
+
 // Entry returns a record, and whether there is one.
 func (s *Service) Entry(key string) (wire.Entry, bool) {
 	s.state.mu.Lock()
