--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -40,7 +40,7 @@
 // service is down for all for longer than a cancelled task may live.
 func gap(k *cluster, outageAfter time.Duration, before func(owner string)) {
 	k.load()
-	k.submit(spec(ref(firstOwn), "wide", func(s *wire.Spec) { s.Roots = []string{ref(arrayJob)} }), quick)
+	k.submit(spec(ref(firstOwn), "wide", func(s *wire.Spec) { s.DependsOn = []string{ref(arrayJob)} }), quick)
 	owner := k.ownerOf(teamOf[arrayJob])
 	if before != nil {
 		before(owner)
@@ -940,7 +940,7 @@
 	k.t.Helper()
 	k.world.Register(first, l)
 	after := second
-	after.Roots = []string{first.Ref} // as the checker is to see it
+	after.DependsOn = []string{first.Ref} // as the checker is to see it
 	k.world.Register(after, l)
 	p := wire.Pipeline{Ref: name, Jobs: []json.RawMessage{encode(first), encode(second)},
 		Links: []wire.Link{{From: []string{first.Ref}, To: []string{second.Ref}}}, Choices: []wire.Choice{}}
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -38,7 +38,7 @@
 	var specs []*wire.Spec
 	for _, raw := range w.Jobs {
 		s, ok := parseSpec(raw)
-		if !ok || len(s.Roots) > 0 { // links say what follows what
+		if !ok || len(s.DependsOn) > 0 { // links say what follows what
 			return reply{status: 400}
 		}
 		specs = append(specs, s)
@@ -335,7 +335,7 @@
 	if v := record.Encode(o); len(v) <= c.limits().Bytes() {
 		return v
 	}
-	o.Spec.Types, o.Spec.Roots, o.Spec.Image, o.Spec.Class = nil, nil, "", ""
+	o.Spec.Types, o.Spec.DependsOn, o.Spec.Image, o.Spec.Class = nil, nil, "", ""
 	return record.Encode(o)
 }
 
--- a/internal/controller/roots.go
+++ b/internal/controller/roots.go
@@ -32,7 +32,7 @@
 // service. What this controller does not know is asked of the state service.
 func (c *Controller) checkRoots(ctx context.Context, s *wire.Spec) reply {
 	use := statestore.Urgent("roots")
-	for _, root := range s.Roots {
+	for _, root := range s.DependsOn {
 		c.mu.Lock()
 		j, open := c.open[root]
 		_, over := c.finals[root]
@@ -169,7 +169,7 @@
 
 // step is an open job as those that it needs see it.
 func step(o *record.Open) fragment.Step {
-	s := fragment.Step{Claim: fragment.Claim{Rank: sched.Rank(o.Spec.Priority)}, Roots: o.Spec.Roots, Length: config.Seconds(o.Spec.EstimateS)}
+	s := fragment.Step{Claim: fragment.Claim{Rank: sched.Rank(o.Spec.Priority)}, DependsOn: o.Spec.DependsOn, Length: config.Seconds(o.Spec.EstimateS)}
 	if o.Spec.DeadlineS != nil {
 		s.Due = time.UnixMilli(o.At).Add(config.Seconds(*o.Spec.DeadlineS))
 	}
--- a/internal/controller/roots_test.go
+++ b/internal/controller/roots_test.go
@@ -78,8 +78,8 @@
 			continue
 		}
 		var o record.Open
-		if err := decode(e.Value, &o); err != nil || o.Held != (len(o.Spec.Roots) > 0) {
-			t.Errorf("%s: held %t with roots %v, %v", name, o.Held, o.Spec.Roots, err)
+		if err := decode(e.Value, &o); err != nil || o.Held != (len(o.Spec.DependsOn) > 0) {
+			t.Errorf("%s: held %t with roots %v, %v", name, o.Held, o.Spec.DependsOn, err)
 		}
 		// A known job is never refused, whatever it names now, and whatever the
 		// limits have become.
@@ -167,7 +167,7 @@
 	// What is not known yet is asked for again, not taken for done.
 	other.submit(body(t, set("ref", "run-000004")))
 	c.Nudge(peer.NudgeArgs{Key: record.OpenKey("run-000005"), Version: 99,
-		Value: record.Encode(record.Open{Spec: wire.Spec{Ref: "run-000005", Tasks: 1, Roots: []string{"run-000004"}}, Held: true})})
+		Value: record.Encode(record.Open{Spec: wire.Spec{Ref: "run-000005", Tasks: 1, DependsOn: []string{"run-000004"}}, Held: true})})
 	c.seekRoot(context.Background(), "run-000004", nil)
 	if got := p.Awaited(); len(got) != 1 {
 		t.Fatalf("waits for %v, want the one that the view lacks", got)
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -179,12 +179,12 @@
 					s.OneZone = true
 				case 3:
 					if n > firstOwn+2 {
-						s.Roots = []string{ref(limitJob + 1 + r.IntN(n-firstOwn))}
+						s.DependsOn = []string{ref(limitJob + 1 + r.IntN(n-firstOwn))}
 					}
 				}
 			})
-			if len(s.Roots) > 0 && (k.world.Told(s.Roots[0]) == "" || k.world.IsService(s.Roots[0])) {
-				s.Roots = nil // users name what was accepted, and no services
+			if len(s.DependsOn) > 0 && (k.world.Told(s.DependsOn[0]) == "" || k.world.IsService(s.DependsOn[0])) {
+				s.DependsOn = nil // users name what was accepted, and no services
 			}
 			k.submitLater(s, testkit.Length{Run: time.Duration(2+r.IntN(40)) * time.Second, Fetch: time.Duration(r.IntN(6000)) * time.Millisecond})
 			if r.IntN(3) == 0 {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -168,9 +168,9 @@
 		s.Tasks >= 1 && s.Tasks <= maxTasks &&
 		amount(s.CPUs) && amount(s.GPUs) && amount(s.MemoryGB) && amount(s.ImageGB) &&
 		amount(s.EstimateS) && amount(s.CheckpointS) && amount(s.SaveS) && (s.DeadlineS == nil || amount(*s.DeadlineS)) &&
-		!slices.ContainsFunc(s.Roots, func(r string) bool { return !validRef(r) })
-	slices.Sort(s.Roots)
-	s.Roots = slices.Compact(s.Roots)
+		!slices.ContainsFunc(s.DependsOn, func(r string) bool { return !validRef(r) })
+	slices.Sort(s.DependsOn)
+	s.DependsOn = slices.Compact(s.DependsOn)
 	return &s, ok
 }
 
@@ -244,7 +244,7 @@
 		return c.unless(ctx, s.Ref, 422)
 	}
 	part := record.PartOf(c.teams, s.Team, s.Ref, c.cfg.Params.Count)
-	open := record.Encode(record.Open{Spec: *s, Part: part, At: time.Now().UnixMilli(), Held: len(s.Roots) > 0})
+	open := record.Encode(record.Open{Spec: *s, Part: part, At: time.Now().UnixMilli(), Held: len(s.DependsOn) > 0})
 	if len(open) > c.limits().Bytes() {
 		return c.unless(ctx, s.Ref, 422)
 	}
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -255,7 +255,7 @@
 	}
 	c.inherit(changed)
 	if p != nil {
-		if len(o.Spec.Roots) > 0 {
+		if len(o.Spec.DependsOn) > 0 {
 			c.seekRoots(c.life, now)
 		}
 		c.pump(p, now)
--- a/internal/fragment/needs.go
+++ b/internal/fragment/needs.go
@@ -17,8 +17,8 @@
 // Step is an open job among those that need each other.
 type Step struct {
 	Claim
-	Roots  []string
-	Length time.Duration // estimated
+	DependsOn []string
+	Length    time.Duration // estimated
 }
 
 // Needs is the open jobs and what they need. It is not safe for concurrent use.
@@ -37,7 +37,7 @@
 // changed.
 func (n *Needs) Set(ref string, s Step) []string {
 	if _, known := n.steps[ref]; !known {
-		for _, r := range s.Roots {
+		for _, r := range s.DependsOn {
 			if n.after[r] == nil {
 				n.after[r] = map[string]struct{}{}
 			}
@@ -56,13 +56,13 @@
 	}
 	delete(n.steps, ref)
 	delete(n.claims, ref)
-	for _, r := range s.Roots {
+	for _, r := range s.DependsOn {
 		if delete(n.after[r], ref); len(n.after[r]) == 0 {
 			delete(n.after, r)
 		}
 	}
 	var changed []string
-	for _, r := range s.Roots {
+	for _, r := range s.DependsOn {
 		changed = append(changed, n.weigh(r)...)
 	}
 	return changed
@@ -103,7 +103,7 @@
 	}
 	n.claims[ref] = c
 	changed := []string{ref}
-	for _, r := range s.Roots {
+	for _, r := range s.DependsOn {
 		changed = append(changed, n.weigh(r)...)
 	}
 	return changed
--- a/internal/fragment/needs_test.go
+++ b/internal/fragment/needs_test.go
@@ -11,7 +11,7 @@
 func claimOf(steps map[string]Step, ref string) Claim {
 	c := steps[ref].Claim
 	for d, s := range steps {
-		for _, r := range s.Roots {
+		for _, r := range s.DependsOn {
 			if r != ref {
 				continue
 			}
@@ -49,7 +49,7 @@
 					s = Step{Length: time.Duration(rnd.IntN(60)) * time.Second}
 					for r := range i { // only those accepted before
 						if rnd.IntN(6) == 0 {
-							s.Roots = append(s.Roots, fmt.Sprint("j", r))
+							s.DependsOn = append(s.DependsOn, fmt.Sprint("j", r))
 						}
 					}
 				}
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -337,7 +337,7 @@
 		p.leave(c)
 		p.settle(c)
 	}
-	for _, r := range j.spec.Roots {
+	for _, r := range j.spec.DependsOn {
 		if delete(p.roots[r], j); len(p.roots[r]) == 0 {
 			delete(p.roots, r)
 		}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -234,7 +234,7 @@
 		switch {
 		case o.Pipe != "":
 			j.line = p.lineOf(o.Pipe)
-		case len(spec.Roots) > 0:
+		case len(spec.DependsOn) > 0:
 			p.await(j)
 		default:
 			j.line = alone(ref)
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -32,8 +32,8 @@
 // record: what it waits for has final records, which never change, and so every
 // owner comes to the same.
 func (p *Part) await(j *Job) {
-	j.line = &line{run: fragment.After(j.ref, j.spec.Roots)}
-	for _, r := range j.spec.Roots {
+	j.line = &line{run: fragment.After(j.ref, j.spec.DependsOn)}
+	for _, r := range j.spec.DependsOn {
 		if p.roots[r] == nil {
 			p.roots[r] = map[*Job]struct{}{}
 		}
--- a/internal/sched/roots_test.go
+++ b/internal/sched/roots_test.go
@@ -18,7 +18,7 @@
 // after records a job that names others, as a controller does.
 func (r *rig) after(ref string, roots ...string) wire.Spec {
 	s := spec(ref, "b", wire.Array, "normal", 1, 0)
-	s.CPUs, s.MemoryGB, s.Roots = 1, 1, roots
+	s.CPUs, s.MemoryGB, s.DependsOn = 1, 1, roots
 	r.open(record.Open{Spec: s, At: r.clock.Now().UnixMilli(), Held: len(roots) > 0})()
 	return s
 }
--- a/internal/testkit/checker.go
+++ b/internal/testkit/checker.go
@@ -154,7 +154,7 @@
 		c.fail(NotDone, "%s is called done with %d of %d tasks", ref, len(j.done), j.spec.Tasks)
 	}
 	if state == wire.Pending || state == wire.Running {
-		for _, root := range j.spec.Roots {
+		for _, root := range j.spec.DependsOn {
 			// One that is submitted later has its time from then on.
 			if r := c.jobs[root]; r != nil && !r.cancelled.IsZero() && asked.Sub(later(r.cancelled, j.accepted)) > c.cancelS {
 				c.fail(Orphaned, "%s is %s long after %s was cancelled", ref, state, root)
@@ -175,7 +175,7 @@
 	if j.asked {
 		return true
 	}
-	for _, root := range j.spec.Roots {
+	for _, root := range j.spec.DependsOn {
 		if r := c.jobs[root]; r != nil && !seen[root] {
 			seen[root] = true
 			if c.mayBeCancelled(r, seen) {
@@ -208,7 +208,7 @@
 	if !j.cancelled.IsZero() {
 		c.fail(StartedLate, "%s starts on %s", task, at.ID)
 	}
-	for _, root := range s.Roots {
+	for _, root := range s.DependsOn {
 		if r := c.jobs[root]; r == nil || len(r.done) < r.spec.Tasks {
 			c.fail(TooEarly, "%s starts before %s is done", task, root)
 		}
@@ -345,7 +345,7 @@
 	may := func(zone string) bool {
 		return !(s.OneZone && len(zones) > 0 && zones[zone] == 0) && !(s.Spread && zones[zone] >= (s.Tasks+1)/2)
 	}
-	for _, root := range s.Roots {
+	for _, root := range s.DependsOn {
 		if r := c.jobs[root]; r == nil || len(r.done) < r.spec.Tasks {
 			return false
 		}
--- a/internal/testkit/checker_test.go
+++ b/internal/testkit/checker_test.go
@@ -78,12 +78,12 @@
 		"cancellation answered pending": {WentBack, func(c *Checker) { job(c, "r1", nil); c.Cancel("r1") }, func(c *Checker) { told(c, Cancellation, "r1", 200, wire.Pending) }},
 		"before its dependency is done": {TooEarly, func(c *Checker) {
 			job(c, "r1", nil)
-			job(c, "r2", func(s *wire.Spec) { s.Roots = []string{"r1"} })
+			job(c, "r2", func(s *wire.Spec) { s.DependsOn = []string{"r1"} })
 			c.Done("r1", 0)
 		}, func(c *Checker) { c.On("r2/0", zoneA) }},
 		"after its dependency's end": {Orphaned, func(c *Checker) {
 			job(c, "r1", nil)
-			job(c, "r2", func(s *wire.Spec) { s.Roots = []string{"r1"} })
+			job(c, "r2", func(s *wire.Spec) { s.DependsOn = []string{"r1"} })
 			c.Cancel("r1")
 			told(c, Cancellation, "r1", 200, wire.Cancelled)
 			time.Sleep(cancelAfter - time.Second)
@@ -121,7 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := NewChecker(map[string]float64{"tight": 2}, time.Minute)
 		c.Submit(wire.Spec{Ref: "r1", Team: "tight", Kind: wire.Array, Tasks: 4, GPUs: 1})
-		c.Submit(wire.Spec{Ref: "r2", Team: "wide", Kind: wire.Array, Tasks: 1, GPUs: 1, Roots: []string{"r1"}})
+		c.Submit(wire.Spec{Ref: "r2", Team: "wide", Kind: wire.Array, Tasks: 1, GPUs: 1, DependsOn: []string{"r1"}})
 		c.Submit(wire.Spec{Ref: "r3", Team: "wide", Kind: wire.Gang, Tasks: 8, GPUs: 1})
 		c.Submit(wire.Spec{Ref: "r4", Team: "wide", Kind: wire.Service, Tasks: 2, GPUs: 1, Spread: true})
 		c.Submit(wire.Spec{Ref: "r5", Team: "wide", Kind: wire.Array, Tasks: 2, GPUs: 1, OneZone: true})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -80,8 +80,8 @@
 	CheckpointS float64  `json:"graft_s"`
 	SaveS       float64  `json:"press_s"`
 	DeadlineS   *float64 `json:"harvest_s"`
-	// Roots are the jobs that have to be done before any task of this one starts.
-	Roots []string `json:"roots,omitempty"`
+	// DependsOn are the jobs that have to be done before any task of this one starts.
+	DependsOn []string `json:"roots,omitempty"`
 }
 
 // Status is a job's state as its user sees it.
