--- a/internal/controller/roots.go
+++ b/internal/controller/roots.go
@@ -86,7 +86,7 @@
 		return
 	}
 	for _, p := range c.parts {
-		p.RootEnded(ref, j, now)
+		p.DependencyEnded(ref, j, now)
 		c.pump(p, now)
 	}
 }
@@ -120,9 +120,9 @@
 	}
 	mine := map[string]bool{}
 	for _, p := range c.parts {
-		for _, r := range p.Awaited() {
+		for _, r := range p.Dependencies() {
 			if j, ok := c.finals[r]; ok {
-				p.RootEnded(r, j, now)
+				p.DependencyEnded(r, j, now)
 				c.pump(p, now)
 				continue
 			}
--- a/internal/controller/roots_test.go
+++ b/internal/controller/roots_test.go
@@ -146,7 +146,7 @@
 	}
 	view(t, state, c)
 	c.submit(dependent(t, "run-000003", []string{"run-000001", "run-000002"}))
-	if got := p.Awaited(); len(got) != 2 {
+	if got := p.Dependencies(); len(got) != 2 {
 		t.Fatalf("waits for %v, want both", got)
 	}
 	if got, err := c.state(context.Background(), statestore.Urgent("test"), "run-000003"); err != nil || got != wire.Pending {
@@ -155,13 +155,13 @@
 	// One end is told by its owner, the other only by the state service.
 	endedAs(t, state, "run-000001", wire.Done)
 	c.Nudge(peer.NudgeArgs{Key: record.JobKey("run-000001"), Value: record.Encode(record.Job{State: wire.Done})})
-	if got := p.Awaited(); len(got) != 1 || got[0] != "run-000002" {
+	if got := p.Dependencies(); len(got) != 1 || got[0] != "run-000002" {
 		t.Fatalf("waits for %v after it was told of the first", got)
 	}
 	endedAs(t, state, "run-000002", wire.Done)
 	view(t, state, c)
 	c.seekRoot(context.Background(), "run-000002", nil) // as its loops do
-	if got := p.Awaited(); len(got) != 0 {
+	if got := p.Dependencies(); len(got) != 0 {
 		t.Fatalf("still waits for %v", got)
 	}
 	// What is not known yet is asked for again, not taken for done.
@@ -169,7 +169,7 @@
 	c.Nudge(peer.NudgeArgs{Key: record.OpenKey("run-000005"), Version: 99,
 		Value: record.Encode(record.Open{Spec: wire.Spec{Ref: "run-000005", Tasks: 1, DependsOn: []string{"run-000004"}}, Held: true})})
 	c.seekRoot(context.Background(), "run-000004", nil)
-	if got := p.Awaited(); len(got) != 1 {
+	if got := p.Dependencies(); len(got) != 1 {
 		t.Fatalf("waits for %v, want the one that the view lacks", got)
 	}
 }
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -338,8 +338,8 @@
 		p.settle(c)
 	}
 	for _, r := range j.spec.DependsOn {
-		if delete(p.roots[r], j); len(p.roots[r]) == 0 {
-			delete(p.roots, r)
+		if delete(p.dependents[r], j); len(p.dependents[r]) == 0 {
+			delete(p.dependents, r)
 		}
 	}
 	delete(p.jobs, j.ref)
--- a/internal/sched/roots_test.go
+++ b/internal/sched/dependencies_test.go
@@ -25,13 +25,13 @@
 
 // tellEnds tells the part which of the jobs that it waits for are over.
 func (r *rig) tellEnds() {
-	for _, ref := range r.part.Awaited() {
+	for _, ref := range r.part.Dependencies() {
 		if e := r.get(record.JobKey(ref)); e != nil {
 			j, err := decode[record.Job](*e)
 			if err != nil {
 				r.t.Fatal(err)
 			}
-			r.part.RootEnded(ref, j, r.clock.Now())
+			r.part.DependencyEnded(ref, j, r.clock.Now())
 		}
 	}
 }
@@ -95,8 +95,8 @@
 	r.after(jobD, jobC)
 	r.tellEnds()
 	r.beats(2)
-	if r.jobState(jobD) != wire.Cancelled || len(r.part.roots) > 0 {
-		t.Errorf("a later one is %q, and %d are waited for", r.jobState(jobD), len(r.part.roots))
+	if r.jobState(jobD) != wire.Cancelled || len(r.part.dependents) > 0 {
+		t.Errorf("a later one is %q, and %d are waited for", r.jobState(jobD), len(r.part.dependents))
 	}
 	if got := started(w); !slices.Equal(got, []string{jobA}) {
 		t.Errorf("started %v", got)
@@ -117,7 +117,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.part.RootEnded(jobA, record.Job{State: wire.Cancelled}, r.clock.Now())
+	r.part.DependencyEnded(jobA, record.Job{State: wire.Cancelled}, r.clock.Now())
 	r.beats(2) // its own write conflicts
 	if r.part.HasJob(jobB) {
 		t.Error("still held after its record was found gone")
@@ -300,8 +300,8 @@
 			}
 		}
 		for _, r := range rigs {
-			if len(r.part.roots) > 0 || len(r.part.jobs) > 0 {
-				t.Errorf("seed %d: part %d still holds %d jobs and waits for %d", seed, r.id, len(r.part.jobs), len(r.part.roots))
+			if len(r.part.dependents) > 0 || len(r.part.jobs) > 0 {
+				t.Errorf("seed %d: part %d still holds %d jobs and waits for %d", seed, r.id, len(r.part.jobs), len(r.part.dependents))
 			}
 		}
 	}
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -34,19 +34,19 @@
 func (p *Part) await(j *Job) {
 	j.line = &line{run: fragment.After(j.ref, j.spec.DependsOn)}
 	for _, r := range j.spec.DependsOn {
-		if p.roots[r] == nil {
-			p.roots[r] = map[*Job]struct{}{}
+		if p.dependents[r] == nil {
+			p.dependents[r] = map[*Job]struct{}{}
 		}
-		p.roots[r][j] = struct{}{}
+		p.dependents[r][j] = struct{}{}
 	}
 }
 
-// Awaited returns the jobs, of this part or others, that jobs here wait for.
-func (p *Part) Awaited() []string { return slices.Collect(maps.Keys(p.roots)) }
+// Dependencies returns the jobs, of this part or others, that jobs here wait for.
+func (p *Part) Dependencies() []string { return slices.Collect(maps.Keys(p.dependents)) }
 
-// RootEnded takes in the final record of a job that others wait for.
-func (p *Part) RootEnded(ref string, end record.Job, now time.Time) {
-	for j := range p.roots[ref] {
+// DependencyEnded takes in the final record of a job that others wait for.
+func (p *Part) DependencyEnded(ref string, end record.Job, now time.Time) {
+	for j := range p.dependents[ref] {
 		if end.State != wire.Done {
 			// All that needs a cancelled job is cancelled with it. Nothing of it has
 			// run, so its end can be recorded at once.
@@ -64,7 +64,7 @@
 			p.free(j, j.freeAt, now)
 		}
 	}
-	delete(p.roots, ref)
+	delete(p.dependents, ref)
 }
 
 // Inherit gives a job what those that need it ask for.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -277,7 +277,7 @@
 	stated             bool                         // ranges state their size: no controller of the first version is left
 	plain              []*slot                      // to be deleted
 	lines              map[string]*line             // pipelines of several jobs
-	roots              map[string]map[*Job]struct{} // jobs that others here wait for, with these
+	dependents         map[string]map[*Job]struct{} // by dependency, the jobs here that wait for it
 	longestID          int                          // of the machines' names
 	leaving            []string                     // machines to be given back with the next batch
 	leaveAt            time.Time                    // when that batch is due
@@ -310,7 +310,7 @@
 func New(cfg *Config, id int, token uint64) *Part {
 	return &Part{
 		cfg: cfg, id: id, token: token, txnOps: cfg.TxnOps, valueBytes: cfg.ValueBytes, machines: map[string]*Machine{}, jobs: map[string]*Job{},
-		slots: map[int]*slot{}, lines: map[string]*line{}, roots: map[string]map[*Job]struct{}{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
+		slots: map[int]*slot{}, lines: map[string]*line{}, dependents: map[string]map[*Job]struct{}{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
 		index: newIndex(), kept: map[*Job]bool{}, zoneSeen: map[string]time.Time{},
 	}
 }
