--- a/internal/sched/care.go
+++ b/internal/sched/health.go
@@ -11,7 +11,7 @@
 // cheap when nothing has changed.
 func (p *Part) Step(now time.Time) Effects {
 	if !p.lost {
-		p.care(now)
+		p.checkHealth(now)
 		if p.changed || (!p.wake.IsZero() && !now.Before(p.wake)) {
 			p.changed, p.wake = false, time.Time{}
 			p.place(now)
@@ -31,14 +31,14 @@
 	}
 }
 
-// careEvery is how often machines are looked over.
-const careEvery = 250 * time.Millisecond
+// healthEvery is how often machines are looked over.
+const healthEvery = 250 * time.Millisecond
 
-func (p *Part) care(now time.Time) {
-	if now.Sub(p.lastCare) < careEvery {
+func (p *Part) checkHealth(now time.Time) {
+	if now.Sub(p.healthAt) < healthEvery {
 		return
 	}
-	p.lastCare = now
+	p.healthAt = now
 	p.zones = map[zoneLimit]zoneCount{}
 	p.probe(now)
 	for _, m := range p.machines {
--- a/internal/sched/probe_test.go
+++ b/internal/sched/probe_test.go
@@ -26,7 +26,7 @@
 func (r *rig) probed(d time.Duration, answers ...string) (asked int) {
 	r.answers = answers
 	for end := r.clock.Now().Add(d); r.clock.Now().Before(end); {
-		r.clock.Advance(careEvery)
+		r.clock.Advance(healthEvery)
 		eff := r.part.Step(r.clock.Now())
 		asked += len(eff.Probes)
 		r.probe(eff)
@@ -151,7 +151,7 @@
 		if eff := r.part.Step(r.clock.Now()); len(eff.Probes) > 2 || r.part.asked > 2 {
 			t.Fatalf("asks %v at once", eff.Probes)
 		}
-		r.clock.Advance(careEvery)
+		r.clock.Advance(healthEvery)
 	}
 }
 
@@ -171,7 +171,7 @@
 	r.submit(spec("run-000001", "b", wire.Service, "prod", 3, 1))
 	r.beats(4)
 	r.claim()
-	if n := r.probed(careEvery, "m1"); n != 2 {
+	if n := r.probed(healthEvery, "m1"); n != 2 {
 		t.Fatalf("%d machines asked, want 2", n)
 	}
 	now := r.clock.Now()
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -296,11 +296,11 @@
 	changed            bool // something that may allow a placement
 	wake               time.Time
 	ending             map[string]*Job // jobs whose end is to be recorded
-	lastCare           time.Time
+	healthAt           time.Time
 	asked              int                  // probes under way
 	zoneSeen           map[string]time.Time // when a probe of a zone's machine was last answered
 	cut                map[string]bool
-	zones              map[zoneLimit]zoneCount // since the last care
+	zones              map[zoneLimit]zoneCount // since the last health check
 	// Machines' worth that arrived, fading; what may use spot machines apart.
 	arrived, arrivedSpot float64
 	arriveAt             time.Time
