--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -53,7 +53,7 @@
 			p.giveBack(m, "silent", now)
 		case p.overdue(m, now):
 			p.giveBack(m, "never came up", now)
-		case p.hopeless(m, now):
+		case p.staysUnreachable(m, now):
 			p.giveBack(m, "no answer reaches it", now)
 		case m.drain:
 			p.clear(m, now)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -13,7 +13,7 @@
 // usable reports whether new work may be placed on a machine.
 func (p *Part) usable(m *Machine, now time.Time) bool {
 	return m.up && m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.txn == nil && !m.unsure &&
-		m.muteAt.IsZero() && (m.fenced || !m.inherited) && m.taken.IsZero() && now.Sub(m.reported) < p.suspectAfter()
+		m.unreachableSince.IsZero() && (m.fenced || !m.inherited) && m.taken.IsZero() && now.Sub(m.reported) < p.suspectAfter()
 }
 
 // suspectAfter is when a silent machine gets no new work.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -73,7 +73,7 @@
 	}
 	if !m.fenced {
 		m.fenced = true
-		p.reached(m)
+		p.markReached(m)
 		p.changed = true
 	}
 	kept := 0
@@ -129,8 +129,8 @@
 		return orders, Answered
 	}
 	if missed {
-		if m.missed++; m.missed >= muteAfterMissed {
-			p.mute(m, now)
+		if m.missed++; m.missed >= unreachableAfter {
+			p.markUnreachable(m, now)
 		}
 	} else {
 		m.missed = 0
@@ -255,7 +255,7 @@
 func (p *Part) present(k key, t *task, rt *wire.ReportTask, m *Machine, now time.Time) {
 	j := k.job
 	if !t.seen && t.sent {
-		p.reached(m) // a start of ours has arrived
+		p.markReached(m) // a start of ours has arrived
 	}
 	if !t.seen {
 		t.step(func(s *steps) { s.seen = now })
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -157,49 +157,49 @@
 
 // Machine is a machine of the part.
 type Machine struct {
-	ID        string
-	Type      wire.MachineType
-	Zone      string
-	Spot      bool
-	Addr      string
-	Phase     record.Phase
-	version   uint64 // of its own record, 0 without one
-	born      time.Time
-	session   uint64
-	seq       uint64
-	up        bool
-	fenced    bool      // has reported our token
-	inherited bool      // may hold what an earlier owner started
-	heard     time.Time // last report, or answer to a direct command or a probe
-	reported  time.Time // last report that could be answered
-	steady    time.Time // since when it was heard without a gap
-	answered  time.Time // when a report of this session was last answered
-	muteAt    time.Time // since when no answer seems to reach it; zero: they do
-	missed    int       // reports in a row that lacked a start sent before
-	taken     time.Time // when the cloud takes it back; zero: no notice
-	cpus      float64   // used
-	gpus      float64
-	mem       float64
-	on        map[key]*task
-	images    []record.Image // believed to be cached, the latest used last
-	idleSince time.Time
-	failed    map[string]bool // jobs that failed here in a row
-	moveTo    int             // -1: stays
-	drain     bool
-	txn       *Txn // its move, under way
-	unsure    bool
-	retry     time.Time
-	runs      map[string]*directRun // starts sent straight to it, by task
-	kept      int                   // exited tasks in its last report that it may not forget
-	reserved  string                // job for which room was made
-	reservedN int                   // for so many of its tasks
-	reservedT time.Time
-	probes    probing
-	addressed bool  // its address is recorded
-	greet     bool  // a command without orders is due, to bring our token there
-	filed     bool  // in the index,
-	at        class // there
-	ranks     [highestRank + 1]int
+	ID               string
+	Type             wire.MachineType
+	Zone             string
+	Spot             bool
+	Addr             string
+	Phase            record.Phase
+	version          uint64 // of its own record, 0 without one
+	born             time.Time
+	session          uint64
+	seq              uint64
+	up               bool
+	fenced           bool      // has reported our token
+	inherited        bool      // may hold what an earlier owner started
+	heard            time.Time // last report, or answer to a direct command or a probe
+	reported         time.Time // last report that could be answered
+	steady           time.Time // since when it was heard without a gap
+	answered         time.Time // when a report of this session was last answered
+	unreachableSince time.Time // since when no answer seems to reach it; zero: they do
+	missed           int       // reports in a row that lacked a start sent before
+	taken            time.Time // when the cloud takes it back; zero: no notice
+	cpus             float64   // used
+	gpus             float64
+	mem              float64
+	on               map[key]*task
+	images           []record.Image // believed to be cached, the latest used last
+	idleSince        time.Time
+	failed           map[string]bool // jobs that failed here in a row
+	moveTo           int             // -1: stays
+	drain            bool
+	txn              *Txn // its move, under way
+	unsure           bool
+	retry            time.Time
+	runs             map[string]*directRun // starts sent straight to it, by task
+	kept             int                   // exited tasks in its last report that it may not forget
+	reserved         string                // job for which room was made
+	reservedN        int                   // for so many of its tasks
+	reservedT        time.Time
+	probes           probing
+	addressed        bool  // its address is recorded
+	greet            bool  // a command without orders is due, to bring our token there
+	filed            bool  // in the index,
+	at               class // there
+	ranks            [highestRank + 1]int
 }
 
 type key struct {
--- a/internal/sched/mute.go
+++ b/internal/sched/unreachable.go
@@ -6,37 +6,37 @@
 	"bramblespur/internal/wire"
 )
 
-// muteAfterMissed is how many reports in a row must lack a start sent before
+// unreachableAfter is how many reports in a row must lack a start sent before
 // until its machine counts as one that no answer reaches. One answer may be
 // lost or late.
-const muteAfterMissed = 2
+const unreachableAfter = 2
 
 // session takes in the session of a report. A lease that ran out although its
 // worker's reports were answered tells that no answer reaches the machine.
 func (p *Part) session(m *Machine, r *wire.Report, now time.Time) {
 	if r.Session == m.session {
 		// A session that outlives the lease was renewed: answers arrive.
-		if !m.muteAt.IsZero() && now.Sub(m.muteAt) > p.cfg.Lease+p.cfg.Report {
-			p.reached(m)
+		if !m.unreachableSince.IsZero() && now.Sub(m.unreachableSince) > p.cfg.Lease+p.cfg.Report {
+			p.markReached(m)
 		}
 		return
 	}
 	if m.session != 0 && !m.answered.IsZero() && now.Sub(m.answered) < p.cfg.Lease*3/4 {
-		p.mute(m, now)
+		p.markUnreachable(m, now)
 	}
 	m.session = r.Session
 	m.answered = time.Time{}
 	m.missed = 0
 }
 
-// mute notes that no answer or command seems to reach a machine whose reports
+// markUnreachable notes that no answer or command seems to reach a machine whose reports
 // arrive: it gets no more work, and what is there is freed as ever only by what
 // proves it gone.
-func (p *Part) mute(m *Machine, now time.Time) {
-	if !m.muteAt.IsZero() {
+func (p *Part) markUnreachable(m *Machine, now time.Time) {
+	if !m.unreachableSince.IsZero() {
 		return
 	}
-	m.muteAt = now
+	m.unreachableSince = now
 	p.changed = true
 	for k, t := range m.on {
 		if t.sent && !t.seen {
@@ -45,17 +45,17 @@
 	}
 }
 
-// reached notes that an answer was seen to arrive at a machine.
-func (p *Part) reached(m *Machine) {
+// markReached notes that an answer was seen to arrive at a machine.
+func (p *Part) markReached(m *Machine) {
 	m.missed = 0
-	if !m.muteAt.IsZero() {
-		m.muteAt = time.Time{}
+	if !m.unreachableSince.IsZero() {
+		m.unreachableSince = time.Time{}
 		p.changed = true
 	}
 }
 
-// hopeless reports whether a machine is to be given back because no answer was
+// staysUnreachable reports whether a machine is to be given back because no answer was
 // seen to reach it for longer than a lease, by which one would have shown.
-func (p *Part) hopeless(m *Machine, now time.Time) bool {
-	return !m.muteAt.IsZero() && now.Sub(m.muteAt) > p.cfg.Lease+2*p.cfg.Report
+func (p *Part) staysUnreachable(m *Machine, now time.Time) bool {
+	return !m.unreachableSince.IsZero() && now.Sub(m.unreachableSince) > p.cfg.Lease+2*p.cfg.Report
 }
