--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -94,8 +94,8 @@
 	for _, ref := range eff.RereadPipes {
 		go c.rereadPipe(p, ref)
 	}
-	for _, d := range eff.Direct {
-		go c.direct(p, d)
+	for _, d := range eff.Pushes {
+		go c.push(p, d)
 	}
 	for _, q := range eff.Probes {
 		go c.probe(p, q)
@@ -104,7 +104,7 @@
 		if c.held[id] != nil {
 			c.release(id, now)
 		} else if d, ok := p.Start(id, now); ok {
-			go c.direct(p, d)
+			go c.push(p, d)
 		}
 	}
 	for _, g := range eff.Given {
@@ -329,8 +329,8 @@
 	})
 }
 
-// direct sends commands straight to a worker and tells the part what came of it.
-func (c *Controller) direct(p *sched.Part, d sched.Direct) {
+// push sends commands straight to a worker and tells the part what came of it.
+func (c *Controller) push(p *sched.Part, d sched.Push) {
 	c.commands <- struct{}{}
 	r, ok, err := c.agents.Command(c.life, d.Addr, d.Orders)
 	<-c.commands
@@ -351,7 +351,7 @@
 		c.log.Debug("direct command", "machine", d.Machine, "err", err)
 	}
 	c.locked(p, func(now time.Time) {
-		p.DirectDone(d, outcome, now)
+		p.PushDone(d, outcome, now)
 		if err == nil {
 			p.Report(&r, true, now)
 		}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -17,7 +17,7 @@
 			p.place(now)
 		}
 		p.flush(now)
-		p.directs(now)
+		p.pushStops(now)
 	}
 	out := p.out
 	p.out = Effects{}
@@ -172,11 +172,11 @@
 	return time.Duration((j.spec.SaveS + 0.5) * float64(time.Second))
 }
 
-// directs sends stops straight to the workers: a report may be seconds away,
+// pushStops sends stops straight to the workers: a report may be seconds away,
 // and a gang's tasks must be told within a short time of each other.
-func (p *Part) directs(now time.Time) {
-	for m := range p.index.direct {
-		delete(p.index.direct, m)
+func (p *Part) pushStops(now time.Time) {
+	for m := range p.index.toPush {
+		delete(p.index.toPush, m)
 		if m.Addr == "" || m.session == 0 {
 			continue
 		}
@@ -188,7 +188,7 @@
 		}
 		if len(o.Commands) > 0 || m.greet {
 			m.greet = false
-			p.out.Direct = append(p.out.Direct, Direct{Machine: m.ID, Addr: m.Addr, Orders: o})
+			p.out.Pushes = append(p.out.Pushes, Push{Machine: m.ID, Addr: m.Addr, Orders: o})
 		}
 	}
 }
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -30,7 +30,7 @@
 	byImage map[string]machines
 	byRank  [highestRank + 1]machines // those with a task of this priority
 	kept    map[string]machines       // by the job that room is, or was, kept for
-	direct  machines                  // for which a direct command is due
+	toPush  machines                  // for which a direct command is due
 	// clearing are those with a task that is being stopped.
 	clearing machines
 	waiting  map[string]*Job // jobs with a task that has no place
@@ -38,7 +38,7 @@
 }
 
 func newIndex() index {
-	x := index{byRoom: map[class]machines{}, byImage: map[string]machines{}, kept: map[string]machines{}, direct: machines{}, clearing: machines{}, waiting: map[string]*Job{}}
+	x := index{byRoom: map[class]machines{}, byImage: map[string]machines{}, kept: map[string]machines{}, toPush: machines{}, clearing: machines{}, waiting: map[string]*Job{}}
 	for r := range x.byRank {
 		x.byRank[r] = machines{}
 	}
@@ -105,7 +105,7 @@
 		delete(x.byRank[r], m)
 	}
 	remove(x.kept, m.reserved, m)
-	delete(x.direct, m)
+	delete(x.toPush, m)
 	delete(x.clearing, m)
 }
 
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -424,7 +424,7 @@
 	if !t.stop || grace < t.grace {
 		t.stop, t.grace = true, grace
 		p.index.clearing[t.machine] = struct{}{}
-		p.index.direct[t.machine] = struct{}{}
+		p.index.toPush[t.machine] = struct{}{}
 	}
 }
 
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -110,7 +110,7 @@
 	m.probes.failed, m.probes.at = 0, now
 	if m.inherited && !m.fenced && r.Token < m.token(p) {
 		m.greet = true
-		p.index.direct[m] = struct{}{}
+		p.index.toPush[m] = struct{}{}
 	}
 }
 
--- a/internal/sched/probe_test.go
+++ b/internal/sched/probe_test.go
@@ -176,10 +176,10 @@
 	}
 	now := r.clock.Now()
 	eff := r.part.Step(now)
-	if len(eff.Direct) != 1 || eff.Direct[0].Machine != "m1" || len(eff.Direct[0].Orders.Commands) != 0 {
-		t.Fatalf("sends %+v", eff.Direct)
+	if len(eff.Pushes) != 1 || eff.Pushes[0].Machine != "m1" || len(eff.Pushes[0].Orders.Commands) != 0 {
+		t.Fatalf("sends %+v", eff.Pushes)
 	}
-	w1.Obey(wire.Orders{Token: eff.Direct[0].Orders.Token})
+	w1.Obey(wire.Orders{Token: eff.Pushes[0].Orders.Token})
 	rep := w1.Report()
 	r.part.Report(&rep, true, now)
 	if m := r.part.machines["m1"]; !m.fenced || !r.part.usable(m, now) {
--- a/internal/sched/direct.go
+++ b/internal/sched/push.go
@@ -14,8 +14,8 @@
 // worker forget the attempt, until a higher token or a newer session was
 // reported, or the machine is gone.
 
-// directRun is a start that was sent straight to a worker.
-type directRun struct {
+// pushedStart is a start that was sent straight to a worker.
+type pushedStart struct {
 	attempt  uint64
 	token    uint64
 	at       time.Time
@@ -34,9 +34,9 @@
 )
 
 const (
-	// directWorth is the wait for a report from which on a command sent by
+	// pushWorth is the wait for a report from which on a command sent by
 	// itself is worth its connection.
-	directWorth = time.Second
+	pushWorth = time.Second
 	// fenceAfter is how long an answer to a direct start is awaited before the
 	// machine gets a higher token.
 	fenceAfter = 4 * time.Second
@@ -47,26 +47,26 @@
 
 // Start makes the command that brings what is recorded for a machine to it at
 // once, if its next report is far.
-func (p *Part) Start(id string, now time.Time) (Direct, bool) {
+func (p *Part) Start(id string, now time.Time) (Push, bool) {
 	m := p.machines[id]
-	if m == nil || m.Addr == "" || m.session == 0 || !p.usable(m, now) || p.cfg.Report < 2*directWorth {
-		return Direct{}, false
+	if m == nil || m.Addr == "" || m.session == 0 || !p.usable(m, now) || p.cfg.Report < 2*pushWorth {
+		return Push{}, false
 	}
-	d := Direct{Machine: m.ID, Addr: m.Addr, Orders: wire.DirectOrders{Token: m.token(p), Session: m.session, Commands: p.starts(m, now)}}
+	d := Push{Machine: m.ID, Addr: m.Addr, Orders: wire.DirectOrders{Token: m.token(p), Session: m.session, Commands: p.starts(m, now)}}
 	if len(d.Orders.Commands) == 0 {
-		return Direct{}, false
+		return Push{}, false
 	}
 	if m.runs == nil {
-		m.runs = map[string]*directRun{}
+		m.runs = map[string]*pushedStart{}
 	}
 	for _, c := range d.Orders.Commands {
-		m.runs[c.Task] = &directRun{attempt: c.Attempt, token: d.Orders.Token, at: now}
+		m.runs[c.Task] = &pushedStart{attempt: c.Attempt, token: d.Orders.Token, at: now}
 	}
 	return d, true
 }
 
-// DirectDone takes in how a direct command ended.
-func (p *Part) DirectDone(d Direct, o Outcome, now time.Time) {
+// PushDone takes in how a direct command ended.
+func (p *Part) PushDone(d Push, o Outcome, now time.Time) {
 	m := p.machines[d.Machine]
 	if m == nil {
 		return
--- a/internal/sched/direct_test.go
+++ b/internal/sched/push_test.go
@@ -9,17 +9,17 @@
 
 // deliver carries a direct command out, as its worker would, and tells the
 // part unless the answer is lost.
-func (r *rig) deliver(d Direct, answered bool) {
+func (r *rig) deliver(d Push, answered bool) {
 	w := r.workers[d.Machine]
 	if w.Session != d.Orders.Session || !w.Obey(wire.Orders{Token: d.Orders.Token, Commands: d.Orders.Commands}) {
 		if answered {
-			r.part.DirectDone(d, Refused, r.clock.Now())
+			r.part.PushDone(d, Refused, r.clock.Now())
 		}
 		return
 	}
 	rep := w.Report()
 	if answered {
-		r.part.DirectDone(d, Executed, r.clock.Now())
+		r.part.PushDone(d, Executed, r.clock.Now())
 		r.part.Report(&rep, true, r.clock.Now())
 	}
 }
@@ -28,7 +28,7 @@
 // its repetition in an answer starts nothing twice.
 func TestDirectStart(t *testing.T) {
 	r := newRig(t)
-	r.sendStart = func(d Direct) { r.deliver(d, true) }
+	r.sendStart = func(d Push) { r.deliver(d, true) }
 	w := r.machine("m1", "z1", false)
 	r.beats(2)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
@@ -50,8 +50,8 @@
 // the late command does nothing.
 func TestLateDirectStart(t *testing.T) {
 	r := newRig(t)
-	var late []Direct
-	r.sendStart = func(d Direct) { late = append(late, d) }
+	var late []Push
+	r.sendStart = func(d Push) { late = append(late, d) }
 	w := r.machine("m1", "z1", false)
 	r.beats(2)
 	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
@@ -67,7 +67,7 @@
 	}
 	before := w.Token
 	for range 6 {
-		r.part.DirectDone(late[0], NoAnswer, r.clock.Now())
+		r.part.PushDone(late[0], NoAnswer, r.clock.Now())
 		r.beat()
 	}
 	if w.Token <= before || r.part.HasJob(s.Ref) {
@@ -83,8 +83,8 @@
 // stopped and started elsewhere: the worker has not forgotten the attempt.
 func TestCopyOfDirectStart(t *testing.T) {
 	r := newRig(t)
-	var sent []Direct
-	r.sendStart = func(d Direct) { sent = append(sent, d); r.deliver(d, true) }
+	var sent []Push
+	r.sendStart = func(d Push) { sent = append(sent, d); r.deliver(d, true) }
 	w1 := r.machine("m1", "z1", false)
 	r.beats(2)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 2))
@@ -112,7 +112,7 @@
 // Attempts that may not be forgotten do not pile up: a higher token ends that.
 func TestKeptAttemptsAreCleared(t *testing.T) {
 	r := newRig(t)
-	r.sendStart = func(d Direct) { r.deliver(d, true) }
+	r.sendStart = func(d Push) { r.deliver(d, true) }
 	w := r.machine("m1", "z1", false)
 	r.beats(2)
 	for i := range 3 * fenceRuns {
@@ -133,8 +133,8 @@
 // A take-over makes every direct start of the earlier owner void.
 func TestTakeOverVoidsDirectStarts(t *testing.T) {
 	r := newRig(t)
-	var late []Direct
-	r.sendStart = func(d Direct) { late = append(late, d) }
+	var late []Push
+	r.sendStart = func(d Push) { late = append(late, d) }
 	w1 := r.machine("m1", "z1", false)
 	r.beats(2)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 2))
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -30,7 +30,7 @@
 	// answers are the machines that answer probes.
 	answers []string
 	// sendStart, if set, carries direct starts to their workers.
-	sendStart func(d Direct)
+	sendStart func(d Push)
 }
 
 func newRig(t testing.TB) *rig { return newRigOf(t, 0, testkit.NewClock(), testkit.NewState()) }
@@ -151,7 +151,7 @@
 			}
 		}
 		r.probe(eff)
-		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadSlots)+len(eff.RereadMachines)+len(eff.RereadPipes)+len(eff.Direct) == 0 {
+		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadSlots)+len(eff.RereadMachines)+len(eff.RereadPipes)+len(eff.Pushes) == 0 {
 			return
 		}
 		for _, t := range eff.Txns {
@@ -196,7 +196,7 @@
 			}
 		}
 		r.returns()
-		for _, d := range eff.Direct {
+		for _, d := range eff.Pushes {
 			w := r.workers[d.Machine]
 			if w == nil || w.Session != d.Orders.Session {
 				continue
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -189,10 +189,10 @@
 	txn              *Txn // its move, under way
 	unsure           bool
 	retry            time.Time
-	runs             map[string]*directRun // starts sent straight to it, by task
-	kept             int                   // exited tasks in its last report that it may not forget
-	reserved         string                // job for which room was made
-	reservedN        int                   // for so many of its tasks
+	runs             map[string]*pushedStart // starts sent straight to it, by task
+	kept             int                     // exited tasks in its last report that it may not forget
+	reserved         string                  // job for which room was made
+	reservedN        int                     // for so many of its tasks
 	reservedT        time.Time
 	probes           probing
 	addressed        bool  // its address is recorded
@@ -238,8 +238,8 @@
 	back    *batch // machines to give back
 }
 
-// Direct is a command to send straight to a worker.
-type Direct struct {
+// Push is a command to send straight to a worker.
+type Push struct {
 	Machine string
 	Addr    string
 	Orders  wire.DirectOrders
@@ -252,7 +252,7 @@
 	RereadSlots    []int
 	RereadMachines []string
 	RereadPipes    []string
-	Direct         []Direct
+	Pushes         []Push
 	Probes         []Probe
 	Wake           []string // machines for which a start is ready
 	Started        []Start  // tasks seen to run for the first time
