--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -59,32 +59,32 @@
 	peers  map[string]peer.Caller
 	teams  []string // names in order
 
-	mu         sync.Mutex
-	schedCfg   *sched.Config // nil until the machine types are known
-	types      []wire.MachineType
-	parts      map[int]*sched.Part
-	claiming   map[int]bool
-	partRecs   map[int]versioned[record.Part]
-	fleet      *record.Fleet
-	open       map[string]openJob       // unfinished jobs as the watch tells them
-	needs      *fragment.Needs          // how unfinished jobs need each other
-	rootReads  map[string]time.Time     // when final records are read again, or for the first time
-	ends       map[string]chan struct{} // closed when such a job is over, if that is awaited
-	members    map[string]record.Member
-	leader     versioned[record.Head]
-	typesSeen  bool
-	viewAt     time.Time                // the cluster view was true at this time or later
-	formats    map[string]record.Format // by controller, what it writes and reads
-	jobsAt     time.Time                // so was the view of open jobs
-	fleetAt    time.Time                // and that of the machines
-	waiting    []*confirmation
-	lease      uint64
-	leaseAt    time.Time // last renewal's request
-	inc        uint64
-	finals     map[string]record.Job
-	redirected map[string]redirect
-	peerOK     map[string]time.Time // last answer
-	peerSince  map[string]time.Time // answers without a gap since
+	mu              sync.Mutex
+	schedCfg        *sched.Config // nil until the machine types are known
+	types           []wire.MachineType
+	parts           map[int]*sched.Part
+	claiming        map[int]bool
+	partRecs        map[int]versioned[record.Part]
+	fleet           *record.Fleet
+	open            map[string]openJob       // unfinished jobs as the watch tells them
+	needs           *fragment.Needs          // how unfinished jobs need each other
+	dependencyReads map[string]time.Time     // when final records are read again, or for the first time
+	ends            map[string]chan struct{} // closed when such a job is over, if that is awaited
+	members         map[string]record.Member
+	leader          versioned[record.Head]
+	typesSeen       bool
+	viewAt          time.Time                // the cluster view was true at this time or later
+	formats         map[string]record.Format // by controller, what it writes and reads
+	jobsAt          time.Time                // so was the view of open jobs
+	fleetAt         time.Time                // and that of the machines
+	waiting         []*confirmation
+	lease           uint64
+	leaseAt         time.Time // last renewal's request
+	inc             uint64
+	finals          map[string]record.Job
+	redirected      map[string]redirect
+	peerOK          map[string]time.Time // last answer
+	peerSince       map[string]time.Time // answers without a gap since
 	// peerRefused is when a peer last refused a connection: it is dead, or
 	// connections between controllers are refused.
 	peerRefused map[string]time.Time
@@ -191,7 +191,7 @@
 	c.open = map[string]openJob{}
 	c.ends = map[string]chan struct{}{}
 	c.needs = fragment.NewNeeds()
-	c.rootReads = map[string]time.Time{}
+	c.dependencyReads = map[string]time.Time{}
 	c.commands = make(chan struct{}, max(1, c.cfg.Params.Resources.MaxSockets/commandSockets))
 	c.begun = c.syncedAt
 	c.searches = map[string]search{}
@@ -359,7 +359,7 @@
 			p.SetBacklog(backlog)
 			c.pump(p, now)
 		}
-		c.seekRoots(ctx, now)
+		c.seekDependencies(ctx, now)
 		c.considerClaims(ctx, now)
 		c.checkBudget(now)
 		for id, r := range c.redirected {
--- a/internal/controller/roots.go
+++ b/internal/controller/dependencies.go
@@ -20,18 +20,18 @@
 // by who was not told once the root's open record is gone.
 
 const (
-	// readRootAgain is the pause after a root had neither an open record in the
+	// readDependencyAgain is the pause after a root had neither an open record in the
 	// view nor a final one: the view is behind.
-	readRootAgain = time.Second
+	readDependencyAgain = time.Second
 	// cascadeAfter is how long the owner has to end what needs a cancelled job,
 	// before any controller does.
 	cascadeAfter = 4 * time.Second
 )
 
-// checkRoots refuses a submission that names what was never accepted, or a
+// checkDependencies refuses a submission that names what was never accepted, or a
 // service. What this controller does not know is asked of the state service.
-func (c *Controller) checkRoots(ctx context.Context, s *wire.Spec) reply {
-	use := statestore.Urgent("roots")
+func (c *Controller) checkDependencies(ctx context.Context, s *wire.Spec) reply {
+	use := statestore.Urgent("dependencies")
 	for _, root := range s.DependsOn {
 		c.mu.Lock()
 		j, open := c.open[root]
@@ -79,8 +79,8 @@
 	return j, nil
 }
 
-// rootEnded takes in a job's final record and tells the parts. The lock is held.
-func (c *Controller) rootEnded(ref string, j record.Job, now time.Time) {
+// dependencyEnded takes in a job's final record and tells the parts. The lock is held.
+func (c *Controller) dependencyEnded(ref string, j record.Job, now time.Time) {
 	c.setFinal(ref, j)
 	if len(c.needs.After(ref)) == 0 {
 		return
@@ -111,10 +111,10 @@
 	}
 }
 
-// seekRoots reads the final records of roots that are not open any more: for the
+// seekDependencies reads the final records of roots that are not open any more: for the
 // parts held here at once, and for others later, in case their owners can't end
 // what needs a cancelled job. The lock is held.
-func (c *Controller) seekRoots(ctx context.Context, now time.Time) {
+func (c *Controller) seekDependencies(ctx context.Context, now time.Time) {
 	if c.jobsAt.IsZero() {
 		return // before there is a view nothing can be missing from it
 	}
@@ -133,21 +133,21 @@
 		if _, open := c.open[r]; open {
 			return
 		}
-		at, noted := c.rootReads[r]
+		at, noted := c.dependencyReads[r]
 		if !noted {
 			at = now
 			if !mine[r] {
 				at = now.Add(jitter(cascadeAfter))
 			}
-			c.rootReads[r] = at
+			c.dependencyReads[r] = at
 		}
-		if mine[r] && at.Sub(now) > readRootAgain {
+		if mine[r] && at.Sub(now) > readDependencyAgain {
 			at = now // it came to be ours meanwhile
 		}
 		if now.Before(at) {
 			return
 		}
-		c.rootReads[r] = now.Add(jitter(cascadeAfter))
+		c.dependencyReads[r] = now.Add(jitter(cascadeAfter))
 		j, known := c.finals[r]
 		if known && j.State == wire.Done {
 			return
@@ -158,11 +158,11 @@
 				others = append(others, d)
 			}
 		}
-		go c.seekRoot(ctx, r, others)
+		go c.seekDependency(ctx, r, others)
 	})
-	for r := range c.rootReads {
+	for r := range c.dependencyReads {
 		if len(c.needs.After(r)) == 0 {
-			delete(c.rootReads, r)
+			delete(c.dependencyReads, r)
 		}
 	}
 }
@@ -188,17 +188,17 @@
 	}
 }
 
-// seekRoot reads a root's final record and, where it was cancelled, ends jobs of
+// seekDependency reads a root's final record and, where it was cancelled, ends jobs of
 // others that need it.
-func (c *Controller) seekRoot(ctx context.Context, root string, others []string) {
+func (c *Controller) seekDependency(ctx context.Context, root string, others []string) {
 	ctx, cancel := context.WithTimeout(ctx, userTimeout)
 	defer cancel()
 	j, ok := c.final(root)
 	if !ok {
 		var err error
-		if j, err = c.readFinal(ctx, statestore.Urgent("roots"), root); err != nil {
+		if j, err = c.readFinal(ctx, statestore.Urgent("dependencies"), root); err != nil {
 			c.mu.Lock()
-			c.rootReads[root] = time.Now().Add(readRootAgain)
+			c.dependencyReads[root] = time.Now().Add(readDependencyAgain)
 			c.mu.Unlock()
 			if !errors.Is(err, statestore.ErrNotFound) {
 				c.log.Debug("root", "ref", root, "err", err)
@@ -206,20 +206,20 @@
 			return
 		}
 		c.mu.Lock()
-		c.rootEnded(root, j, time.Now())
+		c.dependencyEnded(root, j, time.Now())
 		c.mu.Unlock()
 	}
 	if j.State != wire.Cancelled {
 		return
 	}
 	for _, d := range others {
-		c.endAfter(ctx, d)
+		c.cancelDependent(ctx, d)
 	}
 }
 
-// endAfter records the end of a job that needs a cancelled one. It has never run,
+// cancelDependent records the end of a job that needs a cancelled one. It has never run,
 // so that needs no word of its owner: only that its record is as it was.
-func (c *Controller) endAfter(ctx context.Context, ref string) {
+func (c *Controller) cancelDependent(ctx context.Context, ref string) {
 	c.mu.Lock()
 	j, open := c.open[ref]
 	c.mu.Unlock()
--- a/internal/controller/roots_test.go
+++ b/internal/controller/dependencies_test.go
@@ -160,7 +160,7 @@
 	}
 	endedAs(t, state, "run-000002", wire.Done)
 	view(t, state, c)
-	c.seekRoot(context.Background(), "run-000002", nil) // as its loops do
+	c.seekDependency(context.Background(), "run-000002", nil) // as its loops do
 	if got := p.Dependencies(); len(got) != 0 {
 		t.Fatalf("still waits for %v", got)
 	}
@@ -168,7 +168,7 @@
 	other.submit(body(t, set("ref", "run-000004")))
 	c.Nudge(peer.NudgeArgs{Key: record.OpenKey("run-000005"), Version: 99,
 		Value: record.Encode(record.Open{Spec: wire.Spec{Ref: "run-000005", Tasks: 1, DependsOn: []string{"run-000004"}}, Held: true})})
-	c.seekRoot(context.Background(), "run-000004", nil)
+	c.seekDependency(context.Background(), "run-000004", nil)
 	if got := p.Dependencies(); len(got) != 1 {
 		t.Fatalf("waits for %v, want the one that the view lacks", got)
 	}
@@ -207,7 +207,7 @@
 			}
 		})
 		for _, r := range roots {
-			c.seekRoot(context.Background(), r, after[r])
+			c.seekDependency(context.Background(), r, after[r])
 		}
 	}
 	for i := range 12 {
@@ -223,8 +223,8 @@
 	if finalState(t, state, "run-000002") != "" {
 		t.Error("a job that needs nothing was ended")
 	}
-	if len(c.rootReads) > 24 {
-		t.Errorf("%d reads of roots are remembered", len(c.rootReads))
+	if len(c.dependencyReads) > 24 {
+		t.Errorf("%d reads of roots are remembered", len(c.dependencyReads))
 	}
 }
 
@@ -236,7 +236,7 @@
 	c.submit(dependent(t, "run-000002", []string{"run-000001"}))
 	endedAs(t, state, "run-000001", wire.Done)
 	view(t, state, c)
-	c.seekRoot(context.Background(), "run-000001", []string{"run-000002"})
+	c.seekDependency(context.Background(), "run-000001", []string{"run-000002"})
 	if finalState(t, state, "run-000002") != "" {
 		t.Error("ended though its root was done")
 	}
--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -23,7 +23,7 @@
 // tighter ones, whether they are in force or not. Nothing needs the difference,
 // while each change beyond the rate is refused and comes again. The lock is held.
 func (c *Controller) rates() config.State {
-	if c.firstGone() {
+	if c.upgraded() {
 		return c.limits()
 	}
 	return c.cfg.Params.State
@@ -33,12 +33,12 @@
 // version is gone, and smaller records are to come, for which its format does not
 // serve. The lock is held.
 func (c *Controller) allStated() bool {
-	return c.limits().Bytes() < c.cfg.Params.State.Bytes() && c.firstGone()
+	return c.limits().Bytes() < c.cfg.Params.State.Bytes() && c.upgraded()
 }
 
-// firstGone reports whether every controller of the settings has given its word
+// upgraded reports whether every controller of the settings has given its word
 // on its format, and so none of the first version is left. The lock is held.
-func (c *Controller) firstGone() bool {
+func (c *Controller) upgraded() bool {
 	for _, l := range c.cfg.Labels() {
 		if c.formats[l].N < record.Stated {
 			return false
@@ -57,7 +57,7 @@
 		c.mu.Lock()
 		known, viewed := c.formats[c.cfg.Label].N >= record.Stated, !c.viewAt.IsZero()
 		c.mu.Unlock()
-		if known || (viewed && c.giveWord(ctx, c.cfg.Label, c.Format())) {
+		if known || (viewed && c.recordFormat(ctx, c.cfg.Label, c.Format())) {
 			return
 		}
 		sleep(ctx, jitter(300*time.Millisecond))
@@ -67,9 +67,9 @@
 // Format implements peer.Handler.
 func (c *Controller) Format() int { return record.Stated }
 
-// giveWord records the format of a controller. It needs no conditions: it says the
+// recordFormat records the format of a controller. It needs no conditions: it says the
 // same each time.
-func (c *Controller) giveWord(ctx context.Context, label string, n int) bool {
+func (c *Controller) recordFormat(ctx context.Context, label string, n int) bool {
 	key, value := record.FormatKey(label), record.Encode(record.Format{N: n})
 	rev, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{{Put: key, Value: value}}})
 	if err != nil {
@@ -95,7 +95,7 @@
 			var n int
 			// The first version has no such method; one that is silent says nothing.
 			if err := p.Call("Format", c.cfg.Label, &n, pingTimeout); err == nil && n >= record.Stated {
-				c.giveWord(ctx, label, n)
+				c.recordFormat(ctx, label, n)
 			}
 		}()
 	}
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -176,7 +176,7 @@
 				continue
 			}
 			c.tellEnd(record.Last(key), op)
-			c.rootEnded(record.Last(key), j, now)
+			c.dependencyEnded(record.Last(key), j, now)
 		}
 	}
 }
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -248,7 +248,7 @@
 	if len(open) > c.limits().Bytes() {
 		return c.unless(ctx, s.Ref, 422)
 	}
-	if no := c.checkRoots(ctx, s); !no.zero() {
+	if no := c.checkDependencies(ctx, s); !no.zero() {
 		return no
 	}
 	t := wire.Txn{
@@ -560,6 +560,6 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.rootEnded(record.Last(a.Key), j, time.Now())
+		c.dependencyEnded(record.Last(a.Key), j, time.Now())
 	}
 }
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -238,7 +238,7 @@
 			}
 		}
 		if len(c.needs.After(ref)) > 0 {
-			c.seekRoots(c.life, now)
+			c.seekDependencies(c.life, now)
 		}
 		return
 	}
@@ -256,7 +256,7 @@
 	c.inherit(changed)
 	if p != nil {
 		if len(o.Spec.DependsOn) > 0 {
-			c.seekRoots(c.life, now)
+			c.seekDependencies(c.life, now)
 		}
 		c.pump(p, now)
 	}
