What a machine did not answer within a cut proves nothing when the cut ends

Now only questions count that began after the lease was over and while the zone is not cut off, and a controller that reaches no other takes its own zone for cut off as well. Test: TestCutsEndLosesNobody.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -385,17 +385,16 @@
 }
 
 // cutZones returns the zones of which no controller can be reached: their
-// machines may be silent for us alone.
+// machines may be silent for us alone. Where no other controller can be reached at
+// all that goes for this one's own zone, too.
 func (c *Controller) cutZones(now time.Time) map[string]bool {
-	cut := map[string]bool{}
+	cut := map[string]bool{c.cfg.Zone: len(c.cfg.Peers) > 0}
 	for _, p := range c.cfg.Peers {
-		if p.Zone != c.cfg.Zone {
-			if _, ok := cut[p.Zone]; !ok {
-				cut[p.Zone] = true
-			}
-			if c.reachable(p.Label, now) {
-				cut[p.Zone] = false
-			}
+		if _, ok := cut[p.Zone]; !ok {
+			cut[p.Zone] = true
+		}
+		if c.reachable(p.Label, now) {
+			cut[p.Zone], cut[c.cfg.Zone] = false, false
 		}
 	}
 	return cut
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -74,9 +74,11 @@
 // silent reports whether a machine is lost: its worker says nothing while
 // others in its zone do. When all of the part's machines in a zone are silent there
 // is nothing to compare with: they may have died together, or can't be heard from
-// here. Then each is given more than its lease, after which it has lost its tasks if
-// nobody else answers it, and several times that when none of the zone's controllers
-// answers either, since the fault is rather the network's between us.
+// here. Then each is asked again once its lease is over, after which it has lost its
+// tasks if nobody else answers it; what it did not answer before proves nothing, since
+// this controller may have stood still or a cut just have ended. When none of the zone's
+// controllers answers either, the fault is rather the network's between us, and it gets
+// several times that.
 func (p *Part) silent(m *Machine, now time.Time) bool {
 	limit := p.cfg.SilentAfter
 	if !m.up {
@@ -97,14 +99,18 @@
 	switch {
 	case p.cut[m.Zone]:
 		patience *= 3
-	case m.probes.failed >= probesLost:
-		patience = p.cfg.Lease + p.reportDue()
 	case m.Addr != "":
-		return false // it was not asked: this controller may have stood still
+		return m.probes.vain >= probesLost
 	}
 	return now.Sub(m.heard) > patience
 }
 
+// leaseOver reports whether a machine has been silent for so long that its lease is
+// over, unless somebody else answers it, though its zone is not cut off from here.
+func (p *Part) leaseOver(m *Machine, now time.Time) bool {
+	return !p.cut[m.Zone] && now.Sub(m.heard) > p.cfg.Lease+p.reportDue()
+}
+
 // zoneLimit is a zone, and how long a machine there may be silent.
 type zoneLimit struct {
 	zone  string
--- a/internal/sched/machine_test.go
+++ b/internal/sched/machine_test.go
@@ -227,10 +227,10 @@
 			r.claim()
 		}
 		given := func(id string) bool { return r.part.machines[id] == nil || r.phase(id) > 0 }
+		r.answers = []string{"m3", "m4"}
 		for i := range 40 {
-			r.probed(r.cfg.Report/2, "m3", "m4")
 			r.beats(1)
-			if early := r.cfg.Report * 3 / 2 * time.Duration(i+1); early < r.cfg.Lease && (given("m1") || given("m2")) {
+			if early := r.cfg.Report * time.Duration(i+1); early < r.cfg.Lease && (given("m1") || given("m2")) {
 				t.Fatalf("take-over %t: given back after %v", takeOver, early)
 			}
 		}
@@ -244,3 +244,38 @@
 		}
 	}
 }
+
+// When a cut of a zone ends, what its machines did not answer within the cut proves
+// nothing, however long it was: they are asked anew.
+func TestCutsEndLosesNobody(t *testing.T) {
+	for name, back := range map[string]bool{"they answer": true, "they died within the cut": false} {
+		r := newRig(t)
+		r.cfg.Probes = 8
+		r.machine("m1", "z1", false)
+		r.machine("m2", "z1", false)
+		r.submit(spec("run-000001", "b", wire.Array, "normal", 4, 1))
+		r.beats(4)
+		r.part.SetCut(map[string]bool{"z1": true})
+		for range 2 * int(r.cfg.Lease/r.cfg.Report) {
+			r.probed(r.cfg.Report)
+		}
+		if r.phase("m1")+r.phase("m2") > 0 {
+			t.Fatalf("%s: given back within the cut", name)
+		}
+		r.part.SetCut(nil)
+		var answers []string
+		if back {
+			answers = []string{"m1", "m2"}
+		}
+		r.probed(r.cfg.Report, answers...)
+		if back && r.phase("m1")+r.phase("m2") > 0 {
+			t.Errorf("%s: given back as the cut ended", name)
+		}
+		for range 6 {
+			r.probed(r.cfg.Report, answers...)
+		}
+		if given := r.part.machines["m1"] == nil || r.phase("m1") > 0; given == back {
+			t.Errorf("%s: given back %t", name, given)
+		}
+	}
+}
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -24,6 +24,8 @@
 	failed int
 	at     time.Time // when the last one ended
 	fair   bool      // the last one began when its zone had answered since the one before
+	late   bool      // the last one began when the machine's lease was over
+	vain   int       // so many of these in a row had no answer
 }
 
 const (
@@ -57,17 +59,21 @@
 	doubted := map[string]bool{}
 	for _, m := range p.machines {
 		if p.unmet(m) && m.probes.failed < greets && now.Sub(m.probes.at) >= probePause {
-			p.ask(m)
+			p.ask(m, now)
 		}
 		if !(m.up || m.inherited) || m.Phase != record.InUse || m.Addr == "" || now.Sub(m.heard) < p.reportDue() {
 			continue
 		}
+		late := p.leaseOver(m, now)
+		if !late {
+			m.probes.vain = 0
+		}
 		seen := p.zoneSeen[m.Zone].After(m.probes.at)
 		if m.probes.failed > 0 && !seen {
 			doubted[m.Zone] = true
 		}
-		if (m.probes.failed < probesLost || seen) && now.Sub(m.probes.at) >= probePause && !p.unanswering(m, now) {
-			p.ask(m)
+		if (m.probes.failed < probesLost || seen || late && m.probes.vain < probesLost) && now.Sub(m.probes.at) >= probePause && !p.unanswering(m, now) {
+			p.ask(m, now)
 		}
 	}
 	for zone := range doubted {
@@ -78,16 +84,16 @@
 			}
 		}
 		if witness != nil && now.Sub(witness.probes.at) >= probePause {
-			p.ask(witness)
+			p.ask(witness, now)
 		}
 	}
 }
 
-func (p *Part) ask(m *Machine) {
+func (p *Part) ask(m *Machine, now time.Time) {
 	if m.probes.asked || p.asked >= p.cfg.Probes {
 		return
 	}
-	m.probes.asked, m.probes.fair = true, p.zoneSeen[m.Zone].After(m.probes.at)
+	m.probes.asked, m.probes.fair, m.probes.late = true, p.zoneSeen[m.Zone].After(m.probes.at), p.leaseOver(m, now)
 	p.asked++
 	p.out.Probes = append(p.out.Probes, Probe{m.ID, m.Addr})
 }
@@ -103,6 +109,9 @@
 	if r == nil {
 		m.probes.failed++
 		m.probes.at = now
+		if m.probes.late {
+			m.probes.vain++
+		}
 		return
 	}
 	p.zoneSeen[m.Zone] = now
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -48,7 +48,7 @@
 			m.steady = now
 		}
 		m.heard = now
-		m.probes.failed = 0
+		m.probes.failed, m.probes.vain = 0, 0
 		if !direct || !m.fenced { // one that was greeted reports at once
 			m.reported = now
 		}
