Ends are read first, in the one request that a busy budget allows

A poll of a job that is over read the open record, which is not there, and then the final one. While routine requests queue up, each is let through at about the end of the 1.5 s that there are, so the first reading took the time of the second: no poll of an ended job was answered, all came again, and the budget went to readings that told nothing.

--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -307,19 +307,32 @@
 	return reply{status: 200, body: wire.Brief{Ref: ref, State: state}}
 }
 
-// state reads a job's state: its open record first, since a job that has none
-// any more is in the other by then.
+// state reads a job's state. Of one that is not open here it reads the final record
+// first: most that are asked for are over, and one request must do for them. Two
+// would take longer than a user waits while the budget is used up, and then every
+// poll that is refused would come again. Else the open record comes first, since a
+// job that has none any more is in the other by then.
 func (c *Controller) state(ctx context.Context, u statestore.Use, ref string) (string, error) {
-	e, err := c.store.Get(ctx, u, record.OpenKey(ref))
+	if !c.isOpen(ref) {
+		if state, err := c.finalState(ctx, u, ref); !errors.Is(err, statestore.ErrNotFound) {
+			return state, err
+		}
+		u = statestore.Urgent(u.For) // a reading that has begun goes on
+	}
+	_, err := c.store.Get(ctx, u, record.OpenKey(ref))
 	if err == nil {
 		return wire.Pending, nil // also of one that is being cancelled: see cancel
 	}
 	if !errors.Is(err, statestore.ErrNotFound) {
 		return "", err
 	}
-	// A reading that has begun goes on with the urgent ones: letting them pass twice
-	// takes longer than a user waits, and then no poll would ever learn of an end.
-	if e, err = c.store.Get(ctx, statestore.Urgent(u.For), record.JobKey(ref)); err != nil {
+	return c.finalState(ctx, statestore.Urgent(u.For), ref)
+}
+
+// finalState reads the state of a job that is over.
+func (c *Controller) finalState(ctx context.Context, u statestore.Use, ref string) (string, error) {
+	e, err := c.store.Get(ctx, u, record.JobKey(ref))
+	if err != nil {
 		return "", err
 	}
 	var j record.Job
