--- a/internal/testkit/agent.go
+++ b/internal/testkit/agent.go
@@ -31,7 +31,6 @@
 	mu        sync.Mutex
 	gone      bool
 	hung      bool
-	begun     time.Time // this session
 	session   uint64
 	seq       uint64
 	token     uint64
@@ -44,7 +43,6 @@
 	lastSent  time.Time
 	queue     []func() // commands that wait for a hanging machine
 	wake      chan struct{}
-	starts    []string // every start carried out, as task#attempt
 	last      []wire.Report
 }
 
@@ -67,7 +65,7 @@
 	now := time.Now()
 	return &Agent{
 		Place: Place{ID: id, Type: typ.Name, Zone: zone, Spot: spot}, w: w, typ: typ, addr: "addr-" + id,
-		begun: now, leaseFrom: now, session: 1, tasks: map[string]*agentTask{}, images: map[string]bool{}, wake: make(chan struct{}, 1),
+		leaseFrom: now, session: 1, tasks: map[string]*agentTask{}, images: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -234,7 +232,6 @@
 		t.why = wire.WhyNoRoom
 	default:
 		t.state = wire.Fetching
-		a.starts = append(a.starts, fmt.Sprintf("%s#%d", name, attempt))
 		a.w.check.On(name, a.Place)
 	}
 	a.tasks[name] = t
@@ -287,7 +284,7 @@
 	if now.Sub(a.leaseFrom) > a.w.timing.Lease {
 		a.drop()
 		a.session++
-		a.begun, a.leaseFrom = now, now
+		a.leaseFrom = now
 		a.note()
 		return
 	}
@@ -418,13 +415,6 @@
 	return out
 }
 
-// Starts returns every start carried out, as task#attempt.
-func (a *Agent) Starts() []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return slices.Clone(a.starts)
-}
-
 // Reports returns copies of the latest reports, the newest last.
 func (a *Agent) Reports() []wire.Report {
 	a.mu.Lock()
@@ -432,16 +422,9 @@
 	return slices.Clone(a.last)
 }
 
-// Session and Token tell what the worker has come to.
+// Session is the worker's, 1 until its lease first runs out.
 func (a *Agent) Session() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.session
 }
-
-// Token is the highest token that the worker has seen.
-func (a *Agent) Token() uint64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.token
-}
--- a/internal/testkit/service.go
+++ b/internal/testkit/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -118,20 +117,6 @@
 	return e, ok
 }
 
-// Keys returns the keys with a prefix, in order.
-func (s *Service) Keys(prefix string) []string {
-	s.state.mu.Lock()
-	defer s.state.mu.Unlock()
-	var out []string
-	for k := range s.state.entries {
-		if strings.HasPrefix(k, prefix) {
-			out = append(out, k)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // Writes returns all that was carried out so far.
 func (s *Service) Writes() []Write {
 	s.mu.Lock()
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -541,7 +541,7 @@
 		still := w.agents[a.ID] == a
 		w.mu.Unlock()
 		a.mu.Lock()
-		a.gone, a.begun, a.leaseFrom = !still, time.Now(), time.Now()
+		a.gone, a.leaseFrom = !still, time.Now()
 		a.mu.Unlock()
 		if still {
 			a.run()
