Test: a take-over's late reading does not count as the next one's

TestRecordsReadInATakeOver failed now and then (in three of three batches of 200): the first take-over's last reading could come after the count began.

--- a/internal/controller/lean_test.go
+++ b/internal/controller/lean_test.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// takeOverLists is how many lists a take-over reads: machines, open jobs twice, slots.
+const takeOverLists = 4
+
 // leanController owns a part of so many machines that report under its token.
 func leanController(t *testing.T, machines int) (*Controller, *countingState, []*testkit.Worker) {
 	t.Helper()
@@ -116,6 +119,9 @@
 	if err := c.takeOver(context.Background(), 0, versioned[record.Part]{}, 1); err != nil {
 		t.Fatal(err)
 	}
+	for state.lists.Load() < takeOverLists { // the last is another goroutine's, and must not count as a later one's
+		runtime.Gosched()
+	}
 	return c, state, workers
 }
 
@@ -174,10 +180,10 @@
 	if err := c.takeOver(context.Background(), 0, held, 2); err != nil {
 		t.Fatal(err)
 	}
-	for state.lists.Load() < 4 { // the last is another goroutine's
+	for state.lists.Load() < takeOverLists { // the last is another goroutine's
 		runtime.Gosched()
 	}
-	if l, e := state.lists.Load(), state.read.Load(); l != 4 || e != 4+2 {
+	if l, e := state.lists.Load(), state.read.Load(); l != takeOverLists || e != 4+2 {
 		t.Errorf("%d lists of %d records, want 4 of 4 rentals and twice a job", l, e)
 	}
 	if n := state.txns.Load(); n != 1 {
