--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -313,10 +313,11 @@
 	meet(t, func(k *cluster) {
 		k.load()
 		k.world.Boot(time.Second, false)
-		n, late := 0, 0
+		n := 0
+		var late atomic.Int64
 		k.world.State.Decide(func(_ string, w wire.Txn) testkit.Fate {
 			if n++; len(w.Then) > 0 && n%4 == 0 && !writes(w, record.ClusterPrefix) {
-				late++
+				late.Add(1)
 				return testkit.Fate{Late: time.Duration(2+n%9) * time.Second}
 			}
 			return testkit.Fate{}
@@ -330,7 +331,7 @@
 		k.crash(owner)
 		k.crash(leader)
 		time.Sleep(8 * time.Second)
-		k.happened(len(k.world.Machines()) > before && late > 0, "machines come up while writes lag")
+		k.happened(len(k.world.Machines()) > before && late.Load() > 0, "machines come up while writes lag")
 		k.restartMissing()
 		time.Sleep(20 * time.Second)
 		k.world.State.Decide(nil)
@@ -439,10 +440,10 @@
 func TestManySmallJobs(t *testing.T) {
 	meet(t, func(k *cluster) {
 		k.load()
-		atEnd := 0
+		var atEnd atomic.Int64
 		k.world.OnEnd(func(ref string) {
 			if ref[len(ref)-1]%4 == 3 {
-				atEnd++
+				atEnd.Add(1)
 				k.cancel(ref)
 			}
 		})
@@ -459,7 +460,7 @@
 			}
 		}
 		time.Sleep(30 * time.Second)
-		k.happened(atEnd > 0, "cancellations at the moment of the end")
+		k.happened(atEnd.Load() > 0, "cancellations at the moment of the end")
 	})
 }
 
@@ -469,11 +470,11 @@
 func TestCloseLooks(t *testing.T) {
 	meet(t, func(k *cluster) {
 		k.load()
-		looks := 0
+		var looks atomic.Int64
 		look := func(s wire.Spec) {
 			for _, label := range k.labels {
 				for range 3 {
-					looks++
+					looks.Add(1)
 					k.world.Go(func() { k.world.Ask(testkit.Poll, label, s.Ref, nil) })
 					k.world.Go(func() { k.world.Ask(testkit.Submission, label, s.Ref, encode(s)) })
 					time.Sleep(3 * time.Millisecond)
@@ -515,7 +516,7 @@
 			time.Sleep(time.Second)
 		}
 		time.Sleep(30 * time.Second)
-		k.happened(looks > 100, "users look closely")
+		k.happened(looks.Load() > 100, "users look closely")
 	})
 }
 
