--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -418,11 +418,7 @@
 func (k *cluster) settle() {
 	k.t.Helper()
 	k.world.Mend()
-	for _, label := range k.labels {
-		if k.process(label) == nil {
-			k.start(label)
-		}
-	}
+	k.restartMissing()
 	k.check.Calm(true)
 	time.Sleep(settleFor)
 	for _, r := range k.refs {
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -241,7 +241,7 @@
 				}
 			}
 		},
-		"mute": func(k *cluster, ms []*testkit.Agent) func() { return k.world.Mute(ids(ms)) },
+		"mute": func(k *cluster, ms []*testkit.Agent) func() { return k.mute(ids(ms)) },
 		"deaf": func(k *cluster, ms []*testkit.Agent) func() { return k.deaf(ids(ms)) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -744,7 +744,7 @@
 						muted = append(muted, m)
 					}
 				}
-				heal := k.world.Mute(ids(muted))
+				heal := k.mute(ids(muted))
 				k.submitLater(spec(ref(firstOwn), "wide", func(s *wire.Spec) { s.Tasks = 2 }), quick)
 				confirmed := k.cancelAll(arrayJob, limitJob)
 				time.Sleep(k.timing.Lease * 3 / 2)
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -53,7 +53,7 @@
 	{"controllers apart", func(k *cluster, _ *rand.Rand) func() {
 		return k.world.Net.Cut(&testkit.Cut{Match: testkit.Between(k.controllers, k.controllers)})
 	}},
-	{"mute machines", func(k *cluster, r *rand.Rand) func() { return k.world.Mute(ids(k.some(r))) }},
+	{"mute machines", func(k *cluster, r *rand.Rand) func() { return k.mute(ids(k.some(r))) }},
 	{"deaf machines", func(k *cluster, r *rand.Rand) func() { return k.deaf(ids(k.some(r))) }},
 	{"machines cut off", func(k *cluster, r *rand.Rand) func() {
 		return k.world.Net.Cut(&testkit.Cut{Hold: r.IntN(2) == 0, Match: testkit.Between(ids(k.some(r)), testkit.Anyone)})
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -331,16 +331,8 @@
 
 // finalState reads the state of a job that is over.
 func (c *Controller) finalState(ctx context.Context, u statestore.Use, ref string) (string, error) {
-	e, err := c.store.Get(ctx, u, record.JobKey(ref))
-	if err != nil {
-		return "", err
-	}
-	var j record.Job
-	if err := decode(e.Value, &j); err != nil {
-		return "", err
-	}
-	c.keepFinal(ref, j)
-	return j.State, nil
+	j, err := c.readFinal(ctx, u, ref)
+	return j.State, err
 }
 
 // keepFinal remembers a state that never changes again.
