--- /dev/null
+++ b/internal/controller/saturated_test.go
@@ -0,0 +1,100 @@
+package controller
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// saturatedState is a state service whose budget others use up: routine requests let
+// them pass for a second, and all wait for their turn.
+type saturatedState struct {
+	*testkit.State
+	turn time.Duration
+}
+
+func (s *saturatedState) Get(ctx context.Context, u statestore.Use, key string) (wire.Entry, error) {
+	d := s.turn
+	if u.Routine {
+		d += time.Second
+	}
+	select {
+	case <-ctx.Done():
+		return wire.Entry{}, statestore.ErrRefused
+	case <-time.After(d):
+		return s.State.Get(ctx, u, key)
+	}
+}
+
+// However busy the state service is, a poll learns of an end within the time that
+// its user waits: else every poll fails, and comes again.
+func TestPollLearnsOfAnEndWhileTheBudgetIsUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := testkit.NewState()
+		state.Put(record.JobKey("run-000412"), record.Job{State: wire.Done, Tasks: 2})
+		c := newTest(t, state)
+		c.store = &saturatedState{state, 100 * time.Millisecond}
+		begun := time.Now()
+		got := c.poll("run-000412")
+		if s, _ := got.body.(wire.Status); got.status != 200 || s.State != wire.Done {
+			t.Errorf("got %+v, want 200 and done", got)
+		}
+		if took := time.Since(begun); took > userTimeout {
+			t.Errorf("took %v, more than %v", took, userTimeout)
+		}
+	})
+}
+
+// passedOn is another controller that counts the requests passed on to it.
+type passedOn struct{ n atomic.Int64 }
+
+func (p *passedOn) Call(string, any, any, time.Duration) error {
+	p.n.Add(1)
+	return peer.ErrTimeout
+}
+
+// A request is passed on as long as the other's answer can be in time for the user.
+func TestRequestsThatTookTooLongAreNotPassedOn(t *testing.T) {
+	for name, x := range map[string]struct {
+		method, path string
+		turn         time.Duration
+		want         int64
+	}{
+		"poll refused at once":           {"GET", "/work/run-000412", 0, 1},
+		"poll refused late":              {"GET", "/work/run-000412", time.Hour, 0},
+		"cancellation refused late":      {"POST", "/work/run-000412/withdraw", time.Hour, 1},
+		"poll, somewhat late":            {"GET", "/work/run-000412", 300 * time.Millisecond, 0},
+		"cancellation refused at once":   {"POST", "/work/run-000412/withdraw", 0, 1},
+		"unknown path needs nobody else": {"GET", "/nothing", 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				state := testkit.NewState()
+				state.Down = true
+				c := newTest(t, state)
+				c.store = &saturatedState{state, x.turn}
+				if x.turn == 0 {
+					c.store = state // refuses without a wait
+				}
+				other := &passedOn{}
+				c.peers = map[string]peer.Caller{"c-1": other}
+				c.peerOK["c-1"], c.peerState["c-1"] = time.Now(), time.Now()
+				if r := c.serveUser(httpwire.Request{Method: x.method, Path: x.path}); r.status == 200 {
+					t.Errorf("got %+v", r)
+				}
+				if got := other.n.Load(); got != x.want {
+					t.Errorf("passed on %d times, want %d", got, x.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -20,14 +20,21 @@
 	// userTimeout bounds the work on one user request: a user waits 2 s for a
 	// poll, and what can't be taken is to be said soon.
 	userTimeout   = 1500 * time.Millisecond
+	pollWait      = 2 * time.Second // a user's for the answer to a poll
+	requestWait   = 5 * time.Second // and to a submission or a cancellation
 	statusTimeout = 400 * time.Millisecond
 	retryLater    = 1 // seconds, in Retry-After
 )
 
 // serveUser answers a user's request. One that can't be served for want of the
 // state service, or of this controller's part of its limits, is passed on to a
-// controller that reaches it.
+// controller that reaches it, if its answer can still come in time: else it would
+// cost that controller's part as well, for nobody.
 func (c *Controller) serveUser(req httpwire.Request) reply {
+	begun, wait := time.Now(), requestWait
+	if req.Method == "GET" {
+		wait = pollWait
+	}
 	work, no := c.route(req)
 	if !no.zero() {
 		return no
@@ -39,7 +46,7 @@
 		return work()
 	}
 	r := work()
-	if r.status == 503 && !r.settled {
+	if r.status == 503 && !r.settled && time.Since(begun)+userTimeout <= wait {
 		if other, ok := c.passOn(req); ok {
 			return other
 		}
@@ -310,7 +317,9 @@
 	if !errors.Is(err, statestore.ErrNotFound) {
 		return "", err
 	}
-	if e, err = c.store.Get(ctx, u, record.JobKey(ref)); err != nil {
+	// A reading that has begun goes on with the urgent ones: letting them pass twice
+	// takes longer than a user waits, and then no poll would ever learn of an end.
+	if e, err = c.store.Get(ctx, statestore.Urgent(u.For), record.JobKey(ref)); err != nil {
 		return "", err
 	}
 	var j record.Job
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -75,7 +76,8 @@
 	watch   *httpwire.Client
 	reqs    *rate.Limiter
 	changes *rate.Limiter
-	burst   int // of changes
+	burst   int        // of changes
+	taking  sync.Mutex // held while what a request needs of both is taken or given back
 
 	mu     sync.Mutex
 	counts map[string]Count
@@ -164,41 +166,109 @@
 // queues up with it.
 const routinePatience = time.Second
 
-func (c *Client) admit(ctx context.Context, kind, n int, u Use) error {
-	c.queue(kind, n, 0)
-	passed := 0
-	defer func() { c.queue(kind, -n, passed) }()
-	l := c.reqs
-	if kind == changes {
-		l = c.changes
+// admit waits for the budgets of one request and of its changes, if it makes any,
+// until both allow it. What is given up has used nothing: a change let through whose
+// request is not would be lost to all the others.
+func (c *Client) admit(ctx context.Context, n int, u Use) error {
+	c.queue(1, n, false)
+	passed := false
+	defer func() { c.queue(-1, -n, passed) }()
+	if u.Routine {
+		c.letPass(ctx, n)
 	}
-	for until := time.Now().Add(routinePatience); u.Routine && time.Now().Before(until); {
-		if l.Tokens() >= routineFloor*float64(l.Burst())+float64(min(n, l.Burst()/2)) {
-			break
+	if passed = c.wait(ctx, n); !passed {
+		c.count(u.For, Count{Refused: 1})
+		return fmt.Errorf("%w: request budget used up", ErrRefused)
+	}
+	return nil
+}
+
+// letPass is how routine work waits while urgent work needs what there is.
+func (c *Client) letPass(ctx context.Context, n int) {
+	calm := func(l *rate.Limiter, n int) bool {
+		return n == 0 || l.Tokens() >= routineFloor*float64(l.Burst())+float64(min(n, l.Burst()/2))
+	}
+	for until := time.Now().Add(routinePatience); time.Now().Before(until); {
+		if calm(c.reqs, 1) && calm(c.changes, n) {
+			return
 		}
-		t := time.NewTimer(50 * time.Millisecond)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return fmt.Errorf("%w: request budget used up", ErrRefused)
-		case <-t.C:
+		if !sleep(ctx, 50*time.Millisecond) {
+			return
 		}
 	}
-	for passed < n { // more than a burst is waited for piece by piece
-		k := min(n-passed, l.Burst())
-		if err := l.WaitN(ctx, k); err != nil {
-			return fmt.Errorf("%w: request budget used up", ErrRefused)
+}
+
+// wait takes a request and n changes from the budgets and waits until it may be
+// sent. It takes nothing if that is later than the caller waits.
+func (c *Client) wait(ctx context.Context, n int) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	c.taking.Lock()
+	now := time.Now()
+	taken := []*rate.Reservation{c.reqs.ReserveN(now, 1)}
+	for left := n; left > 0; { // more than a burst is taken piece by piece
+		k := min(left, c.changes.Burst())
+		taken = append(taken, c.changes.ReserveN(now, k))
+		left -= k
+	}
+	var d time.Duration
+	for _, r := range taken {
+		if !r.OK() {
+			d = rate.InfDuration
+			break
 		}
-		passed += k
+		d = max(d, r.DelayFrom(now))
 	}
-	return nil
+	deadline, limited := ctx.Deadline()
+	if d == rate.InfDuration || (limited && now.Add(d).After(deadline)) {
+		giveBack(taken, now)
+		c.taking.Unlock()
+		return false
+	}
+	c.taking.Unlock()
+	if !sleep(ctx, d) {
+		c.taking.Lock()
+		defer c.taking.Unlock()
+		giveBack(taken, time.Now())
+		return false
+	}
+	return true
 }
 
-func (c *Client) queue(kind, queued, passed int) {
+// giveBack undoes what was taken, the latest first.
+func giveBack(taken []*rate.Reservation, now time.Time) {
+	for _, r := range slices.Backward(taken) {
+		r.CancelAt(now)
+	}
+}
+
+// sleep reports whether the time passed before the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// queue counts a request and its changes as waiting, or as waiting no more, let
+// through or not.
+func (c *Client) queue(reqs, changed int, passed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.queued[kind] += queued
-	c.passed[kind] += passed
+	for kind, n := range [2]int{requests: reqs, changes: changed} {
+		c.queued[kind] += n
+		if passed {
+			c.passed[kind] -= n
+		}
+	}
 }
 
 // The kinds of budget.
@@ -208,11 +278,23 @@
 )
 
 func (c *Client) do(ctx context.Context, u Use, method, target string, in, out any) (int, []byte, error) {
+	return c.change(ctx, u, method, target, Count{}, in, out)
+}
+
+// change makes a request that changes as many keys as counted.
+func (c *Client) change(ctx context.Context, u Use, method, target string, used Count, in, out any) (int, []byte, error) {
+	n := used.Puts + used.Deletes
+	if n > 0 { // changes wait as long as their caller does
+		if err := c.admit(ctx, n, u); err != nil {
+			return 0, nil, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := c.admit(ctx, requests, 1, u); err != nil {
-		c.count(u.For, Count{Refused: 1})
-		return 0, nil, err
+	if n == 0 {
+		if err := c.admit(ctx, 0, u); err != nil {
+			return 0, nil, err
+		}
 	}
 	var body []byte
 	if in != nil {
@@ -222,7 +304,7 @@
 		}
 	}
 	resp, err := c.http.Do(ctx, method, target, body)
-	used := Count{Requests: 1, Bytes: len(body) + len(resp.Body)}
+	used.Requests, used.Bytes = 1, len(body)+len(resp.Body)
 	if resp.Status == 429 {
 		used.Refused = 1
 	}
@@ -299,23 +381,16 @@
 	if t.If == nil {
 		t.If = []wire.Cond{}
 	}
-	if n := len(t.Then); n > 0 {
-		if err := c.admit(ctx, changes, n, u); err != nil {
-			c.count(u.For, Count{Refused: 1})
-			return 0, err
-		}
-		var used Count
-		for _, op := range t.Then {
-			if op.Delete != "" {
-				used.Deletes++
-			} else {
-				used.Puts++
-			}
+	var used Count
+	for _, op := range t.Then {
+		if op.Delete != "" {
+			used.Deletes++
+		} else {
+			used.Puts++
 		}
-		c.count(u.For, used)
 	}
 	var r wire.TxnResult
-	status, body, err := c.do(ctx, u, "POST", "/txn", t, &r)
+	status, body, err := c.change(ctx, u, "POST", "/txn", used, t, &r)
 	if err != nil {
 		return 0, err
 	}
@@ -363,7 +438,7 @@
 	var ch wire.Changes
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	if err := c.admit(ctx, requests, 1, Urgent("watch")); err != nil {
+	if err := c.admit(ctx, 0, Urgent("watch")); err != nil {
 		return ch, err
 	}
 	target := fmt.Sprintf("/follow?prefix=%s&since=%d&wait_ms=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
--- /dev/null
+++ b/internal/statestore/statestore_test.go
@@ -0,0 +1,86 @@
+package statestore
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// A transaction that gets no request in time must leave its changes to the others:
+// each that takes them for nothing keeps a start, an end or a cancellation waiting.
+func TestRefusedTransactionUsesNoChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 10, 10)
+		time.Sleep(time.Second)         // fills both budgets
+		for range c.reqs.Burst() + 20 { // others' requests, for two seconds
+			c.reqs.ReserveN(time.Now(), 1)
+		}
+		before := c.changes.Tokens()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := c.Txn(ctx, Urgent("accept"), wire.Txn{Then: []wire.Op{{Put: "a"}, {Delete: "b"}}})
+		if !errors.Is(err, ErrRefused) {
+			t.Fatalf("got %v, want %v", err, ErrRefused)
+		}
+		if got := c.changes.Tokens(); got < before {
+			t.Errorf("%.1f changes left of %.1f: refused, it used some", got, before)
+		}
+		if n := c.Counts()["accept"]; n != (Count{Refused: 1}) {
+			t.Errorf("counted %+v, want one refused and nothing used", n)
+		}
+		if reqs, changes := c.Needed(); reqs != 0 || changes != 0 {
+			t.Errorf("needed %d requests and %d changes, want none", reqs, changes)
+		}
+	})
+}
+
+// Nor does it use a request when it gets no changes.
+func TestRefusedTransactionUsesNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 10, 10)
+		time.Sleep(time.Second)
+		for range c.changes.Burst() + 20 {
+			c.changes.ReserveN(time.Now(), 1)
+		}
+		before := c.reqs.Tokens()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := c.Txn(ctx, Urgent("cancel"), wire.Txn{Then: []wire.Op{{Put: "a"}}}); !errors.Is(err, ErrRefused) {
+			t.Fatalf("got %v, want %v", err, ErrRefused)
+		}
+		if got := c.reqs.Tokens(); got < before {
+			t.Errorf("%.1f requests left of %.1f: refused, it used some", got, before)
+		}
+	})
+}
+
+// What waits is let through as both budgets allow it, in turn.
+func TestBudgetsAreKeptTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 10, 4)
+		begun, done := time.Now(), make(chan time.Duration, 30)
+		for range 30 {
+			go func() {
+				if err := c.admit(t.Context(), 1, Urgent("start")); err != nil {
+					t.Error(err)
+				}
+				done <- time.Since(begun)
+			}()
+		}
+		var last time.Duration
+		for range 30 {
+			last = <-done
+		}
+		// 30 at 4 a second, with nothing saved up.
+		if last < 7450*time.Millisecond || last > 7550*time.Millisecond {
+			t.Errorf("all were let through after %v, want 7.5 s", last)
+		}
+		if reqs, changes := c.Needed(); reqs != 30 || changes != 30 {
+			t.Errorf("needed %d requests and %d changes, want 30 of each", reqs, changes)
+		}
+	})
+}
