--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -47,7 +47,7 @@
 	peerc := c.peers[owner]
 	token := max(part.version, m.Version)
 	_, lives := c.members[owner]
-	if peerc != nil && lives {
+	if peerc != nil && lives && c.mayLeave(&r, owner, now) {
 		if to := c.sendOn(m.Zone, r.Machine, owner, now); to != "" {
 			return reply{status: 421, body: wire.Redirect{Label: to}}, true
 		}
@@ -101,6 +101,16 @@
 	return to
 }
 
+// mayLeave reports whether a worker may be sent on for the sake of an owner elsewhere.
+// One that has tasks and came here while its owner does not answer may have found
+// that out itself, and have spent most of its lease on it: sent back it would wait for
+// the owner in vain once more and lose them. Its lease is renewed here instead.
+// A refused connection between controllers says nothing of the worker's, and
+// without tasks there is nothing to lose. The lock is held.
+func (c *Controller) mayLeave(r *wire.Report, owner string, now time.Time) bool {
+	return len(r.Tasks) == 0 || now.Sub(c.peerOK[owner]) < peerFresh || now.Sub(c.peerRefused[owner]) < peerFresh
+}
+
 // reportsTo chooses the controller that a machine reports to: one of its own
 // zone, so that both are on the same side of whatever cuts the zone off, and
 // the worker need not try the others one by one while its lease runs out. The
--- /dev/null
+++ b/internal/controller/zones_apart_test.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramblespur/internal/testkit"
+)
+
+// Two zones are cut off from each other for longer than a lease, and nothing else is:
+// workers whose owner is on the other side find a controller of their own zone while
+// their leases last, and keep their tasks.
+//
+// Guards against sending such a worker back to the owner that it has just waited for
+// in vain: the second wait outlasts the lease.
+func TestZonesApartKeepLeases(t *testing.T) {
+	for _, hold := range []bool{false, true} {
+		t.Run(fmt.Sprintf("hold-%t", hold), func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				sessions := k.sessionsWithTasks()
+				inside := k.in("b")
+				heal := k.world.Net.Cut(&testkit.Cut{Match: testkit.Between(inside, not(inside)), Hold: hold})
+				time.Sleep(2 * k.timing.Lease)
+				crossing := 0
+				for _, machine := range k.world.Machines() {
+					session, busy := sessions[machine.ID]
+					if busy && session != machine.Session() {
+						t.Errorf("machine %s in zone %s, owned by %s, lost its lease", machine.ID, machine.Zone, k.ownerOfMachine(machine.ID))
+					}
+					if busy && inside(machine.ID) != inside(k.ownerOfMachine(machine.ID)) {
+						crossing++
+					}
+				}
+				heal()
+				k.happened(crossing > 0, "machines with tasks are cut off from their owners")
+			})
+		})
+	}
+}
+
+// sessionsWithTasks returns the sessions of the machines that have tasks.
+func (k *cluster) sessionsWithTasks() map[string]uint64 {
+	sessions := map[string]uint64{}
+	for _, machine := range k.world.Machines() {
+		if len(machine.Tasks()) > 0 {
+			sessions[machine.ID] = machine.Session()
+		}
+	}
+	return sessions
+}
+
+// ownerOfMachine returns who owns the part that a machine is in, as any controller's
+// view tells.
+func (k *cluster) ownerOfMachine(id string) string {
+	for _, label := range k.labels {
+		process := k.process(label)
+		if process == nil {
+			continue
+		}
+		process.c.mu.Lock()
+		view, known := process.c.fleet.Machine(id)
+		process.c.mu.Unlock()
+		if known {
+			return k.owner(view.Part)
+		}
+	}
+	return ""
+}
