--- a/internal/controller/pressure_test.go
+++ b/internal/controller/pressure_test.go
@@ -19,8 +19,10 @@
 
 func TestPressureHasHysteresis(t *testing.T) {
 	var p pressure
-	if p.turn(time.Hour) || p.turn(time.Hour) || p.behind {
-		t.Error("behind after standing still twice")
+	for range 2 {
+		if p.turn(time.Hour) || p.behind {
+			t.Error("behind after standing still twice")
+		}
 	}
 	for range 20 {
 		p.turn(500 * time.Millisecond)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -107,5 +107,5 @@
 	Below int
 }
 
-// Back, as an Order's To, gives the machine back to the cloud.
+// Back is the value of an Order's To that gives the machine back to the cloud.
 const Back = -1
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -20,7 +20,7 @@
 func (p *Part) suspectAfter() time.Duration { return p.cfg.Report*2 + time.Second }
 
 func allows(s *wire.Spec, m *Machine) bool {
-	return (m.Spot == false || s.Spot) && (s.Zone == nil || *s.Zone == m.Zone) &&
+	return (!m.Spot || s.Spot) && (s.Zone == nil || *s.Zone == m.Zone) &&
 		(s.Types == nil || slices.Contains(s.Types, m.Type.Name))
 }
 
--- a/internal/sched/safety_test.go
+++ b/internal/sched/safety_test.go
@@ -318,7 +318,7 @@
 	r.beats(3)
 	at := r.on("run-000001/0")
 	if at == "m2" {
-		w1, w2 = w2, w1
+		w2 = w1
 		empty.Machine = "m2"
 	}
 	r.claim()
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -292,6 +292,7 @@
 	e := r.get(record.OpenKey(ref))
 	if e == nil {
 		r.t.Fatalf("%s is in no record", ref)
+		return ""
 	}
 	if o, err := decode[record.Open](*e); err != nil || o.Cancelled {
 		return wire.Cancelled
