--- /dev/null
+++ b/internal/controller/cluster_jobs_test.go
@@ -0,0 +1,192 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// spec returns an ordinary job's specification, changed as wished.
+func spec(ref, team string, change func(*wire.Spec)) wire.Spec {
+	s := wire.Spec{Ref: ref, Class: "class-" + team, Team: team, Kind: wire.Array, Priority: "normal", Tasks: 1, CPUs: 6, GPUs: 1, MemoryGB: 24,
+		Image: "img-" + team, ImageGB: 4, EstimateS: 30, CheckpointS: 15, SaveS: 2}
+	if change != nil {
+		change(&s)
+	}
+	return s
+}
+
+// ref names the n-th job of a test.
+func ref(n int) string { return fmt.Sprintf("run-%06d", n) }
+
+// quick is how long jobs take where nothing else is said, and long for those that
+// are to outlive what happens.
+var (
+	quick = testkit.Length{Run: 20 * time.Second, Fetch: 2 * time.Second}
+	long  = testkit.Length{Run: 10 * time.Minute, Fetch: 2 * time.Second}
+)
+
+// submit submits a job, again if need be, and follows it as its user does.
+func (k *cluster) submit(s wire.Spec, l testkit.Length) {
+	k.t.Helper()
+	k.mu.Lock()
+	k.refs = append(k.refs, s.Ref)
+	k.mu.Unlock()
+	k.world.Submit(k.labels[0], s, l)
+	if _, ok := k.world.Until(testkit.Submission, s.Ref, encode(s), time.Minute); !ok {
+		k.t.Fatalf("%s was not accepted", s.Ref)
+	}
+	k.world.Follow(s.Ref)
+}
+
+func encode(s wire.Spec) []byte {
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// cancel asks for a job's end until that is confirmed, beside the test.
+func (k *cluster) cancel(ref string) (confirmed func() bool) {
+	var mu sync.Mutex
+	var ok bool
+	k.world.Go(func() {
+		_, done := k.world.Until(testkit.Cancellation, ref, nil, 5*time.Minute)
+		mu.Lock()
+		defer mu.Unlock()
+		ok = done
+	})
+	return func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return ok
+	}
+}
+
+// running waits until all tasks of a job are on machines, and returns these.
+func (k *cluster) running(ref string, n int) []*testkit.Agent {
+	k.t.Helper()
+	k.await(2*time.Minute, ref+" running", func() bool {
+		seen := 0
+		for _, m := range k.world.On(ref) {
+			for _, task := range m.Tasks() {
+				if strings.HasPrefix(task, ref+"/") {
+					seen++
+				}
+			}
+		}
+		return seen == n
+	})
+	return k.world.On(ref)
+}
+
+// The jobs that load submits: an array, a gang and a service that run on, and an
+// array of which only a part fits in its team's limit.
+const (
+	arrayJob = iota + 1
+	gangJob
+	serviceJob
+	limitJob
+	firstOwn // the first number free for a test's own jobs
+)
+
+// teams of the jobs of load, by number.
+var teamOf = map[int]string{arrayJob: "wide", gangJob: "wide", serviceJob: "other", limitJob: "tight"}
+
+// load submits jobs of every kind and waits until they run.
+func (k *cluster) load() {
+	k.t.Helper()
+	k.submit(spec(ref(arrayJob), teamOf[arrayJob], func(s *wire.Spec) { s.Tasks = 4 }), long)
+	k.submit(spec(ref(gangJob), teamOf[gangJob], gang(2)), long)
+	k.submit(spec(ref(serviceJob), teamOf[serviceJob], func(s *wire.Spec) {
+		s.Kind, s.Tasks, s.Spread, s.Priority, s.CheckpointS = wire.Service, 2, true, "prod", 0
+	}), long)
+	k.submit(spec(ref(limitJob), teamOf[limitJob], func(s *wire.Spec) { s.Tasks = teamLimit + 2 }), long)
+	k.running(ref(arrayJob), 4)
+	k.running(ref(gangJob), 2)
+	k.running(ref(serviceJob), 2)
+	k.running(ref(limitJob), teamLimit)
+}
+
+// gang makes a specification one of a gang of whole machines in one zone.
+func gang(n int) func(*wire.Spec) {
+	return func(s *wire.Spec) {
+		s.Kind, s.Tasks, s.CPUs, s.GPUs, s.MemoryGB, s.OneZone, s.Priority = wire.Gang, n, 14, 2, 51, true, "urgent"
+	}
+}
+
+// cancelAll asks for the end of jobs and returns whether all are confirmed.
+func (k *cluster) cancelAll(numbers ...int) (confirmed func() bool) {
+	var all []func() bool
+	for _, n := range numbers {
+		all = append(all, k.cancel(ref(n)))
+	}
+	return func() bool {
+		return !slices.ContainsFunc(all, func(ok func() bool) bool { return !ok() })
+	}
+}
+
+// submitLater submits a job beside the test, and follows it once it is accepted.
+func (k *cluster) submitLater(s wire.Spec, l testkit.Length) {
+	k.mu.Lock()
+	k.refs = append(k.refs, s.Ref)
+	k.mu.Unlock()
+	k.world.Register(s, l)
+	k.world.Go(func() {
+		if _, ok := k.world.Until(testkit.Submission, s.Ref, encode(s), 5*time.Minute); ok {
+			k.world.Follow(s.Ref)
+		}
+	})
+}
+
+// submitPipeline submits two jobs of which the second follows the first.
+func (k *cluster) submitPipeline(name string, first, second wire.Spec, l testkit.Length) {
+	k.t.Helper()
+	k.world.Register(first, l)
+	after := second
+	after.DependsOn = []string{first.Ref} // as the checker is to see it
+	k.world.Register(after, l)
+	p := wire.Pipeline{Ref: name, Jobs: []json.RawMessage{encode(first), encode(second)},
+		Links: []wire.Link{{From: []string{first.Ref}, To: []string{second.Ref}}}, Choices: []wire.Choice{}}
+	k.await(time.Minute, name+" accepted", func() bool {
+		status, _, _ := k.process(k.labels[0]).Handle("POST", wire.PipelinesPath, record.Encode(p))
+		return status == 200 || status == 201
+	})
+	k.refs = append(k.refs, first.Ref, second.Ref)
+	k.world.Follow(first.Ref)
+	k.world.Follow(second.Ref)
+}
+
+// withdrawPipeline asks for a pipeline's end until that is confirmed.
+func (k *cluster) withdrawPipeline(name string, refs ...string) (confirmed func() bool) {
+	for _, r := range refs {
+		k.check.Cancel(r)
+	}
+	var done atomic.Bool
+	k.world.Go(func() {
+		for i := 0; !done.Load(); i++ {
+			if p := k.process(k.labels[i%len(k.labels)]); p != nil {
+				asked := time.Now()
+				if status, _, _ := p.Handle("POST", wire.PipelinesPath+"/"+name+"/"+wire.CancelWord, nil); status == 200 {
+					for _, r := range refs {
+						k.check.Answer(testkit.Cancellation, r, asked, time.Now(), status, wire.Cancelled)
+					}
+					done.Store(true)
+				}
+			}
+			if !k.world.Sleep(time.Second) {
+				return
+			}
+		}
+	})
+	return done.Load
+}
--- /dev/null
+++ b/internal/controller/cluster_process_test.go
@@ -0,0 +1,181 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"bramblespur/internal/config"
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/policy"
+	"bramblespur/internal/record"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// process is one life of a controller. It implements testkit.Node.
+type process struct {
+	c    *Controller
+	life context.Context
+	end  context.CancelFunc
+}
+
+// Handle implements testkit.Node.
+func (p *process) Handle(method, path string, body []byte) (int, []byte, error) {
+	got := make(chan reply, 1)
+	if r, now := p.c.handle(httpwire.Request{Method: method, Path: path, Body: body}, func(r reply) { got <- r }); now {
+		got <- r
+	}
+	select {
+	case <-p.life.Done():
+		return 0, nil, testkit.ErrLost
+	case r := <-got:
+		if p.life.Err() != nil {
+			return 0, nil, testkit.ErrLost
+		}
+		if r.body == nil {
+			return r.status, nil, nil
+		}
+		return r.status, record.Encode(r.body), nil
+	}
+}
+
+// peerLink is how one process calls another controller.
+type peerLink struct {
+	k        *cluster
+	from, to string
+	life     context.Context
+}
+
+// Call implements peer.Caller.
+func (l *peerLink) Call(method string, args, result any, timeout time.Duration) error {
+	take, err := testkit.Call(l.k.world.Net, l.from, l.to, timeout, func() (func(), error) {
+		p := l.k.process(l.to)
+		if p == nil {
+			return nil, testkit.ErrRefused
+		}
+		take, err := serve(p.c, method, args, result)
+		if p.life.Err() != nil {
+			return nil, testkit.ErrLost
+		}
+		return take, err
+	})
+	switch {
+	case l.life.Err() != nil:
+		return l.life.Err()
+	case errors.Is(err, testkit.ErrLost):
+		return peer.ErrTimeout
+	case err != nil:
+		return err
+	}
+	take()
+	return nil
+}
+
+// serve calls a method and returns what hands its result over.
+func serve(h peer.Handler, method string, args, result any) (take func(), err error) {
+	switch method {
+	case "Sync":
+		r := h.Sync(args.(peer.SyncArgs))
+		return func() { *result.(*peer.SyncReply) = r }, nil
+	case "Nudge":
+		h.Nudge(args.(peer.NudgeArgs))
+		return func() {}, nil
+	case "Report":
+		r := h.Report(args.(wire.Report))
+		return func() { *result.(*peer.ReportReply) = r }, nil
+	case "User":
+		r := h.User(args.(peer.UserArgs))
+		return func() { *result.(*peer.UserReply) = r }, nil
+	case "Ping":
+		r := h.Ping()
+		return func() { *result.(*bool) = r }, nil
+	case "Format":
+		r := h.Format()
+		return func() { *result.(*int) = r }, nil
+	case "Status":
+		r, ok := h.Status(args.(string))
+		if !ok {
+			return nil, peer.ErrNotHere
+		}
+		return func() { *result.(*wire.Status) = r }, nil
+	}
+	return nil, fmt.Errorf("no method %s", method)
+}
+
+// start begins a process of a controller.
+func (k *cluster) start(label string) {
+	k.t.Helper()
+	cfg := &config.Settings{Label: label, Zone: k.zones[label], Params: k.params}
+	for _, l := range k.labels {
+		if l != label {
+			cfg.Peers = append(cfg.Peers, config.Peer{Label: l, Zone: k.zones[l]})
+		}
+	}
+	pol, err := policy.Load("")
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	life, end := context.WithCancel(context.Background())
+	c := &Controller{cfg: cfg, policy: pol, log: k.logger(label), life: life, store: k.world.State.Link(life, label),
+		cloud: k.world.Rentals(life, label), agents: k.world.Direct(life, label)}
+	c.init()
+	for _, q := range cfg.Peers {
+		c.peers[q.Label] = &peerLink{k, label, q.Label, life}
+	}
+	p := &process{c, life, end}
+	k.mu.Lock()
+	k.procs[label] = p
+	k.mu.Unlock()
+	k.world.SetNode(label, p)
+	c.start()
+}
+
+// logger writes to standard error where CLUSTER_LOG names a level.
+func (k *cluster) logger(label string) *slog.Logger {
+	var level slog.Level
+	if level.UnmarshalText([]byte(os.Getenv("CLUSTER_LOG"))) != nil {
+		return slog.New(slog.NewTextHandler(io.Discard, nil))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("at", label)
+}
+
+func (k *cluster) process(label string) *process {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.procs[label]
+}
+
+// crash ends a controller's process without a word.
+func (k *cluster) crash(label string) {
+	p := k.process(label)
+	if p == nil {
+		return
+	}
+	p.end()
+	k.world.SetNode(label, nil)
+	k.mu.Lock()
+	delete(k.procs, label)
+	k.mu.Unlock()
+}
+
+// restart ends a process and begins the next after d.
+func (k *cluster) restart(label string, d time.Duration) {
+	k.crash(label)
+	time.Sleep(d)
+	k.start(label)
+}
+
+// restartMissing starts every controller that has no process.
+func (k *cluster) restartMissing() {
+	for _, l := range k.labels {
+		if k.process(l) == nil {
+			k.start(l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/meetings_jobs_test.go
@@ -0,0 +1,211 @@
+package controller
+
+import (
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// One-task jobs come four a second for a minute, a quarter of them cancelled, some
+// at the very moment of their end.
+func TestManySmallJobs(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		var atEnd atomic.Int64
+		k.world.OnEnd(func(ref string) {
+			if ref[len(ref)-1]%4 == 3 {
+				atEnd.Add(1)
+				k.cancel(ref)
+			}
+		})
+		for i := range 120 {
+			n := firstOwn + i
+			k.submitLater(spec(ref(n), []string{"wide", "other"}[i%2], func(s *wire.Spec) { s.CPUs, s.GPUs, s.MemoryGB = 1, 0, 2 }),
+				testkit.Length{Run: 5 * time.Second, Fetch: time.Second})
+			if i%4 == 0 {
+				k.cancel(ref(n))
+			}
+			time.Sleep(250 * time.Millisecond)
+			if i == 60 {
+				k.restart(k.leader(), 300*time.Millisecond)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		k.happened(atEnd.Load() > 0, "cancellations at the moment of the end")
+	})
+}
+
+// Cancellations, questions and repeated submissions meet the end of a job's last
+// task with no other trouble: users ask at all nodes within milliseconds after a
+// job was accepted, ended or confirmed as cancelled.
+func TestCloseLooks(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		var looks atomic.Int64
+		look := func(s wire.Spec) {
+			for _, label := range k.labels {
+				for range 3 {
+					looks.Add(1)
+					k.world.Go(func() { k.world.Ask(testkit.Poll, label, s.Ref, nil) })
+					k.world.Go(func() { k.world.Ask(testkit.Submission, label, s.Ref, encode(s)) })
+					time.Sleep(3 * time.Millisecond)
+				}
+			}
+		}
+		specs := map[string]wire.Spec{}
+		for i := range 9 {
+			s := spec(ref(firstOwn+i), "wide", func(s *wire.Spec) { s.Tasks = 1 + i%2 })
+			specs[s.Ref] = s
+		}
+		k.world.OnEnd(func(ref string) {
+			s, ok := specs[ref]
+			if !ok {
+				return
+			}
+			if ref[len(ref)-1]%2 == 0 {
+				k.cancel(ref)
+			}
+			look(s)
+			time.Sleep(time.Second)
+			look(s)
+		})
+		for i := range 9 {
+			s := specs[ref(firstOwn+i)]
+			k.submit(s, testkit.Length{Run: 8 * time.Second, Fetch: time.Second})
+			k.world.Go(func() { look(s) })
+			if i%3 == 0 {
+				confirmed := k.cancel(s.Ref)
+				k.world.Go(func() {
+					for !confirmed() {
+						if !k.world.Sleep(time.Millisecond) {
+							return
+						}
+					}
+					look(s)
+				})
+			}
+			time.Sleep(time.Second)
+		}
+		time.Sleep(30 * time.Second)
+		k.happened(looks.Load() > 100, "users look closely")
+	})
+}
+
+// Jobs bound to one zone, arrays too, lose machines, and a gang a part of its own.
+func TestZoneBoundJobsLoseMachines(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		zone := k.params.Zones[0]
+		k.submit(spec(ref(firstOwn), "wide", func(s *wire.Spec) { s.Tasks, s.OneZone = 4, true }), long)
+		k.submit(spec(ref(firstOwn+1), "other", func(s *wire.Spec) { s.Tasks, s.Zone = 3, &zone }), long)
+		k.submit(spec(ref(firstOwn+2), "wide", func(s *wire.Spec) { gang(3)(s); s.Zone = &zone }), long)
+		k.running(ref(firstOwn), 4)
+		k.running(ref(firstOwn+1), 3)
+		k.running(ref(firstOwn+2), 3)
+		for i := range 3 {
+			on := k.world.On(ref(firstOwn + i))
+			on[0].Die()
+			if i == 1 {
+				k.crash(k.ownerOf("other"))
+			}
+			time.Sleep(k.timing.Report)
+		}
+		time.Sleep(20 * time.Second)
+		k.restartMissing()
+		k.running(ref(firstOwn), 4)
+		k.running(ref(firstOwn+1), 3)
+		k.running(ref(firstOwn+2), 3)
+	})
+}
+
+// A cancellation whose tasks can be ended is answered so at the first try, and one
+// whose tasks can't at once with when to come again: no answer is held for that.
+func TestCancellationsAreAnsweredAtOnce(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		on := k.world.On(ref(arrayJob))
+		for _, m := range on {
+			m.Hang(true)
+		}
+		asked := time.Now()
+		status, _ := k.world.Ask(testkit.Cancellation, k.labels[0], ref(arrayJob), nil)
+		if took := time.Since(asked); status != 503 || took > endWait+100*time.Millisecond {
+			k.t.Errorf("with hanging machines: %d after %v", status, took)
+		}
+		for _, m := range on {
+			m.Hang(false)
+		}
+		status, state := k.world.Ask(testkit.Cancellation, k.ownerOf("other"), ref(serviceJob), nil)
+		if status != 200 || state != wire.Cancelled {
+			k.t.Errorf("with machines that answer: %d %s", status, state)
+		}
+		k.await(k.timing.Cancel, "the first cancellation", k.cancel(ref(arrayJob)))
+	})
+}
+
+// Users send what can't be taken, and repeat and cancel what is over, also at
+// controllers that have just begun and without the state service.
+func TestOddRequests(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		k.submit(spec(ref(firstOwn), "wide", nil), testkit.Length{Run: time.Second, Fetch: time.Second})
+		k.await(time.Minute, "the first job", func() bool { return k.world.Told(ref(firstOwn)) == wire.Done })
+		odd := func() {
+			for _, label := range k.labels {
+				for what, x := range map[string]struct {
+					body []byte
+					want int
+				}{
+					"a job without a team":          {without(spec("run-000901", "wide", nil), "keeper"), 400},
+					"a job of an unknown team":      {encode(spec("run-000902", "nobody", nil)), 422},
+					"a job that fits no machine":    {encode(spec("run-000903", "wide", func(s *wire.Spec) { s.CPUs = 17 })), 422},
+					"a gang above its team's limit": {encode(spec("run-000904", "tight", func(s *wire.Spec) { gang(2)(s); s.Tasks = 3 })), 422},
+					"a job in an unknown zone":      {encode(spec("run-000905", "wide", func(s *wire.Spec) { z := "nowhere"; s.Zone = &z })), 422},
+					"no JSON":                       {[]byte("{"), 400},
+				} {
+					status, _ := k.world.Ask(testkit.Submission, label, "run-000900", x.body)
+					k.check.BadInput(what, status, x.want)
+				}
+				for _, kind := range []testkit.Request{testkit.Poll, testkit.Cancellation} {
+					status, _ := k.world.Ask(kind, label, "run-000999", nil)
+					k.check.BadInput("a request about an unknown job", status, 404)
+				}
+				for range 2 {
+					k.world.Ask(testkit.Submission, label, ref(firstOwn), encode(spec(ref(firstOwn), "wide", nil)))
+					k.world.Ask(testkit.Submission, label, ref(arrayJob), encode(spec(ref(arrayJob), "wide", nil)))
+					if status, state := k.world.Ask(testkit.Cancellation, label, ref(firstOwn), nil); status == 200 && state != wire.Done {
+						k.t.Errorf("the cancellation of a done job is answered %s", state)
+					}
+				}
+			}
+		}
+		odd()
+		leader := k.leader()
+		k.crash(leader)
+		k.start(leader)
+		odd() // it doesn't know the machine types yet
+		k.world.State.Outage(true)
+		odd()
+		k.crash(leader)
+		k.start(leader)
+		odd()
+		time.Sleep(10 * time.Second)
+		k.world.State.Outage(false)
+		odd()
+	})
+}
+
+// without encodes a specification without one of its fields.
+func without(s wire.Spec, field string) []byte {
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal(encode(s), &m); err != nil {
+		panic(err)
+	}
+	delete(m, field)
+	return record.Encode(m)
+}
--- /dev/null
+++ b/internal/controller/meetings_restarts_test.go
@@ -0,0 +1,235 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// Every team is at its limit while jobs are cancelled whose machines are cut off or
+// hang, or can't be asked, and the leader and the owner change.
+func TestLimitWithLostMachinesAndNewLeader(t *testing.T) {
+	for name, trouble := range map[string]func(*cluster, []*testkit.Agent) (over func()){
+		"cut": func(k *cluster, ms []*testkit.Agent) func() {
+			return k.world.Net.Cut(&testkit.Cut{Match: testkit.Between(ids(ms), testkit.Anyone)})
+		},
+		"held": func(k *cluster, ms []*testkit.Agent) func() {
+			return k.world.Net.Cut(&testkit.Cut{Match: testkit.Between(ids(ms), testkit.Anyone), Hold: true})
+		},
+		"hang": func(k *cluster, ms []*testkit.Agent) func() {
+			for _, m := range ms {
+				m.Hang(true)
+			}
+			return func() {
+				for _, m := range ms {
+					m.Hang(false)
+				}
+			}
+		},
+		"mute": func(k *cluster, ms []*testkit.Agent) func() { return k.mute(ids(ms)) },
+		"deaf": func(k *cluster, ms []*testkit.Agent) func() { return k.deaf(ids(ms)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				on := k.world.On(ref(limitJob))
+				over := trouble(k, on)
+				confirmed := k.cancelAll(limitJob)
+				k.submitLater(spec(ref(firstOwn), "tight", func(s *wire.Spec) { s.Tasks = teamLimit }), quick)
+				owner, leader := k.ownerOf("tight"), k.leader()
+				k.crash(owner)
+				k.crash(leader)
+				time.Sleep(k.timing.Lease * 3 / 4)
+				over()
+				k.happened(k.ownerOf("tight") != owner || k.params.Count == 1, "the part has another owner")
+				for _, l := range []string{owner, leader} {
+					if k.process(l) == nil {
+						k.start(l)
+					}
+				}
+				k.await(k.timing.Cancel+60*time.Second, "the cancellation", confirmed)
+				k.await(2*time.Minute, "the team's next job", func() bool { return k.world.Told(ref(firstOwn)) == wire.Done })
+			})
+		})
+	}
+}
+
+// Leaders change ten times in two minutes, also inside an outage.
+func TestTenLeaders(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprintf("outage-%t", outage), func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				leaders, last := 0, ""
+				for n := range 10 {
+					k.submitLater(spec(ref(firstOwn+n), "wide", nil), quick)
+					if n%3 == 0 {
+						k.cancel(ref(firstOwn + n))
+					}
+					label := k.leader()
+					if label == "" {
+						label = k.labels[n%len(k.labels)]
+					}
+					if label != last {
+						leaders++
+					}
+					last = label
+					if outage && n == 4 {
+						k.world.State.Outage(true)
+					}
+					if outage && n == 8 {
+						k.world.State.Outage(false)
+					}
+					// Some are back within a fraction of a second.
+					k.crash(label)
+					time.Sleep([]time.Duration{200 * time.Millisecond, 6 * time.Second}[n%2])
+					k.start(label)
+					time.Sleep(6 * time.Second)
+				}
+				k.happened(leaders >= 3, "several leaders")
+			})
+		})
+	}
+}
+
+// Controllers hand over and back, all end, and one returns, also within a second;
+// all are away for longer than the lease.
+func TestAllEndAndReturn(t *testing.T) {
+	for _, away := range []time.Duration{300 * time.Millisecond, 5 * time.Second, 50 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				confirmed := k.cancelAll(arrayJob, limitJob)
+				first := k.ownerOf("wide")
+				k.restart(first, time.Second)
+				for _, l := range k.labels {
+					k.crash(l)
+				}
+				time.Sleep(away)
+				k.start(k.others(first)[0])
+				time.Sleep(away / 2)
+				k.restartMissing()
+				k.submitLater(spec(ref(firstOwn), "tight", func(s *wire.Spec) { s.Tasks = 2 }), quick)
+				k.await(k.timing.Cancel+k.timing.Lease+30*time.Second, "the cancellations", confirmed)
+			})
+		})
+	}
+}
+
+// A leader and owner ends while machines with long tasks can't be reached, or don't
+// hear the new owner's answers.
+func TestOwnerEndsWhileMachinesAreOutOfReach(t *testing.T) {
+	for name, trouble := range map[string]func(*cluster, func(string) bool) func(){
+		"unreachable": func(k *cluster, ids func(string) bool) func() {
+			return k.world.Net.Cut(&testkit.Cut{Match: testkit.Between(ids, testkit.Anyone)})
+		},
+		"deaf": (*cluster).deaf,
+		"mute": (*cluster).mute,
+	} {
+		t.Run(name, func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				on := k.world.On(ref(arrayJob))
+				owner := k.ownerOf("wide")
+				over := trouble(k, ids(on))
+				k.crash(owner)
+				k.submitLater(spec(ref(firstOwn), "wide", func(s *wire.Spec) { s.Tasks = 4 }), quick)
+				next := k.successor("wide", owner)
+				k.happened(next != owner, "another owner")
+				time.Sleep(k.timing.Lease / 2)
+				confirmed := k.cancelAll(arrayJob)
+				time.Sleep(k.timing.Lease)
+				over()
+				k.start(owner)
+				k.await(k.timing.Cancel+30*time.Second, "the cancellation", confirmed)
+			})
+		})
+	}
+}
+
+// Jobs are cancelled in the seconds in which one controller's work changes hands.
+func TestCancelWhileAPartChangesHands(t *testing.T) {
+	for _, lag := range []time.Duration{0, 2 * time.Second, 4 * time.Second, 4800 * time.Millisecond} {
+		t.Run(lag.String(), func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				owner := k.ownerOf("wide")
+				k.submitLater(spec(ref(firstOwn), "wide", func(s *wire.Spec) { s.Tasks = 3 }), long)
+				time.Sleep(200 * time.Millisecond)
+				k.crash(owner)
+				time.Sleep(lag)
+				confirmed := k.cancelAll(arrayJob, gangJob, firstOwn)
+				next := k.successor("wide", owner)
+				k.happened(next != owner, "another owner")
+				k.start(owner)
+				k.await(k.timing.Cancel, "the cancellations", confirmed)
+			})
+		})
+	}
+}
+
+// Jobs of two or three tasks end far apart across a change of owner.
+func TestTasksEndAcrossAChange(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		for i := range 6 {
+			n := firstOwn + i
+			k.submit(spec(ref(n), "wide", func(s *wire.Spec) { s.Tasks = 2 + i%2 }), testkit.Length{Run: time.Duration(6+3*i) * time.Second, Fetch: time.Duration(i) * time.Second})
+		}
+		time.Sleep(8 * time.Second)
+		for range 2 {
+			owner := k.ownerOf("wide")
+			k.crash(owner)
+			k.successor("wide", owner)
+			time.Sleep(3 * time.Second)
+			k.start(owner)
+		}
+		for i := range 6 {
+			k.await(2*time.Minute, ref(firstOwn+i)+" done", func() bool { return k.world.Told(ref(firstOwn+i)) == wire.Done })
+		}
+	})
+}
+
+// A process is back within a fraction of a second, and a copy of a write of the one
+// before it comes late: its member record, which goes with the older lease, replaces
+// the newer one. The controller must not be taken for dead for ever.
+func TestMemberRecordOfTheLastProcessComesLate(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		for _, label := range k.labels {
+			before := k.world.State.Writes()
+			k.restart(label, 200*time.Millisecond)
+			time.Sleep(1500 * time.Millisecond)
+			came := false
+			for _, w := range slices.Backward(before) {
+				if writes(w.Txn, record.MemberPrefix+label) {
+					came = k.world.State.Repeat(w) == nil
+					break
+				}
+			}
+			k.happened(came, "the older lease still stands")
+			time.Sleep(15 * time.Second)
+			var m record.Member
+			e, ok := k.world.State.Entry(record.MemberPrefix + label)
+			if ok {
+				if err := decode(e.Value, &m); err != nil {
+					k.t.Fatal(err)
+				}
+			}
+			p := k.process(label)
+			p.c.mu.Lock()
+			inc := p.c.inc
+			p.c.mu.Unlock()
+			if !ok || m.Inc != inc {
+				k.t.Errorf("%s: recorded %t as incarnation %d, is %d", label, ok, m.Inc, inc)
+			}
+		}
+		k.submit(spec(ref(firstOwn), "wide", nil), quick)
+		k.running(ref(firstOwn), 1)
+	})
+}
--- /dev/null
+++ b/internal/controller/membership_test.go
@@ -0,0 +1,198 @@
+package controller
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// Readiness does not flap: the load balancer would keep the controller out for
+// up to a minute.
+func TestReadinessHasHysteresis(t *testing.T) {
+	var r readiness
+	clock := testkit.NewClock()
+	step := func(good bool, d time.Duration) bool {
+		clock.Advance(d)
+		return r.update(good, clock.Now())
+	}
+	step(true, 0)
+	if !step(true, time.Second) {
+		t.Fatal("not ready after a second of good times")
+	}
+	for range 10 { // short troubles
+		step(false, time.Second)
+		if !step(false, time.Second) || !step(true, time.Second) {
+			t.Fatal("unready for a trouble of a second")
+		}
+	}
+	step(false, 0)
+	if step(false, unreadyAfter) {
+		t.Fatal("ready in a lasting trouble")
+	}
+	step(true, 0)
+	if !step(true, time.Second) {
+		t.Fatal("not ready again after it")
+	}
+}
+
+// Who claims what: a restarted controller its own part at once, even while its
+// earlier lease stands; a dead owner's part the live one; nobody a live owner's.
+func TestWhoClaims(t *testing.T) {
+	for name, x := range map[string]struct {
+		rec     record.Part
+		members []string
+		want    bool
+	}{
+		"own part after a restart": {record.Part{Owner: "c-0", Inc: 1}, []string{"c-0"}, true},
+		"live owner":               {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0", "c-1"}, false},
+		"dead owner":               {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0"}, true},
+		"offered":                  {record.Part{To: "c-0"}, []string{"c-0", "c-1"}, true},
+	} {
+		c := newTest(t, testkit.NewState())
+		now := time.Now()
+		c.inc, c.viewAt = 2, now
+		c.partRecs[0] = versioned[record.Part]{x.rec, 5}
+		for _, m := range x.members {
+			c.members[m] = record.Member{Inc: 1}
+		}
+		c.mu.Lock()
+		c.considerClaims(context.Background(), now)
+		got := c.claiming[0]
+		c.mu.Unlock()
+		if got != x.want {
+			t.Errorf("%s: claims %v, want %v", name, got, x.want)
+		}
+	}
+	// Without a lease that certainly stands, nothing is claimed.
+	c := newTest(t, testkit.NewState())
+	c.viewAt, c.leaseAt = time.Now(), time.Now().Add(-time.Minute)
+	c.partRecs[0] = versioned[record.Part]{record.Part{Owner: "c-0"}, 5}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.considerClaims(context.Background(), time.Now()); c.claiming[0] {
+		t.Error("claims without a lease")
+	}
+}
+
+// A claim makes this controller the owner under a new token; a claim by
+// somebody else ends that.
+func TestClaimAndLoss(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.submit(body(t, nil))
+	if err := c.takeOver(context.Background(), 0, versioned[record.Part]{}, 1); err != nil {
+		t.Fatal(err)
+	}
+	p := c.parts[0]
+	if p == nil || !p.HasJob("run-000412") {
+		t.Fatal("part not loaded")
+	}
+	e := state.Put(record.PartKey(0), record.Part{Owner: "c-1"})
+	c.changeCluster(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	if c.parts[0] != nil {
+		t.Fatal("still owner after another's claim")
+	}
+	// A claim on an outdated view fails.
+	if err := c.takeOver(context.Background(), 0, versioned[record.Part]{}, 1); err == nil {
+		t.Fatal("claimed under a version that is gone")
+	}
+	if got, err := state.Get(context.Background(), statestore.Urgent("test"), record.PartKey(0)); err != nil || got.Version != e.Version {
+		t.Fatalf("record %+v, %v", got, err)
+	}
+}
+
+// Leaders stand aside only when others hear each other.
+func TestOthersMeet(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	c.members = map[string]record.Member{"c-0": {Inc: 1}, "c-1": {Inc: 2, Alone: true}, "c-2": {Inc: 3, Alone: true}}
+	if c.othersMeet() {
+		t.Error("would stand aside though everybody is alone")
+	}
+	c.members["c-1"], c.members["c-2"] = record.Member{Inc: 2}, record.Member{Inc: 3}
+	if !c.othersMeet() {
+		t.Error("keeps the lead though others hear each other")
+	}
+}
+
+// A leader is one incarnation: after a restart the label alone does not lead,
+// and what the earlier life asks late fails.
+func TestLeaderIsAnIncarnation(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	before, after := newTest(t, state), newTest(t, state)
+	before.inc, after.inc = 1, 2
+	before.stand(ctx, versioned[record.Head]{})
+	now := time.Now()
+	if !before.leads(now) {
+		t.Fatal("does not lead")
+	}
+	after.leader = before.leader // as the watch tells the next life
+	if after.leads(now) {
+		t.Fatal("leads by its label")
+	}
+	after.stand(ctx, after.leader)
+	if !after.leads(now) {
+		t.Fatal("the next life can't lead")
+	}
+	stale := before.leader
+	before.stand(ctx, stale) // late
+	if e, err := state.Get(ctx, statestore.Urgent("test"), record.Leader); err != nil || e.Version != after.leader.version {
+		t.Fatalf("record %+v, %v: the earlier life took the lead back", e, err)
+	}
+	if _, err := state.Txn(ctx, statestore.Urgent("test"), wire.Txn{
+		If:   []wire.Cond{{Key: record.RentalKey("x")}, {Key: record.Leader, Version: stale.version}},
+		Then: []wire.Op{{Put: record.RentalKey("x"), Value: record.Encode(record.Rental{})}},
+	}); err == nil {
+		t.Fatal("a rental decided under the earlier lead was recorded")
+	}
+}
+
+// A controller that stood still while its clocks ran on sends nothing that was
+// recorded before: it looks at what it still is before it answers, though none of
+// its loops has run again.
+func TestStandingStillStartsNothing(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.viewAt, c.jobsAt, c.fleetAt = time.Now(), time.Now(), time.Now()
+	if err := c.takeOver(ctx, 0, versioned[record.Part]{}, 1); err != nil {
+		t.Fatal(err)
+	}
+	e := state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})
+	c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	w := testkit.NewWorker("m", "big", "z", false)
+	r := w.Report()
+	r.Addr = "" // nothing is sent straight to it
+	c.mu.Lock()
+	c.ownReport(c.parts[0], &r, time.Now())
+	c.mu.Unlock()
+	// held is an answer kept back that is due after the lease's last renewal.
+	held := func(renewed time.Time) (starts int) {
+		got := make(chan reply, 1)
+		c.mu.Lock()
+		c.leaseAt = renewed
+		c.hold(c.parts[0], "m", time.Hour, func(r reply) { got <- r })
+		c.release("m", time.Now())
+		c.mu.Unlock()
+		o, _ := (<-got).body.(wire.Orders)
+		return len(o.Commands)
+	}
+	if got := c.submit(body(t, func(m map[string]any) { m["berries"] = 1 })); got.status != 201 {
+		t.Fatalf("submission: %+v", got)
+	}
+	for held(time.Now()) == 0 { // until the start is recorded
+		runtime.Gosched()
+	}
+	if held(time.Now().Add(-30*time.Second)) > 0 {
+		t.Fatal("starts what it recorded before it stood still")
+	}
+	if held(time.Now()) == 0 {
+		t.Fatal("the start is lost")
+	}
+}
--- /dev/null
+++ b/internal/controller/users_test.go
@@ -0,0 +1,311 @@
+package controller
+
+import (
+	"context"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+func TestSubmissions(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	for name, x := range map[string]struct {
+		body []byte
+		want int
+	}{
+		"not JSON":        {[]byte("{"), 400},
+		"not an object":   {[]byte("[]"), 400},
+		"null":            {[]byte("null"), 400},
+		"field missing":   {body(t, drop("rank")), 400},
+		"field null":      {body(t, set("berries", nil)), 400},
+		"wrong type":      {body(t, set("cores", "8")), 400},
+		"unknown kind":    {body(t, set("habit", "x")), 400},
+		"bad id":          {body(t, set("ref", "job-1")), 400},
+		"no tasks":        {body(t, set("berries", 0)), 400},
+		"too many tasks":  {body(t, set("berries", 100001)), 400},
+		"negative amount": {body(t, set("cards", -1)), 400},
+		"unknown team":    {body(t, set("keeper", "zz")), 422},
+		"fits no machine": {body(t, set("cores", 17)), 422},
+		"unknown type":    {body(t, set("stocks", []string{"x"})), 422},
+		"above the limit": {body(t, func(m map[string]any) { m["habit"], m["berries"] = "ensemble", 5 }), 422},
+		"null may be missing": {body(t, func(m map[string]any) {
+			delete(m, "stocks")
+			m["ref"] = "run-000001"
+		}), 201},
+	} {
+		if got := c.submit(x.body); got.status != x.want {
+			t.Errorf("%s: status %d, want %d", name, got.status, x.want)
+		}
+	}
+	if got := c.submit(body(t, nil)); got.status != 201 {
+		t.Errorf("new: status %d, want 201", got.status)
+	}
+	if got := c.submit(body(t, nil)); got.status != 200 {
+		t.Errorf("repeat: status %d, want 200", got.status)
+	}
+	// A known job's repeat is never refused, whatever the settings say by now.
+	c.cfg.Params.Teams[0].GPUsMax = 0.5
+	if got := c.submit(body(t, nil)); got.status != 200 {
+		t.Errorf("repeat under new limits: status %d, want 200", got.status)
+	}
+}
+
+func TestSubmissionOutcomes(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	state.Down = true
+	if got := c.submit(body(t, nil)); got.status != 503 || got.retryAfter == 0 {
+		t.Fatalf("in an outage: %+v, want 503 with a time to come back", got)
+	}
+	state.Down = false
+	state.LoseAnswers = 1
+	if got := c.submit(body(t, nil)); got.status != 503 {
+		t.Fatalf("without the state service's answer: %+v, want 503", got)
+	}
+	if got := c.submit(body(t, nil)); got.status != 200 {
+		t.Fatalf("repeat: %+v, want 200", got)
+	}
+	c.leaseAt = time.Now().Add(-time.Minute)
+	if got := c.submit(body(t, set("ref", "run-000777"))); got.status != 503 {
+		t.Fatalf("long without the state service: %+v, want 503 at once", got)
+	}
+}
+
+// A repeated submission of a job that the view holds as open changes nothing: it
+// must not use the budget of changes, which acceptances and starts share.
+func TestRepeatedSubmissionWritesNothing(t *testing.T) {
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	if got := c.submit(body(t, nil)); got.status != 201 {
+		t.Fatalf("new: %+v, want 201", got)
+	}
+	e, err := state.Get(context.Background(), statestore.Urgent("test"), record.OpenKey("run-000412"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other.changeOpen(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	state.HoldTxns = 2 // none may be asked for
+	for name, at := range map[string]*Controller{"where it was accepted": c, "elsewhere": other} {
+		if got := at.submit(body(t, nil)); got.status != 200 || got.body.(wire.Brief).State != wire.Pending {
+			t.Errorf("repeat %s: %+v, want 200 and pending", name, got)
+		}
+	}
+	if state.HoldTxns != 2 {
+		t.Errorf("repeats asked for %d transactions, want none", 2-state.HoldTxns)
+	}
+	state.HoldTxns = 0
+	// A view that is behind tells nothing older than the records do.
+	endRec := record.Encode(record.Job{State: wire.Done, Tasks: 2})
+	if _, err := state.Txn(context.Background(), statestore.Urgent("test"), wire.Txn{
+		Then: []wire.Op{{Put: record.JobKey("run-000412"), Value: endRec}, {Delete: e.Key}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if got := other.submit(body(t, nil)); got.status != 200 || got.body.(wire.Brief).State != wire.Done {
+		t.Errorf("repeat after the end: %+v, want 200 and done", got)
+	}
+}
+
+func TestPollAndCancel(t *testing.T) {
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	if got := c.poll("run-000412"); got.status != 404 {
+		t.Fatalf("unknown job: %+v", got)
+	}
+	if got := c.cancel("run-000412"); got.status != 404 {
+		t.Fatalf("cancel of an unknown job: %+v", got)
+	}
+	c.submit(body(t, nil))
+	if got := other.poll("run-000412"); got.status != 200 || got.body.(wire.Status).State != wire.Pending {
+		t.Fatalf("accepted job elsewhere: %+v", got)
+	}
+	if got := owned(state, c, func() reply { return c.cancel("run-000412") }); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
+		t.Fatalf("cancel: %+v", got)
+	}
+	// No controller says anything older from now on.
+	if got := other.poll("run-000412"); got.body.(wire.Status).State != wire.Cancelled {
+		t.Fatalf("poll elsewhere after the cancellation: %+v", got)
+	}
+	if got := other.submit(body(t, nil)); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
+		t.Fatalf("repeat after the cancellation: %+v", got)
+	}
+	state.Down = true
+	if got := other.poll("run-000412"); got.status != 200 {
+		t.Fatalf("final states are kept: %+v", got)
+	}
+}
+
+// A user is told of a cancellation only once every task is proven gone: what is
+// cut off keeps its lease, and may run on for as long as the cut lasts.
+func TestCancelledWhenGone(t *testing.T) {
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	c.submit(body(t, nil))
+	e, err := state.Get(context.Background(), statestore.Urgent("test"), record.OpenKey("run-000412"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var o record.Open
+	if err := decode(e.Value, &o); err != nil {
+		t.Fatal(err)
+	}
+	o.Cancelled = true
+	e = state.Put(e.Key, o) // asked for by a user; the tasks still run
+	c.changeOpen(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
+	for name, x := range map[string]*Controller{"owner": c, "other": other} {
+		if got := x.poll("run-000412"); got.status != 200 || got.body.(wire.Status).State != wire.Pending {
+			t.Errorf("%s: poll answers %+v", name, got)
+		}
+		if got := x.submit(body(t, nil)); got.status != 200 || got.body.(wire.Brief).State != wire.Pending {
+			t.Errorf("%s: a repeated submission answers %+v", name, got)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if c.ended(ctx, "run-000412") {
+		t.Error("over though tasks still run")
+	}
+	if got := owned(state, c, func() reply { return c.cancel("run-000412") }); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
+		t.Errorf("cancel: %+v", got)
+	}
+}
+
+// A done job stays done: its cancellation answers so and changes nothing.
+func TestCancelOfDone(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	state.Put(record.JobKey("run-000009"), record.Job{State: wire.Done, Tasks: 2})
+	if got := c.cancel("run-000009"); got.body.(wire.Brief).State != wire.Done {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// A request that can't be served here for want of the state service is served
+// by a controller that reaches it, and no further.
+func TestRequestIsPassedOn(t *testing.T) {
+	state := testkit.NewState()
+	far := newTest(t, state)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go peer.Serve(ln, far)
+	down := testkit.NewState()
+	down.Down = true
+	c := newTest(t, down)
+	c.peers["c-1"] = peer.NewClient(ln.Addr().String())
+	req := httpwire.Request{Method: "POST", Path: wire.JobsPath, Body: body(t, nil)}
+	if got := c.serveUser(req); got.status != 503 {
+		t.Fatalf("with nobody known to reach the state service: %+v", got)
+	}
+	c.answered("c-1", nil, true)
+	if got := c.serveUser(req); got.status != 201 {
+		t.Fatalf("passed on: %+v", got)
+	}
+	far.resetOpen(nil, math.MaxUint64, time.Now()) // no watched copy: the record is read
+	poll := httpwire.Request{Method: "GET", Path: wire.JobsPath + "/run-000412"}
+	if got := c.serveUser(poll); got.status != 200 {
+		t.Fatalf("poll passed on: %+v", got)
+	}
+	poll.Path = wire.JobsPath + "/run-999999"
+	if got := c.serveUser(poll); got.status != 404 {
+		t.Fatalf("poll of an unknown job passed on: %+v", got)
+	}
+	far.leaseAt = time.Now().Add(-time.Minute)
+	if got := far.User(peer.UserArgs{Method: "GET", Path: poll.Path}); got.Status != 503 {
+		t.Fatalf("served by one that is cut off itself: %+v", got)
+	}
+}
+
+// Whatever the order of outages, restarts, take-overs and views read anew,
+// every accepted job answers once they are over, with nothing older than what
+// was told before.
+func TestKnownAgain(t *testing.T) {
+	ctx := context.Background()
+	events := map[string]func(*testkit.State, *Controller) *Controller{
+		"outage": func(s *testkit.State, c *Controller) *Controller {
+			s.Outage(true)
+			c.resetOpen(nil, math.MaxUint64, time.Now())
+			if got := c.poll("run-000001"); got.status == 404 {
+				t.Error("forgotten in an outage")
+			}
+			s.Outage(false)
+			return c
+		},
+		"restart": func(s *testkit.State, c *Controller) *Controller { return newTest(t, s) },
+		"take over": func(s *testkit.State, c *Controller) *Controller {
+			if err := c.takeOver(ctx, 0, c.partRecs[0], 2); err != nil {
+				t.Error(err)
+			}
+			return c
+		},
+		"views lost": func(s *testkit.State, c *Controller) *Controller {
+			c.resetOpen(nil, math.MaxUint64, time.Now())
+			return c
+		},
+		"views read anew": func(s *testkit.State, c *Controller) *Controller {
+			open, _, err := s.List(ctx, statestore.Urgent("test"), record.OpenPrefix)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.resetOpen(open, math.MaxUint64, time.Now())
+			return c
+		},
+	}
+	for a, first := range events {
+		for b, second := range events {
+			state := testkit.NewState()
+			c := newTest(t, state)
+			for i, ref := range []string{"run-000001", "run-000002", "run-000003"} {
+				if got := c.submit(body(t, set("ref", ref))); got.status != 201 {
+					t.Fatalf("%s: %+v", ref, got)
+				}
+				if i == 1 {
+					owned(state, c, func() reply { return c.cancel(ref) })
+				}
+			}
+			c = second(state, first(state, c))
+			c.resetOpen(nil, math.MaxUint64, time.Now()) // without watched copies the records are read
+			for ref, want := range map[string]string{"run-000001": wire.Pending, "run-000002": wire.Cancelled, "run-000003": wire.Pending} {
+				got := c.poll(ref)
+				if st, ok := got.body.(wire.Status); got.status != 200 || !ok || st.State != want {
+					t.Errorf("%s then %s: %s answers %+v, want %s", a, b, ref, got, want)
+				}
+			}
+		}
+	}
+}
+
+// Polls that wait are answered by one comparison; what has changed since the
+// copy was watched is not confirmed.
+func TestPollsAreConfirmedTogether(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	c, other := newTest(t, state), newTest(t, state)
+	var batch []*confirmation
+	for _, ref := range []string{"run-000001", "run-000002", "run-000003"} {
+		c.submit(body(t, set("ref", ref)))
+		batch = append(batch, &confirmation{wire.Cond{Key: record.OpenKey(ref), Version: c.open[ref].version}, make(chan bool, 1)})
+	}
+	owned(state, other, func() reply { return other.cancel("run-000002") })
+	c.confirm(ctx, batch)
+	for i, want := range []bool{true, false, true} {
+		if got := <-batch[i].done; got != want {
+			t.Errorf("poll %d confirmed %t, want %t", i, got, want)
+		}
+	}
+	state.Down = true
+	c.confirm(ctx, batch[:1])
+	if <-batch[0].done {
+		t.Error("confirmed without the state service")
+	}
+}
--- /dev/null
+++ b/internal/controller/views_test.go
@@ -0,0 +1,118 @@
+package controller
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// When changes were missed, the views are read anew: what is gone is dropped.
+func TestViewsReadAnew(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	now := time.Now()
+	c.submit(body(t, nil))
+	e := state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})
+	c.resetFleet([]wire.Entry{e}, e.Version, now)
+	if _, ok := c.fleet.Machine("m"); !ok || len(c.open) != 1 {
+		t.Fatal("views are empty")
+	}
+	c.resetFleet(nil, math.MaxUint64, now)
+	c.resetOpen(nil, math.MaxUint64, now)
+	if _, ok := c.fleet.Machine("m"); ok || len(c.open) != 0 {
+		t.Fatal("views keep what is gone")
+	}
+	c.resetFleet([]wire.Entry{state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})}, math.MaxUint64, now)
+	if _, ok := c.fleet.Machine("m"); !ok {
+		t.Fatal("what comes again is not taken in")
+	}
+}
+
+// A part may be taken over before the views are there. Read anew, they must not
+// make its machines gone: not while a machine's own record is known and its
+// rental is not yet, nor for a rental recorded after the list was read.
+func TestViewsReadAnewKeepMachines(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	c := newTest(t, state)
+	now := time.Now()
+	rental := func(name, id string) wire.Entry {
+		return state.Put(record.RentalKey(name), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{id}})
+	}
+	rental("r", "m")
+	state.Put(record.OwnKey("m"), record.Machine{Type: "big", Zone: "z"})
+	state.Put(record.BackKey(9, 9, 9), record.Back{IDs: []string{"x"}})
+	if err := c.takeOver(ctx, 0, versioned[record.Part]{}, 1); err != nil {
+		t.Fatal(err)
+	}
+	entries, rev, err := state.List(ctx, statestore.Urgent("test"), record.FleetPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Recorded here after the list was read.
+	e := rental("s", "n")
+	c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, now)
+	for _, e := range entries { // one by one, as a watch could tell them
+		c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, now)
+		if p := c.parts[0]; !p.HasMachine("m") || !p.HasMachine("n") {
+			t.Fatalf("a machine is gone after %s", e.Key)
+		}
+	}
+	c.resetFleet(entries, rev, now)
+	if p := c.parts[0]; !p.HasMachine("m") || !p.HasMachine("n") {
+		t.Fatal("a machine is gone after the views were read anew")
+	}
+}
+
+// forgetful is a state service that has forgotten the changes a watch asks for,
+// so many times.
+type forgetful struct {
+	*testkit.State
+	times int
+}
+
+func (f *forgetful) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (wire.Changes, error) {
+	if f.times--; f.times >= 0 {
+		return wire.Changes{}, statestore.ErrTooOld
+	}
+	<-ctx.Done()
+	return wire.Changes{}, ctx.Err()
+}
+
+// A watch that asks for changes no longer kept leads to reading all anew.
+func TestMissedChangesAreReadAnew(t *testing.T) {
+	state := testkit.NewState()
+	c := newTest(t, state)
+	c.store = &forgetful{state, 2}
+	state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	resets := make(chan int)
+	gone := wire.Txn{Then: []wire.Op{{Delete: record.RentalKey("r")}}}
+	go c.watchLoop(ctx, record.FleetPrefix, func(entries []wire.Entry, rev uint64, at time.Time) {
+		c.resetFleet(entries, rev, at)
+		if _, err := state.Txn(ctx, statestore.Urgent("test"), gone); err != nil { // unseen
+			t.Error(err)
+		}
+		select {
+		case resets <- len(entries):
+		case <-ctx.Done():
+		}
+	}, c.changeFleet)
+	for i, want := range []int{1, 0, 0} {
+		if got := <-resets; got != want {
+			t.Fatalf("reading %d: %d records, want %d", i, got, want)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.fleet.Machine("m"); ok {
+		t.Fatal("the view keeps what went while it missed changes")
+	}
+}
--- /dev/null
+++ b/internal/sched/gang_test.go
@@ -0,0 +1,179 @@
+package sched
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+func TestGangStartsWhole(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	s.OneZone = true
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z2", false)
+	r.beats(4)
+	if r.on("run-000001/0") != "" || r.on("run-000001/1") != "" {
+		t.Fatal("gang started over two zones")
+	}
+	r.machine("m3", "z2", false)
+	r.beats(4)
+	a, b := r.on("run-000001/0"), r.on("run-000001/1")
+	if a == b || a == "m1" || b == "m1" || a == "" || b == "" {
+		t.Fatalf("gang on %q and %q, want m2 and m3", a, b)
+	}
+	// One machine's session ends: the whole attempt must go before the next.
+	lost := r.workers[a]
+	r.expire(lost)
+	r.beats(5)
+	x, y := r.workers[a].Tasks["run-000001/0"], r.workers[b].Tasks["run-000001/1"]
+	if x == nil {
+		x, y = r.workers[b].Tasks["run-000001/0"], r.workers[a].Tasks["run-000001/1"]
+	}
+	if x == nil || y == nil || x.Attempt != 2 || y.Attempt != 2 {
+		t.Fatalf("want both tasks under attempt 2, got %+v and %+v", x, y)
+	}
+}
+
+// While a gang waits for its last task, one that is lost is replaced under the
+// same attempt.
+func TestGangReplacement(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.beats(2)
+	a, b := r.on("run-000001/0"), r.on("run-000001/1")
+	if a == "" || b == "" {
+		t.Fatal("gang not started")
+	}
+	r.workers[a].Tasks["run-000001/0"].State = wire.Gathering
+	r.workers[b].Tasks["run-000001/1"].State = wire.Fetching
+	r.beat()
+	r.expire(r.workers[b])
+	r.beats(4)
+	if got := r.workers[a].Tasks["run-000001/0"]; got == nil || got.Attempt != 1 || got.State != wire.Gathering {
+		t.Fatalf("the waiting task was disturbed: %+v", got)
+	}
+	if got := r.workers[b].Tasks["run-000001/1"]; got == nil || got.Attempt != 1 {
+		t.Fatalf("replacement %+v, want attempt 1", got)
+	}
+}
+
+// A gang is done when one of its tasks is: they complete together.
+func TestGangDoneTogether(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	r.submit(s)
+	r.machine("m1", "z1", false)
+	r.machine("m2", "z1", false)
+	r.beats(4)
+	w := r.workers[r.on("run-000001/0")]
+	w.End("run-000001/0", wire.Done)
+	r.beats(1, w)
+	if r.jobState(s.Ref) != wire.Done {
+		t.Fatal("gang not done")
+	}
+}
+
+// Machines that come one by one are kept for the gang that waits: smaller work
+// of its priority and below can't starve it.
+func TestGangGathersMachines(t *testing.T) {
+	r := newRig(t)
+	g := spec("run-000001", "b", wire.Gang, "urgent", 3, 2)
+	g.OneZone = true
+	r.submit(g)
+	for i := range 3 {
+		r.submit(spec(fmt.Sprintf("run-00001%d", i), "b", wire.Gang, "urgent", 1, 2))
+		r.submit(spec(fmt.Sprintf("run-00002%d", i), "b", wire.Array, "normal", 2, 1))
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+		r.beats(2)
+	}
+	r.beats(2)
+	for i := range 3 {
+		if name := fmt.Sprintf("run-000001/%d", i); r.on(name) == "" {
+			t.Errorf("%s was starved by smaller work", name)
+		}
+	}
+}
+
+// The largest gang starts within four minutes although smaller ones of its
+// priority never end to come and no machine can be added.
+func TestLargestGangIsServed(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.machine(fmt.Sprintf("m%d", i), "z1", false)
+	}
+	n := 0
+	small := func(beat int) {
+		if beat%2 == 0 {
+			n++
+			r.submit(spec(fmt.Sprintf("run-1%05d", n), "b", wire.Gang, "urgent", 1, 2))
+		}
+	}
+	r.play(20, 8, small)
+	large := spec("run-000001", "b", wire.Gang, "urgent", 4, 2)
+	large.OneZone = true
+	r.submit(large)
+	r.play(int(4*time.Minute/r.cfg.Report), 8, small)
+	started := 0
+	for _, w := range r.workers {
+		for _, s := range w.Started {
+			if strings.HasPrefix(s, large.Ref) {
+				started++
+			}
+		}
+	}
+	if started < 4 {
+		t.Fatalf("%d of the largest gang's 4 tasks started in four minutes", started)
+	}
+}
+
+// Where more gangs wait than fit for minutes, the largest begin within four
+// minutes: small ones that have waited too long as well take nothing from what a
+// larger one has gathered, and do not go past it.
+func TestLargestGangsAreNotOvertaken(t *testing.T) {
+	r := newRig(t)
+	r.cfg.Urgency = func(s *wire.Spec, waited time.Duration, _ *float64) float64 { return s.EstimateS - waited.Seconds() }
+	for i := range 8 {
+		r.machine(fmt.Sprintf("m%d", i), []string{"z1", "z2"}[i/4], false)
+	}
+	const largest = 4
+	accepted, began := map[string]time.Time{}, map[string]time.Time{}
+	submit := func(beat, tasks int) {
+		s := spec(fmt.Sprintf("run-%d%05d", tasks, beat), "b", wire.Gang, "urgent", tasks, 2)
+		s.OneZone = true
+		accepted[s.Ref] = r.clock.Now()
+		r.submit(s)
+	}
+	r.play(int(14*time.Minute/r.cfg.Report), 25, func(beat int) {
+		for _, w := range r.workers {
+			for name := range w.Tasks {
+				if ref, _, _ := SplitTask(name); began[ref].IsZero() {
+					began[ref] = r.clock.Now()
+				}
+			}
+		}
+		if beat < int(6*time.Minute/r.cfg.Report) {
+			if beat%20 == 0 {
+				submit(beat, largest)
+			}
+			if beat%3 == 0 {
+				submit(beat, 1)
+			}
+		}
+	})
+	for ref, at := range accepted {
+		first, ok := began[ref]
+		if !ok {
+			t.Errorf("%s never began", ref)
+		} else if first.Sub(at) > 4*time.Minute && strings.HasPrefix(ref, fmt.Sprint("run-", largest)) {
+			t.Errorf("%s, one of the largest, began after %v", ref, first.Sub(at))
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/takeover_test.go
@@ -0,0 +1,174 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+
+	"bramblespur/internal/wire"
+)
+
+// A new owner knows from the records what may run where, and starts nothing
+// twice even when the machine is silent for long.
+func TestTakeOverKeepsPlaces(t *testing.T) {
+	r := newRig(t)
+	w1 := r.machine("m1", "z1", false)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started")
+	}
+	w2 := r.machine("m2", "z1", false)
+	r.claim()
+	r.beats(8, w2)
+	if len(w2.Started) != 0 {
+		t.Fatalf("started on a second machine: %v", w2.Started)
+	}
+	r.beats(2, w1)
+	if r.on("run-000001/0") != "m1" || len(w1.Started) != 1 {
+		t.Fatalf("task did not go on where it was: %v", w1.Started)
+	}
+}
+
+// Crash between record and command: the next owner sees that the task never
+// arrived, and starts it under a new attempt.
+func TestCrashBetweenRecordAndCommand(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	if len(w.Started) != 0 {
+		t.Fatal("started too early for this test")
+	}
+	r.claim()
+	r.beats(4)
+	if !slices.Equal(w.Started, []string{"run-000001/0#2"}) {
+		t.Fatalf("starts %v, want attempt 2 only", w.Started)
+	}
+}
+
+// The late answer of a deposed owner carries a lower token and does nothing;
+// its late write fails on the part's record.
+func TestDeposedOwnerDoesNothing(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	old := r.part
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.settle()
+	rep := w.Report()
+	late, _ := old.Report(&rep, false, r.clock.Now())
+	if len(late.Commands) == 0 {
+		t.Fatal("no start to be late")
+	}
+	r.claim()
+	r.beats(1)
+	if w.Obey(late) {
+		t.Fatal("the worker took an answer under the old token")
+	}
+	r.beats(3)
+	if len(w.Started) != 1 {
+		t.Fatalf("starts %v, want one", w.Started)
+	}
+	rep = w.Report()
+	if _, v := old.Report(&rep, false, r.clock.Now()); v != Deposed {
+		t.Fatalf("old owner's verdict %v, want Deposed", v)
+	}
+}
+
+// A cancellation that came while nobody owned the part: its record is read
+// before the placements are, and they must be stopped all the same.
+func TestCancelWhileUnowned(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	s := spec("run-000001", "b", wire.Service, "prod", 1, 1)
+	r.submit(s)
+	r.beats(3)
+	r.cancel(s)
+	r.claim()
+	r.beats(3)
+	if at := r.on(s.Ref + "/0"); at != "" {
+		t.Fatalf("still on %s", at)
+	}
+	r.beats(2)
+	if r.part.HasJob(s.Ref) {
+		t.Fatal("cancelled job never ends")
+	}
+}
+
+// All controllers crash at once, again and again, at every step of a job: it is
+// started at most once at a time and ends.
+func TestCrashAtEveryStep(t *testing.T) {
+	for crash := range 8 {
+		r := newRig(t)
+		w := r.machine("m1", "z1", false)
+		s := spec("run-000001", "b", wire.Array, "normal", 2, 1)
+		r.submit(s)
+		for step := range 24 {
+			if step%8 == crash {
+				r.claim()
+			}
+			r.beat()
+			r.on("run-000001/0")
+			r.on("run-000001/1")
+			if step > 12 {
+				w.End("run-000001/0", wire.Done)
+				w.End("run-000001/1", wire.Done)
+			}
+		}
+		if r.jobState(s.Ref) != wire.Done {
+			t.Errorf("crash at step %d: job not done", crash)
+		}
+		if len(w.Started) != 2 {
+			t.Errorf("crash at step %d: starts %v, want two", crash, w.Started)
+		}
+	}
+}
+
+// After a take-over nobody remembers the last report. A late copy of an old one
+// settles, frees and starts nothing and does not count as a sign of life.
+func TestLateCopyAfterTakeOver(t *testing.T) {
+	r := newRig(t)
+	w1, w2 := r.machine("m1", "z1", false), r.machine("m2", "z1", false)
+	r.beats(2)
+	empty := w1.Report()
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
+	zone := "z1"
+	s.Zone = &zone
+	r.submit(s)
+	r.beats(3)
+	at := r.on("run-000001/0")
+	if at == "m2" {
+		w2 = w1
+		empty.Machine = "m2"
+	}
+	r.claim()
+	late := func() {
+		rep := empty
+		if o, _ := r.part.Report(&rep, false, r.clock.Now()); len(o.Commands) != 0 {
+			t.Fatalf("a late copy was answered with %v", o.Commands)
+		}
+		empty.Seq-- // another copy, older still
+		r.settle()
+	}
+	r.submit(spec("run-000002", "b", wire.Array, "normal", 4, 1))
+	for range 10 {
+		r.clock.Advance(r.cfg.Report)
+		late()
+		r.beat(w2)
+	}
+	if got := r.on("run-000001/0"); got != at {
+		t.Fatalf("the task is on %q after late copies, want %q", got, at)
+	}
+	if len(w2.Started) > 2 {
+		t.Fatalf("starts %v: the task of the silent machine runs twice", w2.Started)
+	}
+	for range 15 {
+		r.clock.Advance(r.cfg.Report)
+		late()
+		r.beat(w2)
+	}
+	if !slices.Equal(r.cloud.Returned, []string{at}) {
+		t.Fatalf("returned %v, want the silent machine, whatever late copies say", r.cloud.Returned)
+	}
+}
--- a/internal/testkit/agent.go
+++ b/internal/testkit/agent.go
@@ -1,10 +1,8 @@
 package testkit
 
 import (
-	"fmt"
 	"slices"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -46,21 +44,6 @@
 	last      []wire.Report
 }
 
-type agentTask struct {
-	ref     string
-	i       int
-	attempt uint64
-	state   string
-	why     string
-	saved   bool
-	since   time.Time // in this state
-	stopped bool
-	saveEnd time.Time
-	alone   time.Time // since when a gang's mate is missing
-}
-
-func (t *agentTask) on() bool { return t.state != wire.Exited }
-
 func newAgent(w *World, id string, typ wire.MachineType, zone string, spot bool) *Agent {
 	now := time.Now()
 	return &Agent{
@@ -182,149 +165,6 @@
 	}
 }
 
-// obey carries out commands in order. The lock is held.
-func (a *Agent) obey(commands []wire.Command) {
-	for _, c := range commands {
-		t := a.tasks[c.Task]
-		switch c.Op {
-		case wire.Start:
-			if t == nil || t.attempt != c.Attempt {
-				a.start(c.Task, c.Attempt)
-			}
-		case wire.Stop:
-			if t != nil && t.attempt == c.Attempt && t.on() {
-				grace := time.Duration(0)
-				if c.GraceS != nil {
-					grace = time.Duration(*c.GraceS * float64(time.Second))
-				}
-				a.stop(t, grace)
-			}
-		case wire.Forget:
-			if t != nil && t.attempt == c.Attempt && !t.on() {
-				delete(a.tasks, c.Task)
-			}
-		}
-	}
-}
-
-// start carries out a start. The lock is held.
-func (a *Agent) start(name string, attempt uint64) {
-	ref, num, _ := strings.Cut(name, "/")
-	i := 0
-	fmt.Sscanf(num, "%d", &i)
-	now := time.Now()
-	t := &agentTask{ref: ref, i: i, attempt: attempt, state: wire.Exited, since: now}
-	spec, known := a.w.spec(ref)
-	old := a.tasks[name]
-	var cpus, gpus, mem float64
-	for _, o := range a.tasks {
-		if s, ok := a.w.spec(o.ref); ok && o.on() {
-			cpus, gpus, mem = cpus+s.CPUs, gpus+s.GPUs, mem+s.MemoryGB
-		}
-	}
-	const slack = 1e-6
-	switch {
-	case old != nil && old.on():
-		return // in use: the other attempt stays, which its reports tell
-	case !known || i >= spec.Tasks:
-		t.why = wire.WhyUnknown
-	case cpus+spec.CPUs > a.typ.CPUs+slack || gpus+spec.GPUs > a.typ.GPUs+slack || mem+spec.MemoryGB > a.typ.MemoryGB+slack:
-		t.why = wire.WhyNoRoom
-	default:
-		t.state = wire.Fetching
-		a.w.check.On(name, a.Place)
-	}
-	a.tasks[name] = t
-	a.note()
-}
-
-// stop carries out a stop. The lock is held.
-func (a *Agent) stop(t *agentTask, grace time.Duration) {
-	spec, _ := a.w.spec(t.ref)
-	save := time.Duration(spec.SaveS * float64(time.Second))
-	if t.state == wire.Running && !t.stopped && spec.CheckpointS > 0 && grace >= save {
-		t.stopped, t.state, t.since, t.saveEnd = true, wire.Saving, time.Now(), time.Now().Add(save)
-		a.note()
-		return
-	}
-	if t.state == wire.Saving && grace > 0 {
-		return
-	}
-	a.exit(t, wire.WhyStopped, false)
-}
-
-// exit ends a task. The lock is held.
-func (a *Agent) exit(t *agentTask, why string, saved bool) {
-	t.state, t.why, t.saved, t.since = wire.Exited, why, saved, time.Now()
-	a.w.check.Off(t.name(), a.Place)
-	if why == wire.Done {
-		a.w.finish(t.ref, t.i)
-		a.w.check.Done(t.ref, t.i)
-	}
-	a.note()
-}
-
-func (t *agentTask) name() string { return fmt.Sprintf("%s/%d", t.ref, t.i) }
-
-// drop ends all tasks without a word. The lock is held.
-func (a *Agent) drop() {
-	for name, t := range a.tasks {
-		if t.on() {
-			a.w.check.Off(name, a.Place)
-		}
-	}
-	a.tasks = map[string]*agentTask{}
-}
-
-// step moves time on: the lease, fetches, runs and saves. The lock is held.
-func (a *Agent) step(now time.Time) {
-	if a.gone || a.hung {
-		return
-	}
-	if now.Sub(a.leaseFrom) > a.w.timing.Lease {
-		a.drop()
-		a.session++
-		a.leaseFrom = now
-		a.note()
-		return
-	}
-	for _, t := range a.tasks {
-		spec, ok := a.w.spec(t.ref)
-		if !ok || !t.on() {
-			continue
-		}
-		length := a.w.length(t.ref)
-		switch t.state {
-		case wire.Fetching:
-			if !a.images[spec.Image] && now.Sub(t.since) < length.Fetch {
-				continue
-			}
-			a.images[spec.Image] = true
-			if a.w.completed(t.ref, t.i) {
-				a.exit(t, wire.Done, false) // its result is kept
-				continue
-			}
-			t.state, t.since = wire.Running, now
-			if spec.Kind == wire.Gang {
-				t.state = wire.Gathering
-			}
-			a.note()
-		case wire.Gathering:
-			if now.Sub(t.since) > a.w.timing.GangWait {
-				a.exit(t, wire.WhyIncomplete, false)
-			}
-		case wire.Running:
-			if spec.Kind == wire.Array && now.Sub(t.since) >= length.Run {
-				a.exit(t, wire.Done, false)
-			}
-		case wire.Saving:
-			if !now.Before(t.saveEnd) {
-				a.exit(t, wire.WhyStopped, true)
-			}
-		}
-	}
-}
-
 // command carries out direct orders, or holds them while the machine hangs.
 func (a *Agent) command(o wire.DirectOrders) (r wire.Report, ok bool, err error) {
 	a.mu.Lock()
--- /dev/null
+++ b/internal/testkit/cloud.go
@@ -0,0 +1,130 @@
+package testkit
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bramblespur/internal/cloud"
+	"bramblespur/internal/wire"
+)
+
+// Rentals is how a controller's process reaches the cloud. It implements cloud.API.
+type Rentals struct {
+	w    *World
+	from string
+	life context.Context
+}
+
+var _ cloud.API = (*Rentals)(nil)
+
+// Rentals returns the cloud for a process that lives as long as ctx.
+func (w *World) Rentals(ctx context.Context, from string) *Rentals { return &Rentals{w, from, ctx} }
+
+const cloudTimeout = 5 * time.Second
+
+// Types implements cloud.API.
+func (c *Rentals) Types(context.Context) ([]wire.MachineType, error) {
+	return Call(c.w.Net, c.from, CloudEnd, cloudTimeout, func() ([]wire.MachineType, error) { return c.w.types, c.life.Err() })
+}
+
+// Rent implements cloud.API: a repeated name gives the same machines.
+func (c *Rentals) Rent(_ context.Context, r wire.Rental) ([]string, error) {
+	return Call(c.w.Net, c.from, CloudEnd, cloudTimeout, func() ([]string, error) {
+		if err := c.life.Err(); err != nil {
+			return nil, err
+		}
+		return c.w.rent(r)
+	})
+}
+
+func (w *World) rent(r wire.Rental) ([]string, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ids, ok := w.rentals[r.Request]; ok {
+		return ids, nil
+	}
+	if w.full {
+		return nil, cloud.ErrNoCapacity
+	}
+	var ids []string
+	for range r.Count {
+		w.rented++
+		id := fmt.Sprintf("i-%06d", w.rented)
+		ids = append(ids, id)
+		for _, t := range w.types {
+			if t.Name == r.Type {
+				w.bootLater(newAgent(w, id, t, r.Zone, r.Spot))
+			}
+		}
+	}
+	w.rentals[r.Request] = ids
+	return ids, nil
+}
+
+// bootLater lets a rented machine come up. The lock is held.
+func (w *World) bootLater(a *Agent) {
+	a.gone = true
+	w.agents[a.ID] = a
+	boot := w.boot
+	w.running.Go(func() {
+		if !w.Sleep(boot) {
+			return
+		}
+		w.mu.Lock()
+		still := w.agents[a.ID] == a
+		w.mu.Unlock()
+		a.mu.Lock()
+		a.gone, a.leaseFrom = !still, time.Now()
+		a.mu.Unlock()
+		if still {
+			a.run()
+		}
+	})
+}
+
+// Boot sets how long machines take to come up, and whether there are any.
+func (w *World) Boot(d time.Duration, full bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.boot, w.full = d, full
+}
+
+// Return implements cloud.API: the machines are gone before it answers.
+func (c *Rentals) Return(_ context.Context, ids []string) error {
+	_, err := Call(c.w.Net, c.from, CloudEnd, cloudTimeout, func() (struct{}, error) {
+		if err := c.life.Err(); err != nil {
+			return struct{}{}, err
+		}
+		for _, id := range ids {
+			c.w.mu.Lock()
+			a := c.w.agents[id]
+			delete(c.w.agents, id)
+			c.w.mu.Unlock()
+			if a != nil {
+				a.Die()
+			}
+		}
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// List implements cloud.API.
+func (c *Rentals) List(context.Context) ([]wire.Listed, error) {
+	return Call(c.w.Net, c.from, CloudEnd, cloudTimeout, func() ([]wire.Listed, error) {
+		c.w.mu.Lock()
+		defer c.w.mu.Unlock()
+		var out []wire.Listed
+		for _, a := range c.w.agents {
+			out = append(out, wire.Listed{ID: a.ID, Addr: a.addr, Type: a.Type, Zone: a.Zone, Spot: a.Spot, State: wire.Running})
+		}
+		slices.SortFunc(out, func(a, b wire.Listed) int { return strings.Compare(a.ID, b.ID) })
+		return out, c.life.Err()
+	})
+}
+
+// Budget implements cloud.API.
+func (c *Rentals) Budget(float64) {}
--- /dev/null
+++ b/internal/testkit/direct.go
@@ -0,0 +1,61 @@
+package testkit
+
+import (
+	"context"
+	"strings"
+
+	"bramblespur/internal/agent"
+	"bramblespur/internal/wire"
+)
+
+// Direct is how a controller's process reaches workers. It implements agent.API.
+type Direct struct {
+	w    *World
+	from string
+	life context.Context
+}
+
+var _ agent.API = (*Direct)(nil)
+
+// Direct returns the way to workers for a process that lives as long as ctx.
+func (w *World) Direct(ctx context.Context, from string) *Direct { return &Direct{w, from, ctx} }
+
+// at returns the machine at an address.
+func (w *World) at(addr string) *Agent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.agents[strings.TrimPrefix(addr, "addr-")]
+}
+
+// Command implements agent.API.
+func (d *Direct) Command(_ context.Context, addr string, o wire.DirectOrders) (wire.Report, bool, error) {
+	a := d.w.at(addr)
+	if a == nil || d.life.Err() != nil {
+		return wire.Report{}, false, ErrLost
+	}
+	type answer struct {
+		r  wire.Report
+		ok bool
+	}
+	got, err := Call(d.w.Net, d.from, a.ID, directTimeout, func() (answer, error) {
+		r, ok, err := a.command(o)
+		return answer{r, ok}, err
+	})
+	if d.life.Err() != nil {
+		return wire.Report{}, false, ErrLost
+	}
+	return got.r, got.ok, err
+}
+
+// Show implements agent.API.
+func (d *Direct) Show(_ context.Context, addr string) (wire.Report, error) {
+	a := d.w.at(addr)
+	if a == nil || d.life.Err() != nil {
+		return wire.Report{}, ErrLost
+	}
+	r, err := Call(d.w.Net, d.from, a.ID, showTimeout, a.show)
+	if d.life.Err() != nil {
+		return wire.Report{}, ErrLost
+	}
+	return r, err
+}
--- /dev/null
+++ b/internal/testkit/gangs.go
@@ -0,0 +1,113 @@
+package testkit
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// member is a gang's task on its machine.
+type member struct {
+	a *Agent
+	t *agentTask
+}
+
+// gangs lets gangs start, complete and fall apart.
+func (w *World) gangs(all []*Agent, now time.Time) {
+	gangs := map[string][]member{}
+	var names []string
+	for _, a := range all {
+		a.mu.Lock()
+		for _, t := range a.tasks {
+			if s, ok := w.spec(t.ref); ok && s.Kind == wire.Gang && t.on() && !a.hung {
+				key := fmt.Sprintf("%s#%d", t.ref, t.attempt)
+				if gangs[key] == nil {
+					names = append(names, key)
+				}
+				gangs[key] = append(gangs[key], member{a, t})
+			}
+		}
+		a.mu.Unlock()
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		ms := gangs[name]
+		s, _ := w.spec(ms[0].t.ref)
+		count := map[string]int{}
+		var since time.Time
+		for _, m := range ms {
+			m.a.mu.Lock()
+			count[m.t.state]++
+			since = later(since, m.t.since)
+			m.a.mu.Unlock()
+		}
+		active := count[wire.Running] + count[wire.Saving]
+		switch {
+		case count[wire.Gathering] == s.Tasks:
+			w.each(ms, func(m member) { m.t.state, m.t.since = wire.Running, now; m.a.note() })
+		case count[wire.Running] == s.Tasks && now.Sub(since) >= w.length(s.Ref).Run:
+			w.each(ms, func(m member) { m.a.exit(m.t, wire.Done, false) })
+		case active > 0 && active < s.Tasks:
+			w.each(ms, func(m member) {
+				if m.t.state != wire.Running {
+					return
+				}
+				if m.t.alone.IsZero() {
+					m.t.alone = now
+				}
+				if now.Sub(m.t.alone) >= w.timing.GangPeer {
+					m.a.exit(m.t, wire.WhyPeers, false)
+				}
+			})
+		}
+	}
+}
+
+func (w *World) each(ms []member, f func(member)) {
+	for _, m := range ms {
+		m.a.mu.Lock()
+		if m.t.on() {
+			f(m)
+		}
+		m.a.mu.Unlock()
+	}
+}
+
+// room reports whether what a job still needs fits on the machines that are up.
+func (w *World) room(s *wire.Spec, may func(zone string) bool) bool {
+	fits := map[string]int{} // by zone where all have to be in one
+	for _, a := range w.Machines() {
+		if (s.Types != nil && !slices.Contains(s.Types, a.Type)) || (s.Zone != nil && *s.Zone != a.Zone) || (a.Spot && !s.Spot) || !may(a.Zone) {
+			continue
+		}
+		cpus, gpus, mem := a.typ.CPUs, a.typ.GPUs, a.typ.MemoryGB
+		a.mu.Lock()
+		usable := !a.hung && a.notice == nil
+		for _, t := range a.tasks {
+			if o, ok := w.spec(t.ref); ok && t.on() {
+				cpus, gpus, mem = cpus-o.CPUs, gpus-o.GPUs, mem-o.MemoryGB
+			}
+		}
+		a.mu.Unlock()
+		for usable && cpus >= s.CPUs && gpus >= s.GPUs && mem >= s.MemoryGB && (s.CPUs > 0 || s.GPUs > 0 || s.MemoryGB > 0) {
+			zone := ""
+			if s.OneZone {
+				zone = a.Zone
+			}
+			fits[zone]++
+			cpus, gpus, mem = cpus-s.CPUs, gpus-s.GPUs, mem-s.MemoryGB
+		}
+	}
+	need := 1
+	if s.Kind == wire.Gang {
+		need = s.Tasks
+	}
+	for _, n := range fits {
+		if n >= need {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/testkit/users.go
@@ -0,0 +1,108 @@
+package testkit
+
+import (
+	"encoding/json"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// Ask sends a user's request to a node and has the checker look at the answer.
+func (w *World) Ask(kind Request, label, ref string, body []byte) (status int, state string) {
+	method, path, timeout := "POST", wire.JobsPath, submitTimeout
+	switch kind {
+	case Poll:
+		method, path, timeout = "GET", wire.JobsPath+"/"+ref, pollTimeout
+	case Cancellation:
+		path = wire.JobsPath + "/" + ref + "/" + wire.CancelWord
+		w.check.Cancel(ref)
+	}
+	asked := time.Now()
+	type answer struct {
+		status int
+		body   []byte
+	}
+	a, err := Call(w.Net, UsersEnd, label, timeout, func() (answer, error) {
+		n := w.node(label)
+		if n == nil {
+			return answer{}, ErrRefused
+		}
+		status, body, err := n.Handle(method, path, body)
+		return answer{status, body}, err
+	})
+	if err != nil {
+		return 0, ""
+	}
+	var s wire.Status
+	if len(a.body) > 0 && json.Unmarshal(a.body, &s) != nil {
+		return a.status, ""
+	}
+	w.check.Answer(kind, ref, asked, time.Now(), a.status, s.State)
+	return a.status, s.State
+}
+
+// Register uploads a job's description, as users do before they submit it.
+func (w *World) Register(s wire.Spec, l Length) {
+	w.mu.Lock()
+	w.specs[s.Ref] = s
+	w.lengths[s.Ref] = l
+	w.mu.Unlock()
+	w.check.Submit(s)
+}
+
+// Submit submits a job once.
+func (w *World) Submit(label string, s wire.Spec, l Length) (status int, state string) {
+	w.Register(s, l)
+	body, _ := json.Marshal(s)
+	return w.Ask(Submission, label, s.Ref, body)
+}
+
+// Until repeats a request, at one node after the other as a load balancer would,
+// until it is answered with a state, or for at most d.
+func (w *World) Until(kind Request, ref string, body []byte, d time.Duration) (state string, ok bool) {
+	end := time.Now().Add(d)
+	for i := int(w.rand.Uint32() % uint32(len(w.labels))); time.Now().Before(end); i++ {
+		label := w.labels[i%len(w.labels)]
+		if w.node(label) == nil {
+			if !w.Sleep(10 * time.Millisecond) {
+				return "", false
+			}
+			continue
+		}
+		if status, state := w.Ask(kind, label, ref, body); status == 200 || status == 201 {
+			w.mu.Lock()
+			w.told[ref] = state
+			w.mu.Unlock()
+			return state, true
+		}
+		if !w.Sleep(time.Second) {
+			return "", false
+		}
+	}
+	return "", false
+}
+
+// Follow polls a job every few seconds until it is over, as its user does.
+func (w *World) Follow(ref string) {
+	w.running.Go(func() {
+		for {
+			state, _ := w.Until(Poll, ref, nil, 20*time.Second)
+			if state == wire.Done || state == wire.Cancelled || !w.Sleep(5*time.Second) {
+				return
+			}
+		}
+	})
+}
+
+// IsService reports whether a job is a service.
+func (w *World) IsService(ref string) bool {
+	s, _ := w.spec(ref)
+	return s.Kind == wire.Service
+}
+
+// Told returns the state of a job that its user was told last.
+func (w *World) Told(ref string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.told[ref]
+}
