Test: writes of an owner that has a successor are refused

Guards the condition of each write on the part's record, which no test needed so far: a start, a job's end, a move and a return that an old owner makes after its successor has read the records.

--- /dev/null
+++ b/internal/sched/deposed_test.go
@@ -0,0 +1,173 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// The tests below guard the condition of each write on its part's record: an owner
+// that another one has followed without its knowledge, as when only its peers lost
+// sight of it, makes a write after its successor has read the records. The other
+// conditions of these writes hold, since the successor has changed none of those records.
+
+// deposed is a part whose owner does not know yet that another one has followed.
+type deposed struct {
+	*rig
+	old *Part
+}
+
+// depose makes a new owner and keeps the old one.
+func depose(r *rig) *deposed {
+	d := &deposed{rig: r, old: r.part}
+	r.claim()
+	return d
+}
+
+// nextTxn returns the next transaction that the part's owner makes by itself.
+func (r *rig) nextTxn() *Txn {
+	r.t.Helper()
+	for range 4 {
+		eff := r.part.Step(r.clock.Now())
+		if len(eff.Txns) > 0 {
+			return eff.Txns[0]
+		}
+		r.clock.Advance(r.cfg.Report / 2)
+	}
+	r.t.Fatal("no transaction")
+	return nil
+}
+
+// late carries out a transaction of the old owner and tells it what came of it. It
+// reports whether the transaction failed on the part's record.
+func (d *deposed) late(t *Txn) bool {
+	d.t.Helper()
+	now := d.clock.Now()
+	revision, err := d.state.Txn(context.Background(), statestore.Urgent("test"), t.Body)
+	var conflict *statestore.ConflictError
+	if errors.As(err, &conflict) {
+		d.old.Conflict(t, conflict.Keys, now)
+		return slices.Contains(conflict.Keys, record.PartKey(d.id))
+	}
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.old.Applied(t, revision, now)
+	return false
+}
+
+// reportToOld lets a worker that has not heard the new owner report to the old one.
+func (d *deposed) reportToOld(w *testkit.Worker) {
+	report := w.Report()
+	if orders, verdict := d.old.Report(&report, false, d.clock.Now()); verdict == Answered {
+		w.Obey(orders)
+	}
+}
+
+// A start that the old owner records after its successor has read the records would
+// run beside the one that the successor decides on.
+func TestDeposedOwnerRecordsNoStart(t *testing.T) {
+	r := newRig(t)
+	w1 := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	start := r.nextTxn()
+	d := depose(r)
+	refused := d.late(start)
+	d.reportToOld(w1)
+	w2 := r.machine("m2", "z1", false)
+	r.beats(4, w2)
+	if at := r.on("run-000001/0"); at != "m2" {
+		t.Errorf("the task is on %q, want m2, where its owner started it", at)
+	}
+	if !refused || !d.old.Lost() {
+		t.Error("a start was recorded by an owner that has a successor")
+	}
+}
+
+// An end that the old owner records, in whose ledger no task of the job is left, would
+// be told to the user while the successor's task runs.
+func TestDeposedOwnerEndsNoJob(t *testing.T) {
+	r := newRig(t)
+	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
+	r.submit(s)
+	r.settle()
+	d := depose(r)
+	r.machine("m1", "z1", false)
+	r.beats(3)
+	if r.on("run-000001/0") == "" {
+		t.Fatal("not started by the successor")
+	}
+	e := r.state.Put(record.OpenKey(s.Ref), record.Open{Spec: s, Part: r.id, Cancelled: true})
+	d.old.SetJob(s.Ref, record.Open{Spec: s, Part: r.id, Cancelled: true}, e.Version, r.clock.Now())
+	eff := d.old.Step(r.clock.Now())
+	if len(eff.Txns) != 1 {
+		t.Fatalf("%d transactions of the old owner, want the job's end", len(eff.Txns))
+	}
+	refused := d.late(eff.Txns[0])
+	if at := r.on("run-000001/0"); at != "" && r.get(record.JobKey(s.Ref)) != nil {
+		t.Errorf("the end is recorded while the task runs on %s", at)
+	}
+	if !refused {
+		t.Error("an end was recorded by an owner that has a successor")
+	}
+}
+
+// A machine that the old owner moves to another part, since it knows of nothing
+// there, would take the successor's task with it, which then runs twice.
+func TestDeposedOwnerMovesNoMachine(t *testing.T) {
+	r := newRig(t)
+	w1 := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.part.Order(fleet.Order{Machine: "m1", To: 1}, r.clock.Now())
+	move := r.nextTxn()
+	d := depose(r)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started by the successor")
+	}
+	w2 := r.machine("m2", "z1", false)
+	refused := d.late(move)
+	if e := r.get(record.OwnKey("m1")); e != nil {
+		r.sync(*e)
+	}
+	r.beats(3, w2)
+	r.beats(1, w1)
+	if at := r.on("run-000001/0"); at != "m1" {
+		t.Errorf("the task is on %q, want m1", at)
+	}
+	if !refused {
+		t.Error("a machine was moved by an owner that has a successor")
+	}
+}
+
+// A machine that the old owner gives back would end the successor's task.
+func TestDeposedOwnerReturnsNoMachine(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	r.beats(2)
+	r.part.Order(fleet.Order{Machine: "m1", To: fleet.Back}, r.clock.Now())
+	back := r.nextTxn()
+	d := depose(r)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.beats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started by the successor")
+	}
+	refused := d.late(back)
+	r.returns()
+	if len(r.cloud.Returned) != 0 {
+		t.Errorf("%v went back with a task on it", r.cloud.Returned)
+	}
+	if !refused {
+		t.Error("a machine was given back by an owner that has a successor")
+	}
+}
