httpwire: bound a chunked request on its way, not only what it holds

Chunks of one byte and extensions of any length counted for nothing: 64 MB of such a request were buffered and the parser still asked for more. Now a request takes 97 KiB at most on its way (MaxRequest), and a chunk's line 256 bytes.

--- a/internal/httpwire/parser.go
+++ b/internal/httpwire/parser.go
@@ -14,6 +14,17 @@
 const (
 	MaxHead = 16 << 10 // bytes of start line and headers
 	MaxBody = 64 << 10 // bytes of a request's body
+	// MaxRequest is how many bytes a request may take on its way, so how many its
+	// receiver has to keep of one that is not complete.
+	MaxRequest = MaxHead + MaxBody + MaxBody/chunkShare + leastOverhead
+)
+
+// A chunked body may be larger on its way by a part of what it holds and a little
+// more: chunks of a few bytes each, or with long extensions, serve nobody.
+const (
+	chunkShare    = 4
+	leastOverhead = 1 << 10
+	maxChunkLine  = 256 // bytes of a chunk's size and extensions
 )
 
 // Errors of the parser. After any of them the connection must be closed.
@@ -59,7 +70,7 @@
 		return r, 0, err
 	}
 	r.Close = f.close || (proto == "HTTP/1.0" && !f.keep)
-	body, used, err := readBody(buf[n:], f, MaxBody, false)
+	body, used, err := readBody(buf[n:], f, MaxBody)
 	if err != nil || used < 0 {
 		return r, 0, err
 	}
@@ -94,7 +105,7 @@
 	if f.length < 0 && !f.chunked {
 		return r, 0, ErrMalformed // a body until close is never sent by our peers
 	}
-	body, used, err := readBody(buf[n:], f, max, true)
+	body, used, err := readBody(buf[n:], f, max)
 	if err != nil || used < 0 {
 		return r, 0, err
 	}
@@ -161,56 +172,77 @@
 }
 
 // readBody returns the body and the bytes it took, -1 if more are needed.
-func readBody(buf []byte, f frame, max int, response bool) ([]byte, int, error) {
-	if !f.chunked {
-		n := f.length
-		if n < 0 {
-			n = 0
-		}
-		if n > max {
-			return nil, 0, ErrTooLarge
-		}
-		if len(buf) < n {
-			return nil, -1, nil
-		}
-		if n == 0 {
-			return nil, 0, nil
-		}
-		return bytes.Clone(buf[:n]), n, nil
+func readBody(buf []byte, f frame, max int) ([]byte, int, error) {
+	if f.chunked {
+		return readChunks(buf, max)
+	}
+	n := f.length
+	if n < 0 {
+		n = 0
+	}
+	if n > max {
+		return nil, 0, ErrTooLarge
+	}
+	if len(buf) < n {
+		return nil, -1, nil
+	}
+	if n == 0 {
+		return nil, 0, nil
 	}
+	return bytes.Clone(buf[:n]), n, nil
+}
+
+// readChunks does the same with a chunked body.
+func readChunks(buf []byte, max int) ([]byte, int, error) {
 	var body []byte
 	used := 0
 	for {
-		i := bytes.Index(buf[used:], []byte("\r\n"))
-		if i < 0 {
-			if len(buf)-used > MaxHead {
-				return nil, 0, ErrMalformed
-			}
-			return nil, -1, nil
+		if used-len(body) > len(body)/chunkShare+leastOverhead {
+			return nil, 0, ErrTooLarge
 		}
-		size, _, _ := strings.Cut(string(buf[used:used+i]), ";")
-		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		n, line, err := chunkSize(buf[used:])
 		if err != nil {
-			return nil, 0, ErrMalformed
+			return nil, 0, err
+		}
+		if line == 0 {
+			return nil, -1, nil
 		}
-		if len(body)+int(n) > max {
+		if n > max-len(body) {
 			return nil, 0, ErrTooLarge
 		}
-		used += i + 2
-		if len(buf) < used+int(n)+2 {
+		used += line
+		if len(buf) < used+n+2 {
 			return nil, -1, nil
 		}
-		if !bytes.Equal(buf[used+int(n):used+int(n)+2], []byte("\r\n")) {
+		if !bytes.Equal(buf[used+n:used+n+2], []byte("\r\n")) {
 			return nil, 0, ErrMalformed // trailers are not accepted either
 		}
-		body = append(body, buf[used:used+int(n)]...)
-		used += int(n) + 2
+		body = append(body, buf[used:used+n]...)
+		used += n + 2
 		if n == 0 {
 			return body, used, nil
 		}
 	}
 }
 
+// chunkSize reads the line that begins a chunk: the chunk's size and the line's
+// length, 0 if that is not complete.
+func chunkSize(buf []byte) (size, line int, err error) {
+	i := bytes.Index(buf[:min(len(buf), maxChunkLine)], []byte("\r\n"))
+	if i < 0 {
+		if len(buf) >= maxChunkLine {
+			return 0, 0, ErrMalformed
+		}
+		return 0, 0, nil
+	}
+	digits, _, _ := strings.Cut(string(buf[:i]), ";")
+	n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
+	if err != nil {
+		return 0, 0, ErrMalformed
+	}
+	return int(n), i + 2, nil
+}
+
 var reasons = map[int]string{
 	200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	409: "Conflict", 421: "Misdirected Request", 422: "Unprocessable Entity", 429: "Too Many Requests",
