Server: slow, half-sent and unread traffic is bounded in memory, all together

Seen with scripted connections: half-sent requests of the largest size on 674 sockets kept 44 MB, of 49 that the smaller machine has; a sender that went on while its request was being answered kept whatever it sent (32 MB); 64 KiB byte by byte meant 64,000 looks at all that had come. Now all unfinished requests and unread answers share 2.2 MB at 49 MB, out of which the one that has taken longest is closed; what comes ahead of an answer and what is left unread of answers is bounded for each connection, so is the number of pieces, and a trickling sender is closed by its own traffic. A connection that never asks anything is closed after 10 s rather than 90. Malformed and slow requests are logged once for each sender, not each time at debug level.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -108,6 +108,7 @@
 	pressure    pressure
 	users       int // their requests being served
 	polls       int // those of them that only ask
+	refusals    refusals
 }
 
 // openJob is what polls need to know of an unfinished job.
@@ -149,8 +150,9 @@
 	}
 	errs := make(chan error, 2)
 	go func() { errs <- peer.Serve(ln, c) }()
-	srv := &server{handle: c.handle, log: log, conns: map[gnet.Conn]*connState{},
-		maxConn: p.Resources.MaxSockets * 3 / 4, workerConn: p.Resources.MaxSockets * 5 / 8}
+	srv := &server{handle: c.handle, log: log, refusals: &c.refusals, conns: map[gnet.Conn]*connState{},
+		maxConn: p.Resources.MaxSockets * 3 / 4, workerConn: p.Resources.MaxSockets * 5 / 8,
+		maxBuffered: maxBuffered(p.Resources)}
 	go func() {
 		errs <- gnet.Run(srv, "tcp4://"+cfg.Listen, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(16<<10),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"runtime"
 	"time"
 
@@ -25,14 +27,6 @@
 // answer exactly once, from any goroutine.
 type handler func(req httpwire.Request, answer func(reply)) (reply, bool)
 
-// Connections that say nothing for idleConn, or leave a request unfinished for
-// slowConn, are closed: sockets are few, and half-open ones never end.
-const (
-	idleConn  = 90 * time.Second
-	slowConn  = 10 * time.Second
-	sweepEach = 5 * time.Second
-)
-
 // server is the gnet side: one event loop that cuts bytes into requests. gnet calls
 // OnTick on a goroutine of its own, so nothing here relies on its ticker.
 type server struct {
@@ -44,30 +38,14 @@
 	// each answer: when a neighbour's workers all come over, more may report than
 	// there are sockets, and users' and peers' connections go on.
 	workerConn int
-	conns      map[gnet.Conn]*connState // only the event loop touches it
-	swept      time.Time                // when they were last looked through
-}
-
-// connState is a connection's; only the event loop touches it.
-type connState struct {
-	busy    bool // a request is being answered
-	last    time.Time
-	partial bool // a request has begun
-}
-
-// sweep closes idle and slow connections now and then. The event loop does it as
-// connections open and requests come: while there are none, no socket is wanted.
-func (s *server) sweep(now time.Time) {
-	if now.Sub(s.swept) < sweepEach {
-		return
-	}
-	s.swept = now
-	for c, st := range s.conns {
-		quiet := now.Sub(st.last)
-		if !st.busy && (quiet > idleConn || (st.partial && quiet > slowConn)) {
-			c.Close()
-		}
-	}
+	// maxBuffered is how many bytes of unfinished requests and unread answers are kept.
+	maxBuffered int
+	refusals    *refusals
+
+	// Only the event loop touches these.
+	conns    map[gnet.Conn]*connState
+	swept    time.Time // when they were last looked through
+	buffered int       // bytes in their buffers
 }
 
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
@@ -82,6 +60,9 @@
 }
 
 func (s *server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	if st := s.conns[c]; st != nil {
+		s.buffer(st, 0)
+	}
 	delete(s.conns, c)
 	return gnet.None
 }
@@ -97,33 +78,56 @@
 		buf, _ := c.Peek(-1)
 		req, n, err := httpwire.ParseRequest(buf)
 		if err != nil {
-			s.log.Debug("malformed request", "from", c.RemoteAddr(), "err", err)
+			s.refusals.tell(s.log, "request", senderOf(c), err)
 			c.Write(httpwire.AppendResponse(nil, 400, nil, 0, true))
 			return gnet.Close
 		}
+		now := time.Now()
 		if n == 0 {
-			if len(buf) > 0 && !st.partial { // the time of a slow request counts from its begin
-				st.partial, st.last = true, time.Now()
+			if !s.unfinished(c, st, len(buf), now) {
+				return s.closeSlow(c)
 			}
 			return gnet.None
 		}
 		c.Discard(n)
-		st.busy, st.partial, st.last = true, false, time.Now()
+		s.whole(st, now)
 		req.Close = req.Close || (req.Path == wire.ReportPath && len(s.conns) > s.workerConn)
-		r, now := s.handle(req, func(r reply) { s.answerLater(c, st, r, req.Close) })
-		if !now {
+		r, answered := s.handle(req, func(r reply) { s.answerLater(c, st, r, req.Close) })
+		if !answered {
 			return gnet.None
 		}
 		// Most reports are answered here and now, without another turn of the
 		// event loop.
 		st.busy = false
-		if _, err := c.Write(s.encode(r, req.Close)); err != nil || req.Close {
+		if _, err := c.Write(s.encode(r, req.Close)); err != nil || req.Close || c.OutboundBuffered() > maxUnread {
 			return gnet.Close
 		}
 	}
+	if ok && !s.ahead(c, st) {
+		return gnet.Close
+	}
 	return gnet.None
 }
 
+// closeSlow refuses a request for which there is no time or room.
+func (s *server) closeSlow(c gnet.Conn) gnet.Action {
+	s.refusals.tell(s.log, "slow request", senderOf(c), errSlow)
+	c.Write(s.encode(reply{status: 503, retryAfter: retryLater}, true))
+	return gnet.Close
+}
+
+// errSlow is why a request is given up that does not come to its end.
+var errSlow = errors.New("unfinished for too long, or in too many pieces")
+
+// senderOf names who is at the other end of a connection.
+func senderOf(c gnet.Conn) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return "unknown"
+	}
+	return host
+}
+
 func (s *server) encode(r reply, last bool) []byte {
 	var body []byte
 	if r.body != nil {
--- a/internal/controller/wave_test.go
+++ b/internal/controller/wave_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"net"
 	"runtime"
 	"strings"
 	"testing"
@@ -147,10 +148,14 @@
 	gnet.Conn
 	in, out bytes.Buffer
 	ctx     any
+	unread  int  // bytes of answers that the other end has not read
 	shut    bool // Close was called
 }
 
 func (c *conn) Peek(int) ([]byte, error)       { return c.in.Bytes(), nil }
+func (c *conn) InboundBuffered() int           { return c.in.Len() }
+func (c *conn) OutboundBuffered() int          { return c.unread }
+func (c *conn) RemoteAddr() net.Addr           { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 1} }
 func (c *conn) Close() error                   { c.shut = true; return nil }
 func (c *conn) Discard(n int) (int, error)     { c.in.Next(n); return n, nil }
 func (c *conn) Write(b []byte) (int, error)    { return c.out.Write(b) }
@@ -161,7 +166,7 @@
 // When a neighbour's workers all come over, each keeps its connection only as long
 // as there are sockets to spare: what is left is for users and other controllers.
 func TestWorkersLeaveSockets(t *testing.T) {
-	s := &server{log: slog.New(slog.DiscardHandler), conns: map[gnet.Conn]*connState{}, maxConn: 4, workerConn: 2,
+	s := &server{log: slog.New(slog.DiscardHandler), conns: map[gnet.Conn]*connState{}, maxConn: 4, workerConn: 2, refusals: &refusals{}, maxBuffered: leastBuffered,
 		handle: func(httpwire.Request, func(reply)) (reply, bool) { return reply{status: 200}, true }}
 	ask := func(method, path string) (kept bool) {
 		t.Helper()
@@ -204,7 +209,7 @@
 			s.OnTraffic(other)
 		},
 	} {
-		s := &server{log: slog.New(slog.DiscardHandler), conns: map[gnet.Conn]*connState{}, maxConn: 16, workerConn: 16,
+		s := &server{log: slog.New(slog.DiscardHandler), conns: map[gnet.Conn]*connState{}, maxConn: 16, workerConn: 16, refusals: &refusals{}, maxBuffered: leastBuffered,
 			handle: func(httpwire.Request, func(reply)) (reply, bool) { return reply{status: 200}, true }}
 		open := func(quiet time.Duration, set func(*connState)) *conn {
 			c := &conn{}
