Reports are relayed within a zone only where a worker's search outlasts its lease

Every worker of seven controllers reported to one of its zone, since a search through all the others would take 38 s with the time between reports, more than a lease of 34. But only those that do not live in its zone are tried in vain, five at most: 33 s. Two thirds of the reports were thus decoded, sent on and encoded twice. A zone that loses a controller has a longer search, and its workers report within it again.

TestReportsTo set five controllers but knew four, and expected relays where the search of 15 s stays below the lease of 20; it has a shorter lease now, and also holds both sides of that bound and a zone that loses a controller.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -159,12 +159,19 @@
 	if got := c.reportsTo("y", "m", "c-0", now); got != "c-0" {
 		t.Errorf("where leases outlast a search for another controller it reports to %s, want the owner", got)
 	}
-	c.cfg.Params.Count = 5
+	c.cfg.Params.Count = 4
 	c.cfg.Peers = []config.Peer{{Label: "c-1", Zone: "y"}, {Label: "c-2", Zone: "y"}, {Label: "c-3", Zone: "x"}}
 	for _, l := range []string{"c-0", "c-1", "c-2", "c-3"} {
 		c.members[l] = record.Member{Inc: 1}
 		c.peerOK[l] = now
 	}
+	if got := c.reportsTo("y", "m", "c-0", now); got != "c-0" {
+		t.Errorf("two controllers are tried in vain, within a lease: reports to %s, want the owner", got)
+	}
+	// Of four controllers two are of no use to zone y and three to the others: 10 and
+	// 15 s of search and 2 s between reports.
+	const shorterLease = 12
+	c.cfg.Params.Workers.LeaseS = shorterLease
 	for _, x := range []struct{ zone, owner, want string }{
 		{"z", "c-1", "c-0"}, {"y", "c-2", "c-2"}, {"x", "c-0", "c-3"}, {"w", "c-1", "c-1"},
 	} {
@@ -181,6 +188,16 @@
 	if got := c.reportsTo("x", "m", "c-0", now); got != "c-0" {
 		t.Errorf("without a live controller in its zone it reports to %s, want the owner", got)
 	}
+	c.cfg.Params.Workers.LeaseS = shorterLease + 1
+	if got := c.reportsTo("y", "m", "c-0", now); got != "c-0" {
+		t.Errorf("a search that the lease outlasts: reports to %s, want the owner", got)
+	}
+	delete(c.members, "c-2")
+	if got := c.reportsTo("y", "m", "c-0", now); got != "c-1" {
+		t.Errorf("with one controller less in its zone the search is longer: reports to %s, want c-1", got)
+	}
+	c.members["c-2"] = record.Member{Inc: 1}
+	c.cfg.Params.Workers.LeaseS = shorterLease
 	if to := c.sendOn("y", "m", "c-0", now); to != "c-1" && to != "c-2" {
 		t.Errorf("sent on to %q", to)
 	}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -118,13 +118,12 @@
 // also where connections between controllers are refused, which says nothing of
 // those between it and the worker. The lock is held.
 func (c *Controller) reportsTo(zone, machine, owner string, now time.Time) string {
-	if !c.searchIsLong() || now.Sub(c.peerRefused[owner]) < peerFresh {
+	if !c.searchIsLong(zone) || now.Sub(c.peerRefused[owner]) < peerFresh {
 		return owner
 	}
 	var near []string
 	for _, label := range c.cfg.Labels() {
-		m, lives := c.members[label]
-		if !lives || m.Deaf || c.zoneOf(label) != zone {
+		if !c.servesZone(label, c.zoneOf(label), zone) {
 			continue
 		}
 		if label == owner {
@@ -140,14 +139,31 @@
 	return near[record.Hash(machine)%uint32(len(near))]
 }
 
-// searchIsLong reports whether a worker that is cut off from its controller may
-// lose its lease before it has tried all the others. Else relaying reports
-// within a zone costs more than it saves: the load of a zone's machines then
-// falls on its controllers, however few they are.
-func (c *Controller) searchIsLong() bool {
-	w := c.cfg.Params.Workers
-	search := time.Duration(c.cfg.Params.Count-1) * (workerWait + workerPause)
-	return search+config.Seconds(w.ReportS) >= config.Seconds(w.LeaseS)
+// searchIsLong reports whether a worker of a zone that is cut off from its controller
+// may lose its lease before it has tried all controllers that are of no use to it, and
+// comes to one of its own zone. Else relaying reports within a zone costs more than it
+// saves: the load of a zone's machines then falls on its controllers, however few they
+// are, and each relayed report is decoded twice. The lock is held.
+func (c *Controller) searchIsLong(zone string) bool {
+	inVain := 0
+	if !c.servesZone(c.cfg.Label, c.cfg.Zone, zone) {
+		inVain++
+	}
+	for _, p := range c.cfg.Peers {
+		if !c.servesZone(p.Label, p.Zone, zone) {
+			inVain++
+		}
+	}
+	workers := c.cfg.Params.Workers
+	search := time.Duration(inVain) * (workerWait + workerPause)
+	return search+config.Seconds(workers.ReportS) >= config.Seconds(workers.LeaseS)
+}
+
+// servesZone reports whether a controller lives, hears others and is in a zone. The
+// lock is held.
+func (c *Controller) servesZone(label, its, zone string) bool {
+	m, lives := c.members[label]
+	return lives && !m.Deaf && its == zone
 }
 
 // A worker waits workerWait for an answer and tries the next controller after
