--- a/internal/sched/gang_test.go
+++ b/internal/sched/gang_test.go
@@ -39,14 +39,21 @@
 	}
 }
 
-// While a gang waits for its last task, one that is lost is replaced under the
-// same attempt.
-func TestGangReplacement(t *testing.T) {
-	r := newRig(t)
+// gangOfTwo submits a gang and adds the two machines that it needs.
+func (r *rig) gangOfTwo() wire.Spec {
+	r.t.Helper()
 	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
 	r.submit(s)
 	r.machine("m1", "z1", false)
 	r.machine("m2", "z1", false)
+	return s
+}
+
+// While a gang waits for its last task, one that is lost is replaced under the
+// same attempt.
+func TestGangReplacement(t *testing.T) {
+	r := newRig(t)
+	r.gangOfTwo()
 	r.beats(2)
 	a, b := r.on("run-000001/0"), r.on("run-000001/1")
 	if a == "" || b == "" {
@@ -68,10 +75,7 @@
 // A gang is done when one of its tasks is: they complete together.
 func TestGangDoneTogether(t *testing.T) {
 	r := newRig(t)
-	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
-	r.submit(s)
-	r.machine("m1", "z1", false)
-	r.machine("m2", "z1", false)
+	s := r.gangOfTwo()
 	r.beats(4)
 	w := r.workers[r.on("run-000001/0")]
 	w.End("run-000001/0", wire.Done)
--- a/internal/sched/machine_test.go
+++ b/internal/sched/machine_test.go
@@ -147,9 +147,7 @@
 // once starts don't show, and goes back; its tasks run elsewhere only then, or
 // when its reports prove them absent.
 func TestOneWayMachine(t *testing.T) {
-	r := newRig(t)
-	w1 := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w1 := newRigWithMachine(t)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
 	r.settle() // placed and recorded on m1
 	for range 3 {
@@ -187,9 +185,7 @@
 // A lease that ran out though every report was answered marks such a machine,
 // too; one answer seen to arrive clears it.
 func TestOneWayMachineRecovers(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	for range 10 {
 		r.clock.Advance(r.cfg.Report)
 		r.deaf(w)
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -75,13 +75,20 @@
 	}
 }
 
-// A service goes to a machine that caches its image even where lower work has
-// to give way there, rather than fetch it on a free one.
-func TestServiceSeeksItsImage(t *testing.T) {
+// newRigWithSlowFetches has machines to which an image takes 20 s.
+func newRigWithSlowFetches(t testing.TB) *rig {
+	t.Helper()
 	r := newRig(t)
 	typ := r.cfg.Types["big"]
 	typ.FetchGBps = 0.2
 	r.cfg.Types["big"] = typ
+	return r
+}
+
+// A service goes to a machine that caches its image even where lower work has
+// to give way there, rather than fetch it on a free one.
+func TestServiceSeeksItsImage(t *testing.T) {
+	r := newRigWithSlowFetches(t)
 	r.machine("m1", "z1", false)
 	first := spec("run-000001", "b", wire.Service, "prod", 1, 2)
 	first.Image = "web"
@@ -112,10 +119,7 @@
 // Room that was made where the image is not cached is used at once: a service
 // does not wait on it for room with the image.
 func TestServiceUsesRoomMadeForIt(t *testing.T) {
-	r := newRig(t)
-	typ := r.cfg.Types["big"]
-	typ.FetchGBps = 0.2
-	r.cfg.Types["big"] = typ
+	r := newRigWithSlowFetches(t)
 	r.machine("m1", "z1", false)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 2, 1))
 	r.beats(20)
--- a/internal/sched/safety_test.go
+++ b/internal/sched/safety_test.go
@@ -17,9 +17,7 @@
 // A start goes out only after its record: nothing runs while the state service
 // refuses, and a start whose transaction failed is never sent.
 func TestNoStartWithoutRecord(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	r.state.Down = true
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.beats(4)
@@ -35,9 +33,7 @@
 
 // A start given up for want of an answer must not be applied later.
 func TestLateTransactionStartsNothing(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	r.state.HoldTxns = 1
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.settle() // its start is held, given up, and placed anew
@@ -51,9 +47,7 @@
 }
 
 func TestLostAnswerIsReadBack(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	r.state.LoseAnswers = 1
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.settle()
@@ -71,9 +65,7 @@
 
 // A cancellation the owner has not heard of makes its start fail.
 func TestCancelRacesStart(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	s := spec("run-000001", "b", wire.Array, "normal", 1, 1)
 	r.submit(s)
 	r.cancel(s) // not told: the part is about to record a start
@@ -88,9 +80,7 @@
 
 // Reports order by session and sequence: an old one proves nothing.
 func TestLateReportIsIgnored(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	empty := w.Report()
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.beats(3)
@@ -103,9 +93,7 @@
 
 // A start whose answer was lost is repeated under the same attempt.
 func TestLostStartIsRepeated(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.settle()
 	rep := w.Report()
@@ -189,9 +177,7 @@
 // While cancellations told elsewhere may be unknown, nothing is started, not
 // even what was recorded before; stops still go out.
 func TestBlindStartsNothing(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.settle()
 	r.part.SetBlind(true)
@@ -255,9 +241,7 @@
 		func(s *testkit.State) { s.LoseAnswers = 1 },
 		func(s *testkit.State) { s.HoldTxns = 1 },
 	} {
-		r := newRig(t)
-		w := r.machine("m1", "z1", false)
-		r.beats(2)
+		r, w := newRigWithMachine(t)
 		r.part.Order(fleet.Order{Machine: "m1", To: fleet.Back}, r.clock.Now())
 		script(r.state)
 		r.beats(1)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -49,6 +49,15 @@
 	return r
 }
 
+// newRigWithMachine has one machine, m1, which has reported twice and runs nothing.
+func newRigWithMachine(t testing.TB) (*rig, *testkit.Worker) {
+	t.Helper()
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	return r, w
+}
+
 // claim makes a new owner: a new token and only what the records hold.
 func (r *rig) claim() {
 	r.t.Helper()
@@ -111,6 +120,7 @@
 }
 
 func (r *rig) machine(id, zone string, spot bool) *testkit.Worker {
+	r.t.Helper()
 	r.sync(r.state.Put(record.RentalKey(id), record.Rental{Type: "big", Zone: zone, Spot: spot, Parts: []int{r.id}, IDs: []string{id}, Born: r.clock.Now().UnixMilli()}))
 	w := testkit.NewWorker(id, "big", zone, spot)
 	r.workers[id] = w
@@ -244,6 +254,7 @@
 
 // beat lets workers report once, and carries out what follows.
 func (r *rig) beat(ws ...*testkit.Worker) {
+	r.t.Helper()
 	r.clock.Advance(r.cfg.Report)
 	if len(ws) == 0 {
 		for _, w := range r.workers {
@@ -261,11 +272,21 @@
 }
 
 func (r *rig) beats(n int, ws ...*testkit.Worker) {
+	r.t.Helper()
 	for range n {
 		r.beat(ws...)
 	}
 }
 
+// beatAndEnd lets all workers report once, and then ends all tasks of one of them.
+func (r *rig) beatAndEnd(w *testkit.Worker) {
+	r.t.Helper()
+	r.beat()
+	for name := range w.Tasks {
+		w.End(name, wire.Done)
+	}
+}
+
 // on returns where a task runs, asserting that it is in one place at most.
 func (r *rig) on(task string) string {
 	r.t.Helper()
@@ -282,6 +303,7 @@
 }
 
 func (r *rig) jobState(ref string) string {
+	r.t.Helper()
 	if e := r.get(record.JobKey(ref)); e != nil {
 		j, err := decode[record.Job](*e)
 		if err != nil {
@@ -334,10 +356,7 @@
 	r.submit(s)
 	w := r.machine("m1", "z1", false)
 	for range 40 {
-		r.beat()
-		for name := range w.Tasks {
-			w.End(name, wire.Done)
-		}
+		r.beatAndEnd(w)
 	}
 	runs, _, err := r.state.List(context.Background(), statestore.Urgent("test"), record.SlotPrefix)
 	if err != nil || len(runs) == 0 {
@@ -361,10 +380,7 @@
 	r.submit(s)
 	w := r.machine("m1", "z1", false)
 	for range 30 {
-		r.beat()
-		for name := range w.Tasks {
-			w.End(name, wire.Done)
-		}
+		r.beatAndEnd(w)
 		if r.jobState(s.Ref) == wire.Done {
 			return
 		}
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -32,9 +32,7 @@
 // Crash between record and command: the next owner sees that the task never
 // arrived, and starts it under a new attempt.
 func TestCrashBetweenRecordAndCommand(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.settle()
 	if len(w.Started) != 0 {
@@ -50,9 +48,7 @@
 // The late answer of a deposed owner carries a lower token and does nothing;
 // its late write fails on the part's record.
 func TestDeposedOwnerDoesNothing(t *testing.T) {
-	r := newRig(t)
-	w := r.machine("m1", "z1", false)
-	r.beats(2)
+	r, w := newRigWithMachine(t)
 	old := r.part
 	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
 	r.settle()
