--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -44,7 +44,6 @@
 	homeStable    = 20 * time.Second // a returned controller answers this long before its part goes home
 	listFactor    = 3.0              // the cloud's list is read once in this many of its lags
 	relayTimeout  = 2200 * time.Millisecond
-	finalsKept    = 20000 // final states held in memory
 )
 
 // Controller is one process of the service.
@@ -81,7 +80,7 @@
 	lease           uint64
 	leaseAt         time.Time // last renewal's request
 	inc             uint64
-	finals          map[string]record.Job
+	finals          *finalStates
 	redirected      map[string]redirect
 	peerOK          map[string]time.Time // last answer
 	peerSince       map[string]time.Time // answers without a gap since
@@ -197,7 +196,7 @@
 	c.searches = map[string]search{}
 	c.members = map[string]record.Member{}
 	c.formats = map[string]record.Format{}
-	c.finals = map[string]record.Job{}
+	c.finals = newFinalStates()
 	c.redirected = map[string]redirect{}
 	c.kept = map[string]kept{}
 	c.held = map[string]*held{}
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -35,7 +35,7 @@
 	for _, root := range s.DependsOn {
 		c.mu.Lock()
 		j, open := c.open[root]
-		_, over := c.finals[root]
+		_, over := c.finals.get(root)
 		c.mu.Unlock()
 		switch {
 		case over || (open && !j.service):
@@ -75,13 +75,13 @@
 	if err := decode(e.Value, &j); err != nil {
 		return j, err
 	}
-	c.keepFinal(ref, j)
+	c.finals.put(ref, j)
 	return j, nil
 }
 
 // dependencyEnded takes in a job's final record and tells the parts. The lock is held.
 func (c *Controller) dependencyEnded(ref string, j record.Job, now time.Time) {
-	c.setFinal(ref, j)
+	c.finals.put(ref, j)
 	if len(c.needs.After(ref)) == 0 {
 		return
 	}
@@ -121,7 +121,7 @@
 	mine := map[string]bool{}
 	for _, p := range c.parts {
 		for _, r := range p.Dependencies() {
-			if j, ok := c.finals[r]; ok {
+			if j, ok := c.finals.get(r); ok {
 				p.DependencyEnded(r, j, now)
 				c.pump(p, now)
 				continue
@@ -148,7 +148,7 @@
 			return
 		}
 		c.dependencyReads[r] = now.Add(jitter(cascadeAfter))
-		j, known := c.finals[r]
+		j, known := c.finals.get(r)
 		if known && j.State == wire.Done {
 			return
 		}
@@ -193,7 +193,7 @@
 func (c *Controller) seekDependency(ctx context.Context, root string, others []string) {
 	ctx, cancel := context.WithTimeout(ctx, userTimeout)
 	defer cancel()
-	j, ok := c.final(root)
+	j, ok := c.finals.get(root)
 	if !ok {
 		var err error
 		if j, err = c.readFinal(ctx, statestore.Urgent("dependencies"), root); err != nil {
--- a/internal/controller/lean_test.go
+++ b/internal/controller/lean_test.go
@@ -209,7 +209,7 @@
 		value := body(t, set("ref", ref))
 		rec := record.Encode(record.Open{Spec: *mustSpec(t, value), Part: 0})
 		c.changeOpen(wire.Change{Put: record.OpenKey(ref), Value: rec, Version: uint64(2*i + 1)}, c.begun)
-		c.keepFinal(ref, record.Job{State: wire.Done, Tasks: 2, At: int64(i)})
+		c.finals.put(ref, record.Job{State: wire.Done, Tasks: 2, At: int64(i)})
 		c.changeOpen(wire.Change{Delete: record.OpenKey(ref), Version: uint64(2*i + 2)}, c.begun)
 	}
 	got := (heap() - before) / jobs
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -276,7 +276,7 @@
 		if slices.Contains(open, ref) {
 			continue
 		}
-		j, known := c.final(ref)
+		j, known := c.finals.get(ref)
 		if !known {
 			var err error
 			j, err = c.readFinal(ctx, u, ref)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -233,7 +233,7 @@
 	if !ok {
 		return reply{status: 400}
 	}
-	if j, ok := c.final(s.Ref); ok {
+	if j, ok := c.finals.get(s.Ref); ok {
 		return reply{status: 200, body: wire.Brief{Ref: s.Ref, State: j.State}}
 	}
 	types, ok := c.decides()
@@ -335,32 +335,6 @@
 	return j.State, err
 }
 
-// keepFinal remembers a state that never changes again.
-func (c *Controller) keepFinal(ref string, j record.Job) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.setFinal(ref, j)
-}
-
-// setFinal does the same under the lock.
-func (c *Controller) setFinal(ref string, j record.Job) {
-	if len(c.finals) >= finalsKept {
-		for old := range c.finals { // any will do: the record is the truth
-			delete(c.finals, old)
-			break
-		}
-	}
-	c.finals[ref] = j
-}
-
-// final returns a state that never changes again, if it is remembered.
-func (c *Controller) final(ref string) (record.Job, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	j, ok := c.finals[ref]
-	return j, ok
-}
-
 func finalStatus(ref string, j record.Job) wire.Status {
 	return wire.Status{Ref: ref, State: j.State, Done: j.Tasks}
 }
@@ -369,7 +343,7 @@
 	if !validRef(ref) {
 		return reply{status: 404}
 	}
-	if j, ok := c.final(ref); ok {
+	if j, ok := c.finals.get(ref); ok {
 		return reply{status: 200, body: finalStatus(ref, j)}
 	}
 	if c.down() {
@@ -385,7 +359,7 @@
 		case err != nil:
 			return later()
 		}
-		if j, ok := c.final(ref); ok {
+		if j, ok := c.finals.get(ref); ok {
 			return reply{status: 200, body: finalStatus(ref, j)}
 		}
 		if state != wire.Pending {
@@ -447,7 +421,7 @@
 	if !validRef(ref) {
 		return reply{status: 404}
 	}
-	if j, ok := c.final(ref); ok {
+	if j, ok := c.finals.get(ref); ok {
 		return reply{status: 200, body: wire.Brief{Ref: ref, State: j.State}}
 	}
 	if c.down() {
