--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,7 +76,7 @@
 	formats         map[string]record.Format // by controller, what it writes and reads
 	jobsAt          time.Time                // so was the view of open jobs
 	fleetAt         time.Time                // and that of the machines
-	waiting         []*confirmation
+	confirmations   *pollConfirmations
 	lease           uint64
 	leaseAt         time.Time // last renewal's request
 	inc             uint64
@@ -197,6 +197,7 @@
 	c.members = map[string]record.Member{}
 	c.formats = map[string]record.Format{}
 	c.finals = newFinalStates()
+	c.confirmations = &pollConfirmations{flush: c.confirmAll}
 	c.redirected = map[string]redirect{}
 	c.kept = map[string]kept{}
 	c.held = map[string]*held{}
--- a/internal/controller/lean_test.go
+++ b/internal/controller/lean_test.go
@@ -61,9 +61,9 @@
 	all := make([]*confirmation, polls) // as those that come within confirmGather
 	for i := range all {
 		ref := "run-00000" + strconv.Itoa(i)
-		all[i] = &confirmation{wire.Cond{Key: record.OpenKey(ref), Version: c.open[ref].version}, make(chan bool, 1)}
+		all[i] = newConfirmation(wire.Cond{Key: record.OpenKey(ref), Version: c.open[ref].version})
 	}
-	c.waiting = all
+	c.confirmations.waiting = all
 	c.confirmAll()
 	for _, q := range all {
 		if !<-q.done {
--- a/internal/controller/confirm.go
+++ b/internal/controller/poll_confirmation.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"bramblespur/internal/record"
@@ -18,7 +19,41 @@
 // confirmation asks whether an open job's record is still as the watch told.
 type confirmation struct {
 	cond wire.Cond
-	done chan bool
+	done chan bool // receives one answer; buffered, so that nobody waits for a poll that gave up
+}
+
+func newConfirmation(cond wire.Cond) *confirmation {
+	return &confirmation{cond: cond, done: make(chan bool, 1)}
+}
+
+// pollConfirmations gathers the confirmations that polls ask for, so that those of
+// one confirmGather share a request to the state service. It has its own lock, which
+// is a leaf.
+type pollConfirmations struct {
+	flush func() // called confirmGather after the first of a batch was added
+
+	mu      sync.Mutex
+	waiting []*confirmation
+}
+
+// add puts a confirmation into the batch that gathers now. The timer runs only while
+// a poll waits: a periodic one costs a small machine more than its polls do.
+func (p *pollConfirmations) add(q *confirmation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting = append(p.waiting, q)
+	if len(p.waiting) == 1 {
+		time.AfterFunc(confirmGather, p.flush)
+	}
+}
+
+// take ends the batch and returns it; it is empty if nobody waits.
+func (p *pollConfirmations) take() []*confirmation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.waiting
+	p.waiting = nil
+	return all
 }
 
 // confirmed reports whether a job is open and not cancelled, by comparing its
@@ -28,17 +63,12 @@
 func (c *Controller) confirmed(ctx context.Context, ref string) bool {
 	c.mu.Lock()
 	j, ok := c.open[ref]
+	c.mu.Unlock()
 	if !ok || j.cancelled {
-		c.mu.Unlock()
 		return false
 	}
-	q := &confirmation{wire.Cond{Key: record.OpenKey(ref), Version: j.version}, make(chan bool, 1)}
-	if c.waiting = append(c.waiting, q); len(c.waiting) == 1 {
-		// A timer only where a poll waits: turns without one cost a small machine
-		// more than its polls do.
-		time.AfterFunc(confirmGather, c.confirmAll)
-	}
-	c.mu.Unlock()
+	q := newConfirmation(wire.Cond{Key: record.OpenKey(ref), Version: j.version})
+	c.confirmations.add(q)
 	select {
 	case ok := <-q.done:
 		return ok
@@ -49,11 +79,7 @@
 
 // confirmAll sends one comparison for all polls that wait.
 func (c *Controller) confirmAll() {
-	c.mu.Lock()
-	all := c.waiting
-	c.waiting = nil
-	c.mu.Unlock()
-	for batch := range slices.Chunk(all, 4*c.limits().TxnOps) {
+	for batch := range slices.Chunk(c.confirmations.take(), 4*c.limits().TxnOps) {
 		go c.confirm(c.life, batch)
 	}
 }
--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -294,7 +294,7 @@
 	var batch []*confirmation
 	for _, ref := range []string{"run-000001", "run-000002", "run-000003"} {
 		c.submit(body(t, set("ref", ref)))
-		batch = append(batch, &confirmation{wire.Cond{Key: record.OpenKey(ref), Version: c.open[ref].version}, make(chan bool, 1)})
+		batch = append(batch, newConfirmation(wire.Cond{Key: record.OpenKey(ref), Version: c.open[ref].version}))
 	}
 	owned(state, other, func() reply { return other.cancel("run-000002") })
 	c.confirm(ctx, batch)
