--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -44,7 +44,6 @@
 	homeStable    = 20 * time.Second // a returned controller answers this long before its part goes home
 	listFactor    = 3.0              // the cloud's list is read once in this many of its lags
 	relayTimeout  = 2200 * time.Millisecond
-	finalsKept    = 20000 // final states held in memory
 )
 
 // Controller is one process of the service.
@@ -77,11 +76,11 @@
 	formats         map[string]record.Format // by controller, what it writes and reads
 	jobsAt          time.Time                // so was the view of open jobs
 	fleetAt         time.Time                // and that of the machines
-	waiting         []*confirmation
+	confirmations   *pollConfirmations
 	lease           uint64
 	leaseAt         time.Time // last renewal's request
 	inc             uint64
-	finals          map[string]record.Job
+	finals          *finalStates
 	redirected      map[string]redirect
 	peerOK          map[string]time.Time // last answer
 	peerSince       map[string]time.Time // answers without a gap since
@@ -199,7 +198,8 @@
 	c.searches = map[string]search{}
 	c.members = map[string]record.Member{}
 	c.formats = map[string]record.Format{}
-	c.finals = map[string]record.Job{}
+	c.finals = newFinalStates()
+	c.confirmations = &pollConfirmations{flush: c.confirmAll}
 	c.redirected = map[string]redirect{}
 	c.kept = map[string]kept{}
 	c.held = map[string]*held{}
--- a/internal/controller/lean_test.go
+++ b/internal/controller/lean_test.go
@@ -61,9 +61,9 @@
 	all := make([]*confirmation, polls) // as those that come within confirmGather
 	for i := range all {
 		ref := "run-00000" + strconv.Itoa(i)
-		all[i] = &confirmation{wire.Cond{Key: record.OpenKey(ref), Version: c.open[ref].version}, make(chan bool, 1)}
+		all[i] = newConfirmation(wire.Cond{Key: record.OpenKey(ref), Version: c.open[ref].version})
 	}
-	c.waiting = all
+	c.confirmations.waiting = all
 	c.confirmAll()
 	for _, q := range all {
 		if !<-q.done {
@@ -209,7 +209,7 @@
 		value := body(t, set("ref", ref))
 		rec := record.Encode(record.Open{Spec: *mustSpec(t, value), Part: 0})
 		c.changeOpen(wire.Change{Put: record.OpenKey(ref), Value: rec, Version: uint64(2*i + 1)}, c.begun)
-		c.keepFinal(ref, record.Job{State: wire.Done, Tasks: 2, At: int64(i)})
+		c.finals.put(ref, record.Job{State: wire.Done, Tasks: 2, At: int64(i)})
 		c.changeOpen(wire.Change{Delete: record.OpenKey(ref), Version: uint64(2*i + 2)}, c.begun)
 	}
 	got := (heap() - before) / jobs
