Sched: an owner that falls behind takes no machine for silent

While the owner is told to be behind, only a machine that says nothing for four leases is given back, and overdue ones are not asked.

--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -46,15 +46,9 @@
 			continue
 		}
 		// Only the answered return proves gone what may run there.
-		switch {
-		case p.unanswering(m, now):
-			p.giveBack(m, "no answer", now)
-		case p.silent(m, now):
-			p.giveBack(m, "silent", now)
-		case p.overdue(m, now):
-			p.giveBack(m, "never came up", now)
-		case p.staysUnreachable(m, now):
-			p.giveBack(m, "no answer reaches it", now)
+		switch why := p.lostWhy(m, now); {
+		case why != "":
+			p.giveBack(m, why, now)
 		case m.drain:
 			p.clear(m, now)
 			if len(m.on) == 0 {
@@ -68,6 +62,32 @@
 	}
 }
 
+// lostWhy returns why a machine is lost, or nothing. While this controller falls
+// behind, reports and answers wait unread and silence proves little: only a machine
+// that says nothing for several leases is lost then.
+func (p *Part) lostWhy(m *Machine, now time.Time) string {
+	switch {
+	case p.behind && now.Sub(m.heard) < behindLeases*p.cfg.Lease:
+		return ""
+	case p.unanswering(m, now):
+		return "no answer"
+	case p.silent(m, now):
+		return "silent"
+	case p.overdue(m, now):
+		return "never came up"
+	case p.staysUnreachable(m, now):
+		return "no answer reaches it"
+	}
+	return ""
+}
+
+// behindLeases is how many leases a machine may be silent while this controller
+// falls behind: by then another owns the part, or none keeps up.
+const behindLeases = 4
+
+// SetBehind tells whether this controller falls behind with what it is sent.
+func (p *Part) SetBehind(behind bool) { p.behind = behind }
+
 // SetCut tells the zones of which no controller can be reached from here.
 func (p *Part) SetCut(zones map[string]bool) { p.cut = zones }
 
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -54,14 +54,15 @@
 }
 
 // probe asks the machines that are overdue or were taken over, and for each zone
-// in which one did not answer another one that was heard lately.
+// in which one did not answer another one that was heard lately. While this controller
+// falls behind, overdue reports are its own doing, and more questions make it worse.
 func (p *Part) probe(now time.Time) {
 	doubted := map[string]bool{}
 	for _, m := range p.machines {
 		if p.unmet(m) && m.probes.failed < greets && now.Sub(m.probes.at) >= probePause {
 			p.ask(m, now)
 		}
-		if !(m.up || m.inherited) || m.Phase != record.InUse || m.Addr == "" || now.Sub(m.heard) < p.reportDue() {
+		if p.behind || !(m.up || m.inherited) || m.Phase != record.InUse || m.Addr == "" || now.Sub(m.heard) < p.reportDue() {
 			continue
 		}
 		late := p.leaseOver(m, now)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -300,6 +300,7 @@
 	asked              int                  // probes under way
 	zoneSeen           map[string]time.Time // when a probe of a zone's machine was last answered
 	cut                map[string]bool
+	behind             bool                    // this controller falls behind: see lostWhy
 	zones              map[zoneLimit]zoneCount // since the last health check
 	// Machines' worth that arrived, fading; what may use spot machines apart.
 	arrived, arrivedSpot float64
