Controller: overloaded controllers shed in steps and hand a part over once

How late timers fire now brings about, in steps with hysteresis: no held answers and renewals of the lease that don't await answers; no lead; and, where that is not enough, one part claimed by a controller that has room, which goes home once its home has kept up for two minutes, longer after each relapse.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,6 +63,7 @@
 	types           []wire.MachineType
 	parts           map[int]*sched.Part
 	claiming        map[int]bool
+	ownerGone       map[int]time.Time // since when parts have no owner that lives
 	partRecs        map[int]versioned[record.Part]
 	fleet           *record.Fleet
 	open            map[string]openJob       // unfinished jobs as the watch tells them
@@ -88,6 +89,7 @@
 	// connections between controllers are refused.
 	peerRefused map[string]time.Time
 	peerState   map[string]time.Time // last time the peer said it reached the state service
+	peerLoads   map[string]peerLoad  // what peers last told the leader
 	heardAny    time.Time
 	lead        *leading
 	own         *planning // when the leader does not reach this controller
@@ -187,6 +189,7 @@
 	c.peers = map[string]peer.Caller{}
 	c.parts = map[int]*sched.Part{}
 	c.claiming = map[int]bool{}
+	c.ownerGone = map[int]time.Time{}
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
@@ -207,6 +210,7 @@
 	c.peerSince = map[string]time.Time{}
 	c.peerRefused = map[string]time.Time{}
 	c.peerState = map[string]time.Time{}
+	c.peerLoads = map[string]peerLoad{}
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -227,8 +231,17 @@
 
 // leaseLoop keeps this controller's lease and its member record.
 func (c *Controller) leaseLoop(ctx context.Context) {
+	early := make(chan struct{}, renewalsAtOnce)
 	for {
 		sent := time.Now()
+		lease, strained := c.leaseNow()
+		if strained && lease != 0 {
+			c.renewEarly(ctx, lease, sent, early)
+			if !sleep(ctx, renewStrained) {
+				return
+			}
+			continue
+		}
 		if err := c.keepLease(ctx, sent); err != nil {
 			c.log.Debug("lease", "err", err)
 			if !sleep(ctx, jitter(400*time.Millisecond)) {
@@ -242,19 +255,48 @@
 	}
 }
 
-func (c *Controller) keepLease(ctx context.Context, sent time.Time) error {
+// leaseNow returns the lease, 0 if there is none, and whether the process is strained.
+func (c *Controller) leaseNow() (lease uint64, strained bool) {
 	c.mu.Lock()
-	lease := c.lease
-	c.mu.Unlock()
-	if lease != 0 {
-		err := c.store.Renew(ctx, lease)
-		if err == nil {
-			c.mu.Lock()
-			c.leaseAt = sent
-			c.mu.Unlock()
-			return nil
+	defer c.mu.Unlock()
+	return c.lease, c.pressure.strained
+}
+
+// renewEarly renews the lease without awaiting the answer, which a process that falls
+// behind reads as late as it fires its timers: one after the other the lease would end
+// in between.
+func (c *Controller) renewEarly(ctx context.Context, lease uint64, sent time.Time, early chan struct{}) {
+	select {
+	case early <- struct{}{}:
+	default:
+		return // enough under way
+	}
+	go func() {
+		defer func() { <-early }()
+		if err := c.renew(ctx, lease, sent); err != nil {
+			c.log.Debug("lease", "err", err)
 		}
-		if !errors.Is(err, statestore.ErrNoLease) {
+	}()
+}
+
+// renew renews the lease once.
+func (c *Controller) renew(ctx context.Context, lease uint64, sent time.Time) error {
+	err := c.store.Renew(ctx, lease)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.lease != lease:
+	case err == nil && sent.After(c.leaseAt):
+		c.leaseAt = sent
+	case errors.Is(err, statestore.ErrNoLease):
+		c.lease = 0
+	}
+	return err
+}
+
+func (c *Controller) keepLease(ctx context.Context, sent time.Time) error {
+	if lease, _ := c.leaseNow(); lease != 0 {
+		if err := c.renew(ctx, lease, sent); !errors.Is(err, statestore.ErrNoLease) {
 			return err
 		}
 	}
@@ -350,7 +392,7 @@
 	for due := time.Now().Add(tickEvery); sleep(ctx, tickEvery); due = time.Now().Add(tickEvery) {
 		now := time.Now()
 		c.mu.Lock()
-		c.turn(now.Sub(due))
+		c.turn(now.Sub(due), now)
 		cut := c.cutZones(now)
 		backlog := c.store.Backlog()
 		for _, p := range c.parts {
@@ -358,6 +400,7 @@
 				p.SetStated()
 			}
 			p.SetCut(cut)
+			p.SetBehind(c.pressure.behind)
 			p.SetBacklog(backlog)
 			c.pump(p, now)
 		}
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -145,7 +145,8 @@
 }
 
 // owners looks at who owns what: parts of deaf owners are to be claimed by
-// somebody who hears, parts away from a stable home go back. An owner that only
+// somebody who hears, those of overloaded ones by somebody who keeps up, and parts
+// away from a stable home go back. An owner that only
 // the leader can't reach keeps its parts: between two zones cut off from each
 // other there is nothing to gain. It also tells whether this leader is the one
 // that is cut off.
@@ -159,18 +160,26 @@
 			reach = append(reach, label)
 		}
 	}
-	if c.hears.deaf || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) {
+	if c.hears.deaf || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) ||
+		(c.pressure.behind && c.someoneHasRoom(reach, now)) {
 		return nil, nil, true
 	}
 	owners := map[int]string{}
 	for id, r := range c.partRecs {
 		owners[id] = r.rec.Owner
 	}
+	relief := c.relieve(reach, owners, now)
 	for id, r := range c.partRecs {
 		owner, home := r.rec.Owner, c.home(id)
 		m, lives := c.members[owner]
-		if lives && m.Deaf && owner != c.cfg.Label {
-			to := fleet.Claimant(reach, owners, "")
+		to := ""
+		switch {
+		case lives && m.Deaf && owner != c.cfg.Label:
+			to = fleet.Claimant(reach, owners, "")
+		case relief.to != "" && relief.part == id:
+			to = relief.to
+		}
+		if to != "" {
 			if to == c.cfg.Label {
 				if !c.claiming[id] {
 					c.claim(ctx, id)
@@ -185,12 +194,14 @@
 		}
 		switch since, ok := c.peerSince[home]; {
 		case home == c.cfg.Label:
-			if now.Sub(c.lead.started) > homeStable {
+			if now.Sub(c.lead.started) > homeStable && c.keepsUp(home, now) {
 				hand[owner] = append(hand[owner], id)
 			}
-		case !ok || now.Sub(since) < homeStable || !c.reachable(home, now) || now.Sub(c.peerState[home]) > peerFresh || c.members[home].Deaf || c.members[home].Inc == 0:
+		case !ok || now.Sub(since) < homeStable || !c.reachable(home, now) || now.Sub(c.peerState[home]) > peerFresh || c.members[home].Deaf || c.members[home].Inc == 0,
+			!c.keepsUp(home, now):
 			// One that answers but is refused by the state service could not
-			// claim its part, and another would, for ever in turn.
+			// claim its part, and another would, for ever in turn. One that does not
+			// keep up would lose it again.
 		case owner == c.cfg.Label:
 			c.handHome(ctx, id)
 		default:
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -19,6 +19,9 @@
 	moveAfter    = 0 * time.Second  // work that fits nowhere gets a free machine at once
 	takeAfter    = 3 * time.Second  // or one with lower work after this
 	refusedPause = 8 * time.Second
+	// reluctantTurns is how many turns without a leader a controller that does not
+	// keep up leaves to others.
+	reluctantTurns = 4
 	// The leader rents and gives back; the others only ask for the machine
 	// types when they start: their parts of the cloud's calls.
 	leaderShare   = 0.95
@@ -49,11 +52,13 @@
 	planned    time.Time
 	addrs      map[string]string // of machines, as their owners tell
 	returned   time.Time         // when machines were last given back
+	relief     relief
 }
 
 // leadLoop leads when this controller is the leader, and otherwise stands for
 // it when there is none.
 func (c *Controller) leadLoop(ctx context.Context) {
+	leaderless := 0 // turns
 	for sleep(ctx, syncEvery) {
 		now := time.Now()
 		c.mu.Lock()
@@ -64,6 +69,11 @@
 		if !leads {
 			c.lead = nil
 		}
+		if leaderless++; !stand {
+			leaderless = 0
+		}
+		// One that was overloaded leads only if nobody else wants to.
+		stand = stand && (c.pressure.keepsUp(now) || leaderless > reluctantTurns)
 		c.mu.Unlock()
 		switch {
 		case leads:
@@ -98,6 +108,9 @@
 			err := p.Call("Sync", a, &r, syncTimeout)
 			c.mu.Lock()
 			c.answered(label, err, r.StateOK)
+			if err == nil {
+				c.tellLoad(label, &r)
+			}
 			c.mu.Unlock()
 			if err != nil {
 				return
@@ -133,7 +146,9 @@
 	}
 	c.syncedAt = now
 	c.setBudget(a.Requests, a.Changes, now)
-	r := peer.SyncReply{Summaries: c.summaries(now), StateOK: c.sure(now)}
+	load := c.ownLoad(now)
+	r := peer.SyncReply{Summaries: c.summaries(now), StateOK: c.sure(now),
+		Overloaded: load.overloaded, Recovering: load.recovering, HasRoom: load.hasRoom}
 	if len(a.Orders) == 0 { // orders alone come between the leader's turns
 		r.Requests, r.Changes = c.store.Needed()
 	}
--- /dev/null
+++ b/internal/controller/overload_test.go
@@ -0,0 +1,144 @@
+package controller
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// overload makes a controller's timers count as late, as where its processor gives it
+// less than it needs, until heal is called.
+func (k *cluster) overload(label string) (heal func()) {
+	c := k.process(label).c
+	done := make(chan struct{})
+	go func() {
+		for tick := time.NewTicker(tickEvery / 4); ; {
+			select {
+			case <-done:
+				tick.Stop()
+				return
+			case now := <-tick.C:
+				c.mu.Lock()
+				c.turn(lateMost, now)
+				c.mu.Unlock()
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+// changes counts how often a part comes to another owner while something goes on.
+func (k *cluster) changes(part int, d time.Duration) (n int) {
+	owner := k.owner(part)
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if now := k.owner(part); now != owner && now != "" {
+			owner = now
+			n++
+		}
+	}
+	return n
+}
+
+// A controller that falls behind for minutes hands its part to one that keeps up, and
+// the lead, too. The part goes home once it has kept up for a while, and not before: as
+// its home has nothing to do meanwhile, it keeps up though it would fall behind again.
+func TestOverloadedControllerHandsItsPartsOver(t *testing.T) {
+	for name, leads := range map[string]bool{"the leader": true, "another": false} {
+		t.Run(name, func(t *testing.T) {
+			meet(t, func(k *cluster) {
+				k.load()
+				slow := k.leader()
+				if !leads {
+					slow = k.others(slow)[0]
+				}
+				part := k.homeOf(slow)
+				k.happened(k.owner(part) == slow, "the part is at home")
+				heal := k.overload(slow)
+				k.await(30*time.Second, "another owner and leader", func() bool {
+					return k.owner(part) != slow && k.owner(part) != "" && k.leader() != slow && k.leader() != ""
+				})
+				if n := k.changes(part, time.Minute); n > 0 {
+					k.t.Errorf("%d more owners while the cause lasts", n)
+				}
+				heal()
+				if n := k.changes(part, leastRecovery*9/10); n > 0 {
+					k.t.Errorf("%d more owners before its home has kept up for %v", n, leastRecovery)
+				}
+				k.await(leastRecovery, "at home", func() bool { return k.owner(part) == slow })
+			})
+		})
+	}
+}
+
+// Where all controllers fall behind nobody keeps up better, so that parts stay where
+// they are and somebody leads.
+func TestNobodyTakesOverWhereAllAreOverloaded(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		owners := map[int]string{}
+		for part := range k.params.Count {
+			owners[part] = k.owner(part)
+		}
+		for _, label := range k.labels {
+			defer k.overload(label)()
+		}
+		time.Sleep(time.Minute)
+		for part, owner := range owners {
+			if now := k.owner(part); now != owner {
+				k.t.Errorf("part %d went from %s to %s", part, owner, now)
+			}
+		}
+		k.crash(k.leader())
+		k.await(30*time.Second, "a leader although none keeps up", func() bool { return k.leader() != "" })
+	})
+}
+
+// A strained controller answers reports at once, since a held answer costs it
+// a timer and another turn.
+func TestStrainedHoldsNoAnswers(t *testing.T) {
+	play(t, near(1), func(k *cluster) {
+		k.load()
+		var label string
+		k.await(time.Minute, "a held answer", func() bool {
+			i := slices.IndexFunc(k.labels, func(label string) bool { return k.heldAt(label) > 0 })
+			if i >= 0 {
+				label = k.labels[i]
+			}
+			return i >= 0
+		})
+		c := k.process(label).c
+		c.mu.Lock()
+		for !c.pressure.strained {
+			c.turn(2*lateStrained, time.Now())
+		}
+		c.mu.Unlock()
+		time.Sleep(longestHeld)
+		for end := time.Now().Add(holdAgainAfter / 2); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if n := k.heldAt(label); n > 0 {
+				t.Fatalf("%d answers held", n)
+			}
+		}
+		k.await(2*inTimeFor, "a held answer once it keeps up", func() bool { return k.heldAt(label) > 0 })
+	})
+}
+
+// longestHeld is more than any answer is held.
+const longestHeld = 2 * time.Second
+
+func (k *cluster) heldAt(label string) int {
+	c := k.process(label).c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.held)
+}
+
+func (k *cluster) homeOf(label string) int {
+	c := k.process(label).c
+	for part := range k.params.Count {
+		if c.home(part) == label {
+			return part
+		}
+	}
+	k.t.Fatalf("%s is nobody's home", label)
+	return 0
+}
--- /dev/null
+++ b/internal/controller/relief.go
@@ -0,0 +1,117 @@
+package controller
+
+import (
+	"time"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/peer"
+)
+
+// The leader relieves an overloaded controller: another one with room claims one of
+// its parts. The part goes home only after its home has kept up for a while, so that it
+// changes hands once for as long as the cause lasts.
+
+const (
+	// reliefPause is how long the leader waits after one part for what that changes
+	// before it picks the next.
+	reliefPause = 10 * time.Second
+	// overloadKnown is how long a peer that said that it is overloaded and says
+	// nothing since counts as that: it hardly comes to answer.
+	overloadKnown = 10 * time.Second
+	// mostTaken is how many parts a controller may own with one taken for relief:
+	// else one after the other would be overloaded.
+	mostTaken = 2
+)
+
+// peerLoad is what a peer told the leader of its pressure.
+type peerLoad struct {
+	at                              time.Time
+	overloaded, recovering, hasRoom bool
+}
+
+// ownLoad is this controller's own. The lock is held.
+func (c *Controller) ownLoad(now time.Time) peerLoad {
+	p := &c.pressure
+	return peerLoad{now, p.overloaded(now), !p.keepsUp(now), p.hasRoom(now)}
+}
+
+// loadOf is what is known of a controller's load. The lock is held.
+func (c *Controller) loadOf(label string, now time.Time) peerLoad {
+	if label == c.cfg.Label {
+		return c.ownLoad(now)
+	}
+	return c.peerLoads[label]
+}
+
+// tellLoad takes in what a peer's answer tells of its load. The lock is held.
+func (c *Controller) tellLoad(label string, r *peer.SyncReply) {
+	c.peerLoads[label] = peerLoad{time.Now(), r.Overloaded, r.Recovering, r.HasRoom}
+}
+
+// keepsUp reports whether a controller may have its parts back, as far as the leader
+// has lately been told. The lock is held.
+func (c *Controller) keepsUp(label string, now time.Time) bool {
+	l := c.loadOf(label, now)
+	return now.Sub(l.at) < peerFresh && !l.recovering
+}
+
+// overloaded reports whether a controller's parts are better off elsewhere, as far as
+// the leader has lately been told. The lock is held.
+func (c *Controller) overloaded(label string, now time.Time) bool {
+	l := c.loadOf(label, now)
+	return now.Sub(l.at) < overloadKnown && l.overloaded
+}
+
+// relief is a part that the leader has another controller take from its owner.
+type relief struct {
+	part     int
+	from, to string
+	at       time.Time
+}
+
+// relieve picks a part of an overloaded owner and who claims it, or goes on with what
+// it picked last until that shows. It returns no taker if there is nothing to do or
+// nobody has room. The lock is held.
+func (c *Controller) relieve(reach []string, owners map[int]string, now time.Time) relief {
+	l := c.lead
+	if now.Sub(l.relief.at) < reliefPause {
+		if owners[l.relief.part] != l.relief.from {
+			return relief{} // done
+		}
+		return l.relief
+	}
+	parts := map[string]int{}
+	for _, owner := range owners {
+		parts[owner]++
+	}
+	var takers []string
+	for _, label := range reach {
+		load := c.loadOf(label, now)
+		if now.Sub(load.at) < peerFresh && load.hasRoom && parts[label] < mostTaken {
+			takers = append(takers, label)
+		}
+	}
+	if len(takers) == 0 {
+		return relief{}
+	}
+	for part, owner := range owners {
+		// Of several parts those that it took from others go first.
+		guest := c.home(part) != owner
+		if _, lives := c.members[owner]; lives && c.overloaded(owner, now) && (guest || parts[owner] == 1) {
+			l.relief = relief{part, owner, fleet.Claimant(takers, owners, ""), now}
+			return l.relief
+		}
+	}
+	return relief{}
+}
+
+// someoneHasRoom reports whether a controller that can be reached could lead instead
+// of this one. The lock is held.
+func (c *Controller) someoneHasRoom(reach []string, now time.Time) bool {
+	for _, label := range reach {
+		if load := c.loadOf(label, now); now.Sub(load.at) < peerFresh && load.hasRoom {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -35,7 +35,7 @@
 		}
 		rep := c.ownReport(p, &r, now)
 		if o, ok := rep.body.(wire.Orders); ok && len(o.Commands) == 0 {
-			if d := p.Hold(r.Machine, now); d > 0 {
+			if d := c.mayHold(p, r.Machine, now); d > 0 {
 				c.hold(p, r.Machine, d, answer)
 				return reply{}, false
 			}
@@ -353,6 +353,15 @@
 	return d - (since+d)%holdTogether
 }
 
+// mayHold returns how long an answer may be held. A strained controller holds none: a held answer costs it a timer and another turn, while a start only waits for
+// the machine's next report. The lock is held.
+func (c *Controller) mayHold(p *sched.Part, machine string, now time.Time) time.Duration {
+	if c.pressure.strained {
+		return 0
+	}
+	return p.Hold(machine, now)
+}
+
 // hold keeps an answer back for at most d. The lock is held.
 func (c *Controller) hold(p *sched.Part, machine string, d time.Duration, answer func(reply)) {
 	c.release(machine, time.Now()) // an older one: its worker has gone on
@@ -432,7 +441,7 @@
 	}
 	rep := c.ownReport(p, &r, now)
 	if o, ok := rep.body.(wire.Orders); ok && len(o.Commands) == 0 {
-		if d := min(p.Hold(r.Machine, now), relayHold); d > 0 {
+		if d := min(c.mayHold(p, r.Machine, now), relayHold); d > 0 {
 			done := make(chan reply, 1)
 			c.hold(p, r.Machine, d, func(r reply) { done <- r })
 			c.mu.Unlock()
