--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -41,7 +41,6 @@
 		}
 		r, known := c.partRecs[id]
 		_, ownerLives := c.members[r.rec.Owner]
-		c.noteOwner(id, ownerLives, now)
 		mine := false
 		switch {
 		case known && r.rec.To == c.cfg.Label:
@@ -52,9 +51,6 @@
 			mine = true
 		case !ownerLives && now.Sub(c.viewAt) < 2*c.watchWait() && len(c.members) > 0:
 			home := c.home(id)
-			if c.pressure.behind && now.Sub(c.ownerGone[id]) < claimLate {
-				continue
-			}
 			if !known && now.Sub(c.leaseAt) < leaseTTL && c.firstSeen(home, now) {
 				continue // it is probably about to start
 			}
@@ -66,15 +62,6 @@
 	}
 }
 
-// noteOwner takes in whether a part's owner lives. The lock is held.
-func (c *Controller) noteOwner(part int, lives bool, now time.Time) {
-	if _, known := c.ownerGone[part]; lives {
-		delete(c.ownerGone, part)
-	} else if !known {
-		c.ownerGone[part] = now
-	}
-}
-
 // firstSeen reports whether a controller may still be on its first start: no
 // part record of its own exists and this one has run only for a short time.
 func (c *Controller) firstSeen(label string, now time.Time) bool {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,7 +63,6 @@
 	types           []wire.MachineType
 	parts           map[int]*sched.Part
 	claiming        map[int]bool
-	ownerGone       map[int]time.Time // since when parts have no owner that lives
 	partRecs        map[int]versioned[record.Part]
 	fleet           *record.Fleet
 	open            map[string]openJob       // unfinished jobs as the watch tells them
@@ -189,7 +188,6 @@
 	c.peers = map[string]peer.Caller{}
 	c.parts = map[int]*sched.Part{}
 	c.claiming = map[int]bool{}
-	c.ownerGone = map[int]time.Time{}
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
--- a/internal/controller/pressure.go
+++ b/internal/controller/pressure.go
@@ -41,9 +41,6 @@
 	// which at most renewalsAtOnce are under way: its timers and the answers are late.
 	renewStrained  = leaseTTL / 8
 	renewalsAtOnce = 8
-	// claimLate is how long a process that is behind leaves the parts of an owner that
-	// is gone to others, or to that owner if it only lost its lease.
-	claimLate = 2 * leaseTTL
 	// overloadedAfter is how long a process that left undone what can wait may still
 	// fall behind before it counts as overloaded: its lease ends about then.
 	overloadedAfter = leaseTTL
