Messages that make no sense are refused whole, and logged once

Reports, calls of other controllers and their answers are checked before they are taken in. Seen before: a record with -5 tasks ended the process (makeslice: len out of range), a claim of part -1 was carried out, recorded and held, orders could move a machine to a part that there is not, a job's record that only a controller had made up let its submission be answered 404, and seconds beyond what a time holds came out negative.

Calls between controllers had no bounds: a half-sent one kept its connection and goroutine for ever, one of any size was read. Workers' answers are bounded by the size of a report (they could have 16 MiB). Of machines that a controller does not know while it can't see the fleet it remembers 8,192; any name used to be kept.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,10 @@
 // probeTimeout bounds the asking for a report: an answer takes milliseconds.
 const probeTimeout = 1500 * time.Millisecond
 
+// maxReport bounds a worker's answer: it is a report, which a controller takes no
+// larger when it comes by itself.
+const maxReport = httpwire.MaxBody
+
 // API is what controllers ask of workers directly.
 type API interface {
 	// Command sends orders straight to a worker and returns its report, given both
@@ -51,7 +55,7 @@
 func call(ctx context.Context, addr string, timeout time.Duration, method, path string, body []byte, r *wire.Report) (status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp, err := httpwire.NewClient(addr, 0).Do(ctx, method, path, body)
+	resp, err := httpwire.NewClient(addr, 0).WithMaxBody(maxReport).Do(ctx, method, path, body)
 	if err != nil {
 		return 0, fmt.Errorf("worker %s: %w", addr, err)
 	}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,34 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+
+	"bramblespur/internal/httpwire"
+)
+
+// A worker's answer that is larger than any report is given up at its head: many are
+// asked at a time, and memory is small.
+func TestOversizedAnswerIsGivenUp(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxReport+1)
+		_, _ = c.Read(make([]byte, 1<<10)) // the request
+		_, _ = c.Read(make([]byte, 1))     // until the other end closes
+	}()
+	if _, err := (Client{}).Show(context.Background(), listener.Addr().String()); !errors.Is(err, httpwire.ErrTooLarge) {
+		t.Errorf("err %v, want ErrTooLarge", err)
+	}
+}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -101,6 +101,9 @@
 
 // serve calls a method and returns what hands its result over.
 func serve(h peer.Handler, method string, args, result any) (take func(), err error) {
+	if err := h.Check(args); err != nil {
+		return nil, err
+	}
 	switch method {
 	case "Sync":
 		r := h.Sync(args.(peer.SyncArgs))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -149,7 +149,7 @@
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
 	errs := make(chan error, 2)
-	go func() { errs <- peer.Serve(ln, c) }()
+	go func() { errs <- peer.Serve(ln, c, len(cfg.Peers)) }()
 	srv := &server{handle: c.handle, log: log, refusals: &c.refusals, conns: map[gnet.Conn]*connState{},
 		maxConn: p.Resources.MaxSockets * 3 / 4, workerConn: p.Resources.MaxSockets * 5 / 8,
 		maxBuffered: maxBuffered(p.Resources)}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -23,7 +23,7 @@
 )
 
 // newTest returns a controller on scripted peers, without loops or sockets.
-func newTest(t *testing.T, state *testkit.State) *Controller {
+func newTest(t testing.TB, state *testkit.State) *Controller {
 	t.Helper()
 	cfg := &config.Settings{Label: "c-0", Params: config.Params{
 		Count: 1, Zones: []string{"z"}, Teams: []config.Team{{Name: "a", GPUsMax: 4}},
@@ -500,7 +500,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	go peer.Serve(ln, far)
+	go peer.Serve(ln, far, 2)
 	down := testkit.NewState()
 	down.Down = true
 	c := newTest(t, down)
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"bramblespur/internal/config"
 	"bramblespur/internal/fragment"
 	"bramblespur/internal/peer"
 	"bramblespur/internal/record"
@@ -169,9 +168,9 @@
 
 // step is an open job as those that it needs see it.
 func step(o *record.Open) fragment.Step {
-	s := fragment.Step{Claim: fragment.Claim{Rank: sched.Rank(o.Spec.Priority)}, DependsOn: o.Spec.DependsOn, Length: config.Seconds(o.Spec.EstimateS)}
+	s := fragment.Step{Claim: fragment.Claim{Rank: sched.Rank(o.Spec.Priority)}, DependsOn: o.Spec.DependsOn, Length: wire.Seconds(o.Spec.EstimateS)}
 	if o.Spec.DeadlineS != nil {
-		s.Due = time.UnixMilli(o.At).Add(config.Seconds(*o.Spec.DeadlineS))
+		s.Due = time.UnixMilli(o.At).Add(wire.Seconds(*o.Spec.DeadlineS))
 	}
 	if o.Cancelled {
 		s.Claim = fragment.Claim{} // it asks for nothing any more
--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -356,7 +356,7 @@
 		}
 	})
 	cut := newTest(t, testkit.NewState())
-	second := listen("new", func(ln net.Listener) { _ = peer.Serve(ln, cut) })
+	second := listen("new", func(ln net.Listener) { _ = peer.Serve(ln, cut, 2) })
 	c := newTest(t, testkit.NewState())
 	c.viewAt = time.Now()
 	c.peers = map[string]peer.Caller{"c-1": peer.NewClient(old), "c-2": peer.NewClient(second)}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -96,6 +96,7 @@
 			a := peer.SyncArgs{From: c.cfg.Label, Claim: claims[label], HandHome: hand[label],
 				Requests: grants.requests[label], Changes: grants.changes[label]}
 			err := p.Call("Sync", a, &r, syncTimeout)
+			err = c.sensible("controller's word on its parts", label, err, func() error { return c.checkSyncReply(&r) })
 			c.mu.Lock()
 			c.answered(label, err, r.StateOK)
 			c.mu.Unlock()
--- /dev/null
+++ b/internal/controller/messages.go
@@ -0,0 +1,188 @@
+package controller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// What other controllers and workers say is checked before it is taken in: a message
+// that makes no sense is refused whole and logged once, whatever sent it.
+
+// errSenseless makes the refusal of a message.
+func errSenseless(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", wire.ErrSenseless, fmt.Sprintf(format, args...))
+}
+
+// Check implements peer.Handler.
+func (c *Controller) Check(args any) error {
+	var err error
+	var kind, from string
+	switch a := args.(type) {
+	case peer.SyncArgs:
+		kind, from, err = "orders of the leader", a.From, c.checkSync(&a)
+	case peer.NudgeArgs:
+		kind, from, err = "record of another controller", "a controller", c.checkNudge(&a)
+	case wire.Report:
+		kind, from, err = "relayed report", a.Machine, a.Check()
+	case peer.UserArgs:
+		kind, from, err = "request passed on", "a controller", checkUser(&a)
+	}
+	if err != nil {
+		c.refusals.tell(c.log, kind, from, err)
+	}
+	return err
+}
+
+// Malformed implements peer.Handler.
+func (c *Controller) Malformed(from string, err error) {
+	c.refusals.tell(c.log, "call of a controller", from, err)
+}
+
+// isPart reports whether there is such a part.
+func (c *Controller) isPart(id int) bool { return id >= 0 && id < c.cfg.Params.Count }
+
+// checkSync refuses orders for parts that there are not, and impossible budgets.
+func (c *Controller) checkSync(a *peer.SyncArgs) error {
+	for _, id := range slices.Concat(a.Claim, a.HandHome) {
+		if !c.isPart(id) {
+			return errSenseless("part %d", id)
+		}
+	}
+	for _, o := range a.Orders {
+		if !c.isPart(o.Part) || (o.To != fleet.Back && !c.isPart(o.To)) {
+			return errSenseless("an order from part %d to %d", o.Part, o.To)
+		}
+	}
+	for _, rate := range []float64{a.Requests, a.Changes} {
+		if !(rate >= 0) || math.IsInf(rate, 0) {
+			return errSenseless("a budget of %g", rate)
+		}
+	}
+	return nil
+}
+
+// checkNudge refuses records that no controller writes.
+func (c *Controller) checkNudge(a *peer.NudgeArgs) error {
+	if len(a.Value) > c.cfg.Params.State.Bytes() {
+		return errSenseless("a record of %d bytes", len(a.Value))
+	}
+	ref := record.Last(a.Key)
+	if !validRef(ref) {
+		return errSenseless("a record of %.64q", a.Key)
+	}
+	switch a.Key {
+	case record.OpenKey(ref):
+		return c.checkOpen(ref, a)
+	case record.JobKey(ref):
+		var j record.Job
+		if err := decode(a.Value, &j); err != nil {
+			return errSenseless("final record: %v", err)
+		}
+		if (j.State != wire.Done && j.State != wire.Cancelled) || j.Tasks < 0 || j.Tasks > maxTasks {
+			return errSenseless("final record: %.32q with %d tasks", j.State, j.Tasks)
+		}
+		return nil
+	}
+	return errSenseless("a record of %.64q", a.Key)
+}
+
+// checkOpen refuses an open job's record that could not have been accepted.
+func (c *Controller) checkOpen(ref string, a *peer.NudgeArgs) error {
+	var o record.Open
+	if err := decode(a.Value, &o); err != nil {
+		return errSenseless("open record: %v", err)
+	}
+	if a.Version == 0 || !c.isPart(o.Part) || o.Spec.Ref != ref || !validSpec(&o.Spec) {
+		return errSenseless("open record of %s, part %d, version %d", ref, o.Part, a.Version)
+	}
+	return nil
+}
+
+// checkUser refuses a user's request that the sender's own server would not have taken.
+func checkUser(a *peer.UserArgs) error {
+	if len(a.Method)+len(a.Path) > httpwire.MaxHead || len(a.Body) > httpwire.MaxBody {
+		return errSenseless("a request of %d, %d and %d bytes", len(a.Method), len(a.Path), len(a.Body))
+	}
+	return nil
+}
+
+// checkSyncReply refuses a controller's word on its parts that can't be true.
+func (c *Controller) checkSyncReply(r *peer.SyncReply) error {
+	if r.Requests < 0 || r.Changes < 0 {
+		return errSenseless("%d requests and %d changes were needed", r.Requests, r.Changes)
+	}
+	for i := range r.Summaries {
+		if err := c.checkSummary(&r.Summaries[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isTold reports whether a sum may be one that a controller tells: rounding can take
+// one a little below zero.
+func isTold(v float64) bool { return v > -1 && !math.IsInf(v, 0) }
+
+func (c *Controller) checkSummary(s *fleet.Summary) error {
+	amounts := []float64{s.Arriving, s.ArrivingSpot}
+	for i := range s.Needs {
+		n := &s.Needs[i]
+		if n.Count < 0 || n.Count > maxTasks || n.ZoneLimit < 0 {
+			return errSenseless("part %d needs %d of %.32q", s.Part, n.Count, n.Job)
+		}
+		amounts = append(amounts, n.CPUs, n.GPUs, n.MemoryGB)
+	}
+	for i := range s.Machines {
+		if s.Machines[i].Tasks < 0 {
+			return errSenseless("%d tasks on %.32q", s.Machines[i].Tasks, s.Machines[i].ID)
+		}
+	}
+	if !c.isPart(s.Part) || slices.ContainsFunc(amounts, func(v float64) bool { return !isTold(v) }) {
+		return errSenseless("summary of part %d", s.Part)
+	}
+	return nil
+}
+
+// checkReportReply refuses an answer to a relayed report that no worker understands.
+func checkReportReply(r *peer.ReportReply) error {
+	if !slices.Contains([]int{200, 421, 503}, r.Status) {
+		return errSenseless("a report answered with %d", r.Status)
+	}
+	return nil
+}
+
+// checkStatus refuses a job's state that is another's or has impossible counts.
+func checkStatus(s *wire.Status, ref string) error {
+	if s.Ref != ref || s.Done < 0 || s.Running < 0 {
+		return errSenseless("the state of %.32q with %d done and %d running", s.Ref, s.Done, s.Running)
+	}
+	return nil
+}
+
+// checkUserReply refuses an answer to a request passed on that no user understands.
+func checkUserReply(r *peer.UserReply) error {
+	if r.Status < 200 || r.Status > 599 || r.RetryAfter < 0 || (len(r.Body) > 0 && !json.Valid(r.Body)) {
+		return errSenseless("a request answered with %d and %d bytes", r.Status, len(r.Body))
+	}
+	return nil
+}
+
+// sensible checks a peer's answer, unless there is none, and logs its refusal.
+func (c *Controller) sensible(kind, from string, err error, check func() error) error {
+	if err != nil {
+		return err
+	}
+	if err = check(); errors.Is(err, wire.ErrSenseless) {
+		c.refusals.tell(c.log, kind, from, err)
+	}
+	return err
+}
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -314,6 +314,7 @@
 // probe asks a worker for its report and tells the part.
 func (c *Controller) probe(p *sched.Part, q sched.Probe) {
 	r, err := c.agents.Show(c.life, q.Addr)
+	err = c.sensible("worker's answer", q.Machine, err, r.Check)
 	if err == nil && r.Machine != q.Machine {
 		err = fmt.Errorf("%s answers for %s", r.Machine, q.Machine) // another has its address by now
 	}
@@ -334,6 +335,7 @@
 	c.commands <- struct{}{}
 	r, ok, err := c.agents.Command(c.life, d.Addr, d.Orders)
 	<-c.commands
+	err = c.sensible("worker's answer", d.Machine, err, r.Check)
 	if err == nil && r.Machine != d.Machine {
 		err = fmt.Errorf("%s answers for %s", r.Machine, d.Machine) // another has its address by now
 	}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -119,7 +119,8 @@
 		return reply{}, false
 	}
 	var r peer.UserReply
-	if err := best.Call("User", peer.UserArgs{Method: req.Method, Path: req.Path, Body: req.Body}, &r, userTimeout); err != nil {
+	err := best.Call("User", peer.UserArgs{Method: req.Method, Path: req.Path, Body: req.Body}, &r, userTimeout)
+	if err = c.sensible("answer to a request passed on", "a controller", err, func() error { return checkUserReply(&r) }); err != nil {
 		c.log.Debug("request passed on", "path", req.Path, "err", err)
 		return reply{}, false
 	}
@@ -168,17 +169,24 @@
 	if json.Unmarshal(body, &s) != nil {
 		return nil, false
 	}
-	amount := func(v float64) bool { return v >= 0 && !math.IsInf(v, 0) && !math.IsNaN(v) }
-	ok := validRef(s.Ref) && s.Class != "" && s.Team != "" && s.Image != "" &&
+	ok := validSpec(&s)
+	slices.Sort(s.DependsOn)
+	s.DependsOn = slices.Compact(s.DependsOn)
+	return &s, ok
+}
+
+// isAmount reports whether a number may be an amount of something.
+func isAmount(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
+
+// validSpec checks the values of a specification's fields.
+func validSpec(s *wire.Spec) bool {
+	return validRef(s.Ref) && s.Class != "" && s.Team != "" && s.Image != "" &&
 		slices.Contains([]string{wire.Array, wire.Gang, wire.Service}, s.Kind) &&
 		slices.Contains([]string{"prod", "urgent", "normal", "low"}, s.Priority) &&
 		s.Tasks >= 1 && s.Tasks <= maxTasks &&
-		amount(s.CPUs) && amount(s.GPUs) && amount(s.MemoryGB) && amount(s.ImageGB) &&
-		amount(s.EstimateS) && amount(s.CheckpointS) && amount(s.SaveS) && (s.DeadlineS == nil || amount(*s.DeadlineS)) &&
+		isAmount(s.CPUs) && isAmount(s.GPUs) && isAmount(s.MemoryGB) && isAmount(s.ImageGB) &&
+		isAmount(s.EstimateS) && isAmount(s.CheckpointS) && isAmount(s.SaveS) && (s.DeadlineS == nil || isAmount(*s.DeadlineS)) &&
 		!slices.ContainsFunc(s.DependsOn, func(r string) bool { return !validRef(r) })
-	slices.Sort(s.DependsOn)
-	s.DependsOn = slices.Compact(s.DependsOn)
-	return &s, ok
 }
 
 // canRun reports whether a job could ever run here.
@@ -245,7 +253,9 @@
 	if c.isOpen(s.Ref) {
 		// Accepted before: reading tells so without a change, of which the state
 		// service also counts those that fail.
-		return c.known(ctx, s.Ref)
+		if r := c.known(ctx, s.Ref); r.status != 404 {
+			return r
+		}
 	}
 	if !c.canRun(s, types) {
 		return c.unless(ctx, s.Ref, 422)
@@ -415,6 +425,7 @@
 	}
 	s := new(wire.Status)
 	err := owner.Call("Status", ref, s, statusTimeout)
+	err = c.sensible("job's state", "a controller", err, func() error { return checkStatus(s, ref) })
 	return *s, err == nil
 }
 
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -16,7 +16,12 @@
 
 func (c *Controller) handleReport(req httpwire.Request, answer func(reply)) (reply, bool) {
 	var r wire.Report
-	if err := json.Unmarshal(req.Body, &r); err != nil || r.Machine == "" {
+	err := json.Unmarshal(req.Body, &r)
+	if err == nil {
+		err = r.Check()
+	}
+	if err != nil {
+		c.refusals.tell(c.log, "report", r.Machine, err)
 		return reply{status: 400}, true
 	}
 	c.mu.Lock()
@@ -65,7 +70,8 @@
 func (c *Controller) relay(r *wire.Report, m record.View, owner string, token uint64, answer func(reply)) {
 	var rr peer.ReportReply
 	err := c.peers[owner].Call("Report", *r, &rr, relayTimeout)
-	if err == nil && rr.Status != 0 {
+	err = c.sensible("answer to a relayed report", owner, err, func() error { return checkReportReply(&rr) })
+	if err == nil {
 		rep := reply{status: rr.Status, retryAfter: 1}
 		if rr.Status == 200 {
 			rep = reply{status: 200, body: rr.Orders}
@@ -178,7 +184,10 @@
 	if token == 0 {
 		return reply{status: 503, retryAfter: 1}
 	}
-	k := c.kept[r.Machine]
+	k, here := c.kept[r.Machine]
+	if !here && len(c.kept) >= maxRemembered {
+		return reply{status: 503, retryAfter: retryLater}
+	}
 	if now.Sub(k.last) > config.Seconds(c.cfg.Params.Workers.LeaseS) || blind || !c.mustEnd(r) {
 		k.since = now
 	}
@@ -222,7 +231,10 @@
 	}
 	w := c.cfg.Params.Workers
 	lease, report := config.Seconds(w.LeaseS), config.Seconds(w.ReportS)
-	s := c.searches[machine]
+	s, here := c.searches[machine]
+	if !here && len(c.searches) >= maxRemembered {
+		return "", false
+	}
 	met := s.met
 	s.met = now
 	c.searches[machine] = s
@@ -245,6 +257,11 @@
 // service, and when it was sent away.
 type search struct{ met, sent time.Time }
 
+// maxRemembered is of how many machines a controller remembers what it answered them
+// when it does not know its fleet: any name may come then, and memory is small. It is
+// several times as many as one controller has.
+const maxRemembered = 8192
+
 // searchAgain is after how many leases a worker is sent on once more.
 const searchAgain = 3
 
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -20,6 +20,7 @@
 type Client struct {
 	addr    string
 	maxIdle int
+	maxBody int // of a response
 
 	mu   sync.Mutex
 	idle []*conn
@@ -40,7 +41,15 @@
 const dialTimeout = time.Second
 
 // NewClient returns a client keeping at most maxIdle unused connections.
-func NewClient(addr string, maxIdle int) *Client { return &Client{addr: addr, maxIdle: maxIdle} }
+func NewClient(addr string, maxIdle int) *Client {
+	return &Client{addr: addr, maxIdle: maxIdle, maxBody: maxResponse}
+}
+
+// WithMaxBody lets a client take no larger responses than that.
+func (c *Client) WithMaxBody(n int) *Client {
+	c.maxBody = n
+	return c
+}
 
 // Do sends one request and waits for its response until ctx ends. An error
 // that is not ErrNotSent leaves open whether the request was carried out.
@@ -58,7 +67,7 @@
 		k.SetDeadline(dl)
 	}
 	stop := context.AfterFunc(ctx, func() { k.SetDeadline(time.Unix(1, 0)) })
-	resp, err := k.roundTrip(method, target, c.addr, body)
+	resp, err := k.roundTrip(method, target, c.addr, body, c.maxBody)
 	if !stop() || err != nil || resp.Close {
 		k.Close()
 	} else {
@@ -70,13 +79,13 @@
 	return resp, nil
 }
 
-func (k *conn) roundTrip(method, target, host string, body []byte) (Response, error) {
+func (k *conn) roundTrip(method, target, host string, body []byte, maxBody int) (Response, error) {
 	if _, err := k.Write(AppendRequest(nil, method, target, host, body)); err != nil {
 		return Response{}, err
 	}
 	k.buf = k.buf[:0]
 	for {
-		r, n, err := ParseResponse(k.buf, maxResponse)
+		r, n, err := ParseResponse(k.buf, maxBody)
 		if err != nil {
 			return r, err
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramblespur/internal/fleet"
@@ -64,6 +65,10 @@
 
 // Handler carries out what peers ask.
 type Handler interface {
+	// Check refuses arguments that make no sense. Nothing else is called with them.
+	Check(args any) error
+	// Malformed takes in that a call could not be read, or not be taken.
+	Malformed(from string, err error)
 	Sync(SyncArgs) SyncReply
 	Nudge(NudgeArgs)
 	Report(wire.Report) ReportReply
@@ -78,24 +83,36 @@
 
 // Sync serves Handler.Sync.
 func (s *Service) Sync(a SyncArgs, r *SyncReply) error {
+	if err := s.h.Check(a); err != nil {
+		return err
+	}
 	*r = s.h.Sync(a)
 	return nil
 }
 
 // Nudge serves Handler.Nudge.
 func (s *Service) Nudge(a NudgeArgs, _ *struct{}) error {
+	if err := s.h.Check(a); err != nil {
+		return err
+	}
 	s.h.Nudge(a)
 	return nil
 }
 
 // Report serves Handler.Report.
 func (s *Service) Report(a wire.Report, r *ReportReply) error {
+	if err := s.h.Check(a); err != nil {
+		return err
+	}
 	*r = s.h.Report(a)
 	return nil
 }
 
 // User serves Handler.User.
 func (s *Service) User(a UserArgs, r *UserReply) error {
+	if err := s.h.Check(a); err != nil {
+		return err
+	}
 	*r = s.h.User(a)
 	return nil
 }
@@ -127,21 +144,6 @@
 	return nil
 }
 
-// Serve answers peers until the listener fails.
-func Serve(l net.Listener, h Handler) error {
-	srv := rpc.NewServer()
-	if err := srv.RegisterName("Controller", &Service{h}); err != nil {
-		return fmt.Errorf("register peer service: %w", err)
-	}
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return fmt.Errorf("accept peer: %w", err)
-		}
-		go srv.ServeConn(c)
-	}
-}
-
 // errDial says that there is no connection to a peer.
 var errDial = errors.New("peer: no connection to")
 
@@ -165,6 +167,34 @@
 // NewClient returns a client; it connects when it is first used.
 func NewClient(addr string) *Client { return &Client{addr: addr} }
 
+// maxReplies is how many bytes may come between two calls: the largest answer tells of
+// all machines, some hundred bytes for each.
+const maxReplies = 8 << 20
+
+// boundedConn is a connection of which no more is read after one call and before the next.
+type boundedConn struct {
+	net.Conn
+	read atomic.Int64 // bytes since the last call
+}
+
+// errReplies is why nothing more is read.
+var errReplies = errors.New("peer: answers are too large")
+
+// Write implements net.Conn.
+func (b *boundedConn) Write(p []byte) (int, error) {
+	b.read.Store(0)
+	return b.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (b *boundedConn) Read(p []byte) (int, error) {
+	n, err := b.Conn.Read(p)
+	if b.read.Add(int64(n)) > maxReplies {
+		return n, errReplies
+	}
+	return n, err
+}
+
 func (c *Client) conn(timeout time.Duration) (*rpc.Client, error) {
 	c.mu.Lock()
 	k := c.c
@@ -182,7 +212,7 @@
 		nc.Close()
 		return c.c, nil
 	}
-	c.c = rpc.NewClient(nc)
+	c.c = rpc.NewClient(&boundedConn{Conn: nc})
 	return c.c, nil
 }
 
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -313,7 +313,7 @@
 // ended tells how long a job took.
 func (p *Part) ended(j *Job, now time.Time) {
 	e := End{Ref: j.ref, Class: j.spec.Class, State: wire.Done, Took: now.Sub(j.accepted), Tasks: len(j.tasks),
-		Estimate: time.Duration(j.spec.EstimateS * float64(time.Second))}
+		Estimate: wire.Seconds(j.spec.EstimateS)}
 	if j.cancelled {
 		e.State = wire.Cancelled
 	}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -175,7 +175,7 @@
 	if j.spec.CheckpointS <= 0 {
 		return 0
 	}
-	return time.Duration((j.spec.SaveS + 0.5) * float64(time.Second))
+	return wire.Seconds(j.spec.SaveS + 0.5)
 }
 
 // pushStops sends stops straight to the workers: a report may be seconds away,
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -232,7 +232,7 @@
 	if s.Kind != wire.Service || found.hasImage(s.Image) || found.Type.FetchGBps <= 0 {
 		return false, false
 	}
-	fetch := time.Duration(s.ImageGB / found.Type.FetchGBps * float64(time.Second))
+	fetch := wire.Seconds(s.ImageGB / found.Type.FetchGBps)
 	if fetch < seekWorth || now.Sub(j.accepted) > seekFor {
 		return false, false
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -401,7 +401,7 @@
 	if r.NoticeS == nil || !m.taken.IsZero() {
 		return
 	}
-	left := time.Duration(*r.NoticeS * float64(time.Second))
+	left := wire.Seconds(max(0, *r.NoticeS))
 	m.taken = now.Add(left)
 	m.drain = true
 	p.changed = true
--- /dev/null
+++ b/internal/wire/check_test.go
@@ -0,0 +1,53 @@
+package wire
+
+import (
+	"errors"
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestSenselessReportsAreRefused(t *testing.T) {
+	good := func() *Report {
+		return &Report{Machine: "i-000231", Addr: "10.1.0.232:9000", Type: "g8", Zone: "a", Session: 1, Seq: 88, Token: 41,
+			Tasks: []ReportTask{{Task: "run-000412/3", Attempt: 2, State: Running}, {Task: "run-000398/0", Attempt: 1, State: Exited, Why: Done}}}
+	}
+	if err := good().Check(); err != nil {
+		t.Fatal(err)
+	}
+	notice := func(s float64) func(*Report) { return func(r *Report) { r.NoticeS = &s } }
+	for name, change := range map[string]func(*Report){
+		"no machine":         func(r *Report) { r.Machine = "" },
+		"a long name":        func(r *Report) { r.Machine = strings.Repeat("x", maxName+1) },
+		"a long address":     func(r *Report) { r.Addr = strings.Repeat("x", maxName+1) },
+		"no session":         func(r *Report) { r.Session = 0 },
+		"no number":          func(r *Report) { r.Seq = 0 },
+		"an endless notice":  notice(1e300),
+		"a notice of NaN":    notice(math.NaN()),
+		"too many tasks":     func(r *Report) { r.Tasks = make([]ReportTask, maxOnOne+1) },
+		"an unknown state":   func(r *Report) { r.Tasks[0].State = "dreaming" },
+		"a task by no name":  func(r *Report) { r.Tasks[0].Task = "" },
+		"a task's long name": func(r *Report) { r.Tasks[0].Task = strings.Repeat("x", maxName+1) },
+	} {
+		r := good()
+		change(r)
+		if err := r.Check(); !errors.Is(err, ErrSenseless) {
+			t.Errorf("%s: err %v", name, err)
+		}
+	}
+	r := good()
+	notice(-0.5)(r) // its time is up
+	if err := r.Check(); err != nil {
+		t.Errorf("a notice that is over: %v", err)
+	}
+}
+
+// Amounts of seconds beyond what a time can hold do not come out negative.
+func TestSecondsKeepTheirSign(t *testing.T) {
+	for s, want := range map[float64]time.Duration{0: 0, 1.5: 1500 * time.Millisecond, 1e300: longest, -1e300: -longest, 1e12: longest} {
+		if got := Seconds(s); got != want {
+			t.Errorf("%g s: %v, want %v", s, got, want)
+		}
+	}
+}
