--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"math"
 	"os"
 	"sort"
 	"time"
@@ -116,24 +115,6 @@
 // Bytes is the largest value that it takes.
 func (s State) Bytes() int { return int(s.ValueKB * 1024) }
 
-// leastOps is the changes in the transaction that ends a job.
-const leastOps = 2
-
-func (s NextState) check() error {
-	for _, f := range []struct {
-		name string
-		v    *float64
-	}{{"rps", s.RPS}, {"write_rps", s.WriteRPS}, {"value_kb", s.ValueKB}} {
-		if f.v != nil && !(*f.v > 0 && !math.IsInf(*f.v, 0)) {
-			return fmt.Errorf("settings: params.state.next.%s must be above 0", f.name)
-		}
-	}
-	if s.TxnOps != nil && *s.TxnOps < leastOps {
-		return fmt.Errorf("settings: params.state.next.txn_ops must be %d at least", leastOps)
-	}
-	return nil
-}
-
 // Cloud holds the cloud's limits.
 type Cloud struct {
 	RPS      float64 `toml:"rps"`
@@ -147,40 +128,10 @@
 	MaxSockets int     `toml:"max_sockets"`
 }
 
-// What a controller can't do with less of.
-const (
-	// leastCPU is several times what one uses that has no machines and no users.
-	leastCPU = 0.005
-	// leastMemoryMB leaves the runtime some megabytes besides UncountedMB.
-	leastMemoryMB = 24.0
-	// ownSockets are those to the state service and the cloud.
-	ownSockets = 8
-)
-
 // UncountedMB is what the process holds that its runtime does not count: the
 // program's and the C library's pages, 11 MB, and the threads' stacks.
 const UncountedMB = 14.0
 
-// leastSockets is how many a controller among so many needs: a quarter is left for
-// what is neither a worker's nor a user's, two connections to each of the others
-// and its own to the state service and the cloud.
-func leastSockets(controllers int) int { return 4 * (2*(controllers-1) + ownSockets) }
-
-func (r Resources) check(controllers int) error {
-	for _, f := range []struct {
-		name     string
-		v, least float64
-	}{
-		{"cpu_share", r.CPUShare, leastCPU}, {"memory_mb", r.MemoryMB, leastMemoryMB},
-		{"max_sockets", float64(r.MaxSockets), float64(leastSockets(controllers))},
-	} {
-		if !(f.v >= f.least) || math.IsInf(f.v, 0) {
-			return fmt.Errorf("settings: params.resources.%s is %g, a controller needs %g at least", f.name, f.v, f.least)
-		}
-	}
-	return nil
-}
-
 // Seconds converts an amount of seconds.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -205,73 +156,6 @@
 	return &s, nil
 }
 
-func (s *Settings) check() error {
-	texts := []struct{ name, v string }{
-		{"label", s.Label}, {"zone", s.Zone}, {"public_addr", s.Listen}, {"cluster_listen", s.PeerListen},
-		{"outside.cloud", s.Outside.Cloud}, {"outside.state", s.Outside.State},
-	}
-	for _, t := range texts {
-		if t.v == "" {
-			return fmt.Errorf("settings: %s is missing", t.name)
-		}
-	}
-	p := &s.Params
-	amounts := []struct {
-		name string
-		v    float64
-	}{
-		{"params.workers.report_s", p.Workers.ReportS}, {"params.workers.lease_s", p.Workers.LeaseS},
-		{"params.workers.gang_wait_s", p.Workers.GangWaitS}, {"params.workers.gang_peer_s", p.Workers.GangPeerS},
-		{"params.workers.cancel_s", p.Workers.CancelS}, {"params.state.rps", p.State.RPS},
-		{"params.state.write_rps", p.State.WriteRPS}, {"params.state.value_kb", p.State.ValueKB},
-		{"params.state.txn_ops", float64(p.State.TxnOps)}, {"params.cloud.rps", p.Cloud.RPS},
-	}
-	for _, a := range amounts {
-		if !(a.v > 0) || math.IsInf(a.v, 0) {
-			return fmt.Errorf("settings: %s must be above 0", a.name)
-		}
-	}
-	if p.State.TxnOps < leastOps {
-		return fmt.Errorf("settings: params.state.txn_ops must be %d at least", leastOps)
-	}
-	if err := p.State.Next.check(); err != nil {
-		return err
-	}
-	if p.Workers.LeaseS <= p.Workers.ReportS {
-		return fmt.Errorf("settings: params.workers.lease_s must be above params.workers.report_s")
-	}
-	if p.Count != len(s.Peers)+1 {
-		return fmt.Errorf("settings: params.count is %d, but seeds names %d other controllers", p.Count, len(s.Peers))
-	}
-	if err := p.Resources.check(p.Count); err != nil {
-		return err
-	}
-	seen := map[string]bool{s.Label: true}
-	for _, q := range s.Peers {
-		if q.Label == "" || q.Addr == "" {
-			return fmt.Errorf("settings: seeds: an entry lacks label or peer_addr")
-		}
-		if seen[q.Label] {
-			return fmt.Errorf("settings: seeds: label %q is used twice", q.Label)
-		}
-		seen[q.Label] = true
-	}
-	teams := map[string]bool{}
-	for _, t := range p.Teams {
-		if t.Name == "" || teams[t.Name] {
-			return fmt.Errorf("settings: params.teams: name %q is missing or used twice", t.Name)
-		}
-		teams[t.Name] = true
-		if !(t.CPUs >= 0 && t.GPUs >= 0 && t.CPUsMax >= 0 && t.GPUsMax >= 0) {
-			return fmt.Errorf("settings: params.teams: cpus, gpus, cpus_max and gpus_max of %s must not be below 0", t.Name)
-		}
-		if (t.CPUsMax > 0 && t.CPUs > t.CPUsMax) || (t.GPUsMax > 0 && t.GPUs > t.GPUsMax) {
-			return fmt.Errorf("settings: params.teams: %s is guaranteed more than its limit", t.Name)
-		}
-	}
-	return nil
-}
-
 // Labels returns every controller's label in order.
 func (s *Settings) Labels() []string {
 	out := []string{s.Label}
