--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -198,7 +198,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	go peer.Serve(ln, far)
+	go peer.Serve(ln, far, 2)
 	down := testkit.NewState()
 	down.Down = true
 	c := newTest(t, down)
