--- /dev/null
+++ b/internal/controller/account_test.go
@@ -0,0 +1,258 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"testing"
+	"time"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/record"
+	"bramblespur/internal/sched"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// The largest fleet that one controller may come to hold, with two tasks on each machine.
+const (
+	accountMachines = 2400
+	accountJobs     = 2400
+	tasksOfJob      = 2
+	jobsOfSlot      = 64 // as many plain ranges of two tasks as a slot holds
+	machinesOfOne   = 50 // rental
+)
+
+func machineName(i int) string { return fmt.Sprintf("i-%06d", i) }
+
+// putRentals records so many machines of part 0 and returns their workers.
+func putRentals(put func(key string, v any), machines int) []*testkit.Worker {
+	var workers []*testkit.Worker
+	for at := 0; at < machines; at += machinesOfOne {
+		r := record.Rental{Type: "big", Zone: "z", Born: time.Now().UnixMilli()}
+		for i := at; i < min(at+machinesOfOne, machines); i++ {
+			r.IDs, r.Parts = append(r.IDs, machineName(i)), append(r.Parts, 0)
+			workers = append(workers, testkit.NewWorker(machineName(i), "big", "z", false))
+		}
+		put(record.RentalKey(fmt.Sprint("r", at)), r)
+	}
+	return workers
+}
+
+// putJobs records so many open jobs of part 0, each with two tasks on a machine.
+func putJobs(t testing.TB, state *testkit.State, workers []*testkit.Worker, jobs int) {
+	slot := record.Slot{Runs: map[string]record.Run{}}
+	for i := range jobs {
+		name := ref(i)
+		s := mustSpec(t, body(t, set("ref", name)))
+		state.Put(record.OpenKey(name), record.Open{Spec: *s, At: time.Now().UnixMilli()})
+		w := workers[i%len(workers)]
+		run := record.Run{Attempt: 1, On: map[int]record.Place{}}
+		for n := range tasksOfJob {
+			run.On[n] = record.Place{Machine: w.ID, Attempt: 1}
+			w.Tasks[name+"/"+strconv.Itoa(n)] = &testkit.WorkerTask{Attempt: 1, State: wire.Running}
+		}
+		slot.Runs[record.RunName(name, 0)] = run
+		if len(slot.Runs) == jobsOfSlot || i == jobs-1 {
+			state.Put(record.SlotKey(0, i/jobsOfSlot), slot)
+			slot.Runs = map[string]record.Run{}
+		}
+	}
+}
+
+// fleetController owns a part of so many machines and jobs, as it has just taken it over.
+func fleetController(t testing.TB, machines, jobs int) (*Controller, *countingState, []*testkit.Worker) {
+	t.Helper()
+	inner := testkit.NewState()
+	c := newTest(t, inner)
+	workers := putRentals(fleetPut(inner, c), machines)
+	putJobs(t, inner, workers, jobs)
+	state := &countingState{State: inner}
+	c.store = state
+	viewOpen(t, c)
+	takeOverPart(t, c, state, versioned[record.Part]{}, 1)
+	return c, state, workers
+}
+
+// viewOpen brings the view of open jobs up to the records, as the watch does.
+func viewOpen(t testing.TB, c *Controller) {
+	t.Helper()
+	entries, rev, err := c.store.List(context.Background(), statestore.Urgent("test"), record.OpenPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.resetOpen(entries, rev, c.begun)
+}
+
+// takeOverPart claims part 0 and waits until all that it reads has come.
+func takeOverPart(t testing.TB, c *Controller, state *countingState, held versioned[record.Part], inc uint64) {
+	t.Helper()
+	state.reset()
+	if err := c.takeOver(context.Background(), 0, held, inc); err != nil {
+		t.Fatal(err)
+	}
+	for state.lists.Load() < takeOverLists { // the last is another goroutine's, and must not count as a later one's
+		runtime.Gosched()
+	}
+}
+
+// reported brings a worker's report to its controller and returns the answer, also one
+// that is held.
+func reported(t testing.TB, c *Controller, w *testkit.Worker) reply {
+	t.Helper()
+	b, err := json.Marshal(w.Report())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sent(c, b, w.ID)
+}
+
+func sent(c *Controller, report []byte, machine string) reply {
+	later := make(chan reply, 1)
+	r, now := c.handle(httpwire.Request{Method: "POST", Path: wire.ReportPath, Body: report}, func(r reply) { later <- r })
+	if !now {
+		c.mu.Lock()
+		c.release(machine, time.Now())
+		c.mu.Unlock()
+		r = <-later
+	}
+	return r
+}
+
+// met lets every worker report until its controller has heard it under its own token.
+func met(t testing.TB, c *Controller, workers []*testkit.Worker) {
+	t.Helper()
+	for range 2 {
+		for _, w := range workers {
+			o, ok := reported(t, c, w).body.(wire.Orders)
+			if !ok || !w.Obey(o) {
+				t.Fatalf("%s was not answered", w.ID)
+			}
+		}
+	}
+}
+
+// liveHeap is what lives in the heap, in bytes.
+func liveHeap() int64 {
+	var m runtime.MemStats
+	for range 3 { // pools give up what they hold after two
+		runtime.GC()
+	}
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkHeld tells what a controller with the largest fleet holds, by what it is for,
+// in bytes; what the runtime holds besides is told by its own counters.
+func BenchmarkHeld(b *testing.B) {
+	for b.Loop() {
+		c, _, workers := fleetController(b, accountMachines, accountJobs)
+		met(b, c, workers)
+		workers = nil
+		at := liveHeap()
+		held := func(name string, n int, drop func()) {
+			drop()
+			now := liveHeap()
+			b.ReportMetric(float64(at-now), name+"-B")
+			b.ReportMetric(float64(at-now)/float64(n), name+"-B/each")
+			at = now
+		}
+		held("scheduler", accountMachines, func() { c.parts = nil })
+		held("fleet-view", accountMachines, func() { c.fleet = nil })
+		held("open-jobs", accountJobs, func() { c.open = nil })
+		held("dependencies", accountJobs, func() { c.needs = nil })
+		runtime.KeepAlive(c)
+	}
+}
+
+// BenchmarkTakeOver is a claim of the largest fleet: all records read and decoded. It
+// tells how far the heap rises with the collector as it is deployed.
+func BenchmarkTakeOver(b *testing.B) {
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
+	c, state, _ := fleetController(b, accountMachines, accountJobs)
+	b.ReportAllocs()
+	inc := uint64(1)
+	for b.Loop() {
+		b.StopTimer()
+		c.mu.Lock()
+		held := c.partRecs[0]
+		c.parts = map[int]*sched.Part{}
+		c.mu.Unlock()
+		inc++
+		b.StartTimer()
+		takeOverPart(b, c, state, held, inc)
+	}
+}
+
+// BenchmarkViewsAnew is the reading of all open jobs and machines into the views.
+func BenchmarkViewsAnew(b *testing.B) {
+	c, state, _ := fleetController(b, accountMachines, accountJobs)
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		viewOpen(b, c)
+		entries, rev, err := state.List(ctx, statestore.Urgent("test"), record.FleetPrefix)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.resetFleet(entries, rev, time.Now())
+	}
+}
+
+// BenchmarkWholeReport is a report with two tasks, from its body to its answer's.
+func BenchmarkWholeReport(b *testing.B) {
+	c, _, workers := fleetController(b, accountMachines, accountJobs)
+	met(b, c, workers)
+	var bodies [][]byte
+	for range 200 {
+		for _, w := range workers {
+			body, err := json.Marshal(w.Report())
+			if err != nil {
+				b.Fatal(err)
+			}
+			bodies = append(bodies, body)
+		}
+	}
+	srv := &server{log: c.log}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		srv.encode(sent(c, bodies[i%len(bodies)], machineName(i%accountMachines)), false)
+	}
+}
+
+// BenchmarkAsked is what an owner does for the leader each second, gob included.
+func BenchmarkAsked(b *testing.B) {
+	c, _, workers := fleetController(b, accountMachines, accountJobs)
+	met(b, c, workers)
+	var wire bytes.Buffer
+	to, from := gob.NewEncoder(&wire), gob.NewDecoder(&wire)
+	b.Run("summary", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			c.mu.Lock()
+			c.summaries(time.Now())
+			c.mu.Unlock()
+		}
+	})
+	sums := c.summaries(time.Now())
+	b.Run("sent", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := to.Encode(sums); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(wire.Len()), "bytes")
+			var got []fleet.Summary
+			if err := from.Decode(&got); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -39,7 +39,7 @@
 	return c
 }
 
-func body(t *testing.T, change func(map[string]any)) []byte {
+func body(t testing.TB, change func(map[string]any)) []byte {
 	t.Helper()
 	m := map[string]any{}
 	text := `{"ref":"run-000412","thicket":"train","keeper":"a","habit":"batch","rank":"normal","berries":2,
--- a/internal/controller/lean_test.go
+++ b/internal/controller/lean_test.go
@@ -98,38 +98,11 @@
 // takeOverLists is how many lists a take-over reads: machines, open jobs twice, slots.
 const takeOverLists = 4
 
-// leanController owns a part of so many machines that report under its token.
-func leanController(t *testing.T, machines int) (*Controller, *countingState, []*testkit.Worker) {
-	t.Helper()
-	inner := testkit.NewState()
-	c := newTest(t, inner)
-	put := fleetPut(inner, c)
-	var workers []*testkit.Worker
-	for at := 0; at < machines; at += 50 {
-		r := record.Rental{Type: "big", Zone: "z", Born: time.Now().UnixMilli()}
-		for i := at; i < min(at+50, machines); i++ {
-			id := fmt.Sprintf("i-%06d", i)
-			r.IDs, r.Parts = append(r.IDs, id), append(r.Parts, 0)
-			workers = append(workers, testkit.NewWorker(id, "big", "z", false))
-		}
-		put(record.RentalKey(fmt.Sprint("r", at)), r)
-	}
-	state := &countingState{State: inner}
-	c.store = state
-	if err := c.takeOver(context.Background(), 0, versioned[record.Part]{}, 1); err != nil {
-		t.Fatal(err)
-	}
-	for state.lists.Load() < takeOverLists { // the last is another goroutine's, and must not count as a later one's
-		runtime.Gosched()
-	}
-	return c, state, workers
-}
-
 // A report that tells nothing new asks nothing of the state service, and its way
 // through the controller costs the same allocations whatever the fleet's size.
 func TestReportOnItsWay(t *testing.T) {
 	for _, machines := range []int{40, 400} {
-		c, state, workers := leanController(t, machines)
+		c, state, workers := fleetController(t, machines, 0)
 		w := workers[0]
 		report := func() reply {
 			b, err := json.Marshal(w.Report())
@@ -170,7 +143,7 @@
 // A controller that takes a part over reads each kind of record once, and the open
 // jobs once more.
 func TestRecordsReadInATakeOver(t *testing.T) {
-	c, state, _ := leanController(t, 200)
+	c, state, _ := fleetController(t, 200, 0)
 	c.submit(body(t, nil))
 	c.mu.Lock()
 	held := c.partRecs[0]
@@ -222,7 +195,7 @@
 	}
 }
 
-func mustSpec(t *testing.T, b []byte) *wire.Spec {
+func mustSpec(t testing.TB, b []byte) *wire.Spec {
 	t.Helper()
 	s, ok := parseSpec(b)
 	if !ok {
--- a/internal/sched/size_test.go
+++ b/internal/sched/size_test.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// BenchmarkHealth is a turn of the timer in which nothing is due: each machine is looked
+// at, as four times a second.
+func BenchmarkHealth(b *testing.B) {
+	r := crowd(b, manyMachines, 0)
+	now := r.clock.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		r.part.healthAt = time.Time{}
+		r.part.Step(now)
+	}
+}
+
 // BenchmarkSummary is what the leader is told each second.
 func BenchmarkSummary(b *testing.B) {
 	r := crowd(b, manyMachines, 100)
