A job submitted by itself keeps no pipeline state

One is now shared by all. fragment.Single, which only that used, goes; its test runs on Linked, which makes the same net.

--- a/internal/fragment/fragment.go
+++ b/internal/fragment/fragment.go
@@ -50,15 +50,6 @@
 	return n, nil
 }
 
-// Single is the pipeline of one job.
-func Single(job string) *Net {
-	n, err := NewNet([]Place{{Out: []string{job}}, {In: []string{job}}})
-	if err != nil {
-		panic(err) // a net of one job is always sound
-	}
-	return n
-}
-
 // After begins the pipeline of a job that waits for others, which were submitted
 // before it and are under way or over: a split into these and their join. The
 // job travels, as what follows any join, in one fragment.
--- a/internal/fragment/fragment_test.go
+++ b/internal/fragment/fragment_test.go
@@ -125,8 +125,13 @@
 	}
 }
 
+// A job that is linked to no other is a pipeline of one.
 func TestSingle(t *testing.T) {
-	p := Begin(Single("j"))
+	n, err := Linked([]string{"j"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := Begin(n)
 	if got := p.Ready(); !slices.Equal(got, []string{"j"}) {
 		t.Fatalf("ready %v", got)
 	}
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -325,9 +325,6 @@
 
 // end takes a job out whose end is recorded.
 func (p *Part) end(j *Job, now time.Time) {
-	if j.line.ref == "" {
-		j.line.run.Finish(j.ref, "")
-	}
 	for i := range j.tasks {
 		if j.tasks[i].state == placed {
 			p.take(key{j, i}, now)
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -237,7 +237,7 @@
 		case len(spec.DependsOn) > 0:
 			p.await(j)
 		default:
-			j.line = alone(ref)
+			j.line = alone
 		}
 	}
 	if version <= j.version {
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -16,7 +16,7 @@
 // releases neither more nor less. A job's end, the pipeline's record and the
 // records of the jobs that this releases are one transaction.
 type line struct {
-	ref     string // empty for a pipeline of one job
+	ref     string // empty for a job that is in no pipeline with others
 	rec     record.Pipe
 	version uint64 // 0: not read yet
 	run     *fragment.Pipeline
@@ -25,8 +25,9 @@
 	unsure  bool             // a reread is under way
 }
 
-// alone is the pipeline of a job that was submitted by itself.
-func alone(ref string) *line { return &line{run: fragment.Begin(fragment.Single(ref))} }
+// alone is the pipeline of each job that was submitted by itself. Its only fragment is
+// that job, and nothing follows it, so there is no state to keep for each.
+var alone = &line{}
 
 // await makes a job wait for those that it names. That it was held stays in its
 // record: what it waits for has final records, which never change, and so every
