A slot's record is encoded only where it is to be written

A slot of which tasks have ended, or that was just taken over, is looked at and left as it is: its record was encoded first and thrown away.

--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -152,11 +152,11 @@
 	if s.stated {
 		rec.Format = record.Stated
 	}
-	value := record.Encode(rec)
 	s.dirty, s.urgent, s.moved = left, left, false
 	if len(t.starts) == 0 && len(t.dones) == 0 && !moved {
 		return
 	}
+	value := record.Encode(rec)
 	if !p.fit(s, len(value)) {
 		s.dirty, s.urgent = true, true
 		p.alarm(now) // the slots that take what has no room here come first
