--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -295,17 +295,14 @@
 
 // UnmarshalJSON reads a pair.
 func (p *Place) UnmarshalJSON(b []byte) error {
-	var pair []json.RawMessage
+	pair := []any{&p.Machine, &p.Attempt} // each element is decoded to where it belongs
 	if err := json.Unmarshal(b, &pair); err != nil {
 		return err
 	}
 	if len(pair) != 2 {
 		return fmt.Errorf("place: %d elements", len(pair))
 	}
-	if err := json.Unmarshal(pair[0], &p.Machine); err != nil {
-		return err
-	}
-	return json.Unmarshal(pair[1], &p.Attempt)
+	return nil
 }
 
 // Run holds the placements and completions of a range of tasks.
