A take-over decodes the part's own jobs, and those once; bounds that repeat exactly

Who takes a part over read every open job's record twice and decoded it each time, other parts' too. What the view holds in the same version as another part's, and what the part knows by the second reading, is passed over now.

New bounds: allocations of a take-over, a poll, a submission to its start; bytes a machine with its job; requests, calls and waits in a quiet minute. The bound of a report's way is tightened from 28 to 22. Each was seen to fail: with a record decoded or encoded once more than needed, a second request for a poll, and with ticks, leases, watches or leader's turns twice as frequent.

--- a/internal/controller/account_test.go
+++ b/internal/controller/account_test.go
@@ -67,11 +67,22 @@
 	}
 }
 
+// mute are workers that no direct command reaches.
+type mute struct{}
+
+func (mute) Command(context.Context, string, wire.DirectOrders) (r wire.Report, ok bool, err error) {
+	return r, false, httpwire.ErrNotSent
+}
+
+func (mute) Show(context.Context, string) (r wire.Report, err error) { return r, testkit.ErrLost }
+
 // fleetController owns a part of so many machines and jobs, as it has just taken it over.
 func fleetController(t testing.TB, machines, jobs int) (*Controller, *countingState, []*testkit.Worker) {
 	t.Helper()
 	inner := testkit.NewState()
 	c := newTest(t, inner)
+	c.schedCfg.Report = 1500 * time.Millisecond // starts ride on reports' answers
+	c.agents = mute{}
 	workers := putRentals(fleetPut(inner, c), machines)
 	putJobs(t, inner, workers, jobs)
 	state := &countingState{State: inner}
--- /dev/null
+++ b/internal/controller/bounds_test.go
@@ -0,0 +1,276 @@
+package controller
+
+import (
+	"context"
+	"maps"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// What was measured repeats exactly, so the bounds lie close above it: a record decoded or
+// encoded once more than needed fails, not only twice the work.
+const (
+	takeOverAllocs  = 56   // for a job of two tasks and its machine; measured: 50
+	foreignAllocs   = 0.5  // for another part's job in a take-over; 0.02
+	pollAllocs      = 53   // for one of an open job and one of a job that is over; 46
+	startAllocs     = 280  // from a submission to its recorded start; 242
+	controllerBytes = 4400 // for a machine and its job; 2976
+)
+
+// bubble runs f where time moves only when all wait.
+func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+// A take-over decodes what is the part's own, and that once.
+func TestTakeOverAllocations(t *testing.T) {
+	const size = 200
+	measure := func(foreign int) (allocs float64) {
+		bubble(t, func(t *testing.T) {
+			c, state, _ := fleetController(t, size, size)
+			for i := range foreign {
+				s := mustSpec(t, body(t, set("ref", ref(1000+i))))
+				state.Put(record.OpenKey(s.Ref), record.Open{Spec: *s, Part: 1})
+			}
+			viewOpen(t, c)
+			inc := uint64(1)
+			allocs = testing.AllocsPerRun(5, func() {
+				c.mu.Lock()
+				held := c.partRecs[0]
+				clear(c.parts)
+				c.mu.Unlock()
+				inc++
+				takeOverPart(t, c, state, held, inc)
+				synctest.Wait()
+			})
+		})
+		return allocs
+	}
+	own := measure(0)
+	if got := own / size; got > takeOverAllocs {
+		t.Errorf("%.1f allocations for a job and its machine, want %d at most", got, takeOverAllocs)
+	}
+	if got := (measure(size) - own) / size; got > foreignAllocs {
+		t.Errorf("%.2f allocations for another part's job, want %g at most", got, foreignAllocs)
+	}
+}
+
+// asked brings a user's request to a controller whose lease stands, and waits for the
+// answer.
+func asked(c *Controller, method, path string, body []byte) reply {
+	c.mu.Lock()
+	c.leaseAt = time.Now()
+	c.mu.Unlock()
+	later := make(chan reply, 1)
+	if r, now := c.handle(httpwire.Request{Method: method, Path: path, Body: body}, func(r reply) { later <- r }); now {
+		return r
+	}
+	return <-later
+}
+
+// A poll of an open job costs few allocations and its part of one request, whatever is
+// open besides; one of a job that is over costs no request.
+func TestPollAllocations(t *testing.T) {
+	for _, jobs := range []int{40, 400} {
+		bubble(t, func(t *testing.T) {
+			c, state, _ := fleetController(t, 40, jobs)
+			c.finals.put("run-900000", record.Job{State: wire.Done, Tasks: 2})
+			synctest.Wait()
+			state.reset()
+			const polls = 20
+			got := testing.AllocsPerRun(polls-1, func() { // one more to warm up
+				if r := asked(c, "GET", wire.JobsPath+"/"+ref(7), nil); r.status != 200 {
+					t.Fatalf("answered %+v", r)
+				}
+				if r := asked(c, "GET", wire.JobsPath+"/run-900000", nil); r.status != 200 {
+					t.Fatalf("answered %+v", r)
+				}
+			})
+			if got > pollAllocs {
+				t.Errorf("%d jobs: %.0f allocations for two polls, want %d at most", jobs, got, pollAllocs)
+			}
+			if n := state.txns.Load(); n != polls {
+				t.Errorf("%d jobs: %d polls of each kind took %d requests", jobs, polls, n)
+			}
+		})
+	}
+}
+
+// A submission takes one change until it is accepted and another until its start is
+// recorded, and its allocations don't grow with what is open besides.
+func TestSubmissionToStart(t *testing.T) {
+	for _, machines := range []int{40, 400} {
+		bubble(t, func(t *testing.T) {
+			c, state, workers := fleetController(t, machines, 0)
+			met(t, c, workers)
+			state.reset()
+			const jobs = 10
+			var bodies [][]byte
+			for i := range jobs {
+				bodies = append(bodies, body(t, func(m map[string]any) { m["ref"], m["berries"], m["cards"] = ref(i), 1, 0.0 }))
+			}
+			got := testing.AllocsPerRun(jobs-1, func() { // one more to warm up
+				b := bodies[0]
+				bodies = bodies[1:]
+				if r := asked(c, "POST", wire.JobsPath, b); r.status != 201 {
+					t.Fatalf("answered %+v", r)
+				}
+				time.Sleep(gatherStarts)
+				c.locked(c.parts[0], func(time.Time) {})
+				synctest.Wait()
+			})
+			if got > startAllocs {
+				t.Errorf("%d machines: %.0f allocations from a submission to its start, want %d at most", machines, got, startAllocs)
+			}
+			if n := state.txns.Load(); n != 2*jobs {
+				t.Errorf("%d machines: %d jobs took %d transactions to their starts, want two each", machines, jobs, n)
+			}
+		})
+	}
+}
+
+// What a controller holds for a machine and its job, views included, is little.
+func TestBytesOfAController(t *testing.T) {
+	const size = 1600
+	before := liveHeap()
+	c, state, workers := fleetController(t, size, size)
+	met(t, c, workers)
+	state.State, workers = nil, nil // the test's own
+	c.store = nil
+	if got := (liveHeap() - before) / size; got > controllerBytes {
+		t.Errorf("%d bytes for a machine and its job, want %d at most", got, controllerBytes)
+	}
+	runtime.KeepAlive(c)
+}
+
+// tally counts what a controller's loops do.
+type tally struct {
+	mu    sync.Mutex
+	did   map[string]int
+	store statestore.Store
+}
+
+func (n *tally) add(what string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.did[what]++
+}
+
+// reset starts counting anew and returns what was counted.
+func (n *tally) reset() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.did
+	n.did = map[string]int{}
+	return out
+}
+
+// countingLife counts how often a loop waits or asks for something: each does so under its
+// context, once.
+type countingLife struct {
+	context.Context
+	n *tally
+}
+
+func (l countingLife) Done() <-chan struct{} {
+	l.n.add("wait")
+	return l.Context.Done()
+}
+
+// countingStore counts requests of the state service.
+type countingStore struct {
+	statestore.Store
+	n *tally
+}
+
+func (s countingStore) Get(ctx context.Context, u statestore.Use, key string) (wire.Entry, error) {
+	s.n.add(u.For)
+	return s.Store.Get(ctx, u, key)
+}
+
+func (s countingStore) List(ctx context.Context, u statestore.Use, prefix string) ([]wire.Entry, uint64, error) {
+	s.n.add(u.For)
+	return s.Store.List(ctx, u, prefix)
+}
+
+func (s countingStore) Txn(ctx context.Context, u statestore.Use, t wire.Txn) (uint64, error) {
+	s.n.add(u.For)
+	return s.Store.Txn(ctx, u, t)
+}
+
+func (s countingStore) Renew(ctx context.Context, lease uint64) error {
+	s.n.add("lease")
+	return s.Store.Renew(ctx, lease)
+}
+
+func (s countingStore) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (wire.Changes, error) {
+	s.n.add("watch")
+	return s.Store.Watch(ctx, prefix, since, wait)
+}
+
+// countingPeer counts calls of another controller.
+type countingPeer struct {
+	peer.Caller
+	n *tally
+}
+
+func (p countingPeer) Call(method string, args, result any, timeout time.Duration) error {
+	p.n.add("call " + method)
+	return p.Caller.Call(method, args, result, timeout)
+}
+
+// A minute in which nothing happens costs a controller its ticks, its turns of the
+// lead, its lease and its watches, and nothing else.
+func TestQuietMinute(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		k := newCluster(t, near(1))
+		defer k.stop()
+		tallies := map[string]*tally{}
+		k.prepare = func(label string, c *Controller) {
+			n := &tally{did: map[string]int{}}
+			tallies[label] = n
+			c.life, c.store = countingLife{c.life, n}, countingStore{c.store, n}
+			for l, p := range c.peers {
+				c.peers[l] = countingPeer{p, n}
+			}
+		}
+		for _, label := range k.labels {
+			k.start(label)
+		}
+		k.await(30*time.Second, "a leader and all parts", func() bool { return k.leader() != "" && k.owned() })
+		time.Sleep(time.Minute) // what belongs to the start is over
+		for _, n := range tallies {
+			n.reset()
+		}
+		time.Sleep(time.Minute)
+		for label, n := range tallies {
+			got := n.reset()
+			most := maps.Clone(quietMost)
+			if label == k.leader() {
+				most["call Sync"] = 2 * 60
+			} else {
+				most["call Ping"] = 2 * 60
+			}
+			for what, times := range got {
+				if times > most[what] {
+					t.Errorf("%s: %s %d times in a quiet minute, want %d at most", label, what, times, most[what])
+				}
+			}
+		}
+	})
+}
+
+// quietMost is what a controller does at most in a quiet minute. It waits 469 times, the
+// leader 475: one loop more that turns once a second is too many.
+var quietMost = map[string]int{
+	"wait":  520, // of loops and for answers
+	"lease": 60,
+	"watch": 45,
+}
--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -175,6 +176,7 @@
 	}
 	p := sched.New(cfg, id, token)
 	c.mu.Lock()
+	open = slices.DeleteFunc(open, func(e wire.Entry) bool { return c.knownElsewhere(e, id) })
 	if c.allStated() {
 		p.SetStated() // before it writes anything
 	}
@@ -182,6 +184,13 @@
 	return p, p.Load(fl, open, slots, time.Now())
 }
 
+// knownElsewhere reports whether an open job's record is one that the view holds, and
+// another part's: it need not be decoded to tell. The lock is held.
+func (c *Controller) knownElsewhere(e wire.Entry, part int) bool {
+	j, open := c.open[record.Last(e.Key)]
+	return open && j.version == e.Version && j.part != part
+}
+
 // rereadOpen reads the open jobs once more after a claim: one accepted between
 // the first reading and the part's being there was told to nobody.
 func (c *Controller) rereadOpen(ctx context.Context, p *sched.Part) {
@@ -198,6 +207,9 @@
 			return
 		}
 		for _, e := range open {
+			if p.KnowsJob(record.Last(e.Key), e.Version) || c.knownElsewhere(e, p.ID()) {
+				continue
+			}
 			var o record.Open
 			if err := decode(e.Value, &o); err != nil {
 				c.log.Error("job record", "key", e.Key, "err", err)
--- a/internal/controller/cluster_process_test.go
+++ b/internal/controller/cluster_process_test.go
@@ -136,6 +136,9 @@
 	k.procs[label] = p
 	k.mu.Unlock()
 	k.world.SetNode(label, p)
+	if k.prepare != nil {
+		k.prepare(label, c)
+	}
 	c.start()
 }
 
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -29,6 +29,8 @@
 	procs map[string]*process
 	refs  []string
 	said  []string // what a script did, told if it fails
+	// prepare is called with each new process before it starts, nil for nothing.
+	prepare func(label string, c *Controller)
 }
 
 // layout is what differs between clusters.
--- a/internal/controller/lean_test.go
+++ b/internal/controller/lean_test.go
@@ -206,6 +206,6 @@
 
 // Bounds are about half as much again as was measured, so that twice the work fails.
 const (
-	wayAllocs = 28  // measured: 19, with those of the test's own worker
+	wayAllocs = 22  // measured: 19, with those of the test's own worker; once more decoded: 27
 	jobBytes  = 210 // 140
 )
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -402,6 +402,13 @@
 // HasJob reports whether the part holds an unfinished job.
 func (p *Part) HasJob(ref string) bool { return p.jobs[ref] != nil }
 
+// KnowsJob reports whether the part holds an unfinished job as its record of a version
+// tells, or a later one.
+func (p *Part) KnowsJob(ref string, version uint64) bool {
+	j := p.jobs[ref]
+	return j != nil && j.version >= version
+}
+
 // Status returns a job's state for display.
 func (p *Part) Status(ref string) (wire.Status, bool) {
 	j := p.jobs[ref]
