--- a/internal/controller/account_test.go
+++ b/internal/controller/account_test.go
@@ -183,15 +183,20 @@
 	}
 }
 
-// BenchmarkTakeOver is a claim of the largest fleet: all records read and decoded. It
-// tells how far the heap rises with the collector as it is deployed.
+// BenchmarkTakeOver is a claim of the largest fleet: all records read and decoded. With
+// the collector as it is deployed it tells, in bytes, what the process holds at most, the
+// scripted peers included, and what the runtime says of it.
 func BenchmarkTakeOver(b *testing.B) {
-	defer debug.SetGCPercent(debug.SetGCPercent(400))
+	const deployedPercent = 400
+	defer debug.SetGCPercent(debug.SetGCPercent(deployedPercent))
 	c, state, _ := fleetController(b, accountMachines, accountJobs)
 	b.ReportAllocs()
-	inc := uint64(1)
+	inc, most := uint64(1), map[string]uint64{}
 	for b.Loop() {
 		b.StopTimer()
+		if now := memoryClasses(); now["total"]-now["released"] > most["total"]-most["released"] {
+			most = now
+		}
 		c.mu.Lock()
 		held := c.partRecs[0]
 		c.parts = map[int]*sched.Part{}
@@ -200,6 +205,9 @@
 		b.StartTimer()
 		takeOverPart(b, c, state, held, inc)
 	}
+	for name, bytes := range most {
+		b.ReportMetric(float64(bytes), name)
+	}
 }
 
 // BenchmarkViewsAnew is the reading of all open jobs and machines into the views.
@@ -267,3 +275,53 @@
 		}
 	})
 }
+
+// BenchmarkSubmission is a job of one task from its body to its recorded acceptance and,
+// once a slot may be written again, its recorded start.
+func BenchmarkSubmission(b *testing.B) {
+	c, _, workers := fleetController(b, accountMachines, 0)
+	met(b, c, workers)
+	c.mu.Lock()
+	c.schedCfg.GatherStarts = 0
+	c.mu.Unlock()
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		c.mu.Lock()
+		c.leaseAt = time.Now()
+		c.mu.Unlock()
+		spec := body(b, func(m map[string]any) { m["ref"], m["berries"], m["cards"], m["cores"] = ref(n), 1, 0.0, 0.01 })
+		n++
+		b.StartTimer()
+		if r := c.submit(spec); r.status != 201 {
+			b.Fatalf("answered %+v", r)
+		}
+	}
+}
+
+// BenchmarkPolls is the comparison and the answer of a poll of an open job, where as many
+// wait for one request.
+func BenchmarkPolls(b *testing.B) {
+	const together = 10
+	c, _, workers := fleetController(b, accountMachines, accountJobs)
+	met(b, c, workers)
+	c.mu.Lock()
+	version := c.open[ref(7)].version
+	c.mu.Unlock()
+	srv := &server{log: c.log}
+	b.ReportAllocs()
+	for b.Loop() {
+		var all []*confirmation
+		for range together {
+			all = append(all, newConfirmation(wire.Cond{Key: record.OpenKey(ref(7)), Version: version}))
+		}
+		c.confirmations.waiting = all
+		c.confirmAll()
+		for _, q := range all {
+			<-q.done
+			own, _ := c.ownerStatus(ref(7))
+			srv.encode(reply{status: 200, body: own}, false)
+		}
+	}
+}
