A controller that has begun leaves the parts of others to them for 3 s

Where all restart together the first one back took over most parts, whose owners were gone for the moment, and handed them home 20 s later: each was read and claimed twice or more.

TestAllRestartTogether fails without the change.

--- a/internal/controller/bounds_test.go
+++ b/internal/controller/bounds_test.go
@@ -291,6 +291,43 @@
 	})
 }
 
+// Controllers that restart together each claim their own part, once: the first one back
+// does not take the others', whose owners are gone for the moment, so that no part is read
+// by two controllers and handed home later.
+func TestAllRestartTogether(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		k := newCluster(t, far(1))
+		defer k.stop()
+		for _, label := range k.labels {
+			k.start(label)
+		}
+		k.await(30*time.Second, "a leader and all parts", func() bool { return k.leader() != "" && k.owned() })
+		for _, label := range k.labels {
+			k.crash(label)
+		}
+		time.Sleep(2 * leaseTTL)
+		before := len(k.world.State.Writes())
+		for _, label := range k.labels {
+			k.start(label)
+			time.Sleep(600 * time.Millisecond)
+		}
+		time.Sleep(2 * homeStable)
+		claims := map[string]int{}
+		for _, w := range k.world.State.Writes()[before:] {
+			for _, op := range w.Txn.Then {
+				if hasPrefix(op.Put, record.PartPrefix) {
+					claims[op.Put+" by "+w.From]++
+				}
+			}
+		}
+		for part := range k.params.Count {
+			if home := k.process(k.labels[0]).c.home(part); claims[record.PartKey(part)+" by "+home] != 1 || len(claims) != k.params.Count {
+				t.Fatalf("claims %v, want one of each part by its home", claims)
+			}
+		}
+	})
+}
+
 // quietMost is what a controller does at most in a quiet minute. It waits 469 times, the
 // leader 475: one loop more that turns once a second is too many.
 var quietMost = map[string]int{
--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -15,6 +15,11 @@
 	"bramblespur/internal/wire"
 )
 
+// claimPatience is how long a controller that has begun leaves the parts of others that
+// are gone to them: where all restart together the first would else take most parts over,
+// which cost it its processor's share and are handed home soon after.
+const claimPatience = 3 * time.Second
+
 func (c *Controller) home(part int) string { return c.cfg.Labels()[part%c.cfg.Params.Count] }
 
 func (c *Controller) live() []string {
@@ -50,6 +55,8 @@
 			mine = true // a restart, or records read back after an outage
 		case !known && c.home(id) == c.cfg.Label:
 			mine = true
+		case now.Sub(c.begun) < claimPatience:
+			// Its owner may have restarted together with this controller.
 		case !ownerLives && now.Sub(c.viewAt) < 2*c.watchWait() && len(c.members) > 0:
 			home := c.home(id)
 			if !known && now.Sub(c.leaseAt) < leaseTTL && c.firstSeen(home, now) {
