Gangs start although some machines cache an image that others fetch for long

A gang's task that has its image waits gang_wait_s for the others. Where some of its machines cached a large image these gave up before the others had fetched it, which ended the attempt and the fetches with it, so that every later attempt ended alike, 30 s after the last. Starts on machines that cache the image are now delayed by what the slowest fetch takes beyond two thirds of gang_wait_s.

--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -42,6 +42,7 @@
 		SilentAfter:  config.Seconds(p.Workers.ReportS)*silentReports + silentExtra,
 		BootFactor:   bootFactor,
 		PreemptAfter: preemptAfter,
+		GangWait:     config.Seconds(p.Workers.GangWaitS),
 		Probes:       max(1, p.Resources.MaxSockets/probeSockets),
 		TxnOps:       c.limits().TxnOps,
 		ValueBytes:   c.limits().Bytes(),
--- /dev/null
+++ b/internal/sched/delay.go
@@ -0,0 +1,66 @@
+package sched
+
+import (
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// A gang's task that has its image waits for the others only for GangWait. On a machine
+// that caches the image its wait begins at once, so that it gives up, and the attempt
+// with it, while others still fetch; these give up their fetch too and begin it anew in
+// the next attempt. So starts on machines that cache the image are delayed.
+
+const (
+	// slowFetch is the slowest fetch that the protocol allows, in fetches at the
+	// nominal rate.
+	slowFetch = 4.0 / 3
+	// plannedWait is the share of GangWait that is planned for. The rest is for starts
+	// that come later than planned and for fetches that share their rate.
+	plannedWait = 2.0 / 3
+)
+
+// startAfter returns when a recorded task may be started at the earliest.
+func (p *Part) startAfter(k key, t *task) time.Time {
+	if k.job.spec.Kind != wire.Gang || t.steps == nil || !t.steps.cached {
+		return time.Time{}
+	}
+	var latest time.Time
+	for i := range k.job.tasks {
+		peer := &k.job.tasks[i]
+		if !peer.fetching() {
+			continue
+		}
+		at := peer.steps.recorded.Add(p.cachedDelay(k.job.spec, peer.machine))
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+// fetching reports whether a task of this owner has yet to fetch its image.
+func (t *task) fetching() bool {
+	return t.state == placed && t.steps != nil && !t.steps.cached && (t.phase == "" || t.phase == wire.Fetching)
+}
+
+// cachedDelay is how much later than a task that must fetch its image on a machine
+// its peers on machines that cache it are started.
+func (p *Part) cachedDelay(s *wire.Spec, fetches *Machine) time.Duration {
+	if fetches.Type.FetchGBps <= 0 {
+		return 0
+	}
+	fetch := slowFetch * s.ImageGB / fetches.Type.FetchGBps * float64(time.Second)
+	return max(0, time.Duration(fetch-plannedWait*float64(p.cfg.GangWait)))
+}
+
+// wakeDelayed wakes the machines whose delayed starts are due.
+func (p *Part) wakeDelayed(now time.Time) {
+	for m, due := range p.delayed {
+		if now.Before(due) {
+			continue
+		}
+		delete(p.delayed, m)
+		p.out.Wake = append(p.out.Wake, m.ID)
+	}
+}
--- /dev/null
+++ b/internal/sched/delay_test.go
@@ -0,0 +1,139 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// gangPlay plays how the tasks of a gang fetch, and how they wait for each other.
+type gangPlay struct {
+	r       *rig
+	ref     string
+	fetch   time.Duration // where the image is not cached
+	cached  string        // the machine that caches it
+	started map[*testkit.WorkerTask]time.Time
+	has     map[*testkit.WorkerTask]time.Time // since when a task has its image
+}
+
+// advance plays the tasks up to now.
+func (g *gangPlay) advance() {
+	now := g.r.clock.Now()
+	for id, w := range g.r.workers {
+		for name, t := range w.Tasks {
+			ref, _, _ := SplitTask(name)
+			if ref != g.ref || t.State == wire.Exited {
+				continue
+			}
+			if g.started[t].IsZero() {
+				g.started[t] = now
+				t.State = wire.Fetching
+			}
+			if t.State == wire.Fetching && (id == g.cached || now.Sub(g.started[t]) >= g.fetch) {
+				t.State = wire.Gathering
+				g.has[t] = now
+			}
+			if t.State == wire.Gathering && now.Sub(g.has[t]) > g.r.cfg.GangWait {
+				t.State, t.Why = wire.Exited, wire.WhyIncomplete
+			}
+		}
+	}
+}
+
+// gathered returns how many tasks of the gang have their image and wait, by attempt.
+func (g *gangPlay) gathered() map[uint64]int {
+	n := map[uint64]int{}
+	for _, w := range g.r.workers {
+		for name, t := range w.Tasks {
+			if ref, _, _ := SplitTask(name); ref == g.ref && t.State == wire.Gathering {
+				n[t.Attempt]++
+			}
+		}
+	}
+	return n
+}
+
+// A gang of which some machines cache the image and others fetch it for longer than
+// the gang's tasks wait for each other starts all the same. Where all are started
+// together those with the image give up first, the fetch is given up with them, and
+// every later attempt ends alike: a day's log had nineteen, each 30 s after the last.
+func TestGangWaitsForSlowFetch(t *testing.T) {
+	for name, direct := range map[string]bool{"by reports": false, "by direct starts": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.cfg.GangWait = 30 * time.Second
+			typ := r.cfg.Types["big"]
+			typ.FetchGBps = 0.5
+			r.cfg.Types["big"] = typ
+			m1 := r.machine("m1", "z1", false)
+			before := spec("run-000001", "b", wire.Array, "normal", 1, 2)
+			before.ImageGB = 20
+			r.submit(before)
+			r.beats(3)
+			m1.End("run-000001/0", wire.Done)
+			r.beats(3)
+
+			r.machine("m2", "z1", false)
+			r.beats(1)
+			gang := spec("run-000002", "b", wire.Gang, "urgent", 2, 2)
+			gang.ImageGB = before.ImageGB
+			r.submit(gang)
+			play := &gangPlay{r: r, ref: gang.Ref, fetch: 45 * time.Second, cached: "m1",
+				started: map[*testkit.WorkerTask]time.Time{}, has: map[*testkit.WorkerTask]time.Time{}}
+			if direct {
+				r.sendStart = func(d Push) {
+					w := r.workers[d.Machine]
+					w.Obey(wire.Orders{Token: d.Orders.Token, Commands: d.Orders.Commands})
+					play.advance()
+					r.deliver(d, true)
+				}
+			}
+			for range 60 {
+				r.beat()
+				play.advance()
+				if play.gathered()[1] == 2 {
+					return
+				}
+			}
+			t.Fatalf("the gang never gathered under its first attempt: m1 started %v, m2 %v", m1.Started, r.workers["m2"].Started)
+		})
+	}
+}
+
+// A delayed start is brought to its machine when it is due, without waiting for the
+// machine's next report: that may be seconds away.
+func TestDelayedStartWakesItsMachine(t *testing.T) {
+	r := newRig(t)
+	m := r.machine("m1", "z1", false)
+	r.beats(2, m)
+	due := r.clock.Now().Add(5 * time.Second)
+	r.part.delayed[r.part.machines["m1"]] = due
+	if eff := r.part.Step(due.Add(-time.Millisecond)); len(eff.Wake) != 0 {
+		t.Fatalf("woken before it is due: %v", eff.Wake)
+	}
+	if eff := r.part.Step(due); !slices.Equal(eff.Wake, []string{"m1"}) {
+		t.Fatalf("woke %v when m1 was due", eff.Wake)
+	}
+	if eff := r.part.Step(due.Add(time.Second)); len(eff.Wake) != 0 {
+		t.Fatalf("woken twice: %v", eff.Wake)
+	}
+}
+
+// What need not wait for others is started at once: a gang whose image all of its
+// machines cache, and one whose fetch is short.
+func TestShortFetchDelaysNothing(t *testing.T) {
+	r := newRig(t)
+	r.cfg.GangWait = 30 * time.Second
+	typ := r.cfg.Types["big"]
+	typ.FetchGBps = 0.5
+	s := spec("run-000001", "b", wire.Gang, "urgent", 2, 2)
+	for gb, want := range map[float64]time.Duration{4: 0, 7.5: 0, 15: 20 * time.Second} {
+		s.ImageGB = gb
+		if got := r.part.cachedDelay(&s, &Machine{Type: typ}); got != want {
+			t.Errorf("an image of %g GB delays by %v, want %v", gb, got, want)
+		}
+	}
+}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -17,6 +17,7 @@
 			p.place(now)
 		}
 		p.flush(now)
+		p.wakeDelayed(now)
 		p.pushStops(now)
 	}
 	out := p.out
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -381,6 +381,7 @@
 		p.lose(k, now)
 	}
 	delete(p.machines, m.ID)
+	delete(p.delayed, m)
 	p.index.drop(m)
 	p.changed = true
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -375,6 +375,10 @@
 	if t.seen || t.inherited || p.lost || p.blind || m.Phase != record.InUse || k.job.cancelled || !k.job.wholeRecorded() {
 		return nil
 	}
+	if due := p.startAfter(k, t); !t.sent && now.Before(due) {
+		p.delayed[m] = due
+		return nil
+	}
 	if !t.sent {
 		t.step(func(s *steps) { s.sent = now })
 	}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -40,6 +40,8 @@
 	// PreemptAfter is how long a task waits for a free machine from elsewhere
 	// before it takes the place of lower work.
 	PreemptAfter time.Duration
+	// GangWait is how long a gang's task that has its image waits for the others.
+	GangWait time.Duration
 	// Probes is how many machines may be asked for their reports at a time.
 	Probes int
 	// TxnOps and ValueBytes are the limits to write by: the changes in a
@@ -295,7 +297,8 @@
 	out                Effects
 	changed            bool // something that may allow a placement
 	wake               time.Time
-	ending             map[string]*Job // jobs whose end is to be recorded
+	delayed            map[*Machine]time.Time // when starts that are delayed there are due
+	ending             map[string]*Job        // jobs whose end is to be recorded
 	healthAt           time.Time
 	asked              int                  // probes under way
 	zoneSeen           map[string]time.Time // when a probe of a zone's machine was last answered
@@ -312,7 +315,7 @@
 	return &Part{
 		cfg: cfg, id: id, token: token, txnOps: cfg.TxnOps, valueBytes: cfg.ValueBytes, machines: map[string]*Machine{}, jobs: map[string]*Job{},
 		slots: map[int]*slot{}, lines: map[string]*line{}, dependents: map[string]map[*Job]struct{}{}, teams: map[string]*usage{}, ending: map[string]*Job{}, changed: true,
-		index: newIndex(), kept: map[*Job]bool{}, zoneSeen: map[string]time.Time{},
+		index: newIndex(), kept: map[*Job]bool{}, delayed: map[*Machine]time.Time{}, zoneSeen: map[string]time.Time{},
 	}
 }
 
