--- a/internal/controller/bounds_test.go
+++ b/internal/controller/bounds_test.go
@@ -176,9 +176,8 @@
 
 // tally counts what a controller's loops do.
 type tally struct {
-	mu    sync.Mutex
-	did   map[string]int
-	store statestore.Store
+	mu  sync.Mutex
+	did map[string]int
 }
 
 func (n *tally) add(what string) {
