--- a/internal/sched/deposed_test.go
+++ b/internal/sched/deposed_test.go
@@ -171,3 +171,64 @@
 		t.Error("a machine was given back by an owner that has a successor")
 	}
 }
+
+// refusedTurn plays a turn of an owner that the state service refuses alone: nothing is
+// written, and what it wants to read is read later. It returns that.
+func (r *rig) refusedTurn(workers ...*testkit.Worker) (rereads []string) {
+	now := r.clock.Now()
+	for _, w := range workers {
+		report := w.Report()
+		if orders, verdict := r.part.Report(&report, false, now); verdict == Answered {
+			w.Obey(orders)
+		}
+	}
+	effects := r.part.Step(now)
+	r.probe(effects)
+	for _, t := range effects.Txns {
+		r.part.Refused(t, now)
+	}
+	return effects.RereadMachines
+}
+
+// A move without an answer is read back before anything else is done with the machine.
+// Taken for refused, the machine would count as this part's as long as the state service
+// refuses its owner alone: it says nothing there, since it reports to the part that it
+// has moved to, and would be given back with that part's task on it.
+func TestMoveWithoutAnswerIsNotTakenForRefused(t *testing.T) {
+	r := newRig(t)
+	moved, stays := r.machine("m1", "z1", false), r.machine("m2", "z1", false)
+	r.beats(2)
+	r.part.Order(fleet.Order{Machine: "m1", To: 1}, r.clock.Now())
+	move := r.nextTxn()
+	if _, err := r.state.Txn(context.Background(), statestore.Urgent("test"), move.Body); err != nil {
+		t.Fatal(err)
+	}
+	r.part.Unknown(move, r.clock.Now())
+	other := newRigOf(t, 1, r.clock, r.state)
+	other.cloud, other.workers["m1"] = r.cloud, moved
+	other.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	var rereads []string
+	for range 12 {
+		other.beats(1)
+		rereads = append(rereads, r.refusedTurn(stays)...)
+	}
+	if other.on("run-000001/0") != "m1" {
+		t.Fatal("not started by the part that the machine has moved to")
+	}
+	for _, id := range rereads { // the state service serves it again
+		if err := r.part.MachineRead(id, r.get(record.OwnKey(id)), r.clock.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.beats(3, stays)
+	other.beats(2)
+	if len(r.cloud.Returned) != 0 {
+		t.Errorf("%v went back while run-000001/0 runs there", r.cloud.Returned)
+	}
+	if other.on("run-000001/0") != "m1" || len(moved.Started) != 1 {
+		t.Errorf("starts %v", moved.Started)
+	}
+	if r.part.HasMachine("m1") {
+		t.Error("the machine still counts as the old part's")
+	}
+}
