--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -42,8 +42,8 @@
 }
 
 // Who claims what: a restarted controller its own part at once, even while its
-// earlier lease stands; a dead owner's part the live one, unless it has only begun and the owner may have
-// restarted with it; nobody a live owner's.
+// earlier lease stands; a dead owner's part the live one, unless it has only begun
+// and the owner may have restarted with it; nobody a live owner's.
 func TestWhoClaims(t *testing.T) {
 	for name, x := range map[string]struct {
 		rec     record.Part
