Controller: overload is told in the member record, and workers are sent away

It now says so in its member record, which it can write, and sends workers with tasks to the new owner although that does not answer it in time. SyncReply loses the field again.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -311,7 +311,7 @@
 	c.mu.Lock()
 	h := c.hears
 	c.mu.Unlock()
-	if err := c.putMember(ctx, record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}, lease); err != nil {
+	if err := c.putMember(ctx, h.member(inc), lease); err != nil {
 		return err
 	}
 	c.mu.Lock()
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -69,20 +69,26 @@
 	return c.sure(time.Now())
 }
 
-// hearing is whether a controller hears anybody.
+// hearing is whether a controller hears anybody, and keeps up with what it hears.
 type hearing struct {
-	alone bool // no other controller
-	deaf  bool // nor any worker
+	alone      bool // no other controller
+	deaf       bool // nor any worker
+	overloaded bool
+}
+
+// member is the member record that says so.
+func (h hearing) member(inc uint64) record.Member {
+	return record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone, Overloaded: h.overloaded}
 }
 
 // listen keeps the member record's word on whether this controller hears
-// anybody. A deaf one is still the owner of its parts, but of no use to them. It also
+// anybody and keeps up. A deaf one is still the owner of its parts, but of no use to them. It also
 // writes the record anew where the view shows another or none: one of this label's
 // last process may have come late, and goes with that one's lease.
 func (c *Controller) listen(ctx context.Context) {
 	c.mu.Lock()
 	now := time.Now()
-	h := hearing{alone: len(c.peers) > 0}
+	h := hearing{alone: len(c.peers) > 0, overloaded: c.pressure.overloaded}
 	for label := range c.peers {
 		if now.Sub(c.peerOK[label]) < deafAfter {
 			h.alone = false
@@ -90,7 +96,7 @@
 	}
 	h.deaf = h.alone && c.fleet.Len() > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
 	inc, lease := c.inc, c.lease
-	rec := record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}
+	rec := h.member(inc)
 	lost := c.members[c.cfg.Label] != rec && c.viewAt.Sub(c.memberPut) > 0 && now.Sub(c.memberPut) > memberSeen
 	change := (h != c.hears || lost) && c.sure(now)
 	c.mu.Unlock()
@@ -103,7 +109,7 @@
 	c.mu.Lock()
 	c.hears = h
 	c.mu.Unlock()
-	c.log.Info("hearing", "deaf", h.deaf, "alone", h.alone)
+	c.log.Info("hearing", "deaf", h.deaf, "alone", h.alone, "overloaded", h.overloaded)
 }
 
 func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -149,7 +149,7 @@
 	c.setBudget(a.Requests, a.Changes, now)
 	load := c.ownLoad(now)
 	r := peer.SyncReply{Summaries: c.summaries(now), StateOK: c.sure(now),
-		Overloaded: load.overloaded, Recovering: load.recovering, HasRoom: load.hasRoom}
+		Recovering: load.recovering, HasRoom: load.hasRoom}
 	if len(a.Orders) == 0 { // orders alone come between the leader's turns
 		r.Requests, r.Changes = c.store.Needed()
 	}
--- a/internal/controller/overload_test.go
+++ b/internal/controller/overload_test.go
@@ -4,6 +4,9 @@
 	"slices"
 	"testing"
 	"time"
+
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
 )
 
 // overload makes a controller's timers count as late, as where its processor gives it
@@ -70,6 +73,43 @@
 	}
 }
 
+// A controller that falls behind doesn't come to answer the leader in time, nor to hear
+// others' answers: it says so in its member record, and sends its workers away.
+func TestOverloadIsToldWithoutTheLeadersCalls(t *testing.T) {
+	meet(t, func(k *cluster) {
+		k.load()
+		slow := k.others(k.leader())[0]
+		part := k.homeOf(slow)
+		k.happened(k.owner(part) == slow, "the part is at home")
+		over := k.world.Net.Cut(&testkit.Cut{Match: testkit.Between(testkit.Named(slow), k.controllers)})
+		heal := k.overload(slow)
+		k.await(20*time.Second, "another owner", func() bool { return k.owner(part) != slow && k.owner(part) != "" })
+		if n := k.changes(part, time.Minute); n > 0 {
+			k.t.Errorf("%d more owners while the cause lasts", n)
+		}
+		over()
+		heal()
+	})
+}
+
+// A worker with tasks is sent on although its owner does not answer this controller,
+// where this one itself falls behind: what it does not hear tells nothing.
+func TestBehindSendsWorkersOn(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	r := &wire.Report{Tasks: []wire.ReportTask{{}}}
+	now := time.Now()
+	if c.mayLeave(r, "c-1", now) {
+		t.Error("sent to an owner that does not answer")
+	}
+	for !c.pressure.behind {
+		now = now.Add(tickEvery + lateMost)
+		c.turn(lateMost, now)
+	}
+	if !c.mayLeave(r, "c-1", now) {
+		t.Error("kept by a controller that falls behind")
+	}
+}
+
 // Where all controllers fall behind nobody keeps up better, so that parts stay where
 // they are and somebody leads.
 func TestNobodyTakesOverWhereAllAreOverloaded(t *testing.T) {
--- a/internal/controller/pressure.go
+++ b/internal/controller/pressure.go
@@ -44,6 +44,8 @@
 	// overloadedAfter is how long a process that left undone what can wait may still
 	// fall behind before it counts as overloaded: its lease ends about then.
 	overloadedAfter = leaseTTL
+	// notOverloadedAfter is how long it must not be for that to end.
+	notOverloadedAfter = 5 * time.Second
 	// A controller that was overloaded must keep up for leastRecovery before its
 	// parts go back to it, and twice as long each time it soon is overloaded again:
 	// without parts it can't tell whether the cause has passed.
@@ -75,6 +77,7 @@
 	// never was.
 	recovery   time.Duration
 	overloadAt time.Time // when it was last overloaded
+	overloaded bool
 }
 
 // turn takes in how late a timer fired and reports whether that changed anything.
@@ -97,17 +100,21 @@
 	case p.behind && now.Sub(p.lateAt) >= inTimeFor:
 		p.behind = false
 	}
-	if p.overloaded(now) {
-		p.setRecovery()
-		p.overloadAt = now
-	}
+	p.turnOverloaded(now)
 	return p.behind != was
 }
 
-// overloaded reports whether the process falls behind although it leaves undone what
-// can wait: another controller should own its parts, and lead.
-func (p *pressure) overloaded(now time.Time) bool {
-	return p.behind && p.mean > lateLittle && now.Sub(p.since) >= overloadedAfter
+// turnOverloaded tells whether the process falls behind although it leaves undone what
+// can wait: another controller should own its parts.
+func (p *pressure) turnOverloaded(now time.Time) {
+	switch {
+	case p.behind && p.mean > lateLittle && now.Sub(p.since) >= overloadedAfter:
+		p.overloaded = true
+		p.setRecovery()
+		p.overloadAt = now
+	case now.Sub(p.overloadAt) >= notOverloadedAfter:
+		p.overloaded = false
+	}
 }
 
 // setRecovery sets how long the process must keep up from now on. It doubles when
--- a/internal/controller/pressure_test.go
+++ b/internal/controller/pressure_test.go
@@ -68,8 +68,8 @@
 func TestOverloadAndRecovery(t *testing.T) {
 	w := &clockwork{now: time.Unix(1e9, 0)}
 	w.run(time.Second, 4*time.Second)
-	if !w.p.behind || w.p.overloaded(w.now) || w.p.keepsUp(w.now) {
-		t.Errorf("after a wave: behind %t, overloaded %t, keeps up %t", w.p.behind, w.p.overloaded(w.now), w.p.keepsUp(w.now))
+	if !w.p.behind || w.p.overloaded || w.p.keepsUp(w.now) {
+		t.Errorf("after a wave: behind %t, overloaded %t, keeps up %t", w.p.behind, w.p.overloaded, w.p.keepsUp(w.now))
 	}
 	if w.run(0, 2*inTimeFor); !w.p.keepsUp(w.now) {
 		t.Error("a wave alone keeps it from taking parts")
@@ -77,11 +77,11 @@
 	recovery := func(want time.Duration) {
 		t.Helper()
 		w.run(time.Second, 30*time.Second)
-		if !w.p.overloaded(w.now) || w.p.keepsUp(w.now) {
-			t.Fatalf("late for long: overloaded %t, keeps up %t", w.p.overloaded(w.now), w.p.keepsUp(w.now))
+		if !w.p.overloaded || w.p.keepsUp(w.now) {
+			t.Fatalf("late for long: overloaded %t, keeps up %t", w.p.overloaded, w.p.keepsUp(w.now))
 		}
-		if w.run(0, want*9/10); w.p.overloaded(w.now) || w.p.keepsUp(w.now) {
-			t.Errorf("in time for %s: overloaded %t, keeps up %t", want*9/10, w.p.overloaded(w.now), w.p.keepsUp(w.now))
+		if w.run(0, want*9/10); w.p.overloaded || w.p.keepsUp(w.now) {
+			t.Errorf("in time for %s: overloaded %t, keeps up %t", want*9/10, w.p.overloaded, w.p.keepsUp(w.now))
 		}
 		if w.run(0, want*2/10); !w.p.keepsUp(w.now) {
 			t.Errorf("in time for %s: not recovered", want*11/10)
--- a/internal/controller/relief.go
+++ b/internal/controller/relief.go
@@ -15,9 +15,6 @@
 	// reliefPause is how long the leader waits after one part for what that changes
 	// before it picks the next.
 	reliefPause = 10 * time.Second
-	// overloadKnown is how long a peer that said that it is overloaded and says
-	// nothing since counts as that: it hardly comes to answer.
-	overloadKnown = 10 * time.Second
 	// mostTaken is how many parts a controller may own with one taken for relief:
 	// else one after the other would be overloaded.
 	mostTaken = 2
@@ -25,14 +22,14 @@
 
 // peerLoad is what a peer told the leader of its pressure.
 type peerLoad struct {
-	at                              time.Time
-	overloaded, recovering, hasRoom bool
+	at                  time.Time
+	recovering, hasRoom bool
 }
 
 // ownLoad is this controller's own. The lock is held.
 func (c *Controller) ownLoad(now time.Time) peerLoad {
 	p := &c.pressure
-	return peerLoad{now, p.overloaded(now), !p.keepsUp(now), p.hasRoom(now)}
+	return peerLoad{now, !p.keepsUp(now), p.hasRoom(now)}
 }
 
 // loadOf is what is known of a controller's load. The lock is held.
@@ -45,7 +42,7 @@
 
 // tellLoad takes in what a peer's answer tells of its load. The lock is held.
 func (c *Controller) tellLoad(label string, r *peer.SyncReply) {
-	c.peerLoads[label] = peerLoad{time.Now(), r.Overloaded, r.Recovering, r.HasRoom}
+	c.peerLoads[label] = peerLoad{time.Now(), r.Recovering, r.HasRoom}
 }
 
 // keepsUp reports whether a controller may have its parts back, as far as the leader
@@ -55,11 +52,10 @@
 	return now.Sub(l.at) < peerFresh && !l.recovering
 }
 
-// overloaded reports whether a controller's parts are better off elsewhere, as far as
-// the leader has lately been told. The lock is held.
-func (c *Controller) overloaded(label string, now time.Time) bool {
-	l := c.loadOf(label, now)
-	return now.Sub(l.at) < overloadKnown && l.overloaded
+// overloaded reports whether a controller's parts are better off elsewhere, as its
+// member record says: it hardly comes to answer the leader in time. The lock is held.
+func (c *Controller) overloaded(label string) bool {
+	return c.members[label].Overloaded
 }
 
 // relief is a part that the leader has another controller take from its owner.
@@ -97,7 +93,7 @@
 	for part, owner := range owners {
 		// Of several parts those that it took from others go first.
 		guest := c.home(part) != owner
-		if _, lives := c.members[owner]; lives && c.overloaded(owner, now) && (guest || parts[owner] == 1) {
+		if c.overloaded(owner) && (guest || parts[owner] == 1) {
 			l.relief = relief{part, owner, fleet.Claimant(takers, owners, ""), now}
 			return l.relief
 		}
--- a/internal/controller/relief_test.go
+++ b/internal/controller/relief_test.go
@@ -63,8 +63,8 @@
 	c.cfg.Peers = []config.Peer{{Label: "c-1"}, {Label: "c-2"}}
 	c.lead = &leading{}
 	for _, label := range c.cfg.Labels() {
-		c.members[label] = record.Member{Inc: 1}
-		c.peerLoads[label] = peerLoad{at: now, overloaded: label == r.overloaded, recovering: true}
+		c.members[label] = record.Member{Inc: 1, Overloaded: label == r.overloaded}
+		c.peerLoads[label] = peerLoad{at: now, recovering: true}
 	}
 	c.pressure.longMean = 2 * lateRoom
 	for _, label := range r.room {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -112,9 +112,11 @@
 // that out itself, and have spent most of its lease on it: sent back it would wait for
 // the owner in vain once more and lose them. Its lease is renewed here instead.
 // A refused connection between controllers says nothing of the worker's, and
-// without tasks there is nothing to lose. The lock is held.
+// without tasks there is nothing to lose. Nor does an owner's silence say anything
+// where this controller itself falls behind: then the worker is better off anywhere else.
+// The lock is held.
 func (c *Controller) mayLeave(r *wire.Report, owner string, now time.Time) bool {
-	return len(r.Tasks) == 0 || now.Sub(c.peerOK[owner]) < peerFresh || now.Sub(c.peerRefused[owner]) < peerFresh
+	return len(r.Tasks) == 0 || c.pressure.behind || now.Sub(c.peerOK[owner]) < peerFresh || now.Sub(c.peerRefused[owner]) < peerFresh
 }
 
 // reportsTo chooses the controller that a machine reports to: one of its own
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,11 +34,10 @@
 	// Requests and Changes are what the sender needed of the state service
 	// since it was last asked.
 	Requests, Changes int
-	// Overloaded says that the sender falls behind for want of a processor, so that
-	// its parts are better off elsewhere; Recovering that it does, or lately did, and
-	// should not have them back; HasRoom that it could take another's. All are false
-	// from versions that don't tell.
-	Overloaded, Recovering, HasRoom bool
+	// Recovering says that the sender falls behind for want of a processor, or lately
+	// did, and should not have its parts back; HasRoom that it could take another's.
+	// Both are false from versions that don't tell.
+	Recovering, HasRoom bool
 }
 
 // NudgeArgs tells an owner a job's record as it was just written.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -99,6 +99,9 @@
 	Deaf bool `json:"deaf,omitempty"`
 	// Alone says that it hears no other controller.
 	Alone bool `json:"alone,omitempty"`
+	// Overloaded says that it falls behind for want of a processor, so that its parts
+	// are better off elsewhere.
+	Overloaded bool `json:"overloaded,omitempty"`
 }
 
 // Format is a controller's word on the records that it writes and reads. Once
