Sched: a gang that can't be complete in its part keeps no machines from others

With few machines to be had, gangs of 8 and 16 kept 3 to 6 of 16 machines idle for minutes, in a zone in which their part has fewer than that, or services on them: small gangs, arrays and even services of other parts waited beside them. After 15 s, which rentals and moves take, a gang gathers only where the part's machines would do once all that ends by itself or gives way has ended.

--- /dev/null
+++ b/internal/sched/attain.go
@@ -0,0 +1,59 @@
+package sched
+
+import (
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// missingAfter is how long a gang gathers machines though its part has too few for
+// it: by then more have been rented or moved here, or there are none to be had.
+const missingAfter = 15 * time.Second
+
+// attainable reports whether n tasks of a gang could run in a zone (empty: anywhere)
+// once everything there has ended that ends by itself or gives way to it. Machines
+// kept for a gang for which there will never be enough would serve nobody.
+func (p *Part) attainable(j *Job, n int, zone string) bool {
+	within := p.guaranteed(j, n)
+	for _, m := range p.machines {
+		p.looked++
+		if (zone != "" && m.Zone != zone) || !m.stays() || !allows(j.spec, m) {
+			continue
+		}
+		r := p.lasting(m, j, within)
+		for ; n > 0 && roomFor(j.spec, r.cpus, r.gpus, r.mem); n-- {
+			r = r.less(j.spec, 1)
+		}
+		if n == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// stays reports whether a machine is, or will be once it has booted, this part's.
+func (m *Machine) stays() bool {
+	return m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.taken.IsZero()
+}
+
+// lasting returns the room that a machine has but for services that don't give way
+// to j: nobody knows when these end.
+func (p *Part) lasting(m *Machine, j *Job, within bool) room {
+	r := room{m.Type.CPUs, m.Type.GPUs, m.Type.MemoryGB}
+	for k, t := range m.on {
+		if k.job.spec.Kind == wire.Service && !t.stop && !p.givesWay(k.job, j, within) {
+			r = r.less(k.job.spec, 1)
+		}
+	}
+	return r
+}
+
+// givesWay reports whether tasks of a job may be stopped for j, which keeps to its
+// team's guarantee or not.
+func (p *Part) givesWay(job, j *Job, within bool) bool {
+	if job.kept {
+		return false
+	}
+	return job.rank < j.rank || (within && job.spec.Team != j.spec.Team && p.borrowed(job.spec.Team))
+}
--- /dev/null
+++ b/internal/sched/attain_test.go
@@ -0,0 +1,73 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// gangOf is a gang of one zone whose tasks need a machine each.
+func gangOf(ref string, tasks int) wire.Spec {
+	s := spec(ref, "b", wire.Gang, "urgent", tasks, 2)
+	s.OneZone = true
+	return s
+}
+
+// A gang for which the part will not have enough machines keeps none from others:
+// where no more can be rented, machines would else stand idle for as long as it waits.
+func TestGangThatCannotBeCompleteKeepsNothing(t *testing.T) {
+	for name, busy := range map[string]bool{"too few machines": false, "a service on one of them": true} {
+		r := newRig(t)
+		large := 4
+		if busy {
+			large = 3
+			r.machine("m0", "z1", false)
+			r.beats(2)
+			r.submit(spec("run-000001", "b", wire.Service, "prod", 1, 1))
+			r.beats(2)
+		}
+		for _, id := range []string{"m0", "m1", "m2"} {
+			if r.workers[id] == nil {
+				r.machine(id, "z1", false)
+			}
+		}
+		r.beats(2)
+		r.submit(gangOf("run-000002", large))
+		r.beats(1)
+		r.submit(gangOf("run-000003", 2))
+		r.submit(spec("run-000004", "b", wire.Array, "normal", 1, 1))
+		r.beats(int((missingAfter + gatherFor + 4*time.Second) / r.cfg.Report))
+		if r.on("run-000003/0") == "" || r.on("run-000003/1") == "" {
+			t.Errorf("%s: the small gang waits beside machines kept for one of %d", name, large)
+		}
+		if r.on("run-000004/0") == "" {
+			t.Errorf("%s: the array waits beside machines kept for a gang of %d", name, large)
+		}
+	}
+}
+
+// What has not booted yet, and what ends by itself, does count: a gang goes on
+// gathering for as long as that takes.
+func TestGangAwaitsMachinesThatBoot(t *testing.T) {
+	r := newRig(t)
+	for _, id := range []string{"m0", "m1"} {
+		r.machine(id, "z1", false)
+	}
+	r.beats(2)
+	late := r.machine("m2", "z1", false)
+	delete(r.workers, "m2") // it boots
+	r.submit(gangOf("run-000002", 3))
+	r.submit(gangOf("run-000003", 2))
+	r.beats(int((missingAfter + 3*gatherFor) / r.cfg.Report))
+	if r.on("run-000003/0") != "" {
+		t.Fatal("the small gang took what the large one gathered")
+	}
+	r.workers["m2"] = late
+	r.beats(4)
+	for _, task := range []string{"run-000002/0", "run-000002/1", "run-000002/2"} {
+		if r.on(task) == "" {
+			t.Errorf("%s does not run", task)
+		}
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -298,8 +298,12 @@
 		byZone[z] = append(byZone[z], m)
 		units[z] += fits
 	})
+	missing := now.Sub(j.stuck) > missingAfter
 	best, most := "", 0
 	for z, u := range units {
+		if missing && !p.attainable(j, n, z) {
+			continue
+		}
 		if u > most || (u == most && z < best) {
 			best, most = z, u
 		}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -53,10 +53,7 @@
 				r = room{r.cpus + k.job.spec.CPUs, r.gpus + k.job.spec.GPUs, r.mem + k.job.spec.MemoryGB}
 				continue
 			}
-			if k.job.kept {
-				continue
-			}
-			if k.job.rank < j.rank || (within && k.job.spec.Team != j.spec.Team && p.borrowed(k.job.spec.Team)) {
+			if p.givesWay(k.job, j, within) {
 				ks = append(ks, k)
 				cost[k], _ = p.stopping(k, now)
 			}
