Fleet: parts with starving work get machines from those with more

Where the cloud has nothing more, what comes free in a part is used there at once. Now the leader has machines of the part with most move as their tasks end, until both have about as many without services; only for jobs of which nothing ran for two minutes, and only if nothing that fits can be rented.

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -146,6 +146,7 @@
 			p.hunger(n, -1)
 		}
 	}
+	orders = append(orders, p.relieve()...)
 	p.ahead(false)
 	p.ahead(true)
 	at := map[pool]int{}
@@ -260,6 +261,18 @@
 // lower returns other parts' machines of which all tasks are of lower priority
 // than a need, as they are once emptied.
 func (p *plan) lower(n *waiting) []*bin {
+	var out []*bin
+	for _, e := range p.empties() {
+		if e.TopRank < n.Rank && p.movable(e.whole, n) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// empties returns all machines as they are without their tasks, those with the
+// fewest first.
+func (p *plan) empties() []*bin {
 	if p.emptied == nil {
 		p.emptied = make([]*bin, 0, len(p.bins))
 		for _, b := range p.bins {
@@ -271,13 +284,7 @@
 		}
 		sort.SliceStable(p.emptied, func(a, b int) bool { return p.emptied[a].Tasks < p.emptied[b].Tasks })
 	}
-	var out []*bin
-	for _, e := range p.emptied {
-		if e.TopRank < n.Rank && p.movable(e.whole, n) {
-			out = append(out, e)
-		}
-	}
-	return out
+	return p.emptied
 }
 
 const (
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -23,6 +23,7 @@
 	Count    int
 	Rank     int // priority
 	Waited   time.Duration
+	Starved  bool // nothing of the job has run for long
 	// ZoneLimit is how many of the job's tasks may be in one zone, 0 for any number,
 	// and InZone how many are in each.
 	ZoneLimit int
@@ -45,9 +46,12 @@
 	Type     string
 	Zone     string
 	Spot     bool
-	Up       bool    // its worker was heard
-	Usable   bool    // new work may be placed on it
-	Leaving  bool    // being moved or returned
+	Up       bool // its worker was heard
+	Usable   bool // new work may be placed on it
+	Leaving  bool // being moved or returned
+	Moving   bool // to the part To, once it is empty
+	To       int
+	Lasting  bool    // holds services, which end when their users say so
 	CPUs     float64 // free
 	GPUs     float64
 	MemoryGB float64
@@ -105,6 +109,8 @@
 	To      int // the part it goes to, or Back
 	// Below lets tasks of lower priority be stopped to free the machine.
 	Below int
+	// Emptied lets the machine's tasks run to their end; it takes no new ones.
+	Emptied bool
 }
 
 // Back is the value of an Order's To that gives the machine back to the cloud.
--- a/internal/sched/attain_test.go
+++ b/internal/sched/attain_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"bramblespur/internal/fleet"
 	"bramblespur/internal/wire"
 )
 
@@ -71,3 +72,44 @@
 		}
 	}
 }
+
+// A machine that goes to another part once it is empty takes no new work, and stops
+// none.
+func TestMachineLeavesAsItEmpties(t *testing.T) {
+	r := newRig(t)
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 3, 1))
+	r.beats(3)
+	w.End("run-000001/0", wire.Done)
+	r.part.Order(fleet.Order{Machine: "m1", To: 1, Emptied: true}, r.clock.Now())
+	r.beats(3)
+	if s := r.part.Summary(r.clock.Now()); len(s.Machines) != 1 || !s.Machines[0].Moving || s.Machines[0].To != 1 {
+		t.Fatalf("summary %+v, want it to tell where the machine goes", s.Machines)
+	}
+	if r.on("run-000001/1") != "m1" || r.on("run-000001/2") != "" {
+		t.Fatalf("tasks on %q and %q, want the one that ran, and no new one", r.on("run-000001/1"), r.on("run-000001/2"))
+	}
+	w.End("run-000001/1", wire.Done)
+	r.beats(3)
+	if s := r.part.Summary(r.clock.Now()); len(s.Machines) != 0 {
+		t.Fatalf("%+v has not gone", s.Machines)
+	}
+}
+
+// The leader is told of jobs of which nothing ran for minutes, and of no others.
+func TestSummaryTellsWhatStarves(t *testing.T) {
+	r := newRig(t)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	starved := func() bool {
+		needs := r.part.Summary(r.clock.Now()).Needs
+		return len(needs) == 1 && needs[0].Starved
+	}
+	if starved() {
+		t.Fatal("it starves at once")
+	}
+	r.clock.Advance(agedAfter + time.Second)
+	if !starved() {
+		t.Fatal("it does not starve after minutes")
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -174,7 +174,12 @@
 )
 
 func (p *Part) aged(j *Job, now time.Time) bool {
-	return (j.kept || j.nPlaced+j.nDone == 0) && now.Sub(j.accepted) > agedAfter && p.keptLoad[j.rank] < agedShare
+	return (j.kept || j.starved(now)) && now.Sub(j.accepted) > agedAfter && p.keptLoad[j.rank] < agedShare
+}
+
+// starved reports whether nothing of a job has run for too long.
+func (j *Job) starved(now time.Time) bool {
+	return j.nPlaced+j.nDone == 0 && now.Sub(j.accepted) > agedAfter
 }
 
 // beforeAged orders jobs that have waited too long: the lowest priority first,
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -40,6 +40,7 @@
 		need := fleet.Need{
 			Job: j.ref, Image: sp.Image, CPUs: sp.CPUs, GPUs: sp.GPUs, MemoryGB: sp.MemoryGB, Types: sp.Types, Spot: sp.Spot,
 			OneZone: sp.OneZone, Gang: sp.Kind == wire.Gang, Count: n, Rank: j.rank, Waited: now.Sub(j.accepted),
+			Starved: j.starved(now),
 		}
 		if sp.Zone != nil {
 			need.Zone = *sp.Zone
@@ -70,6 +71,9 @@
 			Leaving: m.moveTo >= 0 || m.drain || m.Phase != record.InUse || !m.taken.IsZero(),
 			CPUs:    f.cpus, GPUs: f.gpus, MemoryGB: f.mem, Tasks: len(m.on),
 		}
+		if m.moveTo >= 0 {
+			fm.Moving, fm.To = true, m.moveTo
+		}
 		if len(m.on) == 0 && m.up && !m.idleSince.IsZero() {
 			fm.Idle = now.Sub(m.idleSince)
 		}
@@ -83,6 +87,7 @@
 			fm.For = m.reserved
 		}
 		for k := range m.on {
+			fm.Lasting = fm.Lasting || k.job.spec.Kind == wire.Service
 			fm.TopRank = max(fm.TopRank, k.job.rank)
 			if k.job.kept {
 				fm.TopRank = highestRank
@@ -104,7 +109,7 @@
 		return
 	}
 	for k, t := range m.on {
-		if !t.stop && (o.Below <= 0 || k.job.rank >= o.Below) {
+		if !o.Emptied && !t.stop && (o.Below <= 0 || k.job.rank >= o.Below) {
 			return // in use by now
 		}
 	}
@@ -117,5 +122,7 @@
 		return
 	}
 	m.moveTo = o.To
-	p.clear(m, now)
+	if !o.Emptied {
+		p.clear(m, now)
+	}
 }
