Sched: arrays that had waited too long don't count as coming free for a gang

With few machines to be had such an array placed its next task as soon as one had ended, for 15 minutes, while a gang of two kept the other machine of the zone idle for it. Nothing takes that array's place, so its machines are not what the gang may wait for as long as it has tasks to place.

--- a/internal/sched/attain.go
+++ b/internal/sched/attain.go
@@ -37,12 +37,14 @@
 	return m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.taken.IsZero()
 }
 
-// lasting returns the room that a machine has but for services that don't give way
-// to j: nobody knows when these end.
+// lasting returns the room that a machine has but for what does not give way to j and
+// has no end in sight: services, and arrays that have waited too long, which place
+// the next task as soon as one ends.
 func (p *Part) lasting(m *Machine, j *Job, within bool) room {
 	r := room{m.Type.CPUs, m.Type.GPUs, m.Type.MemoryGB}
 	for k, t := range m.on {
-		if k.job.spec.Kind == wire.Service && !t.stop && !p.givesWay(k.job, j, within) {
+		goesOn := k.job.spec.Kind == wire.Service || (k.job.kept && k.job.nIdle > 0)
+		if goesOn && !t.stop && !p.givesWay(k.job, j, within) {
 			r = r.less(k.job.spec, 1)
 		}
 	}
--- a/internal/sched/attain_test.go
+++ b/internal/sched/attain_test.go
@@ -48,6 +48,25 @@
 	}
 }
 
+// An array that had waited too long places its next task as soon as one ends, and
+// nothing takes its place: its machines don't come free for a gang.
+func TestGangDoesNotAwaitAnArrayThatGoesOn(t *testing.T) {
+	r := newRig(t)
+	r.machine("m0", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "low", 9, 1))
+	r.beats(2)
+	array := r.part.jobs["run-000001"]
+	array.kept, r.part.kept[array] = true, true
+	r.submit(gangOf("run-000002", 2))
+	r.submit(gangOf("run-000003", 1))
+	r.machine("m1", "z1", false)
+	r.beats(int((missingAfter + gatherFor + 4*time.Second) / r.cfg.Report))
+	if r.on("run-000003/0") != "m1" {
+		t.Error("the small gang waits beside a machine kept for one of 2")
+	}
+}
+
 // What has not booted yet, and what ends by itself, does count: a gang goes on
 // gathering for as long as that takes.
 func TestGangAwaitsMachinesThatBoot(t *testing.T) {
