--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sort"
@@ -98,7 +99,7 @@
 	if err != nil {
 		if e, gerr := c.store.Get(ctx, statestore.Urgent("claim"), key); gerr == nil {
 			var cur record.Part
-			if decode(e.Value, &cur) == nil {
+			if json.Unmarshal(e.Value, &cur) == nil {
 				c.mu.Lock()
 				c.setPart(id, cur, e.Version)
 				c.mu.Unlock()
@@ -199,7 +200,7 @@
 		}
 		for _, e := range open {
 			var o record.Open
-			if err := decode(e.Value, &o); err != nil {
+			if err := json.Unmarshal(e.Value, &o); err != nil {
 				c.log.Error("job record", "key", e.Key, "err", err)
 				continue
 			}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -111,7 +112,7 @@
 func (k *cluster) leader() string {
 	e, ok := k.world.State.Entry(record.Leader)
 	var h record.Head
-	if !ok || decode(e.Value, &h) != nil || k.process(h.Label) == nil {
+	if !ok || json.Unmarshal(e.Value, &h) != nil || k.process(h.Label) == nil {
 		return ""
 	}
 	return h.Label
@@ -121,7 +122,7 @@
 func (k *cluster) owner(part int) string {
 	e, ok := k.world.State.Entry(record.PartKey(part))
 	var r record.Part
-	if !ok || decode(e.Value, &r) != nil {
+	if !ok || json.Unmarshal(e.Value, &r) != nil {
 		return ""
 	}
 	return r.Owner
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -342,7 +343,7 @@
 	for ctx.Err() == nil {
 		if e, err := c.store.Get(ctx, statestore.Urgent("types"), record.Types); err == nil {
 			var t []wire.MachineType
-			if decode(e.Value, &t) == nil && len(t) > 0 {
+			if json.Unmarshal(e.Value, &t) == nil && len(t) > 0 {
 				c.mu.Lock()
 				c.setTypes(t)
 				c.mu.Unlock()
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -82,7 +82,7 @@
 	open, _, _ := state.List(context.Background(), statestore.Urgent("test"), record.OpenPrefix)
 	for _, e := range open {
 		var o record.Open
-		if decode(e.Value, &o) != nil || !o.Cancelled {
+		if json.Unmarshal(e.Value, &o) != nil || !o.Cancelled {
 			continue
 		}
 		rev, err := state.Txn(context.Background(), statestore.Urgent("test"), wire.Txn{
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -47,7 +48,7 @@
 		e, err := c.store.Get(ctx, use, record.OpenKey(root))
 		var o record.Open
 		switch {
-		case err == nil && decode(e.Value, &o) == nil:
+		case err == nil && json.Unmarshal(e.Value, &o) == nil:
 			if o.Spec.Kind == wire.Service {
 				return c.unless(ctx, s.Ref, 422)
 			}
@@ -72,7 +73,7 @@
 	if err != nil {
 		return j, err
 	}
-	if err := decode(e.Value, &j); err != nil {
+	if err := json.Unmarshal(e.Value, &j); err != nil {
 		return j, err
 	}
 	c.finals.put(ref, j)
--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
@@ -82,7 +83,7 @@
 				continue
 			}
 			var o record.Open
-			if err := decode(e.Value, &o); err != nil || o.Held != (len(o.Spec.DependsOn) > 0) {
+			if err := json.Unmarshal(e.Value, &o); err != nil || o.Held != (len(o.Spec.DependsOn) > 0) {
 				t.Errorf("%s: held %t with roots %v, %v", name, o.Held, o.Spec.DependsOn, err)
 			}
 			// A known job is never refused, whatever it names now, and whatever the
@@ -133,7 +134,7 @@
 		return ""
 	}
 	var j record.Job
-	if err := decode(e.Value, &j); err != nil {
+	if err := json.Unmarshal(e.Value, &j); err != nil {
 		t.Fatal(err)
 	}
 	return j.State
@@ -321,7 +322,7 @@
 	// One accepted under the wider limits can still be cancelled.
 	o := record.Open{Spec: wire.Spec{Ref: "run-000778", Team: "a", Tasks: 2, Image: strings.Repeat("i", 3000), Types: []string{"big"}}}
 	var short record.Open
-	if err := decode(c.cancelled(o), &short); err != nil || !short.Cancelled || short.Spec.Team != "a" || short.Spec.Tasks != 2 {
+	if err := json.Unmarshal(c.cancelled(o), &short); err != nil || !short.Cancelled || short.Spec.Team != "a" || short.Spec.Tasks != 2 {
 		t.Errorf("cancelled: %+v, %v", short, err)
 	}
 	if n := len(c.cancelled(o)); n > most {
--- a/internal/controller/meetings_restarts_test.go
+++ b/internal/controller/meetings_restarts_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -217,7 +218,7 @@
 			var m record.Member
 			e, ok := k.world.State.Entry(record.MemberPrefix + label)
 			if ok {
-				if err := decode(e.Value, &m); err != nil {
+				if err := json.Unmarshal(e.Value, &m); err != nil {
 					k.t.Fatal(err)
 				}
 			}
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"bramblespur/internal/config"
@@ -165,13 +167,13 @@
 	for _, op := range t.Then {
 		e := wire.Change{Put: op.Put, Value: op.Value, Delete: op.Delete, Version: rev}
 		switch key := op.Put + op.Delete; {
-		case hasPrefix(key, record.FleetPrefix):
+		case strings.HasPrefix(key, record.FleetPrefix):
 			c.takeFleet([]wire.Change{e}, now)
-		case hasPrefix(key, record.OpenPrefix):
+		case strings.HasPrefix(key, record.OpenPrefix):
 			c.openChange(e, now)
-		case hasPrefix(key, record.JobPrefix):
+		case strings.HasPrefix(key, record.JobPrefix):
 			var j record.Job
-			if err := decode(op.Value, &j); err != nil {
+			if err := json.Unmarshal(op.Value, &j); err != nil {
 				c.log.Error("final record", "key", key, "err", err)
 				continue
 			}
@@ -248,7 +250,7 @@
 			return err
 		}
 		var rec record.Pipe
-		if err = decode(e.Value, &rec); err != nil {
+		if err = json.Unmarshal(e.Value, &rec); err != nil {
 			return err
 		}
 		c.mu.Lock()
@@ -298,7 +300,7 @@
 		e, err := c.store.Get(ctx, statestore.Urgent("read back"), record.PartKey(id))
 		if err == nil {
 			var r record.Part
-			if err := decode(e.Value, &r); err != nil {
+			if err := json.Unmarshal(e.Value, &r); err != nil {
 				c.log.Error("part record", "part", id, "err", err)
 				return
 			}
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return rec, 0, err
 	}
-	return rec, e.Version, decode(e.Value, &rec)
+	return rec, e.Version, json.Unmarshal(e.Value, &rec)
 }
 
 // knownPipeline answers with the state of an accepted pipeline, 404 if there is
@@ -316,7 +316,7 @@
 			return t, err
 		}
 		var o record.Open
-		if err := decode(e.Value, &o); err != nil {
+		if err := json.Unmarshal(e.Value, &o); err != nil {
 			return t, err
 		}
 		if o.Cancelled {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -447,7 +447,7 @@
 			return reply{status: 200, body: wire.Brief{Ref: ref, State: state}}
 		}
 		var o record.Open
-		if err != nil || decode(e.Value, &o) != nil {
+		if err != nil || json.Unmarshal(e.Value, &o) != nil {
 			return later()
 		}
 		if !o.Cancelled {
@@ -521,7 +521,7 @@
 	}
 	go func() {
 		for _, op := range t.Then {
-			if !hasPrefix(op.Put, record.OpenPrefix) {
+			if !strings.HasPrefix(op.Put, record.OpenPrefix) {
 				continue
 			}
 			a := peer.NudgeArgs{Key: op.Put, Value: op.Value, Version: rev}
@@ -538,11 +538,11 @@
 // Upgrade: the first version takes open records only and passes over others.
 func (c *Controller) Nudge(a peer.NudgeArgs) {
 	switch {
-	case hasPrefix(a.Key, record.OpenPrefix):
+	case strings.HasPrefix(a.Key, record.OpenPrefix):
 		c.changeOpen(wire.Change{Put: a.Key, Value: a.Value, Version: a.Version}, time.Now())
-	case hasPrefix(a.Key, record.JobPrefix):
+	case strings.HasPrefix(a.Key, record.JobPrefix):
 		var j record.Job
-		if err := decode(a.Value, &j); err != nil {
+		if err := json.Unmarshal(a.Value, &j); err != nil {
 			c.log.Error("final record", "key", a.Key, "err", err)
 			return
 		}
--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math"
 	"net"
 	"testing"
@@ -154,7 +155,7 @@
 		t.Fatal(err)
 	}
 	var o record.Open
-	if err := decode(e.Value, &o); err != nil {
+	if err := json.Unmarshal(e.Value, &o); err != nil {
 		t.Fatal(err)
 	}
 	o.Cancelled = true
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	"bramblespur/internal/record"
@@ -81,39 +84,39 @@
 		if gone {
 			c.leader = versioned[record.Head]{}
 		} else {
-			err = decode(e.Value, &c.leader.rec)
+			err = json.Unmarshal(e.Value, &c.leader.rec)
 		}
 	case key == record.Types:
 		if !gone && !c.typesSeen {
 			var t []wire.MachineType
-			if err = decode(e.Value, &t); err == nil {
+			if err = json.Unmarshal(e.Value, &t); err == nil {
 				c.setTypes(t)
 			}
 		}
-	case hasPrefix(key, record.MemberPrefix):
+	case strings.HasPrefix(key, record.MemberPrefix):
 		label := record.Last(key)
 		if gone {
 			delete(c.members, label)
 		} else {
 			var m record.Member
-			if err = decode(e.Value, &m); err == nil {
+			if err = json.Unmarshal(e.Value, &m); err == nil {
 				c.members[label] = m
 			}
 		}
-	case hasPrefix(key, record.FormatPrefix):
+	case strings.HasPrefix(key, record.FormatPrefix):
 		var f record.Format
 		if !gone {
-			if err = decode(e.Value, &f); err == nil {
+			if err = json.Unmarshal(e.Value, &f); err == nil {
 				c.formats[record.Last(key)] = f
 			}
 		}
-	case hasPrefix(key, record.PartPrefix):
-		id, ok := atoi(record.Last(key))
+	case strings.HasPrefix(key, record.PartPrefix):
+		id, ok := partID(key)
 		if !ok || gone {
 			break
 		}
 		var r record.Part
-		if err = decode(e.Value, &r); err == nil {
+		if err = json.Unmarshal(e.Value, &r); err == nil {
 			c.setPart(id, r, e.Version)
 		}
 	}
@@ -122,6 +125,12 @@
 	}
 }
 
+// partID returns the part that a key under record.PartPrefix names.
+func partID(key string) (int, bool) {
+	n, err := strconv.Atoi(record.Last(key))
+	return n, err == nil && n >= 0
+}
+
 // setPart takes in who owns a part. A claim by somebody else ends ours.
 func (c *Controller) setPart(id int, r record.Part, version uint64) {
 	if old := c.partRecs[id]; version < old.version {
@@ -176,7 +185,7 @@
 			changed[id] = true
 			// Only a rental's end proves a machine gone; that the rental is not
 			// known here proves nothing.
-			if hasPrefix(e.Delete, record.RentalPrefix) {
+			if strings.HasPrefix(e.Delete, record.RentalPrefix) {
 				gone[id] = true
 			}
 		}
@@ -243,7 +252,7 @@
 		return
 	}
 	var o record.Open
-	if err := decode(e.Value, &o); err != nil {
+	if err := json.Unmarshal(e.Value, &o); err != nil {
 		c.log.Error("job record", "key", e.Put, "err", err)
 		return
 	}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -211,7 +212,7 @@
 
 func decode[T any](e wire.Entry) (T, error) {
 	var v T
-	if err := unmarshal(e.Value, &v); err != nil {
+	if err := json.Unmarshal(e.Value, &v); err != nil {
 		return v, fmt.Errorf("record %s: %w", e.Key, err)
 	}
 	return v, nil
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -1,15 +1,12 @@
 package sched
 
 import (
-	"encoding/json"
 	"time"
 
 	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
-func unmarshal(b json.RawMessage, v any) error { return json.Unmarshal(b, v) }
-
 // Verdict says how to answer a report.
 type Verdict int
 
