Controller: users.go divided into submissions, polls, cancellations and nudges

Moves, and names that say what they do: refuseUnlessAccepted (unless), acceptedReply (known), awaitEnd (ended), endWaiters (ends). Behaviour is as before.

--- /dev/null
+++ b/internal/controller/cancellations.go
@@ -0,0 +1,118 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// cancelTries bounds how often a cancellation races with other writes.
+const cancelTries = 4
+
+// endWait is how long a cancellation's answer waits for the job's end: what stopping
+// its tasks and recording that takes where nothing is in the way. It is not for
+// keeping the user from asking again: who comes later finds the end recorded.
+const endWait = 500 * time.Millisecond
+
+// cancel records a cancellation. A user is told of it only once the job's owner has
+// proven every task gone and recorded that the job is over. Whatever is cut off,
+// stands still or comes late, no task can outlive what was told, and so leases may
+// be renewed by who can't hear of cancellations. Until then the user is asked to
+// come again.
+func (c *Controller) cancel(ref string) reply {
+	if !validRef(ref) {
+		return reply{status: 404}
+	}
+	if j, ok := c.finals.get(ref); ok {
+		return reply{status: 200, body: wire.Brief{Ref: ref, State: j.State}}
+	}
+	if c.down() {
+		return later()
+	}
+	ctx, cancel := context.WithTimeout(c.life, userTimeout)
+	defer cancel()
+	use := statestore.Urgent("cancel")
+	for range cancelTries {
+		key := record.OpenKey(ref)
+		e, err := c.store.Get(ctx, use, key)
+		if errors.Is(err, statestore.ErrNotFound) {
+			// Never accepted, or over by now.
+			state, err := c.state(ctx, use, ref)
+			switch {
+			case errors.Is(err, statestore.ErrNotFound):
+				return reply{status: 404}
+			case err != nil:
+				return later()
+			case state == wire.Pending:
+				continue // accepted in this moment
+			}
+			return reply{status: 200, body: wire.Brief{Ref: ref, State: state}}
+		}
+		var o record.Open
+		if err != nil || json.Unmarshal(e.Value, &o) != nil {
+			return later()
+		}
+		if !o.Cancelled {
+			t := wire.Txn{If: []wire.Cond{{Key: key, Version: e.Version}}, Then: []wire.Op{{Put: key, Value: c.cancelled(o)}}}
+			rev, err := c.store.Txn(ctx, use, t)
+			var conflict *statestore.ConflictError
+			if errors.As(err, &conflict) {
+				continue
+			}
+			if err != nil {
+				return later() // perhaps applied: the user's next try finds out
+			}
+			c.tellOwner(o.Part, t, rev)
+		}
+		if !c.awaitEnd(ctx, ref) {
+			return ending()
+		}
+	}
+	return later()
+}
+
+// ending answers a cancellation whose tasks are not all proven gone yet, which
+// every controller would answer alike.
+func ending() reply { return reply{status: 503, retryAfter: retryLater, settled: true} }
+
+// awaitEnd waits until jobs are not open any more, as far as is known here, and reports
+// whether they all were so within endWait.
+func (c *Controller) awaitEnd(ctx context.Context, refs ...string) bool {
+	ctx, cancel := context.WithTimeout(ctx, endWait)
+	defer cancel()
+	for _, ref := range refs {
+		c.mu.Lock()
+		if _, open := c.open[ref]; !open {
+			c.mu.Unlock()
+			continue
+		}
+		over := c.endWaiters[ref]
+		if over == nil {
+			over = make(chan struct{})
+			c.endWaiters[ref] = over
+		}
+		c.mu.Unlock()
+		select {
+		case <-over:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// closeOpen takes in that a job is not open any more. The lock is held.
+func (c *Controller) closeOpen(ref string) {
+	changed := c.needs.Remove(ref)
+	delete(c.open, ref)
+	c.inherit(changed)
+	if over := c.endWaiters[ref]; over != nil {
+		close(over)
+		delete(c.endWaiters, ref)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -69,7 +69,7 @@
 	open            map[string]openJob       // unfinished jobs as the watch tells them
 	needs           *fragment.Needs          // how unfinished jobs need each other
 	dependencyReads map[string]time.Time     // when final records are read again, or for the first time
-	ends            map[string]chan struct{} // closed when such a job is over, if that is awaited
+	endWaiters      map[string]chan struct{} // by job; closed when it is not open any more
 	members         map[string]record.Member
 	leader          versioned[record.Head]
 	typesSeen       bool
@@ -192,7 +192,7 @@
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
-	c.ends = map[string]chan struct{}{}
+	c.endWaiters = map[string]chan struct{}{}
 	c.needs = fragment.NewNeeds()
 	c.dependencyReads = map[string]time.Time{}
 	c.commands = make(chan struct{}, max(1, c.cfg.Params.Resources.MaxSockets/commandSockets))
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -42,7 +42,7 @@
 		case over || (open && !j.service):
 			continue
 		case open:
-			return c.unless(ctx, s.Ref, 422)
+			return c.refuseUnlessAccepted(ctx, s.Ref, 422)
 		}
 		// The open record first: a job that has none any more is in the other.
 		e, err := c.store.Get(ctx, use, record.OpenKey(root))
@@ -50,7 +50,7 @@
 		switch {
 		case err == nil && json.Unmarshal(e.Value, &o) == nil:
 			if o.Spec.Kind == wire.Service {
-				return c.unless(ctx, s.Ref, 422)
+				return c.refuseUnlessAccepted(ctx, s.Ref, 422)
 			}
 			continue
 		case !errors.Is(err, statestore.ErrNotFound):
@@ -58,7 +58,7 @@
 		}
 		switch _, err := c.readFinal(ctx, use, root); {
 		case errors.Is(err, statestore.ErrNotFound):
-			return c.unless(ctx, s.Ref, 422)
+			return c.refuseUnlessAccepted(ctx, s.Ref, 422)
 		case err != nil:
 			return later()
 		}
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -342,7 +342,7 @@
 // pipelineOver answers with the final state of a pipeline once all its jobs are
 // over.
 func (c *Controller) pipelineOver(ctx context.Context, ref string, rec *record.Pipe) reply {
-	if rec.State == wire.Cancelled && !c.ended(ctx, rec.Jobs...) {
+	if rec.State == wire.Cancelled && !c.awaitEnd(ctx, rec.Jobs...) {
 		return ending()
 	}
 	switch over, err := c.pipeOver(ctx, statestore.Urgent("cancel"), rec); {
--- /dev/null
+++ b/internal/controller/polls.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"context"
+	"errors"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// state reads a job's state. Of one that is not open here it reads the final record
+// first: most that are asked for are over, and one request must do for them. Two
+// would take longer than a user waits while the budget is used up, and then every
+// poll that is refused would come again. Else the open record comes first, since a
+// job that has none any more is in the other by then.
+func (c *Controller) state(ctx context.Context, u statestore.Use, ref string) (string, error) {
+	if !c.isOpen(ref) {
+		if state, err := c.finalState(ctx, u, ref); !errors.Is(err, statestore.ErrNotFound) {
+			return state, err
+		}
+		u = statestore.Urgent(u.For) // a reading that has begun goes on
+	}
+	_, err := c.store.Get(ctx, u, record.OpenKey(ref))
+	if err == nil {
+		return wire.Pending, nil // also of one that is being cancelled: see cancel
+	}
+	if !errors.Is(err, statestore.ErrNotFound) {
+		return "", err
+	}
+	return c.finalState(ctx, statestore.Urgent(u.For), ref)
+}
+
+// finalState reads the state of a job that is over.
+func (c *Controller) finalState(ctx context.Context, u statestore.Use, ref string) (string, error) {
+	j, err := c.readFinal(ctx, u, ref)
+	return j.State, err
+}
+
+func finalStatus(ref string, j record.Job) wire.Status {
+	return wire.Status{Ref: ref, State: j.State, Done: j.Tasks}
+}
+
+// poll answers a user's question for a job's state, which is never older than what any
+// controller has told a user before the question came.
+func (c *Controller) poll(ref string) reply {
+	if !validRef(ref) {
+		return reply{status: 404}
+	}
+	if j, ok := c.finals.get(ref); ok {
+		return reply{status: 200, body: finalStatus(ref, j)}
+	}
+	if c.down() {
+		return later()
+	}
+	ctx, cancel := context.WithTimeout(c.life, userTimeout)
+	defer cancel()
+	if !c.confirmed(ctx, ref) {
+		state, err := c.state(ctx, statestore.Routine("poll"), ref)
+		switch {
+		case errors.Is(err, statestore.ErrNotFound):
+			return reply{status: 404}
+		case err != nil:
+			return later()
+		}
+		if j, ok := c.finals.get(ref); ok {
+			return reply{status: 200, body: finalStatus(ref, j)}
+		}
+		if state != wire.Pending {
+			return reply{status: 200, body: wire.Status{Ref: ref, State: state}}
+		}
+	}
+	// The counts are for display: the owner's memory has them.
+	if own, ok := c.ownerStatus(ref); ok {
+		return reply{status: 200, body: own}
+	}
+	return reply{status: 200, body: wire.Status{Ref: ref, State: wire.Pending}}
+}
+
+// ownerStatus returns an open job's status with its counts from the memory of the owner of
+// its part, this controller or another. It reports false if the owner does not answer.
+func (c *Controller) ownerStatus(ref string) (wire.Status, bool) {
+	c.mu.Lock()
+	part := c.open[ref].part
+	p := c.parts[part]
+	if p != nil {
+		s, ok := p.Status(ref)
+		c.mu.Unlock()
+		return s, ok
+	}
+	owner := c.peers[c.partRecs[part].rec.Owner]
+	c.mu.Unlock()
+	if owner == nil {
+		return wire.Status{}, false
+	}
+	s := new(wire.Status)
+	err := owner.Call("Status", ref, s, statusTimeout)
+	return *s, err == nil
+}
+
+// Status implements peer.Handler.
+func (c *Controller) Status(ref string) (wire.Status, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.parts {
+		if s, ok := p.Status(ref); ok {
+			return s, true
+		}
+	}
+	return wire.Status{}, false
+}
