--- a/internal/controller/cancellations.go
+++ b/internal/controller/cancellations.go
@@ -31,7 +31,7 @@
 	if j, ok := c.finals.get(ref); ok {
 		return reply{status: 200, body: wire.Brief{Ref: ref, State: j.State}}
 	}
-	if c.down() {
+	if c.leaseLost() {
 		return later()
 	}
 	ctx, cancel := context.WithTimeout(c.life, userTimeout)
--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -52,7 +52,7 @@
 			mine = true
 		case !ownerLives && now.Sub(c.viewAt) < 2*c.watchWait() && len(c.members) > 0:
 			home := c.home(id)
-			if !known && now.Sub(c.leaseAt) < leaseTTL && c.firstSeen(home, now) {
+			if !known && now.Sub(c.lease.current().renewedAt) < leaseTTL && c.firstSeen(home, now) {
 				continue // it is probably about to start
 			}
 			mine = fleet.Claimant(c.live(), owners, home) == c.cfg.Label
@@ -77,9 +77,9 @@
 func (c *Controller) claim(ctx context.Context, id int) {
 	c.claiming[id] = true
 	r := c.partRecs[id]
-	inc := c.inc
+	incarnation := c.lease.current().incarnation
 	go func() {
-		err := c.takeOver(ctx, id, r, inc)
+		err := c.takeOver(ctx, id, r, incarnation)
 		c.mu.Lock()
 		delete(c.claiming, id)
 		c.mu.Unlock()
@@ -89,9 +89,9 @@
 	}()
 }
 
-func (c *Controller) takeOver(ctx context.Context, id int, r versioned[record.Part], inc uint64) error {
+func (c *Controller) takeOver(ctx context.Context, id int, r versioned[record.Part], incarnation uint64) error {
 	key := record.PartKey(id)
-	rec := record.Part{Owner: c.cfg.Label, Inc: inc}
+	rec := record.Part{Owner: c.cfg.Label, Inc: incarnation}
 	token, err := c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
 		If:   []wire.Cond{{Key: key, Version: r.version}},
 		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,7 +33,6 @@
 
 // Defaults of the shell, each a compromise named here.
 const (
-	leaseTTL      = 4 * time.Second        // a dead controller's parts are free after this
 	tickEvery     = 250 * time.Millisecond // timers of the cores, which look at machines as often
 	longestWatch  = 4 * time.Second        // how long a watch may be silent
 	shortestWatch = 500 * time.Millisecond
@@ -59,6 +58,13 @@
 	peers  map[string]peer.Caller
 	teams  []string // names in order
 
+	// Each of these has a lock of its own, which may be taken under mu, never the other
+	// way round.
+	lease         memberLease
+	finals        *finalStates
+	confirmations *pollConfirmations
+
+	// mu guards all that follows. It is never held across input or output.
 	mu              sync.Mutex
 	schedCfg        *sched.Config // nil until the machine types are known
 	types           []wire.MachineType
@@ -77,11 +83,6 @@
 	formats         map[string]record.Format // by controller, what it writes and reads
 	jobsAt          time.Time                // so was the view of open jobs
 	fleetAt         time.Time                // and that of the machines
-	confirmations   *pollConfirmations
-	lease           uint64
-	leaseAt         time.Time // last renewal's request
-	inc             uint64
-	finals          *finalStates
 	redirected      map[string]redirect
 	peerOK          map[string]time.Time // last answer
 	peerSince       map[string]time.Time // answers without a gap since
@@ -228,114 +229,6 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
 
-// leaseLoop keeps this controller's lease and its member record.
-func (c *Controller) leaseLoop(ctx context.Context) {
-	early := make(chan struct{}, renewalsAtOnce)
-	for {
-		sent := time.Now()
-		lease, strained := c.leaseNow()
-		if strained && lease != 0 {
-			c.renewEarly(ctx, lease, sent, early)
-			if !sleep(ctx, renewStrained) {
-				return
-			}
-			continue
-		}
-		if err := c.keepLease(ctx, sent); err != nil {
-			c.log.Debug("lease", "err", err)
-			if !sleep(ctx, jitter(400*time.Millisecond)) {
-				return
-			}
-			continue
-		}
-		if !sleep(ctx, leaseTTL/4) {
-			return
-		}
-	}
-}
-
-// leaseNow returns the lease, 0 if there is none, and whether the process is strained.
-func (c *Controller) leaseNow() (lease uint64, strained bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lease, c.pressure.strained
-}
-
-// renewEarly renews the lease without awaiting the answer, which a process that falls
-// behind reads as late as it fires its timers: one after the other the lease would end
-// in between.
-func (c *Controller) renewEarly(ctx context.Context, lease uint64, sent time.Time, early chan struct{}) {
-	select {
-	case early <- struct{}{}:
-	default:
-		return // enough under way
-	}
-	go func() {
-		defer func() { <-early }()
-		if err := c.renew(ctx, lease, sent); err != nil {
-			c.log.Debug("lease", "err", err)
-		}
-	}()
-}
-
-// renew renews the lease once.
-func (c *Controller) renew(ctx context.Context, lease uint64, sent time.Time) error {
-	err := c.store.Renew(ctx, lease)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.lease != lease:
-	case err == nil && sent.After(c.leaseAt):
-		c.leaseAt = sent
-	case errors.Is(err, statestore.ErrNoLease):
-		c.lease = 0
-	}
-	return err
-}
-
-func (c *Controller) keepLease(ctx context.Context, sent time.Time) error {
-	if lease, _ := c.leaseNow(); lease != 0 {
-		if err := c.renew(ctx, lease, sent); !errors.Is(err, statestore.ErrNoLease) {
-			return err
-		}
-	}
-	lease, err := c.store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	inc := c.inc
-	c.mu.Unlock()
-	if inc == 0 {
-		inc = lease // leases are never given twice, so neither are incarnations
-	}
-	c.mu.Lock()
-	h := c.hears
-	c.mu.Unlock()
-	if err := c.putMember(ctx, record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}, lease); err != nil {
-		return err
-	}
-	c.mu.Lock()
-	c.lease, c.inc, c.leaseAt = lease, inc, sent
-	c.mu.Unlock()
-	return nil
-}
-
-// putMember writes this controller's member record.
-func (c *Controller) putMember(ctx context.Context, rec record.Member, lease uint64) error {
-	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(rec), Lease: lease}
-	_, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.memberPut = time.Now()
-	return err
-}
-
-// sure reports whether the lease certainly stands.
-func (c *Controller) sure(now time.Time) bool {
-	return c.lease != 0 && now.Sub(c.leaseAt) < leaseTTL*9/10
-}
-
 // typesLoop learns the machine types: from the state service, where the first
 // controller to hear from the cloud put them, or from the cloud. Prices move,
 // so they are asked again now and then by the leader.
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -24,7 +24,8 @@
 )
 
 func (c *Controller) leads(now time.Time) bool {
-	return c.leader.rec.Label == c.cfg.Label && c.leader.rec.Inc == c.inc && c.inc != 0 && c.sure(now)
+	lease := c.lease.current()
+	return c.leader.rec.Label == c.cfg.Label && c.leader.rec.Inc == lease.incarnation && lease.incarnation != 0 && lease.certain(now)
 }
 
 // pingPeers learns which controllers answer, and whether they reach the state
@@ -89,15 +90,15 @@
 		}
 	}
 	h.deaf = h.alone && c.fleet.Len() > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
-	inc, lease := c.inc, c.lease
-	rec := record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone}
+	lease := c.lease.current()
+	rec := record.Member{Inc: lease.incarnation, Deaf: h.deaf, Alone: h.alone}
 	lost := c.members[c.cfg.Label] != rec && c.viewAt.Sub(c.memberPut) > 0 && now.Sub(c.memberPut) > memberSeen
-	change := (h != c.hears || lost) && c.sure(now)
+	change := (h != c.hears || lost) && lease.certain(now)
 	c.mu.Unlock()
 	if !change {
 		return
 	}
-	if c.putMember(ctx, rec, lease) != nil {
+	if c.putMember(ctx, rec, lease.id) != nil {
 		return
 	}
 	c.mu.Lock()
@@ -107,13 +108,11 @@
 }
 
 func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
-	c.mu.Lock()
-	head := record.Head{Label: c.cfg.Label, Inc: c.inc}
-	lease := c.lease
-	c.mu.Unlock()
+	lease := c.lease.current()
+	head := record.Head{Label: c.cfg.Label, Inc: lease.incarnation}
 	rev, err := c.store.Txn(ctx, statestore.Urgent("lead"), wire.Txn{
 		If:   []wire.Cond{{Key: record.Leader, Version: cur.version}},
-		Then: []wire.Op{{Put: record.Leader, Value: record.Encode(head), Lease: lease}},
+		Then: []wire.Op{{Put: record.Leader, Value: record.Encode(head), Lease: lease.id}},
 	})
 	if err != nil {
 		return
--- a/internal/controller/meetings_restarts_test.go
+++ b/internal/controller/meetings_restarts_test.go
@@ -224,10 +224,10 @@
 			}
 			p := k.process(label)
 			p.c.mu.Lock()
-			inc := p.c.inc
+			incarnation := p.c.lease.current().incarnation
 			p.c.mu.Unlock()
-			if !ok || m.Inc != inc {
-				k.t.Errorf("%s: recorded %t as incarnation %d, is %d", label, ok, m.Inc, inc)
+			if !ok || m.Inc != incarnation {
+				k.t.Errorf("%s: recorded %t as incarnation %d, is %d", label, ok, m.Inc, incarnation)
 			}
 		}
 		k.submit(spec(ref(firstOwn), "wide", nil), quick)
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -56,7 +56,7 @@
 	} {
 		c := newTest(t, testkit.NewState())
 		now := time.Now()
-		c.inc, c.viewAt = 2, now
+		c.lease.state.incarnation, c.viewAt = 2, now
 		c.partRecs[0] = versioned[record.Part]{x.rec, 5}
 		for _, m := range x.members {
 			c.members[m] = record.Member{Inc: 1}
@@ -71,7 +71,8 @@
 	}
 	// Without a lease that certainly stands, nothing is claimed.
 	c := newTest(t, testkit.NewState())
-	c.viewAt, c.leaseAt = time.Now(), time.Now().Add(-time.Minute)
+	c.viewAt = time.Now()
+	c.lease.setRenewed(c.viewAt.Add(-time.Minute))
 	c.partRecs[0] = versioned[record.Part]{record.Part{Owner: "c-0"}, 5}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,7 +127,7 @@
 	ctx := context.Background()
 	state := testkit.NewState()
 	before, after := newTest(t, state), newTest(t, state)
-	before.inc, after.inc = 1, 2
+	before.lease.state.incarnation, after.lease.state.incarnation = 1, 2
 	before.stand(ctx, versioned[record.Head]{})
 	now := time.Now()
 	if !before.leads(now) {
@@ -176,7 +177,7 @@
 	held := func(renewed time.Time) (starts int) {
 		got := make(chan reply, 1)
 		c.mu.Lock()
-		c.leaseAt = renewed
+		c.lease.setRenewed(renewed)
 		c.hold(c.parts[0], "m", time.Hour, func(r reply) { got <- r })
 		c.release("m", time.Now())
 		c.mu.Unlock()
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -360,7 +360,7 @@
 	switch {
 	case !validName(ref, prefix):
 		return reply{status: 404}
-	case c.down():
+	case c.leaseLost():
 		return later()
 	}
 	return reply{}
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -50,7 +50,7 @@
 	if j, ok := c.finals.get(ref); ok {
 		return reply{status: 200, body: finalStatus(ref, j)}
 	}
-	if c.down() {
+	if c.leaseLost() {
 		return later()
 	}
 	ctx, cancel := context.WithTimeout(c.life, userTimeout)
--- a/internal/controller/pressure_test.go
+++ b/internal/controller/pressure_test.go
@@ -251,14 +251,15 @@
 		state := &lateAnswers{State: testkit.NewState()}
 		c := newTest(t, state.State)
 		ctx, cancel := context.WithCancel(t.Context())
-		c.store, c.lease = state, 0
+		c.store = state
+		c.lease.granted(leaseState{})
 		go c.leaseLoop(ctx)
 		time.Sleep(2 * leaseTTL)
 		c.mu.Lock()
 		for !c.pressure.strained {
 			c.turn(lateMost, time.Now())
 		}
-		lease := c.lease
+		lease := c.lease.current().id
 		c.mu.Unlock()
 		state.mu.Lock()
 		state.late = leaseTTL * 5 / 8
@@ -266,8 +267,8 @@
 		for range 60 {
 			time.Sleep(time.Second)
 			c.mu.Lock()
-			if !c.sure(time.Now()) || c.lease != lease {
-				t.Errorf("lease %d of %d, renewed %v ago", c.lease, lease, time.Since(c.leaseAt))
+			if now := c.lease.current(); !now.certain(time.Now()) || now.id != lease {
+				t.Errorf("lease %d of %d, renewed %v ago", now.id, lease, time.Since(now.renewedAt))
 			}
 			c.mu.Unlock()
 		}
--- a/internal/controller/server_test.go
+++ b/internal/controller/server_test.go
@@ -18,7 +18,7 @@
 	if !c.serves(now) {
 		t.Fatal("not ready in good times")
 	}
-	c.leaseAt = now.Add(-time.Minute)
+	c.lease.setRenewed(now.Add(-time.Minute))
 	if !c.serves(now) {
 		t.Fatal("unready alone, with nobody better")
 	}
@@ -71,7 +71,7 @@
 	answered(r, 7, 7, "a cancelled job, at first")
 	long()
 	answered(r, 7, 0, "a cancelled job, for long")
-	c.leaseAt = time.Now().Add(-time.Minute) // cut off from the state service
+	c.lease.setRenewed(time.Now().Add(-time.Minute)) // cut off from the state service
 	seen(time.Hour)
 	answered(r, 7, 7, "cut off")
 	answered(&wire.Report{Machine: "n", Token: 9}, 7, 9, "cut off, with a newer owner")
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -82,7 +82,7 @@
 	c.mu.Lock()
 	types := c.types
 	c.mu.Unlock()
-	return types, types != nil && !c.down()
+	return types, types != nil && !c.leaseLost()
 }
 
 // submit answers a submission. 201 and 200 are durable: the job's record is in the state
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -34,7 +34,7 @@
 	if !no.zero() {
 		return no
 	}
-	if c.doubtful() {
+	if c.leaseOverdue() {
 		if r, ok := c.passOn(req); ok {
 			return r
 		}
@@ -89,12 +89,10 @@
 	return nil, reply{status: 404}
 }
 
-// doubtful reports whether the lease's last renewal is so old that the state
+// leaseOverdue reports whether the lease's last renewal is so old that the state
 // service may be out of reach.
-func (c *Controller) doubtful() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lease == 0 || time.Since(c.leaseAt) > leaseTTL/2
+func (c *Controller) leaseOverdue() bool {
+	return c.lease.current().overdue(time.Now())
 }
 
 // passOn lets another controller that lately reached the state service serve a
@@ -128,7 +126,7 @@
 // User implements peer.Handler: a request passed on is served here or not at all.
 func (c *Controller) User(a peer.UserArgs) peer.UserReply {
 	r := reply{status: 503, retryAfter: retryLater}
-	if !c.doubtful() {
+	if !c.leaseOverdue() {
 		work, no := c.route(httpwire.Request{Method: a.Method, Path: a.Path, Body: a.Body})
 		if r = no; no.zero() {
 			r = work()
@@ -143,10 +141,8 @@
 
 func later() reply { return reply{status: 503, retryAfter: retryLater} }
 
-// down reports whether the state service could not be reached for a while:
+// leaseLost reports whether the state service could not be reached for a while:
 // what needs it is refused at once then.
-func (c *Controller) down() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lease == 0 || time.Since(c.leaseAt) > 3*leaseTTL/4
+func (c *Controller) leaseLost() bool {
+	return c.lease.current().lost(time.Now())
 }
--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -74,7 +74,7 @@
 	if got := c.submit(body(t, nil)); got.status != 200 {
 		t.Fatalf("repeat: %+v, want 200", got)
 	}
-	c.leaseAt = time.Now().Add(-time.Minute)
+	c.lease.setRenewed(time.Now().Add(-time.Minute))
 	if got := c.submit(body(t, set("ref", "run-000777"))); got.status != 503 {
 		t.Fatalf("long without the state service: %+v, want 503 at once", got)
 	}
@@ -221,7 +221,7 @@
 	if got := c.serveUser(poll); got.status != 404 {
 		t.Fatalf("poll of an unknown job passed on: %+v", got)
 	}
-	far.leaseAt = time.Now().Add(-time.Minute)
+	far.lease.setRenewed(time.Now().Add(-time.Minute))
 	if got := far.User(peer.UserArgs{Method: "GET", Path: poll.Path}); got.Status != 503 {
 		t.Fatalf("served by one that is cut off itself: %+v", got)
 	}
--- a/internal/controller/workers_test.go
+++ b/internal/controller/workers_test.go
@@ -34,7 +34,7 @@
 		now := time.Now()
 		c.jobsAt = now.Add(-time.Hour)
 		if !x.sure {
-			c.leaseAt = c.jobsAt
+			c.lease.setRenewed(c.jobsAt)
 		}
 		c.cfg.Zone = "z"
 		for label, heard := range x.peers {
