Controller: what is known of the other controllers is a type of its own

peerHealth keeps for each peer when it answered, since when, when it refused a connection and when it reached the state service, under a lock of its own, in place of four maps. The ages that count are compared in one place: at exactly peerFresh a peer's word on the state service and a refused connection count as over everywhere, where two places had it the other way. Else the behaviour is as before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,7 +40,6 @@
 	countsEvery   = 15 * time.Second       // requests and changes are logged this often
 	syncEvery     = time.Second            // the leader asks every controller
 	syncTimeout   = 1500 * time.Millisecond
-	unreachable   = 6 * time.Second  // the leader has an unreachable owner's parts claimed
 	homeStable    = 20 * time.Second // a returned controller answers this long before its part goes home
 	listFactor    = 3.0              // the cloud's list is read once in this many of its lags
 	relayTimeout  = 2200 * time.Millisecond
@@ -63,6 +62,7 @@
 	lease         memberLease
 	finals        *finalStates
 	confirmations *pollConfirmations
+	peerHealth    *peerHealth
 
 	// mu guards all that follows. It is never held across input or output.
 	mu              sync.Mutex
@@ -84,33 +84,27 @@
 	jobsAt          time.Time                // so was the view of open jobs
 	fleetAt         time.Time                // and that of the machines
 	redirected      map[string]redirect
-	peerOK          map[string]time.Time // last answer
-	peerSince       map[string]time.Time // answers without a gap since
-	// peerRefused is when a peer last refused a connection: it is dead, or
-	// connections between controllers are refused.
-	peerRefused map[string]time.Time
-	peerState   map[string]time.Time // last time the peer said it reached the state service
-	peerLoads   map[string]peerLoad  // what peers last told the leader
-	heardAny    time.Time
-	lead        *leading
-	own         *planning // when the leader does not reach this controller
-	wishes      int       // numbers its rentals, never used again under one token
-	syncedAt    time.Time // when the leader last asked
-	quietUntil  time.Time // not to lead before
-	started     time.Time
-	begun       time.Time         // when this process began
-	searches    map[string]search // of workers, see elsewhere
-	hears       hearing           // as the member record says
-	memberPut   time.Time         // when that was last written
-	kept        map[string]kept
-	held        map[string]*held
-	budgetAt    time.Time // when the leader last gave a budget
-	readiness   readiness
-	commands    chan struct{} // direct commands under way, each on a socket of its own
-	pressure    pressure
-	users       int // their requests being served
-	polls       int // those of them that only ask
-	refusals    refusals
+	peerLoads       map[string]peerLoad // what peers last told the leader
+	heardAny        time.Time
+	lead            *leading
+	own             *planning // when the leader does not reach this controller
+	wishes          int       // numbers its rentals, never used again under one token
+	syncedAt        time.Time // when the leader last asked
+	quietUntil      time.Time // not to lead before
+	started         time.Time
+	begun           time.Time         // when this process began
+	searches        map[string]search // of workers, see elsewhere
+	hears           hearing           // as the member record says
+	memberPut       time.Time         // when that was last written
+	kept            map[string]kept
+	held            map[string]*held
+	budgetAt        time.Time // when the leader last gave a budget
+	readiness       readiness
+	commands        chan struct{} // direct commands under way, each on a socket of its own
+	pressure        pressure
+	users           int // their requests being served
+	polls           int // those of them that only ask
+	refusals        refusals
 }
 
 // openJob is what polls need to know of an unfinished job.
@@ -206,10 +200,7 @@
 	c.redirected = map[string]redirect{}
 	c.kept = map[string]kept{}
 	c.held = map[string]*held{}
-	c.peerOK = map[string]time.Time{}
-	c.peerSince = map[string]time.Time{}
-	c.peerRefused = map[string]time.Time{}
-	c.peerState = map[string]time.Time{}
+	c.peerHealth = newPeerHealth()
 	c.peerLoads = map[string]peerLoad{}
 }
 
@@ -316,11 +307,6 @@
 	}
 }
 
-// reachable reports whether another controller answered lately.
-func (c *Controller) reachable(label string, now time.Time) bool {
-	return now.Sub(c.peerOK[label]) < unreachable
-}
-
 // cutZones returns the zones of which no controller can be reached: their
 // machines may be silent for us alone. Where no other controller can be reached at
 // all that goes for this one's own zone, too.
@@ -330,7 +316,7 @@
 		if _, ok := cut[p.Zone]; !ok {
 			cut[p.Zone] = true
 		}
-		if c.reachable(p.Label, now) {
+		if c.peerHealth.contact(p.Label).reachable(now) {
 			cut[p.Zone], cut[c.cfg.Zone] = false, false
 		}
 	}
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"bramblespur/internal/config"
@@ -36,33 +34,12 @@
 		wg.Go(func() {
 			var ok bool
 			err := p.Call("Ping", c.cfg.Label, &ok, pingTimeout)
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.answered(label, err, ok)
+			c.peerHealth.called(label, err, ok)
 		})
 	}
 	wg.Wait()
 }
 
-// answered takes in whether another controller answered. The lock is held.
-func (c *Controller) answered(label string, err error, stateOK bool) {
-	now := time.Now()
-	if err != nil {
-		delete(c.peerSince, label)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.peerRefused[label] = now
-		}
-		return
-	}
-	c.peerOK[label] = now
-	if _, ok := c.peerSince[label]; !ok {
-		c.peerSince[label] = now
-	}
-	if stateOK {
-		c.peerState[label] = now
-	}
-}
-
 // Ping implements peer.Handler.
 func (c *Controller) Ping() bool {
 	c.mu.Lock()
@@ -85,7 +62,7 @@
 	now := time.Now()
 	h := hearing{alone: len(c.peers) > 0}
 	for label := range c.peers {
-		if now.Sub(c.peerOK[label]) < deafAfter {
+		if c.peerHealth.contact(label).answeredWithin(deafAfter, now) {
 			h.alone = false
 		}
 	}
@@ -155,7 +132,7 @@
 	claims, hand = map[string][]int{}, map[string][]int{}
 	reach := []string{c.cfg.Label}
 	for label, m := range c.members {
-		if label != c.cfg.Label && !m.Deaf && c.reachable(label, now) {
+		if label != c.cfg.Label && !m.Deaf && c.peerHealth.contact(label).reachable(now) {
 			reach = append(reach, label)
 		}
 	}
@@ -191,12 +168,12 @@
 		if owner == home || !lives {
 			continue
 		}
-		switch since, ok := c.peerSince[home]; {
+		switch atHome := c.peerHealth.contact(home); {
 		case home == c.cfg.Label:
 			if now.Sub(c.lead.started) > homeStable && c.keepsUp(home, now) {
 				hand[owner] = append(hand[owner], id)
 			}
-		case !ok || now.Sub(since) < homeStable || !c.reachable(home, now) || now.Sub(c.peerState[home]) > peerFresh || c.members[home].Deaf || c.members[home].Inc == 0,
+		case atHome.answeringFor(now) < homeStable || !atHome.reachable(now) || !atHome.reachesState(now) || c.members[home].Deaf || c.members[home].Inc == 0,
 			!c.keepsUp(home, now):
 			// One that answers but is refused by the state service could not
 			// claim its part, and another would, for ever in turn. One that does not
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -106,12 +106,12 @@
 			a := peer.SyncArgs{From: c.cfg.Label, Claim: claims[label], HandHome: hand[label],
 				Requests: grants.requests[label], Changes: grants.changes[label]}
 			err := p.Call("Sync", a, &r, syncTimeout)
-			c.mu.Lock()
-			c.answered(label, err, r.StateOK)
+			c.peerHealth.called(label, err, r.StateOK)
 			if err == nil {
+				c.mu.Lock()
 				c.tellLoad(label, &r)
+				c.mu.Unlock()
 			}
-			c.mu.Unlock()
 			if err != nil {
 				return
 			}
--- /dev/null
+++ b/internal/controller/peer_health_test.go
@@ -0,0 +1,44 @@
+package controller
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A failed call ends the row of answers but not at once what was known before; only a
+// refused connection counts as refused.
+func TestPeerHealth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newPeerHealth()
+		check := func(when, want string) {
+			t.Helper()
+			now := time.Now()
+			p := h.contact("c-1")
+			got := fmt.Sprintf("reachable %t, answers %t, state %t, refuses %t, for %v",
+				p.reachable(now), p.answers(now), p.reachesState(now), p.refuses(now), p.answeringFor(now))
+			if got != want {
+				t.Errorf("%s: %s, want %s", when, got, want)
+			}
+		}
+		check("never called", "reachable false, answers false, state false, refuses false, for 0s")
+		h.called("c-1", nil, true)
+		time.Sleep(time.Second)
+		h.called("c-1", nil, false)
+		check("answered twice", "reachable true, answers true, state true, refuses false, for 1s")
+		time.Sleep(2 * time.Second)
+		h.called("c-1", errors.New("no answer"), false)
+		check("no answer", "reachable true, answers true, state false, refuses false, for 0s")
+		time.Sleep(time.Second)
+		h.called("c-1", fmt.Errorf("call: %w", syscall.ECONNREFUSED), false)
+		check("refused", "reachable true, answers false, state false, refuses true, for 0s")
+		time.Sleep(3 * time.Second)
+		check("silent", "reachable false, answers false, state false, refuses false, for 0s")
+		h.called("c-1", nil, true)
+		h.refused("c-1")
+		check("answers calls, refuses a report", "reachable true, answers true, state true, refuses true, for 0s")
+	})
+}
--- a/internal/controller/readiness.go
+++ b/internal/controller/readiness.go
@@ -61,15 +61,13 @@
 	}
 	answers := 0
 	for label := range c.peers {
-		if now.Sub(c.peerState[label]) < peerFresh {
+		contact := c.peerHealth.contact(label)
+		if contact.reachesState(now) {
 			return false // refused here alone
 		}
-		if now.Sub(c.peerOK[label]) < peerFresh {
+		if contact.answers(now) {
 			answers++
 		}
 	}
 	return answers > 0
 }
-
-// peerFresh is how old another controller's answer may be to count.
-const peerFresh = 3 * time.Second
--- a/internal/controller/saturated_test.go
+++ b/internal/controller/saturated_test.go
@@ -87,7 +87,7 @@
 				}
 				other := &passedOn{}
 				c.peers = map[string]peer.Caller{"c-1": other}
-				c.peerOK["c-1"], c.peerState["c-1"] = time.Now(), time.Now()
+				c.peerHealth.called("c-1", nil, true)
 				if r := c.serveUser(httpwire.Request{Method: x.method, Path: x.path}); r.status == 200 {
 					t.Errorf("got %+v", r)
 				}
--- a/internal/controller/server_test.go
+++ b/internal/controller/server_test.go
@@ -26,11 +26,11 @@
 	if c.serves(now) {
 		t.Fatal("ready without the state service and the other controllers")
 	}
-	c.answered("c-1", nil, false)
+	c.peerHealth.called("c-1", nil, false)
 	if !c.serves(now) {
 		t.Fatal("unready in an outage for all")
 	}
-	c.answered("c-1", nil, true)
+	c.peerHealth.called("c-1", nil, true)
 	if c.serves(now) {
 		t.Fatal("ready though refused alone")
 	}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -102,7 +102,7 @@
 	now := time.Now()
 	var best peer.Caller
 	for label, p := range c.peers { // any order: they are all as good
-		if now.Sub(c.peerState[label]) < peerFresh && now.Sub(c.peerOK[label]) < peerFresh {
+		if contact := c.peerHealth.contact(label); contact.reachesState(now) && contact.answers(now) {
 			best = p
 			break
 		}
--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -208,7 +208,7 @@
 	if got := c.serveUser(req); got.status != 503 {
 		t.Fatalf("with nobody known to reach the state service: %+v", got)
 	}
-	c.answered("c-1", nil, true)
+	c.peerHealth.called("c-1", nil, true)
 	if got := c.serveUser(req); got.status != 201 {
 		t.Fatalf("passed on: %+v", got)
 	}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -52,7 +52,7 @@
 			return reply{status: 421, body: wire.Redirect{Label: to}}, true
 		}
 	}
-	if peerc == nil || !lives || !c.reachable(owner, now) {
+	if peerc == nil || !lives || !c.peerHealth.contact(owner).reachable(now) {
 		c.log.Debug("report kept", "machine", r.Machine, "owner", owner, "lives", lives)
 		go c.keep(&r, token, answer)
 		return reply{}, false
@@ -75,10 +75,9 @@
 	}
 	c.log.Debug("report not relayed", "machine", r.Machine, "owner", owner, "err", err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.peerHealth.refused(owner)
 		c.mu.Lock()
-		now := time.Now()
-		c.peerRefused[owner] = now
-		to := c.sendOn(m.Zone, r.Machine, owner, now)
+		to := c.sendOn(m.Zone, r.Machine, owner, time.Now())
 		c.mu.Unlock()
 		if to != "" {
 			answer(reply{status: 421, body: wire.Redirect{Label: to}})
@@ -108,7 +107,8 @@
 // A refused connection between controllers says nothing of the worker's, and
 // without tasks there is nothing to lose. The lock is held.
 func (c *Controller) mayLeave(r *wire.Report, owner string, now time.Time) bool {
-	return len(r.Tasks) == 0 || now.Sub(c.peerOK[owner]) < peerFresh || now.Sub(c.peerRefused[owner]) < peerFresh
+	contact := c.peerHealth.contact(owner)
+	return len(r.Tasks) == 0 || contact.answers(now) || contact.refuses(now)
 }
 
 // reportsTo chooses the controller that a machine reports to: one of its own
@@ -118,7 +118,7 @@
 // also where connections between controllers are refused, which says nothing of
 // those between it and the worker. The lock is held.
 func (c *Controller) reportsTo(zone, machine, owner string, now time.Time) string {
-	if !c.searchIsLong(zone) || now.Sub(c.peerRefused[owner]) < peerFresh {
+	if !c.searchIsLong(zone) || c.peerHealth.contact(owner).refuses(now) {
 		return owner
 	}
 	var near []string
@@ -129,7 +129,8 @@
 		if label == owner {
 			return owner
 		}
-		if label == c.cfg.Label || (c.reachable(label, now) && now.Sub(c.peerRefused[label]) > peerFresh) {
+		contact := c.peerHealth.contact(label)
+		if label == c.cfg.Label || (contact.reachable(now) && !contact.refuses(now)) {
 			near = append(near, label)
 		}
 	}
@@ -231,9 +232,10 @@
 	var near []string // in this zone
 	far, silent := 0, 0
 	for _, p := range c.cfg.Peers {
-		answers := now.Sub(c.peerOK[p.Label]) < peerFresh
+		contact := c.peerHealth.contact(p.Label)
+		answers := contact.answers(now)
 		switch {
-		case answers && now.Sub(c.peerState[p.Label]) < peerFresh:
+		case answers && contact.reachesState(now):
 			return p.Label, true
 		case p.Zone != c.cfg.Zone:
 			far++
--- a/internal/controller/workers_test.go
+++ b/internal/controller/workers_test.go
@@ -44,12 +44,14 @@
 			}
 			c.cfg.Peers = append(c.cfg.Peers, config.Peer{Label: label, Zone: zone})
 			c.peers[label] = peer.NewClient("127.0.0.1:1")
+			contact := peerContact{}
 			if heard != "" {
-				c.peerOK[label] = now
+				contact.answeredAt = now
 			}
 			if heard == "well" {
-				c.peerState[label] = now
+				contact.stateReachedAt = now
 			}
+			c.peerHealth.contacts[label] = contact
 		}
 		if to, look := c.elsewhere("m", now); look && to != "far" {
 			t.Errorf("%s: sent to %q though its lease may be nearly over", name, to)
@@ -77,7 +79,7 @@
 	c.cfg.Peers = []config.Peer{{Label: "c-1", Zone: "y"}, {Label: "c-2", Zone: "y"}, {Label: "c-3", Zone: "x"}}
 	for _, l := range []string{"c-0", "c-1", "c-2", "c-3"} {
 		c.members[l] = record.Member{Inc: 1}
-		c.peerOK[l] = now
+		c.peerHealth.contacts[l] = peerContact{answeredAt: now}
 	}
 	if got := c.reportsTo("y", "m", "c-0", now); got != "c-0" {
 		t.Errorf("two controllers are tried in vain, within a lease: reports to %s, want the owner", got)
@@ -93,11 +95,11 @@
 			t.Errorf("zone %s, owner %s: reports to %s, want %s", x.zone, x.owner, got, x.want)
 		}
 	}
-	c.peerRefused["c-1"] = now
+	c.peerHealth.contacts["c-1"] = peerContact{answeredAt: now, refusedAt: now}
 	if got := c.reportsTo("z", "m", "c-1", now); got != "c-1" {
 		t.Errorf("with the owner refusing connections from here the machine reports to %s, want the owner", got)
 	}
-	delete(c.peerRefused, "c-1")
+	c.peerHealth.contacts["c-1"] = peerContact{answeredAt: now}
 	delete(c.members, "c-3")
 	if got := c.reportsTo("x", "m", "c-0", now); got != "c-0" {
 		t.Errorf("without a live controller in its zone it reports to %s, want the owner", got)
