--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -83,7 +83,7 @@
 	formats         map[string]record.Format // by controller, what it writes and reads
 	jobsAt          time.Time                // so was the view of open jobs
 	fleetAt         time.Time                // and that of the machines
-	redirected      map[string]redirect
+	redirects       workerRedirects
 	peerLoads       map[string]peerLoad // what peers last told the leader
 	heardAny        time.Time
 	lead            *leading
@@ -92,11 +92,11 @@
 	syncedAt        time.Time // when the leader last asked
 	quietUntil      time.Time // not to lead before
 	started         time.Time
-	begun           time.Time         // when this process began
-	searches        map[string]search // of workers, see elsewhere
-	hears           hearing           // as the member record says
-	memberPut       time.Time         // when that was last written
-	kept            map[string]kept
+	begun           time.Time               // when this process began
+	searches        map[string]workerSearch // by machine, while this controller has lost the state service
+	hears           hearing                 // as the member record says
+	memberPut       time.Time               // when that was last written
+	renewals        renewals
 	held            map[string]*held
 	budgetAt        time.Time // when the leader last gave a budget
 	readiness       readiness
@@ -120,11 +120,6 @@
 	version uint64
 }
 
-type redirect struct {
-	label string
-	at    time.Time
-}
-
 // Run runs a controller until its server fails.
 func Run(cfg *config.Settings, pol *policy.Policy, log *slog.Logger) error {
 	p := cfg.Params
@@ -192,13 +187,13 @@
 	c.dependencyReads = map[string]time.Time{}
 	c.commands = make(chan struct{}, max(1, c.cfg.Params.Resources.MaxSockets/commandSockets))
 	c.begun = c.syncedAt
-	c.searches = map[string]search{}
+	c.searches = map[string]workerSearch{}
 	c.members = map[string]record.Member{}
 	c.formats = map[string]record.Format{}
 	c.finals = newFinalStates()
 	c.confirmations = &pollConfirmations{flush: c.confirmAll}
-	c.redirected = map[string]redirect{}
-	c.kept = map[string]kept{}
+	c.redirects = workerRedirects{}
+	c.renewals = renewals{}
 	c.held = map[string]*held{}
 	c.peerHealth = newPeerHealth()
 	c.peerLoads = map[string]peerLoad{}
@@ -290,19 +285,11 @@
 		c.seekDependencies(ctx, now)
 		c.considerClaims(ctx, now)
 		c.checkBudget(now)
-		for id, r := range c.redirected {
-			if now.Sub(r.at) > time.Minute {
-				delete(c.redirected, id)
-			}
-		}
+		c.redirects.expire(now)
 		if !c.blind(now) {
 			clear(c.searches)
 		}
-		for id, k := range c.kept {
-			if now.Sub(k.last) > config.Seconds(c.cfg.Params.Workers.LeaseS) {
-				delete(c.kept, id)
-			}
-		}
+		c.renewals.expire(config.Seconds(c.cfg.Params.Workers.LeaseS), now)
 		c.mu.Unlock()
 	}
 }
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"bramblespur/internal/config"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
@@ -270,3 +271,26 @@
 		c.pump(p, now)
 	}
 }
+
+// watchWait is how long a watch may be silent: short where cancellations must
+// be known soon.
+func (c *Controller) watchWait() time.Duration {
+	spare := config.Seconds(c.cfg.Params.Workers.CancelS - c.cfg.Params.Workers.LeaseS)
+	return max(min(spare/4, longestWatch), shortestWatch)
+}
+
+// blind reports whether what others wrote, such as cancellations, may have been
+// unknown here for some turns of the watch. The lock is held.
+func (c *Controller) blind(now time.Time) bool {
+	if c.jobsAt.IsZero() {
+		return now.Sub(c.begun) > firstView
+	}
+	return now.Sub(c.jobsAt) > 2*c.watchWait()+callSlack
+}
+
+// firstView is how long a controller waits for its first view: workers that find
+// it restarted while the state service is out of reach keep their leases.
+const firstView = keepHold - keepLook
+
+// callSlack is what a watch may be late besides its wait.
+const callSlack = 2 * time.Second
--- a/internal/controller/workers_test.go
+++ b/internal/controller/workers_test.go
@@ -8,6 +8,7 @@
 	"bramblespur/internal/peer"
 	"bramblespur/internal/record"
 	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
 )
 
 // A controller that has lost the state service sends workers to one that has not;
@@ -53,14 +54,14 @@
 			}
 			c.peerHealth.contacts[label] = contact
 		}
-		if to, look := c.elsewhere("m", now); look && to != "far" {
+		if to, look := c.betterController("m", now); look && to != "far" {
 			t.Errorf("%s: sent to %q though its lease may be nearly over", name, to)
 		}
 		now = now.Add(time.Second) // it was answered and is back
-		if to, look := c.elsewhere("m", now); to != x.want || look != x.look {
+		if to, look := c.betterController("m", now); to != x.want || look != x.look {
 			t.Errorf("%s: sent to %q %t, want %q %t", name, to, look, x.want, x.look)
 		}
-		if _, look := c.elsewhere("m", now.Add(time.Second)); look && x.want != "far" {
+		if _, look := c.betterController("m", now.Add(time.Second)); look && x.want != "far" {
 			t.Errorf("%s: sent away again though it came back", name)
 		}
 	}
@@ -114,10 +115,53 @@
 	}
 	c.members["c-2"] = record.Member{Inc: 1}
 	c.cfg.Params.Workers.LeaseS = shorterLease
-	if to := c.sendOn("y", "m", "c-0", now); to != "c-1" && to != "c-2" {
+	if to := c.redirectTo("y", "m", "c-0", now); to != "c-1" && to != "c-2" {
 		t.Errorf("sent on to %q", to)
 	}
-	if to := c.sendOn("y", "m", "c-0", now); to != "" {
+	if to := c.redirectTo("y", "m", "c-0", now); to != "" {
 		t.Errorf("sent on to %q again after it came back", to)
 	}
 }
+
+// A controller answers for an owner that can't be reached, under the same token
+// and without commands: also without the state service, since a user is told of a
+// cancellation only once nothing runs. While all is seen, no task of a job that is
+// over lives on by it.
+func TestKeepAlive(t *testing.T) {
+	c := newTest(t, testkit.NewState())
+	seen := func(ago time.Duration) {
+		c.viewAt = time.Now().Add(-ago)
+		c.jobsAt, c.fleetAt = c.viewAt, c.viewAt
+	}
+	long := func() {
+		r := c.renewals["m"]
+		r.blockedSince = time.Now().Add(-time.Hour)
+		c.renewals["m"] = r
+	}
+	c.open["run-000001"] = openJob{version: 1}
+	r := &wire.Report{Machine: "m", Token: 5, Tasks: []wire.ReportTask{{Task: "run-000001/0", State: wire.Running}}}
+	answered := func(r *wire.Report, known, want uint64, what string) {
+		t.Helper()
+		got := c.renewForOwner(r, known)
+		o, ok := got.body.(wire.Orders)
+		if (got.status == 200) != (want > 0) || (want > 0 && (!ok || o.Token != want || len(o.Commands) > 0)) {
+			t.Errorf("%s: %+v", what, got)
+		}
+	}
+	seen(0)
+	answered(r, 7, 7, "owner out of reach")
+	long()
+	answered(r, 7, 7, "a live job, for long")
+	answered(&wire.Report{Machine: "n", Token: 9}, 7, 0, "a worker that has seen a higher token")
+	answered(&wire.Report{Machine: "n", Token: 9}, 0, 0, "a machine that nobody knows")
+	c.open["run-000001"] = openJob{version: 2, cancelled: true}
+	answered(r, 7, 7, "a cancelled job, at first")
+	long()
+	answered(r, 7, 0, "a cancelled job, for long")
+	c.lease.setRenewed(time.Now().Add(-time.Minute)) // cut off from the state service
+	seen(time.Hour)
+	answered(r, 7, 7, "cut off")
+	answered(&wire.Report{Machine: "n", Token: 9}, 7, 9, "cut off, with a newer owner")
+	answered(&wire.Report{Machine: "n", Token: 9}, 0, 9, "restarted while cut off")
+	answered(&wire.Report{Machine: "n"}, 0, 0, "a machine that has never been told anything")
+}
