--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,46 +65,46 @@
 	peerHealth    *peerHealth
 
 	// mu guards all that follows. It is never held across input or output.
-	mu              sync.Mutex
-	schedCfg        *sched.Config // nil until the machine types are known
-	types           []wire.MachineType
-	parts           map[int]*sched.Part
-	claiming        map[int]bool
-	partRecs        map[int]versioned[record.Part]
-	fleet           *record.Fleet
-	open            map[string]openJob       // unfinished jobs as the watch tells them
-	needs           *fragment.Needs          // how unfinished jobs need each other
-	dependencyReads map[string]time.Time     // when final records are read again, or for the first time
-	endWaiters      map[string]chan struct{} // by job; closed when it is not open any more
-	members         map[string]record.Member
-	leader          versioned[record.Head]
-	typesSeen       bool
-	viewAt          time.Time                // the cluster view was true at this time or later
-	formats         map[string]record.Format // by controller, what it writes and reads
-	jobsAt          time.Time                // so was the view of open jobs
-	fleetAt         time.Time                // and that of the machines
-	redirects       workerRedirects
-	peerLoads       map[string]peerLoad // what peers last told the leader
-	heardAny        time.Time
-	lead            *leading
-	own             *planning // when the leader does not reach this controller
-	wishes          int       // numbers its rentals, never used again under one token
-	syncedAt        time.Time // when the leader last asked
-	quietUntil      time.Time // not to lead before
-	started         time.Time
-	begun           time.Time               // when this process began
-	searches        map[string]workerSearch // by machine, while this controller has lost the state service
-	hears           hearing                 // as the member record says
-	memberPut       time.Time               // when that was last written
-	renewals        renewals
-	held            map[string]*held
-	budgetAt        time.Time // when the leader last gave a budget
-	readiness       readiness
-	commands        chan struct{} // direct commands under way, each on a socket of its own
-	pressure        pressure
-	users           int // their requests being served
-	polls           int // those of them that only ask
-	refusals        refusals
+	mu               sync.Mutex
+	schedCfg         *sched.Config // nil until the machine types are known
+	types            []wire.MachineType
+	parts            map[int]*sched.Part
+	claiming         map[int]bool
+	partRecs         map[int]versioned[record.Part]
+	fleet            *record.Fleet
+	open             map[string]openJob       // unfinished jobs as the watch tells them
+	needs            *fragment.Needs          // how unfinished jobs need each other
+	dependencyReads  map[string]time.Time     // when final records are read again, or for the first time
+	endWaiters       map[string]chan struct{} // by job; closed when it is not open any more
+	members          map[string]record.Member
+	leader           versioned[record.Head]
+	typesSeen        bool
+	viewAt           time.Time                // the cluster view was true at this time or later
+	formats          map[string]record.Format // by controller, what it writes and reads
+	jobsAt           time.Time                // so was the view of open jobs
+	fleetAt          time.Time                // and that of the machines
+	redirects        workerRedirects
+	peerLoads        map[string]peerLoad // what peers last told the leader
+	heardAny         time.Time
+	lead             *leading
+	selfPlan         *selfPlanning // nil while the leader reaches this controller
+	rentalsRequested int           // numbers the rentals that it requests, never used again under one token
+	syncedAt         time.Time     // when the leader last asked
+	quietUntil       time.Time     // not to lead before
+	started          time.Time
+	begun            time.Time               // when this process began
+	searches         map[string]workerSearch // by machine, while this controller has lost the state service
+	hears            hearing                 // as the member record says
+	memberPut        time.Time               // when that was last written
+	renewals         renewals
+	held             map[string]*held
+	budgetAt         time.Time // when the leader last gave a budget
+	readiness        readiness
+	commands         chan struct{} // direct commands under way, each on a socket of its own
+	pressure         pressure
+	users            int // their requests being served
+	polls            int // those of them that only ask
+	refusals         refusals
 }
 
 // openJob is what polls need to know of an unfinished job.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -108,13 +108,13 @@
 		t.Fatal(err)
 	}
 	now := time.Now()
-	c.planAlone(ctx, now)
-	if c.own != nil {
+	c.planWithoutLeader(ctx, now)
+	if c.selfPlan != nil {
 		t.Fatal("plans for itself though the leader asked a moment ago")
 	}
 	c.syncedAt = now.Add(-time.Minute)
-	c.planAlone(ctx, now)
-	c.planAlone(ctx, now)
+	c.planWithoutLeader(ctx, now)
+	c.planWithoutLeader(ctx, now)
 	var name string
 	for range 1000 { // the write is another goroutine's
 		entries, _, err := state.List(ctx, statestore.Urgent("test"), record.RentalPrefix)
@@ -141,7 +141,7 @@
 		t.Fatalf("machine %+v, want it in the owner's part", v)
 	}
 	leader.mu.Lock()
-	leader.takeUp(ctx, l)
+	leader.adoptRentals(ctx, l)
 	leader.mu.Unlock()
 	if len(cl.Rentals) != 1 {
 		t.Fatalf("rentals %v, want one only", cl.Rentals)
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -85,7 +85,7 @@
 		if !leads {
 			share = followerShare
 			c.pingPeers()
-			c.planAlone(ctx, time.Now())
+			c.planWithoutLeader(ctx, time.Now())
 		}
 		c.cloud.Budget(c.cfg.Params.Cloud.RPS * share)
 		c.listen(ctx)
@@ -222,7 +222,7 @@
 	}
 	l.planned = now
 	sums = append(sums, c.summaries(now)...)
-	c.takeUp(ctx, l)
+	c.adoptRentals(ctx, l)
 	c.remember(l, now)
 	c.address(ctx, l, sums)
 	c.complete(sums, l.rentals)
@@ -270,6 +270,6 @@
 	c.clear(ctx, l, now)
 	if now.After(l.nextList) {
 		l.nextList = now.Add(time.Duration(listFactor * float64(config.Seconds(c.cfg.Params.Cloud.ListLagS))))
-		go c.lookForStrangers(ctx, l)
+		go c.compareCloudList(ctx, l)
 	}
 }
--- /dev/null
+++ b/internal/controller/returns.go
@@ -0,0 +1,110 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// returns gives back what the parts' owners have recorded as to be given back,
+// several batches with one call. The answer is recorded: it proves gone what
+// ran on the machines, to whoever owns their parts by then.
+func (c *Controller) returns(ctx context.Context, l *leading, now time.Time) {
+	c.mu.Lock()
+	var ids []string
+	batches := map[string]record.Versioned[record.Back]{}
+	for key, b := range c.fleet.Pending() {
+		if l.backs[key] || len(ids)+len(b.Rec.IDs) > maxReturn {
+			continue
+		}
+		l.backs[key] = true
+		batches[key] = b
+		ids = append(ids, b.Rec.IDs...)
+	}
+	c.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	l.returned = now
+	go func() {
+		defer func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for key := range batches {
+				delete(l.backs, key)
+			}
+		}()
+		ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+		defer cancel()
+		err := c.cloud.Return(ctx, ids)
+		c.log.Info("machines returned", "machines", ids, "err", err)
+		if err != nil {
+			return // asked again with the next step
+		}
+		for key, b := range batches {
+			c.returned(ctx, key, b)
+		}
+	}()
+}
+
+// maxReturn is the protocol's bound of one return.
+const maxReturn = 100
+
+// returned records that a batch is gone.
+func (c *Controller) returned(ctx context.Context, key string, b record.Versioned[record.Back]) {
+	t := wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: b.Version}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(record.Back{IDs: b.Rec.IDs, Done: true})}},
+	}
+	for ctx.Err() == nil {
+		rev, err := c.store.Txn(ctx, statestore.Urgent("back"), t)
+		if err == nil {
+			c.mu.Lock()
+			c.applied(t, rev, time.Now())
+			c.mu.Unlock()
+			return
+		}
+		var conflict *statestore.ConflictError
+		if errors.As(err, &conflict) {
+			return // recorded already
+		}
+		sleep(ctx, jitter(500*time.Millisecond))
+	}
+}
+
+// clear removes records of machines that are long gone, a few at a time.
+func (c *Controller) clear(ctx context.Context, l *leading, now time.Time) {
+	if now.Before(l.clearing) {
+		return
+	}
+	l.clearing = now.Add(clearEvery)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fleetAt.IsZero() || l.clears {
+		return // before there is a view it may lack rentals
+	}
+	ops := c.limits().TxnOps
+	t, ok := c.fleet.Clear(ops)
+	if !ok {
+		return
+	}
+	if len(t.Then) == ops && ops < clearOps { // the smaller the steps, the more of them
+		l.clearing = now.Add(clearEvery * time.Duration(ops) / clearOps)
+	}
+	l.clears = true
+	go func() {
+		rev, err := c.store.Txn(ctx, statestore.Routine("clear"), t)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		l.clears = false
+		if err != nil {
+			c.log.Debug("clear records", "err", err)
+			return
+		}
+		c.applied(t, rev, time.Now())
+	}()
+}
--- /dev/null
+++ b/internal/controller/self_planning.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/record"
+	"bramblespur/internal/sched"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// Where the leader does not reach an owner, as when connections between
+// controllers are refused, the owner plans for its own parts and records what
+// it would have rented. The leader finds such records in its view and carries
+// them out as it would its own: the cloud's calls stay with it alone.
+
+// selfPlanAfter is how long an owner waits for the leader before it plans itself.
+const selfPlanAfter = 3 * time.Second
+
+// selfPlanning is what an owner keeps while it plans for itself. The controller's lock
+// guards it.
+type selfPlanning struct {
+	plan      *fleet.Leader
+	requested map[string]fleet.Rent // by name: recorded, not yet answered by the leader
+}
+
+// planWithoutLeader plans for the parts held here if the leader has not asked for them
+// lately.
+func (c *Controller) planWithoutLeader(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.parts) == 0 || c.schedCfg == nil || !c.sure(now) || c.leads(now) || now.Sub(c.syncedAt) < selfPlanAfter {
+		c.selfPlan = nil
+		return
+	}
+	if c.selfPlan == nil {
+		c.selfPlan = &selfPlanning{plan: fleet.NewLeader(c.fleetConfig()), requested: map[string]fleet.Rent{}}
+		return // the next turn plans: a leader may just have changed
+	}
+	c.takeAnswers(c.selfPlan, now)
+	sums := c.summaries(now)
+	c.complete(sums, nil)
+	orders, rents := c.selfPlan.plan.Plan(sums, now)
+	for _, o := range orders {
+		if p := c.parts[o.Part]; p != nil && (o.To == fleet.Back || c.parts[o.To] != nil) {
+			p.Order(o, now)
+			c.pump(p, now)
+		}
+	}
+	for _, r := range rents {
+		p := c.parts[r.Parts[0]]
+		if len(c.selfPlan.requested) < rentalsAtOnce && p != nil {
+			c.requestRental(ctx, c.selfPlan, p, r)
+		}
+	}
+}
+
+// takeAnswers tells the plan which of the requested rentals the leader has granted or
+// refused. The lock is held.
+func (c *Controller) takeAnswers(sp *selfPlanning, now time.Time) {
+	for name, r := range sp.requested {
+		rec, ok := c.fleet.Rental(name)
+		switch {
+		case ok && len(rec.IDs) == 0:
+			continue // not answered yet
+		case ok && len(rec.IDs) == len(r.Parts):
+			sp.plan.Granted(r)
+		default:
+			sp.plan.Refused(r, now)
+		}
+		delete(sp.requested, name)
+	}
+}
+
+// requestRental records a rental under the token of a part held here, for the leader to
+// carry out. The lock is held.
+func (c *Controller) requestRental(ctx context.Context, sp *selfPlanning, p *sched.Part, r fleet.Rent) {
+	c.rentalsRequested++
+	name := fmt.Sprintf("%s-%d-alone-%d", c.cfg.Label, p.Token(), c.rentalsRequested)
+	rec := record.Rental{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Parts: r.Parts}
+	t := wire.Txn{
+		If:   []wire.Cond{{Key: record.RentalKey(name)}, {Key: record.PartKey(p.ID()), Version: p.Token()}},
+		Then: []wire.Op{{Put: record.RentalKey(name), Value: record.Encode(rec)}},
+	}
+	sp.requested[name] = r
+	c.log.Info("rental requested", "name", name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "number", len(r.Parts))
+	go func() {
+		rev, err := c.store.Txn(ctx, statestore.Urgent("rental"), t)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if err != nil {
+			delete(sp.requested, name) // if it was written all the same, the view tells
+			return
+		}
+		c.applied(t, rev, time.Now())
+	}()
+}
+
+// adoptRentals carries out rentals that others recorded: an earlier leader, or owners
+// that this one does not reach. The lock is held.
+func (c *Controller) adoptRentals(ctx context.Context, l *leading) {
+	for name, r := range c.fleet.Unfinished() {
+		if _, ok := l.rentals[name]; !ok {
+			l.rentals[name] = r.Rec
+			go c.finishRental(ctx, l, name, r.Rec, r.Version)
+		}
+	}
+}
