Controller: isolation from peers and workers is a type; one reading of the fleet's records

An unreadable fleet record is logged there at debug level, as a failed reading is, instead of as an error, which the view logs as well. Behaviour is as before else.

--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -154,8 +154,8 @@
 	return ctx.Err()
 }
 
-func (c *Controller) load(ctx context.Context, cfg *sched.Config, id int, token uint64) (*sched.Part, error) {
-	use := statestore.Urgent("take over")
+// readFleet reads the records of all machines.
+func (c *Controller) readFleet(ctx context.Context, use statestore.Use) (*record.Fleet, error) {
 	entries, _, err := c.store.List(ctx, use, record.FleetPrefix)
 	if err != nil {
 		return nil, err
@@ -166,6 +166,16 @@
 			return nil, err
 		}
 	}
+	return fl, nil
+}
+
+// load reads the records of a part and makes its core, under the token of a claim.
+func (c *Controller) load(ctx context.Context, cfg *sched.Config, id int, token uint64) (*sched.Part, error) {
+	use := statestore.Urgent("take over")
+	fl, err := c.readFleet(ctx, use)
+	if err != nil {
+		return nil, err
+	}
 	open, _, err := c.store.List(ctx, use, record.OpenPrefix)
 	if err != nil {
 		return nil, err
--- a/internal/controller/cloud_list.go
+++ b/internal/controller/cloud_list.go
@@ -29,7 +29,7 @@
 // compareCloudList reads the cloud's list for machines that nobody recorded,
 // as a request executed late leaves them, and gives them back.
 func (c *Controller) compareCloudList(ctx context.Context, l *leading) {
-	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := c.cloud.List(ctx)
 	if err != nil {
@@ -37,48 +37,52 @@
 		return
 	}
 	c.mu.Lock()
-	var odd []string
-	for _, m := range list {
-		_, ours := c.fleet.Machine(m.ID)
-		if _, lately := l.known[m.ID]; ours || lately {
-			delete(l.strange, m.ID)
-			continue // the list lags
-		}
-		l.strange[m.ID]++
-		if l.strange[m.ID] >= unknownInLists && len(odd) < maxReturn {
-			odd = append(odd, m.ID)
-		}
-	}
+	unknown := c.unknownMachines(l, list)
 	busy := len(l.rentals) > 0
 	c.mu.Unlock()
-	if len(odd) == 0 || busy {
+	if len(unknown) == 0 || busy {
 		return
 	}
 	// The view may be behind: the records decide.
-	entries, _, err := c.store.List(ctx, statestore.Routine("strangers"), record.FleetPrefix)
+	fl, err := c.readFleet(ctx, statestore.Routine("strangers"))
 	if err != nil {
+		c.log.Debug("fleet records", "err", err)
 		return
 	}
-	fl := record.NewFleet()
-	for _, e := range entries {
-		if _, err := fl.Change(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}); err != nil {
-			c.log.Error("fleet record", "err", err)
-			return
-		}
-	}
 	if len(fl.Unfinished()) > 0 {
 		return
 	}
-	var back []string
-	for _, id := range odd {
+	var unrecorded []string
+	for _, id := range unknown {
 		if _, ok := fl.Machine(id); !ok {
-			back = append(back, id)
+			unrecorded = append(unrecorded, id)
 		}
 	}
-	if len(back) > 0 {
-		err := c.cloud.Return(ctx, back)
-		c.log.Info("unexpected machines returned", "machines", back, "err", err)
+	if len(unrecorded) > 0 {
+		err := c.cloud.Return(ctx, unrecorded)
+		c.log.Info("unexpected machines returned", "machines", unrecorded, "err", err)
+	}
+}
+
+// listTimeout bounds one comparison with the cloud's list.
+const listTimeout = 20 * time.Second
+
+// unknownMachines returns those of a list that have been in enough lists without being in
+// the view. The lock is held.
+func (c *Controller) unknownMachines(l *leading, list []wire.Listed) []string {
+	var unknown []string
+	for _, m := range list {
+		_, ours := c.fleet.Machine(m.ID)
+		if _, lately := l.known[m.ID]; ours || lately {
+			delete(l.strange, m.ID)
+			continue // the list lags
+		}
+		l.strange[m.ID]++
+		if l.strange[m.ID] >= unknownInLists && len(unknown) < maxReturn {
+			unknown = append(unknown, m.ID)
+		}
 	}
+	return unknown
 }
 
 // unknownInLists is in how many lists an unrecorded machine must appear.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -85,7 +85,7 @@
 	fleetAt          time.Time                // and that of the machines
 	redirects        workerRedirects
 	peerLoads        map[string]peerLoad // what peers last told the leader
-	heardAny         time.Time
+	lastReportAt     time.Time           // of any worker, to this controller itself
 	lead             *leading
 	selfPlan         *selfPlanning // nil while the leader reaches this controller
 	rentalsRequested int           // numbers the rentals that it requests, never used again under one token
@@ -94,7 +94,7 @@
 	started          time.Time
 	begun            time.Time               // when this process began
 	searches         map[string]workerSearch // by machine, while this controller has lost the state service
-	hears            hearing                 // as the member record says
+	isolation        isolation               // as the member record says
 	memberPut        time.Time               // when that was last written
 	renewals         renewals
 	held             map[string]*held
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"bramblespur/internal/config"
 	"bramblespur/internal/fleet"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
@@ -15,10 +14,8 @@
 // Defaults of who leads and who is heard.
 const (
 	standAside  = 4 * time.Second // a leader that reaches nobody gives up after this
-	deafAfter   = 4 * time.Second // without an answer from any controller
 	pingTimeout = 900 * time.Millisecond
 	quietAfter  = 15 * time.Second // and does not lead for this long
-	memberSeen  = 2 * time.Second  // by then a member record shows in its writer's view
 )
 
 func (c *Controller) leads(now time.Time) bool {
@@ -47,43 +44,6 @@
 	return c.sure(time.Now())
 }
 
-// hearing is whether a controller hears anybody.
-type hearing struct {
-	alone bool // no other controller
-	deaf  bool // nor any worker
-}
-
-// listen keeps the member record's word on whether this controller hears
-// anybody. A deaf one is still the owner of its parts, but of no use to them. It also
-// writes the record anew where the view shows another or none: one of this label's
-// last process may have come late, and goes with that one's lease.
-func (c *Controller) listen(ctx context.Context) {
-	c.mu.Lock()
-	now := time.Now()
-	h := hearing{alone: len(c.peers) > 0}
-	for label := range c.peers {
-		if c.peerHealth.contact(label).answeredWithin(deafAfter, now) {
-			h.alone = false
-		}
-	}
-	h.deaf = h.alone && c.fleet.Len() > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
-	lease := c.lease.current()
-	rec := record.Member{Inc: lease.incarnation, Deaf: h.deaf, Alone: h.alone}
-	lost := c.members[c.cfg.Label] != rec && c.viewAt.Sub(c.memberPut) > 0 && now.Sub(c.memberPut) > memberSeen
-	change := (h != c.hears || lost) && lease.certain(now)
-	c.mu.Unlock()
-	if !change {
-		return
-	}
-	if c.putMember(ctx, rec, lease.id) != nil {
-		return
-	}
-	c.mu.Lock()
-	c.hears = h
-	c.mu.Unlock()
-	c.log.Info("hearing", "deaf", h.deaf, "alone", h.alone)
-}
-
 func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
 	lease := c.lease.current()
 	head := record.Head{Label: c.cfg.Label, Inc: lease.incarnation}
@@ -136,7 +96,7 @@
 			reach = append(reach, label)
 		}
 	}
-	if c.hears.deaf || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) ||
+	if c.isolation.fromAll || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) ||
 		(c.pressure.behind && c.someoneHasRoom(reach, now)) {
 		return nil, nil, true
 	}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -88,7 +88,7 @@
 			c.planWithoutLeader(ctx, time.Now())
 		}
 		c.cloud.Budget(c.cfg.Params.Cloud.RPS * share)
-		c.listen(ctx)
+		c.publishIsolation(ctx)
 		c.askFormats(ctx)
 	}
 }
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -174,9 +174,9 @@
 		next.incarnation = id
 	}
 	c.mu.Lock()
-	h := c.hears
+	isolated := c.isolation
 	c.mu.Unlock()
-	if err := c.putMember(ctx, record.Member{Inc: next.incarnation, Deaf: h.deaf, Alone: h.alone}, id); err != nil {
+	if err := c.putMember(ctx, isolated.member(next.incarnation), id); err != nil {
 		return err
 	}
 	c.lease.granted(next)
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -21,7 +21,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.heardAny = now
+	c.lastReportAt = now
 	m, known := c.fleet.Machine(r.Machine)
 	if !known {
 		c.log.Debug("report of an unknown machine", "machine", r.Machine)
