--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -89,56 +89,20 @@
 	}()
 }
 
+// takeOver claims a part whose record is as r says, reads its records and begins to serve
+// it.
 func (c *Controller) takeOver(ctx context.Context, id int, r versioned[record.Part], incarnation uint64) error {
-	key := record.PartKey(id)
-	rec := record.Part{Owner: c.cfg.Label, Inc: incarnation}
-	token, err := c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
-		If:   []wire.Cond{{Key: key, Version: r.version}},
-		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
-	})
+	token, err := c.recordClaim(ctx, id, r, incarnation)
 	if err != nil {
-		if e, gerr := c.store.Get(ctx, statestore.Urgent("claim"), key); gerr == nil {
-			var cur record.Part
-			if json.Unmarshal(e.Value, &cur) == nil {
-				c.mu.Lock()
-				c.setPart(id, cur, e.Version)
-				c.mu.Unlock()
-			}
-		}
 		return fmt.Errorf("claim: %w", err)
 	}
 	c.mu.Lock()
-	c.setPart(id, rec, token)
 	cfg := c.schedCfg
 	c.mu.Unlock()
 	for ctx.Err() == nil {
 		p, err := c.load(ctx, cfg, id, token)
 		if err == nil {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			if c.partRecs[id].version > token {
-				return fmt.Errorf("claim: part claimed by %s meanwhile", c.partRecs[id].rec.Owner)
-			}
-			c.parts[id] = p
-			now := time.Now()
-			// Views may have moved on while the records were read.
-			c.fleet.Each(func(mid string, v record.View) {
-				if v.Part != id {
-					return
-				}
-				if err := p.SetMachine(mid, v, now); err != nil {
-					c.log.Error("machine record", "machine", mid, "err", err)
-				}
-			})
-			for ref, j := range c.open {
-				if j.part == id {
-					p.Inherit(ref, c.needs.Claim(ref))
-				}
-			}
-			c.log.Info("part claimed", "part", id, "token", token)
-			c.pump(p, now)
-			go c.rereadOpen(ctx, p)
-			return nil
+			return c.install(ctx, p)
 		}
 		c.log.Info("loading part", "part", id, "err", err)
 		if !sleep(ctx, jitter(300*time.Millisecond)) {
@@ -154,6 +118,62 @@
 	return ctx.Err()
 }
 
+// recordClaim writes this controller as a part's owner and returns the token. If that
+// fails, the part's record is read for what stands in the way.
+func (c *Controller) recordClaim(ctx context.Context, id int, r versioned[record.Part], incarnation uint64) (token uint64, err error) {
+	key := record.PartKey(id)
+	rec := record.Part{Owner: c.cfg.Label, Inc: incarnation}
+	token, err = c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: r.version}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
+	})
+	if err == nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.setPart(id, rec, token)
+		return token, nil
+	}
+	e, readErr := c.store.Get(ctx, statestore.Urgent("claim"), key)
+	var cur record.Part
+	if readErr == nil && json.Unmarshal(e.Value, &cur) == nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.setPart(id, cur, e.Version)
+	}
+	return 0, err
+}
+
+// install begins to serve a part that was loaded under its token, unless somebody else
+// has claimed it meanwhile.
+func (c *Controller) install(ctx context.Context, p *sched.Part) error {
+	id := p.ID()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cur := c.partRecs[id]; cur.version > p.Token() {
+		return fmt.Errorf("claim: part claimed by %s meanwhile", cur.rec.Owner)
+	}
+	c.parts[id] = p
+	now := time.Now()
+	// Views may have moved on while the records were read.
+	c.fleet.Each(func(machine string, v record.View) {
+		if v.Part != id {
+			return
+		}
+		if err := p.SetMachine(machine, v, now); err != nil {
+			c.log.Error("machine record", "machine", machine, "err", err)
+		}
+	})
+	for ref, j := range c.open {
+		if j.part == id {
+			p.Inherit(ref, c.needs.Claim(ref))
+		}
+	}
+	c.log.Info("part claimed", "part", id, "token", p.Token())
+	c.pump(p, now)
+	go c.rereadOpen(ctx, p)
+	return nil
+}
+
 // readFleet reads the records of all machines.
 func (c *Controller) readFleet(ctx context.Context, use statestore.Use) (*record.Fleet, error) {
 	entries, _, err := c.store.List(ctx, use, record.FleetPrefix)
