--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -122,7 +122,7 @@
 // fails, the part's record is read for what stands in the way.
 func (c *Controller) recordClaim(ctx context.Context, id int, r versioned[record.Part], incarnation uint64) (token uint64, err error) {
 	key := record.PartKey(id)
-	rec := record.Part{Owner: c.cfg.Label, Inc: incarnation}
+	rec := record.Part{Owner: c.cfg.Label, Incarnation: incarnation}
 	token, err = c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
 		If:   []wire.Cond{{Key: key, Version: r.version}},
 		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -20,7 +20,7 @@
 
 func (c *Controller) leads(now time.Time) bool {
 	lease := c.lease.current()
-	return c.leader.rec.Label == c.cfg.Label && c.leader.rec.Inc == lease.incarnation && lease.incarnation != 0 && lease.certain(now)
+	return c.leader.rec.Label == c.cfg.Label && c.leader.rec.Incarnation == lease.incarnation && lease.incarnation != 0 && lease.certain(now)
 }
 
 // pingPeers learns which controllers answer, and whether they reach the state
@@ -46,7 +46,7 @@
 
 func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
 	lease := c.lease.current()
-	head := record.Head{Label: c.cfg.Label, Inc: lease.incarnation}
+	head := record.Head{Label: c.cfg.Label, Incarnation: lease.incarnation}
 	rev, err := c.store.Txn(ctx, statestore.Urgent("lead"), wire.Txn{
 		If:   []wire.Cond{{Key: record.Leader, Version: cur.version}},
 		Then: []wire.Op{{Put: record.Leader, Value: record.Encode(head), Lease: lease.id}},
@@ -133,7 +133,7 @@
 			if now.Sub(c.lead.started) > homeStable && c.keepsUp(home, now) {
 				hand[owner] = append(hand[owner], id)
 			}
-		case atHome.answeringFor(now) < homeStable || !atHome.reachable(now) || !atHome.reachesState(now) || c.members[home].Deaf || c.members[home].Inc == 0,
+		case atHome.answeringFor(now) < homeStable || !atHome.reachable(now) || !atHome.reachesState(now) || c.members[home].Deaf || c.members[home].Incarnation == 0,
 			!c.keepsUp(home, now):
 			// One that answers but is refused by the state service could not
 			// claim its part, and another would, for ever in turn. One that does not
--- a/internal/controller/isolation.go
+++ b/internal/controller/isolation.go
@@ -24,7 +24,7 @@
 
 // member returns the member record of an incarnation that is isolated so.
 func (i isolation) member(incarnation uint64) record.Member {
-	return record.Member{Inc: incarnation, Alone: i.fromPeers, Deaf: i.fromAll}
+	return record.Member{Incarnation: incarnation, Alone: i.fromPeers, Deaf: i.fromAll}
 }
 
 // isolatedNow returns from whom this controller is cut off. The lock is held.
--- a/internal/controller/meetings_restarts_test.go
+++ b/internal/controller/meetings_restarts_test.go
@@ -226,8 +226,8 @@
 			p.c.mu.Lock()
 			incarnation := p.c.lease.current().incarnation
 			p.c.mu.Unlock()
-			if !ok || m.Inc != incarnation {
-				k.t.Errorf("%s: recorded %t as incarnation %d, is %d", label, ok, m.Inc, incarnation)
+			if !ok || m.Incarnation != incarnation {
+				k.t.Errorf("%s: recorded %t as incarnation %d, is %d", label, ok, m.Incarnation, incarnation)
 			}
 		}
 		k.submit(spec(ref(firstOwn), "wide", nil), quick)
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -49,9 +49,9 @@
 		members []string
 		want    bool
 	}{
-		"own part after a restart": {record.Part{Owner: "c-0", Inc: 1}, []string{"c-0"}, true},
-		"live owner":               {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0", "c-1"}, false},
-		"dead owner":               {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0"}, true},
+		"own part after a restart": {record.Part{Owner: "c-0", Incarnation: 1}, []string{"c-0"}, true},
+		"live owner":               {record.Part{Owner: "c-1", Incarnation: 1}, []string{"c-0", "c-1"}, false},
+		"dead owner":               {record.Part{Owner: "c-1", Incarnation: 1}, []string{"c-0"}, true},
 		"offered":                  {record.Part{To: "c-0"}, []string{"c-0", "c-1"}, true},
 	} {
 		c := newTest(t, testkit.NewState())
@@ -59,7 +59,7 @@
 		c.lease.state.incarnation, c.viewAt = 2, now
 		c.partRecs[0] = versioned[record.Part]{x.rec, 5}
 		for _, m := range x.members {
-			c.members[m] = record.Member{Inc: 1}
+			c.members[m] = record.Member{Incarnation: 1}
 		}
 		c.mu.Lock()
 		c.considerClaims(context.Background(), now)
@@ -111,11 +111,11 @@
 // Leaders stand aside only when others hear each other.
 func TestOthersMeet(t *testing.T) {
 	c := newTest(t, testkit.NewState())
-	c.members = map[string]record.Member{"c-0": {Inc: 1}, "c-1": {Inc: 2, Alone: true}, "c-2": {Inc: 3, Alone: true}}
+	c.members = map[string]record.Member{"c-0": {Incarnation: 1}, "c-1": {Incarnation: 2, Alone: true}, "c-2": {Incarnation: 3, Alone: true}}
 	if c.othersMeet() {
 		t.Error("would stand aside though everybody is alone")
 	}
-	c.members["c-1"], c.members["c-2"] = record.Member{Inc: 2}, record.Member{Inc: 3}
+	c.members["c-1"], c.members["c-2"] = record.Member{Incarnation: 2}, record.Member{Incarnation: 3}
 	if !c.othersMeet() {
 		t.Error("keeps the lead though others hear each other")
 	}
--- a/internal/controller/relief_test.go
+++ b/internal/controller/relief_test.go
@@ -63,7 +63,7 @@
 	c.cfg.Peers = []config.Peer{{Label: "c-1"}, {Label: "c-2"}}
 	c.lead = &leading{}
 	for _, label := range c.cfg.Labels() {
-		c.members[label] = record.Member{Inc: 1}
+		c.members[label] = record.Member{Incarnation: 1}
 		c.peerLoads[label] = peerLoad{at: now, overloaded: label == r.overloaded, recovering: true}
 	}
 	c.pressure.longMean = 2 * lateRoom
--- a/internal/controller/workers_test.go
+++ b/internal/controller/workers_test.go
@@ -79,7 +79,7 @@
 	c.cfg.Params.Count = 4
 	c.cfg.Peers = []config.Peer{{Label: "c-1", Zone: "y"}, {Label: "c-2", Zone: "y"}, {Label: "c-3", Zone: "x"}}
 	for _, l := range []string{"c-0", "c-1", "c-2", "c-3"} {
-		c.members[l] = record.Member{Inc: 1}
+		c.members[l] = record.Member{Incarnation: 1}
 		c.peerHealth.contacts[l] = peerContact{answeredAt: now}
 	}
 	if got := c.reportsTo("y", "m", "c-0", now); got != "c-0" {
@@ -113,7 +113,7 @@
 	if got := c.reportsTo("y", "m", "c-0", now); got != "c-1" {
 		t.Errorf("with one controller less in its zone the search is longer: reports to %s, want c-1", got)
 	}
-	c.members["c-2"] = record.Member{Inc: 1}
+	c.members["c-2"] = record.Member{Incarnation: 1}
 	c.cfg.Params.Workers.LeaseS = shorterLease
 	if to := c.redirectTo("y", "m", "c-0", now); to != "c-1" && to != "c-2" {
 		t.Errorf("sent on to %q", to)
--- a/internal/record/layout_test.go
+++ b/internal/record/layout_test.go
@@ -27,9 +27,9 @@
 		layout string
 		value  any
 	}{
-		{`{"label":"c-0","inc":7}`, Head{Label: "c-0", Inc: 7}},
-		{`{"inc":7,"deaf":true,"alone":true}`, Member{Inc: 7, Deaf: true, Alone: true}},
-		{`{"owner":"c-1","inc":9,"to":"c-2"}`, Part{Owner: "c-1", Inc: 9, To: "c-2"}},
+		{`{"label":"c-0","inc":7}`, Head{Label: "c-0", Incarnation: 7}},
+		{`{"inc":7,"deaf":true,"alone":true}`, Member{Incarnation: 7, Deaf: true, Alone: true}},
+		{`{"owner":"c-1","inc":9,"to":"c-2"}`, Part{Owner: "c-1", Incarnation: 9, To: "c-2"}},
 		{`{"type":"big","zone":"z1","spot":true,"part":2,"born":1700,"images":[{"name":"img","gb":6.2}]}`,
 			Machine{Type: "big", Zone: "z1", Spot: true, Part: 2, Born: 1700, Images: []Image{{Name: "img", GB: 6.2}}}},
 		{`{"type":"big","zone":"z1","spot":true,"parts":[0,2],"ids":["m1","m2"],"born":1700,"addrs":["a1","a2"]}`,
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -87,13 +87,13 @@
 
 // Head is who leads, and Member a live controller; both go with their lease.
 type Head struct {
-	Label string `json:"label"`
-	Inc   uint64 `json:"inc"`
+	Label       string `json:"label"`
+	Incarnation uint64 `json:"inc"`
 }
 
 // Member is a live controller.
 type Member struct {
-	Inc uint64 `json:"inc"`
+	Incarnation uint64 `json:"inc"`
 	// Deaf says that it hears neither workers nor other controllers, though it
 	// reaches the state service: its parts are better off elsewhere.
 	Deaf bool `json:"deaf,omitempty"`
@@ -113,9 +113,9 @@
 
 // Part says who owns a part of the work.
 type Part struct {
-	Owner string `json:"owner"`
-	Inc   uint64 `json:"inc"`
-	To    string `json:"to,omitempty"` // the controller invited to claim it
+	Owner       string `json:"owner"`
+	Incarnation uint64 `json:"inc"`
+	To          string `json:"to,omitempty"` // the controller invited to claim it
 }
 
 // Image is an image on a machine.
