--- /dev/null
+++ b/internal/sched/load.go
@@ -0,0 +1,104 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// Load fills a newly claimed part from its records. Placements of earlier
+// owners count as there until their machines answer under our token.
+func (p *Part) Load(fleet *record.Fleet, open, slots []wire.Entry, now time.Time) error {
+	var err error
+	fleet.Each(func(id string, v record.View) {
+		if e := p.SetMachine(id, v, now); e != nil {
+			err = e
+		}
+	})
+	if err != nil {
+		return err
+	}
+	for _, m := range p.machines {
+		m.inherited = true
+	}
+	for _, e := range open {
+		o, err := decode[record.Open](e)
+		if err != nil {
+			return err
+		}
+		p.SetJob(record.Last(e.Key), o, e.Version, now)
+	}
+	runs, err := p.loadSlots(slots)
+	if err != nil {
+		return err
+	}
+	for _, l := range runs {
+		p.loadRun(l, now)
+	}
+	return nil
+}
+
+// loadRun takes in a range, or what is left of it by those that count before it.
+func (p *Part) loadRun(l loaded, now time.Time) {
+	j, r := l.job, l.run
+	fresh := j.uncovered(l.first, l.end, l.end-l.first)
+	if len(fresh) == 1 && fresh[0] == [2]int{l.first, l.end} {
+		c := &chunk{job: j, first: l.first, end: l.end, turn: r.Turn}
+		p.enter(c, l.slot)
+		c.turn = r.Turn
+	} else {
+		for _, span := range fresh {
+			c := &chunk{job: j, first: span[0], end: span[1], turn: r.Turn, from: l.slot}
+			p.enter(c, nil)
+			l.slot.left[c] = struct{}{}
+			if l.slot.stated { // which can't be written before this is
+				c.slot.dirty, c.slot.urgent, c.slot.moved = true, true, true
+			}
+		}
+	}
+	for _, c := range j.chunks {
+		if c.first < l.end && l.first < c.end {
+			c.attempt = max(c.attempt, r.Attempt)
+		}
+	}
+	mine := func(i int) bool {
+		return slices.ContainsFunc(fresh, func(s [2]int) bool { return s[0] <= i && i < s[1] })
+	}
+	for _, span := range r.Done {
+		for i := max(0, span[0]); i <= span[1] && i < len(j.tasks); i++ {
+			if mine(i) {
+				p.finish(key{j, i}, now)
+				j.tasks[i].durable = true
+			}
+		}
+	}
+	for i, pl := range r.On {
+		if !mine(i) || j.tasks[i].state != idle {
+			continue
+		}
+		m := p.machines[pl.Machine]
+		if m == nil {
+			continue // given back or empty when it moved: proven gone before
+		}
+		t := p.put(key{j, i}, m, pl.Attempt, now)
+		t.recorded, t.inherited = true, true
+		t.steps = nil
+		if j.cancelled {
+			// The cancellation came while nobody owned the part: its record
+			// was read before these placements were.
+			p.stop(key{j, i}, 0, now)
+		}
+	}
+}
+
+func decode[T any](e wire.Entry) (T, error) {
+	var v T
+	if err := json.Unmarshal(e.Value, &v); err != nil {
+		return v, fmt.Errorf("record %s: %w", e.Key, err)
+	}
+	return v, nil
+}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -346,45 +346,6 @@
 	return slices.ContainsFunc(m.images, func(i record.Image) bool { return i.Name == name })
 }
 
-// heldFor returns for how many of a job's tasks room is kept on a machine.
-func (m *Machine) heldFor(j *Job, now time.Time) int {
-	if m.reserved == j.ref && now.Before(m.reservedT) {
-		return m.reservedN
-	}
-	return 0
-}
-
-// reserve keeps room on a machine for some tasks of a job.
-func (p *Part) reserve(m *Machine, j *Job, n int, until time.Time) {
-	if m.reserved != j.ref {
-		p.release(m)
-		m.reserved = j.ref
-		insert(p.index.kept, j.ref, m)
-	}
-	m.reservedN += n
-	m.reservedT = until
-}
-
-// use takes in that a task of a job came to where room was kept for it.
-func (p *Part) use(m *Machine, j *Job) {
-	if m.reserved == j.ref {
-		if m.reservedN--; m.reservedN <= 0 {
-			p.release(m)
-		}
-	}
-}
-
-// release keeps a machine's room for nobody any more.
-func (p *Part) release(m *Machine) {
-	remove(p.index.kept, m.reserved, m)
-	m.reserved, m.reservedN = "", 0
-}
-
-// keptFromOthers reports whether room on a machine is kept for a job other than j.
-func (m *Machine) keptFromOthers(j *Job, now time.Time) bool {
-	return m.reserved != "" && m.reserved != j.ref && now.Before(m.reservedT)
-}
-
 func (p *Part) cond() wire.Cond { return wire.Cond{Key: record.PartKey(p.id), Version: p.token} }
 
 // highestRank is that of the highest priority: nothing goes before it.
