--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -41,18 +41,7 @@
 	// be late copies: only one under our own token proves the machine alive.
 	live := r.Token == token || !m.inherited
 	if live {
-		if !m.up || now.Sub(m.heard) > p.cfg.SilentAfter {
-			m.steady = now
-		}
-		m.heard = now
-		m.probes.failed, m.probes.vain = 0, 0
-		if !direct || !m.fenced { // one that was greeted reports at once
-			m.reported = now
-		}
-	}
-	if live && !m.up {
-		m.up = true
-		p.changed = true
+		p.markAlive(m, direct, now)
 	}
 	if !direct {
 		m.answered = now
@@ -73,8 +62,46 @@
 		p.markReached(m)
 		p.changed = true
 	}
-	kept := 0
-	reported := make(map[key]*wire.ReportTask, len(r.Tasks))
+	placedHere := make(map[key]*wire.ReportTask, len(r.Tasks))
+	commands, keptOthers := p.splitReport(m, r, placedHere, now)
+	orders.Commands = append(orders.Commands, commands...)
+	commands, missed, keptHere := p.settlePlaced(m, placedHere, direct, now)
+	orders.Commands = append(orders.Commands, commands...)
+	m.kept = keptOthers + keptHere
+	if direct {
+		return orders, Answered
+	}
+	p.countMissed(m, missed, now)
+	for k, t := range m.on {
+		orders.Commands = append(orders.Commands, p.commands(k, t, m, now)...)
+	}
+	if len(orders.Commands) > maxCommands {
+		orders.Commands = orders.Commands[:maxCommands]
+	}
+	return orders, Answered
+}
+
+// markAlive takes in that a machine sent a report that is no late copy.
+func (p *Part) markAlive(m *Machine, direct bool, now time.Time) {
+	if !m.up || now.Sub(m.heard) > p.cfg.SilentAfter {
+		m.steady = now
+	}
+	m.heard = now
+	m.probes.failed, m.probes.vain = 0, 0
+	if !direct || !m.fenced { // one that was greeted reports at once
+		m.reported = now
+	}
+	if !m.up {
+		m.up = true
+		p.changed = true
+	}
+}
+
+// splitReport divides the tasks of a report into those that are placed on the machine
+// under the same attempt, which it puts into placedHere, and others, which it settles: it
+// returns the commands that end or forget them, and how many must be kept. The map is the
+// caller's, so that a small one needs no allocation.
+func (p *Part) splitReport(m *Machine, r *wire.Report, placedHere map[key]*wire.ReportTask, now time.Time) (commands []wire.Command, kept int) {
 	for i := range r.Tasks {
 		rt := &r.Tasks[i]
 		ref, n, ok := SplitTask(rt.Task)
@@ -84,27 +111,33 @@
 				kept++
 				continue
 			}
-			orders.Commands = append(orders.Commands, stray(rt))
+			commands = append(commands, stray(rt))
 			continue
 		}
 		k := key{j, n}
 		t := &j.tasks[n]
 		if t.state == placed && t.machine == m && t.attempt == rt.Attempt {
-			reported[k] = rt
+			placedHere[k] = rt
 			continue
 		}
 		p.other(k, rt, m, now)
 		switch {
 		case rt.State != wire.Exited:
-			orders.Commands = append(orders.Commands, halt(rt.Task, rt.Attempt, 0))
+			commands = append(commands, halt(rt.Task, rt.Attempt, 0))
 		case rt.Why == wire.Done && !t.durable:
 		case !p.mayForget(m, rt, j):
 			kept++
 		default:
-			orders.Commands = append(orders.Commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
+			commands = append(commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
 		}
 	}
-	missed := false
+	return commands, kept
+}
+
+// settlePlaced takes in what a report says of the tasks that are placed on the machine. It
+// returns commands that forget those that ended in vain, whether the report lacks a start
+// that was sent before, and how many ended ones must be kept.
+func (p *Part) settlePlaced(m *Machine, reported map[key]*wire.ReportTask, direct bool, now time.Time) (commands []wire.Command, missed bool, kept int) {
 	for k, t := range m.on {
 		rt := reported[k]
 		if rt == nil {
@@ -112,75 +145,29 @@
 			continue
 		}
 		p.present(k, t, rt, m, now)
-		if rt.State == wire.Exited && rt.Why != wire.Done {
-			// Its place is free already and its attempt is never started again.
-			if p.mayForget(m, rt, k.job) {
-				orders.Commands = append(orders.Commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
-			} else {
-				kept++
-			}
+		if rt.State != wire.Exited || rt.Why == wire.Done {
+			continue
 		}
-	}
-	m.kept = kept
-	if direct {
-		return orders, Answered
-	}
-	if missed {
-		if m.missed++; m.missed >= unreachableAfter {
-			p.markUnreachable(m, now)
+		// Its place is free already and its attempt is never started again.
+		if !p.mayForget(m, rt, k.job) {
+			kept++
+			continue
 		}
-	} else {
-		m.missed = 0
-	}
-	for k, t := range m.on {
-		orders.Commands = append(orders.Commands, p.commands(k, t, m, now)...)
-	}
-	if len(orders.Commands) > maxCommands {
-		orders.Commands = orders.Commands[:maxCommands]
+		commands = append(commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
 	}
-	return orders, Answered
+	return commands, missed, kept
 }
 
-// starts returns the starts of recorded tasks that the machine has not shown.
-func (p *Part) starts(m *Machine, now time.Time) []wire.Command {
-	var out []wire.Command
-	for k, t := range m.on {
-		if !t.stop {
-			out = append(out, p.commands(k, t, m, now)...)
-		}
+// countMissed counts the reports in a row that lack a start sent before: after some the
+// machine counts as unreachable.
+func (p *Part) countMissed(m *Machine, missed bool, now time.Time) {
+	if !missed {
+		m.missed = 0
+		return
 	}
-	return out[:min(len(out), maxCommands)]
-}
-
-// Hold says how long a report's answer may be kept back so that a start that
-// is decided meanwhile reaches the machine at once. A machine without tasks has
-// nothing to tell; one with some tells of their ends a little later.
-func (p *Part) Hold(id string, now time.Time) time.Duration {
-	m := p.machines[id]
-	if m == nil || !p.usable(m, now) || !m.fenced {
-		return 0
-	}
-	if len(m.on) == 0 {
-		return min(p.cfg.Report*4/5, longestHold)
-	}
-	f := free(m)
-	if f.cpus < m.Type.CPUs/4 || (m.Type.GPUs > 0 && f.gpus < m.Type.GPUs/4) {
-		return 0
-	}
-	return p.cfg.Report / 4
-}
-
-// longestHold keeps a held answer well below the 4 s after which a worker
-// drops it.
-const longestHold = 2500 * time.Millisecond
-
-// Held returns the answer to a held report as things stand now.
-func (p *Part) Held(id string, now time.Time) (wire.Orders, bool) {
-	m := p.machines[id]
-	if m == nil {
-		return wire.Orders{}, false
+	if m.missed++; m.missed >= unreachableAfter {
+		p.markUnreachable(m, now)
 	}
-	return wire.Orders{Token: m.token(p), Commands: append([]wire.Command{}, p.starts(m, now)...)}, true
 }
 
 // maxCommands keeps an answer's line well below 64 KiB; the rest goes with the
