--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -20,7 +20,7 @@
 )
 
 // newTest returns a controller on scripted peers, without loops or sockets.
-func newTest(t *testing.T, state *testkit.State) *Controller {
+func newTest(t testing.TB, state *testkit.State) *Controller {
 	t.Helper()
 	cfg := &config.Settings{Label: "c-0", Params: config.Params{
 		Count: 1, Zones: []string{"z"}, Teams: []config.Team{{Name: "a", GPUsMax: 4}},
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -95,6 +95,7 @@
 	}
 	s := new(wire.Status)
 	err := owner.Call("Status", ref, s, statusTimeout)
+	err = c.sensible("job's state", "a controller", err, func() error { return checkStatus(s, ref) })
 	return *s, err == nil
 }
 
--- a/internal/controller/redirects.go
+++ b/internal/controller/redirects.go
@@ -164,7 +164,10 @@
 	}
 	w := c.cfg.Params.Workers
 	lease, report := config.Seconds(w.LeaseS), config.Seconds(w.ReportS)
-	s := c.searches[machine]
+	s, here := c.searches[machine]
+	if !here && len(c.searches) >= maxRemembered {
+		return "", false
+	}
 	last := s.reportedAt
 	s.reportedAt = now
 	c.searches[machine] = s
@@ -188,5 +191,10 @@
 // it.
 type workerSearch struct{ reportedAt, sentAt time.Time }
 
+// maxRemembered is of how many machines a controller remembers what it answered them
+// when it does not know its fleet: any name may come then, and memory is small. It is
+// several times as many as one controller has.
+const maxRemembered = 8192
+
 // searchAgain is after how many leases a worker is sent on once more.
 const searchAgain = 3
--- a/internal/controller/renewals.go
+++ b/internal/controller/renewals.go
@@ -21,6 +21,12 @@
 // controller's lock guards it.
 type renewals map[string]renewal
 
+// full reports whether there is no room to remember one more machine.
+func (rs renewals) full(machine string) bool {
+	_, here := rs[machine]
+	return !here && len(rs) >= maxRemembered
+}
+
 // note takes in a request for a renewal, and whether anything speaks against it, and
 // returns for how long something has. A pause longer than the lease starts anew.
 func (rs renewals) note(machine string, blocked bool, lease time.Duration, now time.Time) time.Duration {
@@ -64,6 +70,9 @@
 	if token == 0 {
 		return reply{status: 503, retryAfter: 1}
 	}
+	if c.renewals.full(r.Machine) {
+		return reply{status: 503, retryAfter: retryLater}
+	}
 	lease := config.Seconds(c.cfg.Params.Workers.LeaseS)
 	if c.renewals.note(r.Machine, !blind && c.mustEnd(r), lease, now) > c.mustEndFor() {
 		return reply{status: 503, retryAfter: 1}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -112,7 +112,8 @@
 		return reply{}, false
 	}
 	var r peer.UserReply
-	if err := best.Call("User", peer.UserArgs{Method: req.Method, Path: req.Path, Body: req.Body}, &r, userTimeout); err != nil {
+	err := best.Call("User", peer.UserArgs{Method: req.Method, Path: req.Path, Body: req.Body}, &r, userTimeout)
+	if err = c.sensible("answer to a request passed on", "a controller", err, func() error { return checkUserReply(&r) }); err != nil {
 		c.log.Debug("request passed on", "path", req.Path, "err", err)
 		return reply{}, false
 	}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -15,7 +15,12 @@
 
 func (c *Controller) handleReport(req httpwire.Request, answer func(reply)) (reply, bool) {
 	var r wire.Report
-	if err := json.Unmarshal(req.Body, &r); err != nil || r.Machine == "" {
+	err := json.Unmarshal(req.Body, &r)
+	if err == nil {
+		err = r.Check()
+	}
+	if err != nil {
+		c.refusals.tell(c.log, "report", r.Machine, err)
 		return reply{status: 400}, true
 	}
 	c.mu.Lock()
@@ -64,7 +69,8 @@
 func (c *Controller) relay(r *wire.Report, m record.View, owner string, token uint64, answer func(reply)) {
 	var rr peer.ReportReply
 	err := c.peers[owner].Call("Report", *r, &rr, relayTimeout)
-	if err == nil && rr.Status != 0 {
+	err = c.sensible("answer to a relayed report", owner, err, func() error { return checkReportReply(&rr) })
+	if err == nil {
 		rep := reply{status: rr.Status, retryAfter: 1}
 		if rr.Status == 200 {
 			rep = reply{status: 200, body: rr.Orders}
