--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -186,18 +186,11 @@
 	}
 }
 
+// leadStep is one turn of the leader: it asks every controller for its parts, shares out
+// the budget of the state service, plans rentals, moves and returns, and hands them out.
 func (c *Controller) leadStep(ctx context.Context) {
 	now := time.Now()
-	c.mu.Lock()
-	if c.lead == nil {
-		c.lead = &leading{
-			plan:    fleet.NewLeader(c.fleetConfig()),
-			rentals: map[string]record.Rental{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
-			backs: map[string]bool{}, addrs: map[string]string{}, addressing: map[string]bool{},
-		}
-	}
-	l := c.lead
-	c.mu.Unlock()
+	l := c.leadership(now)
 	claims, hand, alone := c.owners(ctx, now)
 	if alone {
 		c.standAside(ctx)
@@ -207,6 +200,47 @@
 
 	c.mu.Lock()
 	now = time.Now()
+	c.shareBudget(l, needs, now)
+	if c.pressure.behind && now.Sub(l.planned) < planBehind {
+		c.mu.Unlock()
+		return
+	}
+	l.planned = now
+	orders := c.planFleet(ctx, l, append(sums, c.summaries(now)...), now)
+	busy := len(l.rentals) > 0
+	c.mu.Unlock()
+
+	c.sendOrders(orders)
+	// While machines are to be rented, returns leave most of the cloud's calls to
+	// that: each takes more machines the longer it waits.
+	if pause := config.Seconds(returnCalls / c.cfg.Params.Cloud.RPS); !busy || now.Sub(l.returned) >= pause {
+		c.returns(ctx, l, now)
+	}
+	c.clear(ctx, l, now)
+	if now.After(l.nextList) {
+		l.nextList = now.Add(time.Duration(listFactor * float64(config.Seconds(c.cfg.Params.Cloud.ListLagS))))
+		go c.compareCloudList(ctx, l)
+	}
+}
+
+// leadership returns what this controller holds as the leader, anew if it has just come
+// to lead.
+func (c *Controller) leadership(now time.Time) *leading {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lead == nil {
+		c.lead = &leading{
+			plan:    fleet.NewLeader(c.fleetConfig()),
+			rentals: map[string]record.Rental{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
+			backs: map[string]bool{}, addrs: map[string]string{}, addressing: map[string]bool{},
+		}
+	}
+	return c.lead
+}
+
+// shareBudget shares out what all controllers may use of the state service, by what each
+// needed since the last turn. The lock is held.
+func (c *Controller) shareBudget(l *leading, needs map[string]fleet.Use, now time.Time) {
 	turn := syncEvery
 	if !l.synced.IsZero() {
 		turn = max(turn, now.Sub(l.synced))
@@ -217,26 +251,17 @@
 	needs[c.cfg.Label] = own
 	l.grants = c.share(needs, turn)
 	c.setBudget(l.grants.requests[c.cfg.Label], l.grants.changes[c.cfg.Label], now)
-	if c.pressure.behind && now.Sub(l.planned) < planBehind {
-		c.mu.Unlock()
-		return
-	}
-	l.planned = now
-	sums = append(sums, c.summaries(now)...)
+}
+
+// planFleet plans with the summaries of all parts, carries out what concerns the parts
+// held here, begins rentals, and returns the orders for others, by owner. The lock is held.
+func (c *Controller) planFleet(ctx context.Context, l *leading, sums []fleet.Summary, now time.Time) map[string][]fleet.Order {
 	c.adoptRentals(ctx, l)
 	c.remember(l, now)
 	c.address(ctx, l, sums)
 	c.complete(sums, l.rentals)
 	orders, rents := l.plan.Plan(sums, now)
-	for _, s := range sums {
-		c.log.Debug("plan", "part", s.Part, "state", s, "rentals", len(l.rentals))
-	}
-	if len(orders) > 0 {
-		c.log.Debug("orders", "orders", orders)
-	}
-	for _, r := range rents {
-		c.log.Debug("wanted", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "machines", len(r.Parts))
-	}
+	c.logPlan(sums, orders, rents, len(l.rentals))
 	byOwner := map[string][]fleet.Order{}
 	for _, o := range orders {
 		if p := c.parts[o.Part]; p != nil {
@@ -252,25 +277,35 @@
 	for _, r := range chosen(rents, rentalsAtOnce-len(l.rentals)) {
 		c.rent(ctx, l, r)
 	}
-	busy := len(l.rentals) > 0
-	c.mu.Unlock()
-	for owner, os := range byOwner {
-		if p := c.peers[owner]; p != nil {
-			go func() {
-				if err := p.Call("Sync", peer.SyncArgs{From: c.cfg.Label, Orders: os}, new(peer.SyncReply), syncTimeout); err != nil {
-					c.log.Debug("orders", "to", owner, "err", err)
-				}
-			}()
-		}
+	return byOwner
+}
+
+// logPlan logs what was planned, and from what.
+func (c *Controller) logPlan(sums []fleet.Summary, orders []fleet.Order, rents []fleet.Rent, rentals int) {
+	for _, s := range sums {
+		c.log.Debug("plan", "part", s.Part, "state", s, "rentals", rentals)
 	}
-	// While machines are to be rented, returns leave most of the cloud's calls to
-	// that: each takes more machines the longer it waits.
-	if pause := config.Seconds(returnCalls / c.cfg.Params.Cloud.RPS); !busy || now.Sub(l.returned) >= pause {
-		c.returns(ctx, l, now)
+	if len(orders) > 0 {
+		c.log.Debug("orders", "orders", orders)
 	}
-	c.clear(ctx, l, now)
-	if now.After(l.nextList) {
-		l.nextList = now.Add(time.Duration(listFactor * float64(config.Seconds(c.cfg.Params.Cloud.ListLagS))))
-		go c.compareCloudList(ctx, l)
+	for _, r := range rents {
+		c.log.Debug("wanted", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "machines", len(r.Parts))
+	}
+}
+
+// sendOrders brings orders to the owners of their parts, which need not wait for the
+// leader's next turn. One that is lost is planned again.
+func (c *Controller) sendOrders(byOwner map[string][]fleet.Order) {
+	for owner, orders := range byOwner {
+		p := c.peers[owner]
+		if p == nil {
+			continue
+		}
+		go func() {
+			args := peer.SyncArgs{From: c.cfg.Label, Orders: orders}
+			if err := p.Call("Sync", args, new(peer.SyncReply), syncTimeout); err != nil {
+				c.log.Debug("orders", "to", owner, "err", err)
+			}
+		}()
 	}
 }
