--- a/internal/fragment/structure.go
+++ b/internal/fragment/structure.go
@@ -67,102 +67,139 @@
 // foldable folds blocks until nothing is left to fold: jobs in a row, places
 // side by side (a split and its join), jobs side by side (a choice).
 func (n *Net) foldable() error {
-	in, out := map[string]set{}, map[string]set{}
-	feeds, takes := map[int]map[string]bool{}, map[int]map[string]bool{} // of places
+	f := newFolding(n)
+	for f.foldRow() || f.foldBetween() || f.foldPlaces() || f.foldJobs() {
+	}
+	if len(f.in) != 1 || len(f.feeds) != 2 {
+		return ErrStructure
+	}
+	return nil
+}
+
+// folding is a net while its blocks are folded.
+type folding struct {
+	in, out map[string]set          // by job, the places before and after it
+	feeds   map[int]map[string]bool // by place, the jobs before it
+	takes   map[int]map[string]bool // by place, the jobs after it
+}
+
+func newFolding(n *Net) *folding {
+	f := &folding{
+		in: map[string]set{}, out: map[string]set{},
+		feeds: map[int]map[string]bool{}, takes: map[int]map[string]bool{},
+	}
 	for i, p := range n.places {
-		feeds[i], takes[i] = map[string]bool{}, map[string]bool{}
+		f.feeds[i], f.takes[i] = map[string]bool{}, map[string]bool{}
 		for _, t := range p.In {
-			feeds[i][t] = true
+			f.feeds[i][t] = true
 		}
 		for _, t := range p.Out {
-			takes[i][t] = true
+			f.takes[i][t] = true
 		}
 	}
 	for t := range n.in {
-		in[t], out[t] = set{}, set{}
+		f.in[t], f.out[t] = set{}, set{}
 		for _, i := range n.in[t] {
-			in[t][i] = true
+			f.in[t][i] = true
 		}
 		for _, i := range n.out[t] {
-			out[t][i] = true
+			f.out[t][i] = true
 		}
 	}
-	dropPlace := func(i int) {
-		for t := range feeds[i] {
-			delete(out[t], i)
+	return f
+}
+
+func (f *folding) dropPlace(i int) {
+	for t := range f.feeds[i] {
+		delete(f.out[t], i)
+	}
+	for t := range f.takes[i] {
+		delete(f.in[t], i)
+	}
+	delete(f.feeds, i)
+	delete(f.takes, i)
+}
+
+func (f *folding) dropJob(t string) {
+	for i := range f.in[t] {
+		delete(f.takes[i], t)
+	}
+	for i := range f.out[t] {
+		delete(f.feeds[i], t)
+	}
+	delete(f.in, t)
+	delete(f.out, t)
+}
+
+// foldRow folds two jobs in a row that are linked by one place only.
+func (f *folding) foldRow() bool {
+	for i := range f.feeds {
+		t, u := only(f.feeds[i]), only(f.takes[i])
+		if t == "" || u == "" || t == u || len(f.out[t]) != 1 || len(f.in[u]) != 1 {
+			continue
 		}
-		for t := range takes[i] {
-			delete(in[t], i)
+		rest := maps.Clone(f.out[u])
+		f.dropPlace(i)
+		f.dropJob(u)
+		for k := range rest {
+			f.out[t][k], f.feeds[k][t] = true, true
 		}
-		delete(feeds, i)
-		delete(takes, i)
+		return true
 	}
-	dropJob := func(t string) {
-		for i := range in[t] {
-			delete(takes[i], t)
+	return false
+}
+
+// foldBetween folds a job between two places that serve nothing else.
+func (f *folding) foldBetween() bool {
+	for t := range f.in {
+		if len(f.in[t]) != 1 || len(f.out[t]) != 1 {
+			continue
+		}
+		p, q := one(f.in[t]), one(f.out[t])
+		if p == q || len(f.takes[p]) != 1 || len(f.feeds[q]) != 1 || len(f.feeds[p]) == 0 || len(f.takes[q]) == 0 {
+			continue
 		}
-		for i := range out[t] {
-			delete(feeds[i], t)
+		after := maps.Clone(f.takes[q])
+		f.dropJob(t)
+		f.dropPlace(q)
+		for u := range after {
+			f.in[u][p], f.takes[p][u] = true, true
 		}
-		delete(in, t)
-		delete(out, t)
+		return true
 	}
-	fold := func() bool {
-		// Jobs in a row, linked by one place only.
-		for i := range feeds {
-			t, u := only(feeds[i]), only(takes[i])
-			if t == "" || u == "" || t == u || len(out[t]) != 1 || len(in[u]) != 1 {
-				continue
-			}
-			rest := maps.Clone(out[u])
-			dropPlace(i)
-			dropJob(u)
-			for k := range rest {
-				out[t][k], feeds[k][t] = true, true
-			}
-			return true
+	return false
+}
+
+// foldPlaces folds two places side by side.
+func (f *folding) foldPlaces() bool {
+	for i := range f.feeds {
+		if len(f.feeds[i]) == 0 || len(f.takes[i]) == 0 {
+			continue
 		}
-		// A job between two places that serve nothing else.
-		for t := range in {
-			if len(in[t]) != 1 || len(out[t]) != 1 {
-				continue
-			}
-			p, q := one(in[t]), one(out[t])
-			if p == q || len(takes[p]) != 1 || len(feeds[q]) != 1 || len(feeds[p]) == 0 || len(takes[q]) == 0 {
-				continue
+		for k := range f.feeds {
+			if i != k && maps.Equal(f.feeds[i], f.feeds[k]) && maps.Equal(f.takes[i], f.takes[k]) {
+				f.dropPlace(k)
+				return true
 			}
-			after := maps.Clone(takes[q])
-			dropJob(t)
-			dropPlace(q)
-			for u := range after {
-				in[u][p], takes[p][u] = true, true
-			}
-			return true
 		}
-		for i := range feeds {
-			for k := range feeds {
-				if i != k && len(feeds[i]) > 0 && len(takes[i]) > 0 && maps.Equal(feeds[i], feeds[k]) && maps.Equal(takes[i], takes[k]) {
-					dropPlace(k)
-					return true
-				}
-			}
+	}
+	return false
+}
+
+// foldJobs folds two jobs side by side.
+func (f *folding) foldJobs() bool {
+	for t := range f.in {
+		if len(f.in[t]) != 1 || len(f.out[t]) != 1 {
+			continue
 		}
-		for t := range in {
-			for u := range in {
-				if t != u && len(in[t]) == 1 && len(out[t]) == 1 && maps.Equal(in[t], in[u]) && maps.Equal(out[t], out[u]) {
-					dropJob(u)
-					return true
-				}
+		for u := range f.in {
+			if t != u && maps.Equal(f.in[t], f.in[u]) && maps.Equal(f.out[t], f.out[u]) {
+				f.dropJob(u)
+				return true
 			}
 		}
-		return false
-	}
-	for fold() {
 	}
-	if len(in) != 1 || len(feeds) != 2 {
-		return ErrStructure
-	}
-	return nil
+	return false
 }
 
 func only(m map[string]bool) string {
