--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -106,10 +106,51 @@
 // freed a place need no write of their own: the next start rewrites the slot.
 func (p *Part) slotTxn(s *slot, now time.Time) {
 	t := &Txn{slot: s, Purpose: forEnds}
-	rec := record.Slot{Runs: map[string]record.Run{}}
 	conds := map[string]uint64{}
+	moved := s.moved
+	rec, left := p.slotRecord(s, t, conds)
+	if s.stated {
+		rec.Format = record.Stated
+	}
+	value := record.Encode(rec)
+	s.dirty, s.urgent, s.moved = left, left, false
+	if len(t.starts) == 0 && len(t.dones) == 0 && !moved {
+		return
+	}
+	if !p.fit(s, len(value)) {
+		s.dirty, s.urgent = true, true
+		p.alarm(now) // the slots that take what has no room here come first
+		return
+	}
+	s.written = now
+	t.Routine = true
+	if len(t.starts) > 0 {
+		t.Purpose, t.Routine = forStart, false
+	}
+	at := record.SlotKey(p.id, s.n)
+	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: s.version}}
+	keys := make([]string, 0, len(conds))
+	for k := range conds {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		t.Body.If = append(t.Body.If, wire.Cond{Key: k, Version: conds[k]})
+	}
+	t.Body.Then = []wire.Op{{Put: at, Value: value}}
+	for _, k := range t.starts {
+		k.job.tasks[k.i].inTxn = true
+	}
+	s.txn = t
+	p.out.Txns = append(p.out.Txns, t)
+}
+
+// slotRecord makes the record of a slot, notes in a transaction which starts and
+// completions it brings, and adds the conditions that these rely on. It reports whether
+// starts were left out for want of room for their conditions.
+func (p *Part) slotRecord(s *slot, t *Txn, conds map[string]uint64) (rec record.Slot, left bool) {
+	rec = record.Slot{Runs: map[string]record.Run{}}
 	room := 4*p.txnOps - 2
-	moved, left := s.moved, false
 	for name, c := range s.chunks {
 		j := c.job
 		run := record.Run{Attempt: c.attempt}
@@ -148,40 +189,7 @@
 		t.chunks = append(t.chunks, c)
 		rec.Runs[name] = run
 	}
-	if s.stated {
-		rec.Format = record.Stated
-	}
-	value := record.Encode(rec)
-	s.dirty, s.urgent, s.moved = left, left, false
-	if len(t.starts) == 0 && len(t.dones) == 0 && !moved {
-		return
-	}
-	if !p.fit(s, len(value)) {
-		s.dirty, s.urgent = true, true
-		p.alarm(now) // the slots that take what has no room here come first
-		return
-	}
-	s.written = now
-	t.Routine = true
-	if len(t.starts) > 0 {
-		t.Purpose, t.Routine = forStart, false
-	}
-	at := record.SlotKey(p.id, s.n)
-	t.Body.If = []wire.Cond{p.cond(), {Key: at, Version: s.version}}
-	keys := make([]string, 0, len(conds))
-	for k := range conds {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	for _, k := range keys {
-		t.Body.If = append(t.Body.If, wire.Cond{Key: k, Version: conds[k]})
-	}
-	t.Body.Then = []wire.Op{{Put: at, Value: value}}
-	for _, k := range t.starts {
-		k.job.tasks[k.i].inTxn = true
-	}
-	s.txn = t
-	p.out.Txns = append(p.out.Txns, t)
+	return rec, left
 }
 
 // condition adds conditions to those of a transaction if there is room for all.
