--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -237,7 +237,7 @@
 func (p *Part) giveBack(m *Machine, why string, now time.Time) {
 	p.out.Given = append(p.out.Given, Give{Machine: m.ID, Why: why, Tasks: len(m.on), Silent: now.Sub(m.heard)})
 	m.Phase = record.Returning
-	p.index.file(m)
+	p.index.update(m)
 	if len(p.leaving) == 0 {
 		p.leaveAt = now.Add(p.cfg.GatherBacks)
 	}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -212,8 +212,8 @@
 				o.Commands = append(o.Commands, halt(k.name(), t.attempt, t.grace))
 			}
 		}
-		if len(o.Commands) > 0 || m.greet {
-			m.greet = false
+		if len(o.Commands) > 0 || m.announceToken {
+			m.announceToken = false
 			p.out.Pushes = append(p.out.Pushes, Push{Machine: m.ID, Addr: m.Addr, Orders: o})
 		}
 	}
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -72,32 +72,32 @@
 	}
 }
 
-// file puts a machine where it belongs after its room or its state has changed.
-func (x *index) file(m *Machine) {
+// update puts a machine where it belongs after its room or its state has changed.
+func (x *index) update(m *Machine) {
 	c := m.class()
-	if m.filed && c == m.at {
+	if m.indexed && c == m.indexedAs {
 		return
 	}
-	if m.filed {
-		remove(x.byRoom, m.at, m)
+	if m.indexed {
+		remove(x.byRoom, m.indexedAs, m)
 	} else {
 		x.cpus += m.Type.CPUs
 		for _, i := range m.images {
 			insert(x.byImage, i.Name, m)
 		}
 	}
-	m.filed, m.at = true, c
+	m.indexed, m.indexedAs = true, c
 	insert(x.byRoom, c, m)
 }
 
 // drop forgets a machine.
 func (x *index) drop(m *Machine) {
-	if !m.filed {
+	if !m.indexed {
 		return
 	}
-	m.filed = false
+	m.indexed = false
 	x.cpus -= m.Type.CPUs
-	remove(x.byRoom, m.at, m)
+	remove(x.byRoom, m.indexedAs, m)
 	for _, i := range m.images {
 		remove(x.byImage, i.Name, m)
 	}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -27,7 +27,7 @@
 	u.cpus += s.CPUs
 	u.gpus += s.GPUs
 	m.idleSince = time.Time{}
-	p.index.file(m)
+	p.index.update(m)
 	c := p.touch(k, now)
 	c.attempt = max(c.attempt, attempt)
 	c.slot.urgent = true
@@ -50,7 +50,7 @@
 		m.cpus, m.gpus, m.mem = 0, 0, 0
 		m.idleSince = now
 	}
-	p.index.file(m)
+	p.index.update(m)
 	if t.stop && !m.clearing() {
 		delete(p.index.clearing, m)
 	}
@@ -222,7 +222,7 @@
 		}
 	}
 	m.Phase = max(m.Phase, v.Phase)
-	p.index.file(m)
+	p.index.update(m)
 	if m.Phase == record.Gone {
 		p.forgetMachine(m, now)
 	}
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -119,7 +119,7 @@
 	p.Report(r, true, now)
 	m.probes.failed, m.probes.at = 0, now
 	if m.inherited && !m.fenced && r.Token < m.token(p) {
-		m.greet = true
+		m.announceToken = true
 		p.index.toPush[m] = struct{}{}
 	}
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -32,7 +32,7 @@
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return orders, Answered // a late copy: it settles, starts and renews nothing
 	}
-	defer p.index.file(m)
+	defer p.index.update(m)
 	m.outlived(r)
 	p.session(m, r, now)
 	m.seq = r.Seq
@@ -88,7 +88,7 @@
 	}
 	m.heard = now
 	m.probes.failed, m.probes.vain = 0, 0
-	if !direct || !m.fenced { // one that was greeted reports at once
+	if !direct || !m.fenced { // one that was told our token reports at once
 		m.reported = now
 	}
 	if !m.up {
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -108,7 +108,7 @@
 			return // in use by now
 		}
 	}
-	defer p.index.file(m)
+	defer p.index.update(m)
 	if o.To == fleet.Back {
 		m.drain = true
 		return
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -196,9 +196,9 @@
 	reservedT        time.Time
 	probes           probing
 	addressed        bool  // its address is recorded
-	greet            bool  // a command without orders is due, to bring our token there
-	filed            bool  // in the index,
-	at               class // there
+	announceToken    bool  // a command without orders is due, to bring our token there
+	indexed          bool  // the index holds it,
+	indexedAs        class // under this class
 	ranks            [highestRank + 1]int
 }
 
