--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -15,6 +16,11 @@
 	"bramblespur/internal/wire"
 )
 
+// claimPatience is how long a controller that has begun leaves the parts of others that
+// are gone to them: where all restart together the first would else take most parts over,
+// which cost it its processor's share and are handed home soon after.
+const claimPatience = 3 * time.Second
+
 func (c *Controller) home(part int) string { return c.cfg.Labels()[part%c.cfg.Params.Count] }
 
 func (c *Controller) live() []string {
@@ -50,6 +56,8 @@
 			mine = true // a restart, or records read back after an outage
 		case !known && c.home(id) == c.cfg.Label:
 			mine = true
+		case now.Sub(c.begun) < claimPatience:
+			// Its owner may have restarted together with this controller.
 		case !ownerLives && now.Sub(c.viewAt) < 2*c.watchWait() && len(c.members) > 0:
 			home := c.home(id)
 			if !known && now.Sub(c.lease.current().renewedAt) < leaseTTL && c.firstSeen(home, now) {
@@ -206,6 +214,7 @@
 	}
 	p := sched.New(cfg, id, token)
 	c.mu.Lock()
+	open = slices.DeleteFunc(open, func(e wire.Entry) bool { return c.knownElsewhere(e, id) })
 	if c.allStated() {
 		p.SetStated() // before it writes anything
 	}
@@ -213,6 +222,13 @@
 	return p, p.Load(fl, open, slots, time.Now())
 }
 
+// knownElsewhere reports whether an open job's record is one that the view holds, and
+// another part's: it need not be decoded to tell. The lock is held.
+func (c *Controller) knownElsewhere(e wire.Entry, part int) bool {
+	j, open := c.open[record.Last(e.Key)]
+	return open && j.version == e.Version && j.part != part
+}
+
 // rereadOpen reads the open jobs once more after a claim: one accepted between
 // the first reading and the part's being there was told to nobody.
 func (c *Controller) rereadOpen(ctx context.Context, p *sched.Part) {
@@ -229,6 +245,9 @@
 			return
 		}
 		for _, e := range open {
+			if p.KnowsJob(record.Last(e.Key), e.Version) || c.knownElsewhere(e, p.ID()) {
+				continue
+			}
 			var o record.Open
 			if err := json.Unmarshal(e.Value, &o); err != nil {
 				c.log.Error("job record", "key", e.Key, "err", err)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -94,7 +94,7 @@
 	started          time.Time
 	begun            time.Time               // when this process began
 	searches         map[string]workerSearch // by machine, while this controller has lost the state service
-	isolation        isolation               // as the member record says
+	status           memberStatus            // as the member record says
 	memberPut        time.Time               // when that was last written
 	renewals         renewals
 	held             map[string]*held
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -96,7 +96,7 @@
 			reach = append(reach, label)
 		}
 	}
-	if c.isolation.fromAll || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) ||
+	if c.status.cutFromAll || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) ||
 		(c.pressure.behind && c.someoneHasRoom(reach, now)) {
 		return nil, nil, true
 	}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -174,9 +174,9 @@
 		next.incarnation = id
 	}
 	c.mu.Lock()
-	isolated := c.isolation
+	status := c.status
 	c.mu.Unlock()
-	if err := c.putMember(ctx, isolated.member(next.incarnation), id); err != nil {
+	if err := c.putMember(ctx, status.member(next.incarnation), id); err != nil {
 		return err
 	}
 	c.lease.granted(next)
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -112,11 +112,11 @@
 	if s.stated {
 		rec.Format = record.Stated
 	}
-	value := record.Encode(rec)
 	s.dirty, s.urgent, s.moved = left, left, false
 	if len(t.starts) == 0 && len(t.dones) == 0 && !moved {
 		return
 	}
+	value := record.Encode(rec)
 	if !p.fit(s, len(value)) {
 		s.dirty, s.urgent = true, true
 		p.alarm(now) // the slots that take what has no room here come first
@@ -287,9 +287,6 @@
 
 // end takes a job out whose end is recorded.
 func (p *Part) end(j *Job, now time.Time) {
-	if j.line.ref == "" {
-		j.line.run.Finish(j.ref, "")
-	}
 	for i := range j.tasks {
 		if j.tasks[i].state == placed {
 			p.take(key{j, i}, now)
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -142,7 +142,7 @@
 		case len(spec.DependsOn) > 0:
 			p.await(j)
 		default:
-			j.line = alone(ref)
+			j.line = alone
 		}
 	}
 	if version <= j.version {
@@ -243,6 +243,7 @@
 		p.lose(k, now)
 	}
 	delete(p.machines, m.ID)
+	delete(p.delayed, m)
 	p.index.drop(m)
 	p.changed = true
 }
@@ -264,6 +265,13 @@
 // HasJob reports whether the part holds an unfinished job.
 func (p *Part) HasJob(ref string) bool { return p.jobs[ref] != nil }
 
+// KnowsJob reports whether the part holds an unfinished job as its record of a version
+// tells, or a later one.
+func (p *Part) KnowsJob(ref string, version uint64) bool {
+	j := p.jobs[ref]
+	return j != nil && j.version >= version
+}
+
 // Status returns a job's state for display.
 func (p *Part) Status(ref string) (wire.Status, bool) {
 	j := p.jobs[ref]
