--- a/internal/controller/account_test.go
+++ b/internal/controller/account_test.go
@@ -289,7 +289,7 @@
 	for b.Loop() {
 		b.StopTimer()
 		c.mu.Lock()
-		c.leaseAt = time.Now()
+		c.lease.setRenewed(time.Now())
 		c.mu.Unlock()
 		spec := body(b, func(m map[string]any) { m["ref"], m["berries"], m["cards"], m["cores"] = ref(n), 1, 0.0, 0.01 })
 		n++
--- a/internal/controller/bounds_test.go
+++ b/internal/controller/bounds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -67,7 +68,7 @@
 // answer.
 func asked(c *Controller, method, path string, body []byte) reply {
 	c.mu.Lock()
-	c.leaseAt = time.Now()
+	c.lease.setRenewed(time.Now())
 	c.mu.Unlock()
 	later := make(chan reply, 1)
 	if r, now := c.handle(httpwire.Request{Method: method, Path: path, Body: body}, func(r reply) { later <- r }); now {
@@ -314,7 +315,7 @@
 		claims := map[string]int{}
 		for _, w := range k.world.State.Writes()[before:] {
 			for _, op := range w.Txn.Then {
-				if hasPrefix(op.Put, record.PartPrefix) {
+				if strings.HasPrefix(op.Put, record.PartPrefix) {
 					claims[op.Put+" by "+w.From]++
 				}
 			}
--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -59,7 +60,7 @@
 			// Its owner may have restarted together with this controller.
 		case !ownerLives && now.Sub(c.viewAt) < 2*c.watchWait() && len(c.members) > 0:
 			home := c.home(id)
-			if !known && now.Sub(c.leaseAt) < leaseTTL && c.firstSeen(home, now) {
+			if !known && now.Sub(c.lease.current().renewedAt) < leaseTTL && c.firstSeen(home, now) {
 				continue // it is probably about to start
 			}
 			mine = fleet.Claimant(c.live(), owners, home) == c.cfg.Label
@@ -84,9 +85,9 @@
 func (c *Controller) claim(ctx context.Context, id int) {
 	c.claiming[id] = true
 	r := c.partRecs[id]
-	inc := c.inc
+	incarnation := c.lease.current().incarnation
 	go func() {
-		err := c.takeOver(ctx, id, r, inc)
+		err := c.takeOver(ctx, id, r, incarnation)
 		c.mu.Lock()
 		delete(c.claiming, id)
 		c.mu.Unlock()
@@ -96,56 +97,20 @@
 	}()
 }
 
-func (c *Controller) takeOver(ctx context.Context, id int, r versioned[record.Part], inc uint64) error {
-	key := record.PartKey(id)
-	rec := record.Part{Owner: c.cfg.Label, Inc: inc}
-	token, err := c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
-		If:   []wire.Cond{{Key: key, Version: r.version}},
-		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
-	})
+// takeOver claims a part whose record is as r says, reads its records and begins to serve
+// it.
+func (c *Controller) takeOver(ctx context.Context, id int, r versioned[record.Part], incarnation uint64) error {
+	token, err := c.recordClaim(ctx, id, r, incarnation)
 	if err != nil {
-		if e, gerr := c.store.Get(ctx, statestore.Urgent("claim"), key); gerr == nil {
-			var cur record.Part
-			if decode(e.Value, &cur) == nil {
-				c.mu.Lock()
-				c.setPart(id, cur, e.Version)
-				c.mu.Unlock()
-			}
-		}
 		return fmt.Errorf("claim: %w", err)
 	}
 	c.mu.Lock()
-	c.setPart(id, rec, token)
 	cfg := c.schedCfg
 	c.mu.Unlock()
 	for ctx.Err() == nil {
 		p, err := c.load(ctx, cfg, id, token)
 		if err == nil {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			if c.partRecs[id].version > token {
-				return fmt.Errorf("claim: part claimed by %s meanwhile", c.partRecs[id].rec.Owner)
-			}
-			c.parts[id] = p
-			now := time.Now()
-			// Views may have moved on while the records were read.
-			c.fleet.Each(func(mid string, v record.View) {
-				if v.Part != id {
-					return
-				}
-				if err := p.SetMachine(mid, v, now); err != nil {
-					c.log.Error("machine record", "machine", mid, "err", err)
-				}
-			})
-			for ref, j := range c.open {
-				if j.part == id {
-					p.Inherit(ref, c.needs.Claim(ref))
-				}
-			}
-			c.log.Info("part claimed", "part", id, "token", token)
-			c.pump(p, now)
-			go c.rereadOpen(ctx, p)
-			return nil
+			return c.install(ctx, p)
 		}
 		c.log.Info("loading part", "part", id, "err", err)
 		if !sleep(ctx, jitter(300*time.Millisecond)) {
@@ -161,8 +126,64 @@
 	return ctx.Err()
 }
 
-func (c *Controller) load(ctx context.Context, cfg *sched.Config, id int, token uint64) (*sched.Part, error) {
-	use := statestore.Urgent("take over")
+// recordClaim writes this controller as a part's owner and returns the token. If that
+// fails, the part's record is read for what stands in the way.
+func (c *Controller) recordClaim(ctx context.Context, id int, r versioned[record.Part], incarnation uint64) (token uint64, err error) {
+	key := record.PartKey(id)
+	rec := record.Part{Owner: c.cfg.Label, Incarnation: incarnation}
+	token, err = c.store.Txn(ctx, statestore.Urgent("claim"), wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: r.version}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(rec)}},
+	})
+	if err == nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.setPart(id, rec, token)
+		return token, nil
+	}
+	e, readErr := c.store.Get(ctx, statestore.Urgent("claim"), key)
+	var cur record.Part
+	if readErr == nil && json.Unmarshal(e.Value, &cur) == nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.setPart(id, cur, e.Version)
+	}
+	return 0, err
+}
+
+// install begins to serve a part that was loaded under its token, unless somebody else
+// has claimed it meanwhile.
+func (c *Controller) install(ctx context.Context, p *sched.Part) error {
+	id := p.ID()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cur := c.partRecs[id]; cur.version > p.Token() {
+		return fmt.Errorf("claim: part claimed by %s meanwhile", cur.rec.Owner)
+	}
+	c.parts[id] = p
+	now := time.Now()
+	// Views may have moved on while the records were read.
+	c.fleet.Each(func(machine string, v record.View) {
+		if v.Part != id {
+			return
+		}
+		if err := p.SetMachine(machine, v, now); err != nil {
+			c.log.Error("machine record", "machine", machine, "err", err)
+		}
+	})
+	for ref, j := range c.open {
+		if j.part == id {
+			p.Inherit(ref, c.needs.Claim(ref))
+		}
+	}
+	c.log.Info("part claimed", "part", id, "token", p.Token())
+	c.pump(p, now)
+	go c.rereadOpen(ctx, p)
+	return nil
+}
+
+// readFleet reads the records of all machines.
+func (c *Controller) readFleet(ctx context.Context, use statestore.Use) (*record.Fleet, error) {
 	entries, _, err := c.store.List(ctx, use, record.FleetPrefix)
 	if err != nil {
 		return nil, err
@@ -173,6 +194,16 @@
 			return nil, err
 		}
 	}
+	return fl, nil
+}
+
+// load reads the records of a part and makes its core, under the token of a claim.
+func (c *Controller) load(ctx context.Context, cfg *sched.Config, id int, token uint64) (*sched.Part, error) {
+	use := statestore.Urgent("take over")
+	fl, err := c.readFleet(ctx, use)
+	if err != nil {
+		return nil, err
+	}
 	open, _, err := c.store.List(ctx, use, record.OpenPrefix)
 	if err != nil {
 		return nil, err
@@ -218,7 +249,7 @@
 				continue
 			}
 			var o record.Open
-			if err := decode(e.Value, &o); err != nil {
+			if err := json.Unmarshal(e.Value, &o); err != nil {
 				c.log.Error("job record", "key", e.Key, "err", err)
 				continue
 			}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -32,7 +33,6 @@
 
 // Defaults of the shell, each a compromise named here.
 const (
-	leaseTTL      = 4 * time.Second        // a dead controller's parts are free after this
 	tickEvery     = 250 * time.Millisecond // timers of the cores, which look at machines as often
 	longestWatch  = 4 * time.Second        // how long a watch may be silent
 	shortestWatch = 500 * time.Millisecond
@@ -40,7 +40,6 @@
 	countsEvery   = 15 * time.Second       // requests and changes are logged this often
 	syncEvery     = time.Second            // the leader asks every controller
 	syncTimeout   = 1500 * time.Millisecond
-	unreachable   = 6 * time.Second  // the leader has an unreachable owner's parts claimed
 	homeStable    = 20 * time.Second // a returned controller answers this long before its part goes home
 	listFactor    = 3.0              // the cloud's list is read once in this many of its lags
 	relayTimeout  = 2200 * time.Millisecond
@@ -58,57 +57,54 @@
 	peers  map[string]peer.Caller
 	teams  []string // names in order
 
-	mu              sync.Mutex
-	schedCfg        *sched.Config // nil until the machine types are known
-	types           []wire.MachineType
-	parts           map[int]*sched.Part
-	claiming        map[int]bool
-	partRecs        map[int]versioned[record.Part]
-	fleet           *record.Fleet
-	open            map[string]openJob       // unfinished jobs as the watch tells them
-	needs           *fragment.Needs          // how unfinished jobs need each other
-	dependencyReads map[string]time.Time     // when final records are read again, or for the first time
-	ends            map[string]chan struct{} // closed when such a job is over, if that is awaited
-	members         map[string]record.Member
-	leader          versioned[record.Head]
-	typesSeen       bool
-	viewAt          time.Time                // the cluster view was true at this time or later
-	formats         map[string]record.Format // by controller, what it writes and reads
-	jobsAt          time.Time                // so was the view of open jobs
-	fleetAt         time.Time                // and that of the machines
-	confirmations   *pollConfirmations
-	lease           uint64
-	leaseAt         time.Time // last renewal's request
-	inc             uint64
-	finals          *finalStates
-	redirected      map[string]redirect
-	peerOK          map[string]time.Time // last answer
-	peerSince       map[string]time.Time // answers without a gap since
-	// peerRefused is when a peer last refused a connection: it is dead, or
-	// connections between controllers are refused.
-	peerRefused map[string]time.Time
-	peerState   map[string]time.Time // last time the peer said it reached the state service
-	peerLoads   map[string]peerLoad  // what peers last told the leader
-	heardAny    time.Time
-	lead        *leading
-	own         *planning // when the leader does not reach this controller
-	wishes      int       // numbers its rentals, never used again under one token
-	syncedAt    time.Time // when the leader last asked
-	quietUntil  time.Time // not to lead before
-	started     time.Time
-	begun       time.Time         // when this process began
-	searches    map[string]search // of workers, see elsewhere
-	hears       hearing           // as the member record says
-	memberPut   time.Time         // when that was last written
-	kept        map[string]kept
-	held        map[string]*held
-	budgetAt    time.Time // when the leader last gave a budget
-	readiness   readiness
-	commands    chan struct{} // direct commands under way, each on a socket of its own
-	pressure    pressure
-	users       int // their requests being served
-	polls       int // those of them that only ask
-	refusals    refusals
+	// Each of these has a lock of its own, which may be taken under mu, never the other
+	// way round.
+	lease         memberLease
+	finals        *finalStates
+	confirmations *pollConfirmations
+	peerHealth    *peerHealth
+
+	// mu guards all that follows. It is never held across input or output.
+	mu               sync.Mutex
+	schedCfg         *sched.Config // nil until the machine types are known
+	types            []wire.MachineType
+	parts            map[int]*sched.Part
+	claiming         map[int]bool
+	partRecs         map[int]versioned[record.Part]
+	fleet            *record.Fleet
+	open             map[string]openJob       // unfinished jobs as the watch tells them
+	needs            *fragment.Needs          // how unfinished jobs need each other
+	dependencyReads  map[string]time.Time     // when final records are read again, or for the first time
+	endWaiters       map[string]chan struct{} // by job; closed when it is not open any more
+	members          map[string]record.Member
+	leader           versioned[record.Head]
+	typesSeen        bool
+	viewAt           time.Time                // the cluster view was true at this time or later
+	formats          map[string]record.Format // by controller, what it writes and reads
+	jobsAt           time.Time                // so was the view of open jobs
+	fleetAt          time.Time                // and that of the machines
+	redirects        workerRedirects
+	peerLoads        map[string]peerLoad // what peers last told the leader
+	lastReportAt     time.Time           // of any worker, to this controller itself
+	lead             *leading
+	selfPlan         *selfPlanning // nil while the leader reaches this controller
+	rentalsRequested int           // numbers the rentals that it requests, never used again under one token
+	syncedAt         time.Time     // when the leader last asked
+	quietUntil       time.Time     // not to lead before
+	started          time.Time
+	begun            time.Time               // when this process began
+	searches         map[string]workerSearch // by machine, while this controller has lost the state service
+	status           memberStatus            // as the member record says
+	memberPut        time.Time               // when that was last written
+	renewals         renewals
+	held             map[string]*held
+	budgetAt         time.Time // when the leader last gave a budget
+	readiness        readiness
+	commands         chan struct{} // direct commands under way, each on a socket of its own
+	pressure         pressure
+	users            int // their requests being served
+	polls            int // those of them that only ask
+	refusals         refusals
 }
 
 // openJob is what polls need to know of an unfinished job.
@@ -124,11 +120,6 @@
 	version uint64
 }
 
-type redirect struct {
-	label string
-	at    time.Time
-}
-
 // Run runs a controller until its server fails.
 func Run(cfg *config.Settings, pol *policy.Policy, log *slog.Logger) error {
 	p := cfg.Params
@@ -191,23 +182,20 @@
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
-	c.ends = map[string]chan struct{}{}
+	c.endWaiters = map[string]chan struct{}{}
 	c.needs = fragment.NewNeeds()
 	c.dependencyReads = map[string]time.Time{}
 	c.commands = make(chan struct{}, max(1, c.cfg.Params.Resources.MaxSockets/commandSockets))
 	c.begun = c.syncedAt
-	c.searches = map[string]search{}
+	c.searches = map[string]workerSearch{}
 	c.members = map[string]record.Member{}
 	c.formats = map[string]record.Format{}
 	c.finals = newFinalStates()
 	c.confirmations = &pollConfirmations{flush: c.confirmAll}
-	c.redirected = map[string]redirect{}
-	c.kept = map[string]kept{}
+	c.redirects = workerRedirects{}
+	c.renewals = renewals{}
 	c.held = map[string]*held{}
-	c.peerOK = map[string]time.Time{}
-	c.peerSince = map[string]time.Time{}
-	c.peerRefused = map[string]time.Time{}
-	c.peerState = map[string]time.Time{}
+	c.peerHealth = newPeerHealth()
 	c.peerLoads = map[string]peerLoad{}
 }
 
@@ -227,114 +215,6 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
 
-// leaseLoop keeps this controller's lease and its member record.
-func (c *Controller) leaseLoop(ctx context.Context) {
-	early := make(chan struct{}, renewalsAtOnce)
-	for {
-		sent := time.Now()
-		lease, strained := c.leaseNow()
-		if strained && lease != 0 {
-			c.renewEarly(ctx, lease, sent, early)
-			if !sleep(ctx, renewStrained) {
-				return
-			}
-			continue
-		}
-		if err := c.keepLease(ctx, sent); err != nil {
-			c.log.Debug("lease", "err", err)
-			if !sleep(ctx, jitter(400*time.Millisecond)) {
-				return
-			}
-			continue
-		}
-		if !sleep(ctx, leaseTTL/4) {
-			return
-		}
-	}
-}
-
-// leaseNow returns the lease, 0 if there is none, and whether the process is strained.
-func (c *Controller) leaseNow() (lease uint64, strained bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lease, c.pressure.strained
-}
-
-// renewEarly renews the lease without awaiting the answer, which a process that falls
-// behind reads as late as it fires its timers: one after the other the lease would end
-// in between.
-func (c *Controller) renewEarly(ctx context.Context, lease uint64, sent time.Time, early chan struct{}) {
-	select {
-	case early <- struct{}{}:
-	default:
-		return // enough under way
-	}
-	go func() {
-		defer func() { <-early }()
-		if err := c.renew(ctx, lease, sent); err != nil {
-			c.log.Debug("lease", "err", err)
-		}
-	}()
-}
-
-// renew renews the lease once.
-func (c *Controller) renew(ctx context.Context, lease uint64, sent time.Time) error {
-	err := c.store.Renew(ctx, lease)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.lease != lease:
-	case err == nil && sent.After(c.leaseAt):
-		c.leaseAt = sent
-	case errors.Is(err, statestore.ErrNoLease):
-		c.lease = 0
-	}
-	return err
-}
-
-func (c *Controller) keepLease(ctx context.Context, sent time.Time) error {
-	if lease, _ := c.leaseNow(); lease != 0 {
-		if err := c.renew(ctx, lease, sent); !errors.Is(err, statestore.ErrNoLease) {
-			return err
-		}
-	}
-	lease, err := c.store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	inc := c.inc
-	c.mu.Unlock()
-	if inc == 0 {
-		inc = lease // leases are never given twice, so neither are incarnations
-	}
-	c.mu.Lock()
-	h := c.hears
-	c.mu.Unlock()
-	if err := c.putMember(ctx, h.member(inc), lease); err != nil {
-		return err
-	}
-	c.mu.Lock()
-	c.lease, c.inc, c.leaseAt = lease, inc, sent
-	c.mu.Unlock()
-	return nil
-}
-
-// putMember writes this controller's member record.
-func (c *Controller) putMember(ctx context.Context, rec record.Member, lease uint64) error {
-	put := wire.Op{Put: record.MemberPrefix + c.cfg.Label, Value: record.Encode(rec), Lease: lease}
-	_, err := c.store.Txn(ctx, statestore.Urgent("member"), wire.Txn{Then: []wire.Op{put}})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.memberPut = time.Now()
-	return err
-}
-
-// sure reports whether the lease certainly stands.
-func (c *Controller) sure(now time.Time) bool {
-	return c.lease != 0 && now.Sub(c.leaseAt) < leaseTTL*9/10
-}
-
 // typesLoop learns the machine types: from the state service, where the first
 // controller to hear from the cloud put them, or from the cloud. Prices move,
 // so they are asked again now and then by the leader.
@@ -342,7 +222,7 @@
 	for ctx.Err() == nil {
 		if e, err := c.store.Get(ctx, statestore.Urgent("types"), record.Types); err == nil {
 			var t []wire.MachineType
-			if decode(e.Value, &t) == nil && len(t) > 0 {
+			if json.Unmarshal(e.Value, &t) == nil && len(t) > 0 {
 				c.mu.Lock()
 				c.setTypes(t)
 				c.mu.Unlock()
@@ -405,28 +285,15 @@
 		c.seekDependencies(ctx, now)
 		c.considerClaims(ctx, now)
 		c.checkBudget(now)
-		for id, r := range c.redirected {
-			if now.Sub(r.at) > time.Minute {
-				delete(c.redirected, id)
-			}
-		}
+		c.redirects.expire(now)
 		if !c.blind(now) {
 			clear(c.searches)
 		}
-		for id, k := range c.kept {
-			if now.Sub(k.last) > config.Seconds(c.cfg.Params.Workers.LeaseS) {
-				delete(c.kept, id)
-			}
-		}
+		c.renewals.expire(config.Seconds(c.cfg.Params.Workers.LeaseS), now)
 		c.mu.Unlock()
 	}
 }
 
-// reachable reports whether another controller answered lately.
-func (c *Controller) reachable(label string, now time.Time) bool {
-	return now.Sub(c.peerOK[label]) < unreachable
-}
-
 // cutZones returns the zones of which no controller can be reached: their
 // machines may be silent for us alone. Where no other controller can be reached at
 // all that goes for this one's own zone, too.
@@ -436,7 +303,7 @@
 		if _, ok := cut[p.Zone]; !ok {
 			cut[p.Zone] = true
 		}
-		if c.reachable(p.Label, now) {
+		if c.peerHealth.contact(p.Label).reachable(now) {
 			cut[p.Zone], cut[c.cfg.Zone] = false, false
 		}
 	}
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -40,15 +41,15 @@
 		case over || (open && !j.service):
 			continue
 		case open:
-			return c.unless(ctx, s.Ref, 422)
+			return c.refuseUnlessAccepted(ctx, s.Ref, 422)
 		}
 		// The open record first: a job that has none any more is in the other.
 		e, err := c.store.Get(ctx, use, record.OpenKey(root))
 		var o record.Open
 		switch {
-		case err == nil && decode(e.Value, &o) == nil:
+		case err == nil && json.Unmarshal(e.Value, &o) == nil:
 			if o.Spec.Kind == wire.Service {
-				return c.unless(ctx, s.Ref, 422)
+				return c.refuseUnlessAccepted(ctx, s.Ref, 422)
 			}
 			continue
 		case !errors.Is(err, statestore.ErrNotFound):
@@ -56,7 +57,7 @@
 		}
 		switch _, err := c.readFinal(ctx, use, root); {
 		case errors.Is(err, statestore.ErrNotFound):
-			return c.unless(ctx, s.Ref, 422)
+			return c.refuseUnlessAccepted(ctx, s.Ref, 422)
 		case err != nil:
 			return later()
 		}
@@ -71,7 +72,7 @@
 	if err != nil {
 		return j, err
 	}
-	if err := decode(e.Value, &j); err != nil {
+	if err := json.Unmarshal(e.Value, &j); err != nil {
 		return j, err
 	}
 	c.finals.put(ref, j)
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
-	"syscall"
 	"time"
 
-	"bramblespur/internal/config"
 	"bramblespur/internal/fleet"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
@@ -17,14 +14,13 @@
 // Defaults of who leads and who is heard.
 const (
 	standAside  = 4 * time.Second // a leader that reaches nobody gives up after this
-	deafAfter   = 4 * time.Second // without an answer from any controller
 	pingTimeout = 900 * time.Millisecond
 	quietAfter  = 15 * time.Second // and does not lead for this long
-	memberSeen  = 2 * time.Second  // by then a member record shows in its writer's view
 )
 
 func (c *Controller) leads(now time.Time) bool {
-	return c.leader.rec.Label == c.cfg.Label && c.leader.rec.Inc == c.inc && c.inc != 0 && c.sure(now)
+	lease := c.lease.current()
+	return c.leader.rec.Label == c.cfg.Label && c.leader.rec.Incarnation == lease.incarnation && lease.incarnation != 0 && lease.certain(now)
 }
 
 // pingPeers learns which controllers answer, and whether they reach the state
@@ -35,33 +31,12 @@
 		wg.Go(func() {
 			var ok bool
 			err := p.Call("Ping", c.cfg.Label, &ok, pingTimeout)
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.answered(label, err, ok)
+			c.peerHealth.called(label, err, ok)
 		})
 	}
 	wg.Wait()
 }
 
-// answered takes in whether another controller answered. The lock is held.
-func (c *Controller) answered(label string, err error, stateOK bool) {
-	now := time.Now()
-	if err != nil {
-		delete(c.peerSince, label)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.peerRefused[label] = now
-		}
-		return
-	}
-	c.peerOK[label] = now
-	if _, ok := c.peerSince[label]; !ok {
-		c.peerSince[label] = now
-	}
-	if stateOK {
-		c.peerState[label] = now
-	}
-}
-
 // Ping implements peer.Handler.
 func (c *Controller) Ping() bool {
 	c.mu.Lock()
@@ -69,57 +44,12 @@
 	return c.sure(time.Now())
 }
 
-// hearing is whether a controller hears anybody, and keeps up with what it hears.
-type hearing struct {
-	alone      bool // no other controller
-	deaf       bool // nor any worker
-	overloaded bool
-}
-
-// member is the member record that says so.
-func (h hearing) member(inc uint64) record.Member {
-	return record.Member{Inc: inc, Deaf: h.deaf, Alone: h.alone, Overloaded: h.overloaded}
-}
-
-// listen keeps the member record's word on whether this controller hears
-// anybody and keeps up. A deaf one is still the owner of its parts, but of no use to them. It also
-// writes the record anew where the view shows another or none: one of this label's
-// last process may have come late, and goes with that one's lease.
-func (c *Controller) listen(ctx context.Context) {
-	c.mu.Lock()
-	now := time.Now()
-	h := hearing{alone: len(c.peers) > 0, overloaded: c.pressure.overloaded}
-	for label := range c.peers {
-		if now.Sub(c.peerOK[label]) < deafAfter {
-			h.alone = false
-		}
-	}
-	h.deaf = h.alone && c.fleet.Len() > 0 && now.Sub(c.heardAny) > config.Seconds(c.cfg.Params.Workers.ReportS)*2+time.Second
-	inc, lease := c.inc, c.lease
-	rec := h.member(inc)
-	lost := c.members[c.cfg.Label] != rec && c.viewAt.Sub(c.memberPut) > 0 && now.Sub(c.memberPut) > memberSeen
-	change := (h != c.hears || lost) && c.sure(now)
-	c.mu.Unlock()
-	if !change {
-		return
-	}
-	if c.putMember(ctx, rec, lease) != nil {
-		return
-	}
-	c.mu.Lock()
-	c.hears = h
-	c.mu.Unlock()
-	c.log.Info("hearing", "deaf", h.deaf, "alone", h.alone, "overloaded", h.overloaded)
-}
-
 func (c *Controller) stand(ctx context.Context, cur versioned[record.Head]) {
-	c.mu.Lock()
-	head := record.Head{Label: c.cfg.Label, Inc: c.inc}
-	lease := c.lease
-	c.mu.Unlock()
+	lease := c.lease.current()
+	head := record.Head{Label: c.cfg.Label, Incarnation: lease.incarnation}
 	rev, err := c.store.Txn(ctx, statestore.Urgent("lead"), wire.Txn{
 		If:   []wire.Cond{{Key: record.Leader, Version: cur.version}},
-		Then: []wire.Op{{Put: record.Leader, Value: record.Encode(head), Lease: lease}},
+		Then: []wire.Op{{Put: record.Leader, Value: record.Encode(head), Lease: lease.id}},
 	})
 	if err != nil {
 		return
@@ -162,11 +92,11 @@
 	claims, hand = map[string][]int{}, map[string][]int{}
 	reach := []string{c.cfg.Label}
 	for label, m := range c.members {
-		if label != c.cfg.Label && !m.Deaf && c.reachable(label, now) {
+		if label != c.cfg.Label && !m.Deaf && c.peerHealth.contact(label).reachable(now) {
 			reach = append(reach, label)
 		}
 	}
-	if c.hears.deaf || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) ||
+	if c.status.cutFromAll || (len(reach) == 1 && c.othersMeet() && now.Sub(c.lead.started) > standAside) ||
 		(c.pressure.behind && c.someoneHasRoom(reach, now)) {
 		return nil, nil, true
 	}
@@ -198,12 +128,12 @@
 		if owner == home || !lives {
 			continue
 		}
-		switch since, ok := c.peerSince[home]; {
+		switch atHome := c.peerHealth.contact(home); {
 		case home == c.cfg.Label:
 			if now.Sub(c.lead.started) > homeStable && c.keepsUp(home, now) {
 				hand[owner] = append(hand[owner], id)
 			}
-		case !ok || now.Sub(since) < homeStable || !c.reachable(home, now) || now.Sub(c.peerState[home]) > peerFresh || c.members[home].Deaf || c.members[home].Inc == 0,
+		case atHome.answeringFor(now) < homeStable || !atHome.reachable(now) || !atHome.reachesState(now) || c.members[home].Deaf || c.members[home].Incarnation == 0,
 			!c.keepsUp(home, now):
 			// One that answers but is refused by the state service could not
 			// claim its part, and another would, for ever in turn. One that does not
--- a/internal/controller/meetings_restarts_test.go
+++ b/internal/controller/meetings_restarts_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -217,16 +218,16 @@
 			var m record.Member
 			e, ok := k.world.State.Entry(record.MemberPrefix + label)
 			if ok {
-				if err := decode(e.Value, &m); err != nil {
+				if err := json.Unmarshal(e.Value, &m); err != nil {
 					k.t.Fatal(err)
 				}
 			}
 			p := k.process(label)
 			p.c.mu.Lock()
-			inc := p.c.inc
+			incarnation := p.c.lease.current().incarnation
 			p.c.mu.Unlock()
-			if !ok || m.Inc != inc {
-				k.t.Errorf("%s: recorded %t as incarnation %d, is %d", label, ok, m.Inc, inc)
+			if !ok || m.Incarnation != incarnation {
+				k.t.Errorf("%s: recorded %t as incarnation %d, is %d", label, ok, m.Incarnation, incarnation)
 			}
 		}
 		k.submit(spec(ref(firstOwn), "wide", nil), quick)
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -51,19 +51,19 @@
 		up      time.Duration
 		want    bool
 	}{
-		"own part after a restart":  {record.Part{Owner: "c-0", Inc: 1}, []string{"c-0"}, 0, true},
-		"live owner":                {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0", "c-1"}, time.Minute, false},
-		"dead owner":                {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0"}, claimPatience, true},
-		"dead owner at the start":   {record.Part{Owner: "c-1", Inc: 1}, []string{"c-0"}, claimPatience - 1, false},
+		"own part after a restart":  {record.Part{Owner: "c-0", Incarnation: 1}, []string{"c-0"}, 0, true},
+		"live owner":                {record.Part{Owner: "c-1", Incarnation: 1}, []string{"c-0", "c-1"}, time.Minute, false},
+		"dead owner":                {record.Part{Owner: "c-1", Incarnation: 1}, []string{"c-0"}, claimPatience, true},
+		"dead owner at the start":   {record.Part{Owner: "c-1", Incarnation: 1}, []string{"c-0"}, claimPatience - 1, false},
 		"offered":                   {record.Part{To: "c-0"}, []string{"c-0", "c-1"}, time.Minute, true},
 		"offered as it has started": {record.Part{To: "c-0"}, []string{"c-0", "c-1"}, 0, true},
 	} {
 		c := newTest(t, testkit.NewState())
 		now := time.Now()
-		c.inc, c.viewAt, c.begun = 2, now, now.Add(-x.up)
+		c.lease.state.incarnation, c.viewAt, c.begun = 2, now, now.Add(-x.up)
 		c.partRecs[0] = versioned[record.Part]{x.rec, 5}
 		for _, m := range x.members {
-			c.members[m] = record.Member{Inc: 1}
+			c.members[m] = record.Member{Incarnation: 1}
 		}
 		c.mu.Lock()
 		c.considerClaims(context.Background(), now)
@@ -75,7 +75,8 @@
 	}
 	// Without a lease that certainly stands, nothing is claimed.
 	c := newTest(t, testkit.NewState())
-	c.viewAt, c.leaseAt = time.Now(), time.Now().Add(-time.Minute)
+	c.viewAt = time.Now()
+	c.lease.setRenewed(c.viewAt.Add(-time.Minute))
 	c.partRecs[0] = versioned[record.Part]{record.Part{Owner: "c-0"}, 5}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -114,11 +115,11 @@
 // Leaders stand aside only when others hear each other.
 func TestOthersMeet(t *testing.T) {
 	c := newTest(t, testkit.NewState())
-	c.members = map[string]record.Member{"c-0": {Inc: 1}, "c-1": {Inc: 2, Alone: true}, "c-2": {Inc: 3, Alone: true}}
+	c.members = map[string]record.Member{"c-0": {Incarnation: 1}, "c-1": {Incarnation: 2, Alone: true}, "c-2": {Incarnation: 3, Alone: true}}
 	if c.othersMeet() {
 		t.Error("would stand aside though everybody is alone")
 	}
-	c.members["c-1"], c.members["c-2"] = record.Member{Inc: 2}, record.Member{Inc: 3}
+	c.members["c-1"], c.members["c-2"] = record.Member{Incarnation: 2}, record.Member{Incarnation: 3}
 	if !c.othersMeet() {
 		t.Error("keeps the lead though others hear each other")
 	}
@@ -130,7 +131,7 @@
 	ctx := context.Background()
 	state := testkit.NewState()
 	before, after := newTest(t, state), newTest(t, state)
-	before.inc, after.inc = 1, 2
+	before.lease.state.incarnation, after.lease.state.incarnation = 1, 2
 	before.stand(ctx, versioned[record.Head]{})
 	now := time.Now()
 	if !before.leads(now) {
@@ -180,7 +181,7 @@
 	held := func(renewed time.Time) (starts int) {
 		got := make(chan reply, 1)
 		c.mu.Lock()
-		c.leaseAt = renewed
+		c.lease.setRenewed(renewed)
 		c.hold(c.parts[0], "m", time.Hour, func(r reply) { got <- r })
 		c.release("m", time.Now())
 		c.mu.Unlock()
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -84,7 +84,7 @@
 		return c.checkOpen(ref, a)
 	case record.JobKey(ref):
 		var j record.Job
-		if err := decode(a.Value, &j); err != nil {
+		if err := json.Unmarshal(a.Value, &j); err != nil {
 			return errSenseless("final record: %v", err)
 		}
 		if (j.State != wire.Done && j.State != wire.Cancelled) || j.Tasks < 0 || j.Tasks > maxTasks {
@@ -98,7 +98,7 @@
 // checkOpen refuses an open job's record that could not have been accepted.
 func (c *Controller) checkOpen(ref string, a *peer.NudgeArgs) error {
 	var o record.Open
-	if err := decode(a.Value, &o); err != nil {
+	if err := json.Unmarshal(a.Value, &o); err != nil {
 		return errSenseless("open record: %v", err)
 	}
 	if a.Version == 0 || !c.isPart(o.Part) || o.Spec.Ref != ref || !validSpec(&o.Spec) {
--- a/internal/controller/messages_test.go
+++ b/internal/controller/messages_test.go
@@ -173,14 +173,14 @@
 func TestUnknownMachinesAreBounded(t *testing.T) {
 	c := newTest(t, testkit.NewState())
 	c.begun, c.jobsAt = time.Now().Add(-time.Hour), time.Time{} // blind
-	c.leaseAt = time.Time{}
+	c.lease.setRenewed(time.Time{})
 	c.cfg.Peers = []config.Peer{{Label: "c-1", Zone: "z"}}
 	for i := range maxRemembered + 100 {
 		r := wire.Report{Machine: fmt.Sprint("i-", i), Session: 1, Seq: 1, Token: 5}
-		c.keepAlive(&r, 0)
+		c.renewForOwner(&r, 0)
 	}
-	if len(c.searches) > maxRemembered || len(c.kept) > maxRemembered || len(c.kept) == 0 {
-		t.Errorf("%d searches and %d machines are remembered", len(c.searches), len(c.kept))
+	if len(c.searches) > maxRemembered || len(c.renewals) > maxRemembered || len(c.renewals) == 0 {
+		t.Errorf("%d searches and %d machines are remembered", len(c.searches), len(c.renewals))
 	}
 }
 
--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return rec, 0, err
 	}
-	return rec, e.Version, decode(e.Value, &rec)
+	return rec, e.Version, json.Unmarshal(e.Value, &rec)
 }
 
 // knownPipeline answers with the state of an accepted pipeline, 404 if there is
@@ -316,7 +316,7 @@
 			return t, err
 		}
 		var o record.Open
-		if err := decode(e.Value, &o); err != nil {
+		if err := json.Unmarshal(e.Value, &o); err != nil {
 			return t, err
 		}
 		if o.Cancelled {
@@ -342,7 +342,7 @@
 // pipelineOver answers with the final state of a pipeline once all its jobs are
 // over.
 func (c *Controller) pipelineOver(ctx context.Context, ref string, rec *record.Pipe) reply {
-	if rec.State == wire.Cancelled && !c.ended(ctx, rec.Jobs...) {
+	if rec.State == wire.Cancelled && !c.awaitEnd(ctx, rec.Jobs...) {
 		return ending()
 	}
 	switch over, err := c.pipeOver(ctx, statestore.Urgent("cancel"), rec); {
@@ -360,7 +360,7 @@
 	switch {
 	case !validName(ref, prefix):
 		return reply{status: 404}
-	case c.down():
+	case c.leaseLost():
 		return later()
 	}
 	return reply{}
--- a/internal/controller/ready.go
+++ b/internal/controller/readiness.go
@@ -50,7 +50,7 @@
 // One that reaches neither the state service nor any other controller is rather
 // cut off itself. The lock is held.
 func (c *Controller) serves(now time.Time) bool {
-	if c.schedCfg == nil || c.lease == 0 || c.jobsAt.IsZero() {
+	if c.schedCfg == nil || c.lease.current().id == 0 || c.jobsAt.IsZero() {
 		return false
 	}
 	if c.sure(now) {
@@ -61,15 +61,13 @@
 	}
 	answers := 0
 	for label := range c.peers {
-		if now.Sub(c.peerState[label]) < peerFresh {
+		contact := c.peerHealth.contact(label)
+		if contact.reachesState(now) {
 			return false // refused here alone
 		}
-		if now.Sub(c.peerOK[label]) < peerFresh {
+		if contact.answers(now) {
 			answers++
 		}
 	}
 	return answers > 0
 }
-
-// peerFresh is how old another controller's answer may be to count.
-const peerFresh = 3 * time.Second
--- a/internal/controller/relief_test.go
+++ b/internal/controller/relief_test.go
@@ -63,7 +63,7 @@
 	c.cfg.Peers = []config.Peer{{Label: "c-1"}, {Label: "c-2"}}
 	c.lead = &leading{}
 	for _, label := range c.cfg.Labels() {
-		c.members[label] = record.Member{Inc: 1, Overloaded: label == r.overloaded}
+		c.members[label] = record.Member{Incarnation: 1, Overloaded: label == r.overloaded}
 		c.peerLoads[label] = peerLoad{at: now, recovering: true}
 	}
 	c.pressure.longMean = 2 * lateRoom
--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math"
 	"net"
 	"testing"
@@ -73,7 +74,7 @@
 	if got := c.submit(body(t, nil)); got.status != 200 {
 		t.Fatalf("repeat: %+v, want 200", got)
 	}
-	c.leaseAt = time.Now().Add(-time.Minute)
+	c.lease.setRenewed(time.Now().Add(-time.Minute))
 	if got := c.submit(body(t, set("ref", "run-000777"))); got.status != 503 {
 		t.Fatalf("long without the state service: %+v, want 503 at once", got)
 	}
@@ -154,7 +155,7 @@
 		t.Fatal(err)
 	}
 	var o record.Open
-	if err := decode(e.Value, &o); err != nil {
+	if err := json.Unmarshal(e.Value, &o); err != nil {
 		t.Fatal(err)
 	}
 	o.Cancelled = true
@@ -170,7 +171,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if c.ended(ctx, "run-000412") {
+	if c.awaitEnd(ctx, "run-000412") {
 		t.Error("over though tasks still run")
 	}
 	if got := owned(state, c, func() reply { return c.cancel("run-000412") }); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
@@ -207,7 +208,7 @@
 	if got := c.serveUser(req); got.status != 503 {
 		t.Fatalf("with nobody known to reach the state service: %+v", got)
 	}
-	c.answered("c-1", nil, true)
+	c.peerHealth.called("c-1", nil, true)
 	if got := c.serveUser(req); got.status != 201 {
 		t.Fatalf("passed on: %+v", got)
 	}
@@ -220,7 +221,7 @@
 	if got := c.serveUser(poll); got.status != 404 {
 		t.Fatalf("poll of an unknown job passed on: %+v", got)
 	}
-	far.leaseAt = time.Now().Add(-time.Minute)
+	far.lease.setRenewed(time.Now().Add(-time.Minute))
 	if got := far.User(peer.UserArgs{Method: "GET", Path: poll.Path}); got.Status != 503 {
 		t.Fatalf("served by one that is cut off itself: %+v", got)
 	}
--- a/internal/controller/withheld_test.go
+++ b/internal/controller/withheld_test.go
@@ -37,7 +37,7 @@
 }
 
 func (s *lossyState) Get(ctx context.Context, u statestore.Use, key string) (wire.Entry, error) {
-	if hasPrefix(key, record.SlotPrefix) {
+	if strings.HasPrefix(key, record.SlotPrefix) {
 		s.mu.Lock()
 		s.asked = append(s.asked, "read")
 		s.mu.Unlock()
@@ -105,7 +105,8 @@
 	seen := func(ago time.Duration) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.leaseAt, c.jobsAt = time.Now(), time.Now().Add(-ago)
+		c.lease.setRenewed(time.Now())
+		c.jobsAt = time.Now().Add(-ago)
 	}
 	seen(2*c.watchWait() + callSlack + time.Second)
 	if n := starts(); n != 0 {
