--- a/internal/sched/deposed_test.go
+++ b/internal/sched/deposed_test.go
@@ -134,13 +134,16 @@
 	if r.on("run-000001/0") != "m1" {
 		t.Fatal("not started by the successor")
 	}
-	w2 := r.machine("m2", "z1", false)
 	refused := d.late(move)
 	if e := r.get(record.OwnKey("m1")); e != nil {
 		r.sync(*e)
 	}
+	// The next start on the machine is conditioned on its record, which tells its owner
+	// that it has moved.
+	r.submit(spec("run-000002", "b", wire.Array, "normal", 1, 1))
+	r.beats(2, w1)
+	w2 := r.machine("m2", "z1", false)
 	r.beats(3, w2)
-	r.beats(1, w1)
 	if at := r.on("run-000001/0"); at != "m1" {
 		t.Errorf("the task is on %q, want m1", at)
 	}
