Pipelines: a malformed one is answered 400 also while nothing can be decided

It was 503 as long as the machine types or the state service were missing, so that its user asked again and again. A table of bad requests with and without the state service guards the answers to all paths.

--- a/internal/controller/pipelines.go
+++ b/internal/controller/pipelines.go
@@ -17,10 +17,29 @@
 // with all its jobs in one transaction or not at all; what it releases is its
 // owner's to decide, see package sched.
 
-// submitPipeline accepts a pipeline whole, or refuses it.
-func (c *Controller) submitPipeline(body []byte) reply {
+// parsePipeline checks a submission's form, as parseSpec does a job's.
+func parsePipeline(body []byte) (ref string, rec record.Pipe, specs []*wire.Spec, ok bool) {
 	var w wire.Pipeline
 	if json.Unmarshal(body, &w) != nil || !validName(w.Ref, "pipe-") || len(w.Jobs) == 0 {
+		return "", rec, nil, false
+	}
+	for _, raw := range w.Jobs {
+		s, ok := parseSpec(raw)
+		if !ok || len(s.DependsOn) > 0 { // links say what follows what
+			return "", rec, nil, false
+		}
+		specs = append(specs, s)
+		rec.Jobs = append(rec.Jobs, s.Ref)
+	}
+	rec.Links, rec.Choices = w.Links, w.Choices
+	oneTeam := !slices.ContainsFunc(specs, func(s *wire.Spec) bool { return s.Team != specs[0].Team })
+	return w.Ref, rec, specs, oneTeam && wellFormed(&rec)
+}
+
+// submitPipeline accepts a pipeline whole, or refuses it.
+func (c *Controller) submitPipeline(body []byte) reply {
+	ref, rec, specs, ok := parsePipeline(body)
+	if !ok {
 		return reply{status: 400}
 	}
 	types, ok := c.decides()
@@ -31,28 +50,14 @@
 	defer cancel()
 	use := statestore.Urgent("accept")
 	// What is known is never refused, whatever the settings say by now.
-	if r := c.knownPipeline(ctx, use, w.Ref); r.status != 404 {
+	if r := c.knownPipeline(ctx, use, ref); r.status != 404 {
 		return r
 	}
-	rec := record.Pipe{}
-	var specs []*wire.Spec
-	for _, raw := range w.Jobs {
-		s, ok := parseSpec(raw)
-		if !ok || len(s.DependsOn) > 0 { // links say what follows what
-			return reply{status: 400}
-		}
-		specs = append(specs, s)
-		rec.Jobs = append(rec.Jobs, s.Ref)
-	}
-	rec.Links, rec.Choices = w.Links, w.Choices
-	if !wellFormed(&rec) || slices.ContainsFunc(specs, func(s *wire.Spec) bool { return s.Team != specs[0].Team }) {
-		return reply{status: 400}
-	}
 	if slices.ContainsFunc(specs, func(s *wire.Spec) bool { return !c.canRun(s, types) }) {
 		return reply{status: 422}
 	}
-	rec.Part = record.PartOf(c.teams, specs[0].Team, w.Ref, c.cfg.Params.Count)
-	t, ok := c.pipelineTxn(w.Ref, rec, specs)
+	rec.Part = record.PartOf(c.teams, specs[0].Team, ref, c.cfg.Params.Count)
+	t, ok := c.pipelineTxn(ref, rec, specs)
 	if !ok {
 		return reply{status: 422}
 	}
@@ -61,9 +66,9 @@
 	switch {
 	case err == nil:
 		c.tellOwner(rec.Part, t, rev)
-		return reply{status: 201, body: wire.Brief{Ref: w.Ref, State: wire.Pending}}
+		return reply{status: 201, body: wire.Brief{Ref: ref, State: wire.Pending}}
 	case errors.As(err, &conflict):
-		r := c.knownPipeline(ctx, use, w.Ref)
+		r := c.knownPipeline(ctx, use, ref)
 		if r.status == 404 {
 			return reply{status: 400} // one of its jobs' references is in use
 		}
--- /dev/null
+++ b/internal/controller/requests_test.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"bramblespur/internal/httpwire"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// Each kind of bad request has its answer at once, whether or not the state service can
+// be reached: the form alone decides 400 and 405 and the path 404, and what can't be
+// decided without it is 503 with Retry-After.
+func TestBadRequestsAreAnsweredAtOnce(t *testing.T) {
+	job := wire.JobsPath + "/run-000001"
+	pipeline := wire.PipelinesPath + "/pipe-000001"
+	sound := string(body(t, nil))
+	piped := `{"ref":"pipe-000001","jobs":[` + sound + `],"links":[],"choices":[]}`
+	for _, x := range []struct {
+		method, path, body string
+		up, down           int // statuses with and without the state service
+	}{
+		{"GET", "/nowhere", "", 404, 404},
+		{"GET", "/", "", 404, 404},
+		{"GET", wire.JobsPath, "", 405, 405},
+		{"DELETE", job, "", 405, 405},
+		{"GET", job + "/" + wire.CancelWord, "", 405, 405},
+		{"POST", job + "/more", "", 404, 404},
+		{"POST", job + "/" + wire.CancelWord + "/more", "", 404, 404},
+		{"GET", wire.JobsPath + "/", "", 404, 404},
+		{"GET", wire.JobsPath + "/job-1", "", 404, 404},
+		{"GET", wire.JobsPath + "/run-" + strings.Repeat("1", 2000), "", 404, 404},
+		{"POST", wire.JobsPath + "/run--00001/" + wire.CancelWord, "", 404, 404},
+		{"GET", job, "", 404, 503},
+		{"POST", job + "/" + wire.CancelWord, "", 404, 503},
+		{"GET", pipeline, "", 404, 503},
+		{"POST", pipeline + "/" + wire.CancelWord, "", 404, 503},
+		{"POST", wire.JobsPath, "", 400, 400},
+		{"POST", wire.JobsPath, "{", 400, 400},
+		{"POST", wire.JobsPath, strings.Repeat("[", 50000), 400, 400},
+		{"POST", wire.JobsPath, string(body(t, set("berries", 1.5))), 400, 400},
+		{"POST", wire.JobsPath, string(body(t, set("berries", 1e30))), 400, 400},
+		{"POST", wire.JobsPath, string(body(t, set("press_s", -1))), 400, 400},
+		{"POST", wire.JobsPath, string(body(t, set("keeper", "nobody"))), 422, 503},
+		{"POST", wire.JobsPath, string(body(t, set("cores", 1e12))), 422, 503},
+		{"POST", wire.PipelinesPath, "", 400, 400},
+		{"POST", wire.PipelinesPath, `{"ref":"pipe-000001","jobs":[{}],"links":[],"choices":[]}`, 400, 400},
+		{"POST", wire.PipelinesPath, `{"ref":"pipe-000001","jobs":[` + sound + "," + sound + `],"links":[],"choices":[]}`, 400, 400},
+		{"POST", wire.PipelinesPath, strings.Replace(piped, `"keeper":"a"`, `"keeper":"nobody"`, 1), 422, 503},
+		{"POST", wire.JobsPath, sound, 201, 503},
+	} {
+		for _, down := range []bool{true, false} {
+			c := newTest(t, testkit.NewState())
+			want := x.up
+			if down {
+				c.store.(*testkit.State).Outage(true)
+				c.leaseAt = time.Now().Add(-time.Minute)
+				want = x.down
+			}
+			got := c.serveUser(httpwire.Request{Method: x.method, Path: x.path, Body: []byte(x.body)})
+			if got.status != want || (want == 503) != (got.retryAfter > 0) {
+				t.Errorf("%s %.40s %.40s, outage %t: status %d, retry after %d, want %d", x.method, x.path, x.body, down, got.status, got.retryAfter, want)
+			}
+		}
+	}
+}
