Sched: services take machines of other parts' work that had waited too long

With few machines to be had, and machines moved to the parts of such work, services of other parts waited beside these for minutes. The leader now hears of them as of urgent work: urgent work of other parts does not take them, services do. Within a part nothing is changed.

--- a/internal/sched/attain_test.go
+++ b/internal/sched/attain_test.go
@@ -132,3 +132,18 @@
 		t.Fatal("it does not starve after minutes")
 	}
 }
+
+// Work that had waited too long keeps its machines from urgent work of other parts,
+// not from services, which users wait for all the time.
+func TestOnlyServicesTakeWhatWaitedLong(t *testing.T) {
+	r := newRig(t)
+	r.machine("m1", "z1", false)
+	r.beats(2)
+	r.submit(spec("run-000001", "b", wire.Array, "low", 2, 1))
+	r.beats(2)
+	array := r.part.jobs["run-000001"]
+	array.kept, r.part.kept[array] = true, true
+	if top := r.part.Summary(r.clock.Now()).Machines[0].TopRank; top < Rank("urgent") || top >= Rank("prod") {
+		t.Errorf("priority %d is told for it", top)
+	}
+}
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -91,7 +91,7 @@
 			fm.Lasting = fm.Lasting || k.job.spec.Kind == wire.Service
 			fm.TopRank = max(fm.TopRank, k.job.rank)
 			if k.job.kept {
-				fm.TopRank = highestRank
+				fm.TopRank = max(fm.TopRank, highestRank-1) // only services take its place
 			}
 		}
 		s.Machines = append(s.Machines, fm)
