--- a/internal/controller/requests_test.go
+++ b/internal/controller/requests_test.go
@@ -56,7 +56,7 @@
 			want := x.up
 			if down {
 				c.store.(*testkit.State).Outage(true)
-				c.leaseAt = time.Now().Add(-time.Minute)
+				c.lease.setRenewed(time.Now().Add(-time.Minute))
 				want = x.down
 			}
 			got := c.serveUser(httpwire.Request{Method: x.method, Path: x.path, Body: []byte(x.body)})
