--- a/internal/controller/pressure_test.go
+++ b/internal/controller/pressure_test.go
@@ -272,8 +272,11 @@
 			}
 			c.mu.Unlock()
 		}
-		if state.most > renewalsAtOnce+1 {
-			t.Errorf("%d renewals at once", state.most)
+		state.mu.Lock()
+		most := state.most
+		state.mu.Unlock()
+		if most > renewalsAtOnce+1 {
+			t.Errorf("%d renewals at once", most)
 		}
 		cancel()
 		time.Sleep(leaseTTL)
