--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -174,7 +174,12 @@
 )
 
 func (p *Part) aged(j *Job, now time.Time) bool {
-	return (j.kept || j.nPlaced+j.nDone == 0) && now.Sub(j.accepted) > agedAfter && p.keptLoad[j.rank] < agedShare
+	return (j.kept || j.starved(now)) && now.Sub(j.accepted) > agedAfter && p.keptLoad[j.rank] < agedShare
+}
+
+// starved reports whether nothing of a job has run for too long.
+func (j *Job) starved(now time.Time) bool {
+	return j.nPlaced+j.nDone == 0 && now.Sub(j.accepted) > agedAfter
 }
 
 // beforeAged orders jobs that have waited too long: the lowest priority first,
@@ -298,8 +303,12 @@
 		byZone[z] = append(byZone[z], m)
 		units[z] += fits
 	})
+	missing := now.Sub(j.stuck) > missingAfter
 	best, most := "", 0
 	for z, u := range units {
+		if missing && !p.attainable(j, n, z) {
+			continue
+		}
 		if u > most || (u == most && z < best) {
 			best, most = z, u
 		}
