--- a/internal/controller/pressure_test.go
+++ b/internal/controller/pressure_test.go
@@ -272,9 +272,11 @@
 			}
 			c.mu.Unlock()
 		}
+		state.mu.Lock()
 		if state.most > renewalsAtOnce+1 {
 			t.Errorf("%d renewals at once", state.most)
 		}
+		state.mu.Unlock()
 		cancel()
 		time.Sleep(leaseTTL)
 	})
