--- a/internal/controller/pressure_test.go
+++ b/internal/controller/pressure_test.go
@@ -233,8 +233,9 @@
 	}
 	s.pending++
 	s.most = max(s.most, s.pending)
+	late := s.late
 	s.mu.Unlock()
-	time.Sleep(s.late)
+	time.Sleep(late)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending--
