--- a/internal/controller/redirects.go
+++ b/internal/controller/redirects.go
@@ -112,9 +112,9 @@
 
 // servesZone reports whether a controller lives, hears others and is in a zone. The
 // lock is held.
-func (c *Controller) servesZone(label, its, zone string) bool {
+func (c *Controller) servesZone(label, controllerZone, zone string) bool {
 	m, lives := c.members[label]
-	return lives && !m.Deaf && its == zone
+	return lives && !m.Deaf && controllerZone == zone
 }
 
 // A worker waits workerWait for an answer and tries the next controller after
