--- a/internal/controller/pressure_test.go
+++ b/internal/controller/pressure_test.go
@@ -233,8 +233,9 @@
 	}
 	s.pending++
 	s.most = max(s.most, s.pending)
+	late := s.late
 	s.mu.Unlock()
-	time.Sleep(s.late)
+	time.Sleep(late)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending--
@@ -273,11 +274,10 @@
 			c.mu.Unlock()
 		}
 		state.mu.Lock()
-		most := state.most
-		state.mu.Unlock()
-		if most > renewalsAtOnce+1 {
-			t.Errorf("%d renewals at once", most)
+		if state.most > renewalsAtOnce+1 {
+			t.Errorf("%d renewals at once", state.most)
 		}
+		state.mu.Unlock()
 		cancel()
 		time.Sleep(leaseTTL)
 	})
