--- a/internal/controller/messages_test.go
+++ b/internal/controller/messages_test.go
@@ -18,6 +18,7 @@
 	"bramblespur/internal/httpwire"
 	"bramblespur/internal/peer"
 	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
 	"bramblespur/internal/testkit"
 	"bramblespur/internal/wire"
 )
@@ -29,10 +30,11 @@
 	return &out
 }
 
-// ownerForTest returns a controller that owns its part.
-func ownerForTest(t testing.TB, state *testkit.State) *Controller {
+// ownerForTest returns a controller that owns its part and reaches a state through store.
+func ownerForTest(t testing.TB, state *testkit.State, store statestore.Store) *Controller {
 	t.Helper()
 	c := newTest(t, state)
+	c.store = store
 	c.viewAt, c.jobsAt, c.fleetAt = time.Now(), time.Now(), time.Now()
 	if err := c.takeOver(context.Background(), 0, versioned[record.Part]{}, 1); err != nil {
 		t.Fatal(err)
@@ -40,6 +42,13 @@
 	return c
 }
 
+// newOwner returns one with an empty state.
+func newOwner(t testing.TB) *Controller {
+	t.Helper()
+	state := testkit.NewState()
+	return ownerForTest(t, state, state)
+}
+
 // openOf is a job's open record, changed as wished.
 func openOf(change func(*record.Open)) []byte {
 	o := record.Open{Spec: spec("run-000001", "a", nil)}
@@ -80,7 +89,7 @@
 		"a large request passed on":    peer.UserArgs{Method: "POST", Path: wire.JobsPath, Body: make([]byte, httpwire.MaxBody+1)},
 		"a request with an endless id": peer.UserArgs{Method: "GET", Path: strings.Repeat("x", httpwire.MaxHead+1)},
 	} {
-		c := ownerForTest(t, testkit.NewState())
+		c := newOwner(t)
 		out := logged(c)
 		for range 3 {
 			if err := c.Check(args); !errors.Is(err, wire.ErrSenseless) {
@@ -95,7 +104,7 @@
 
 // What controllers do say is taken.
 func TestMessagesOfControllersAreTaken(t *testing.T) {
-	c := ownerForTest(t, testkit.NewState())
+	c := newOwner(t)
 	for _, args := range []any{
 		peer.SyncArgs{}, peer.SyncArgs{From: "c-1", Claim: []int{0}, HandHome: []int{0}, Requests: 1, Changes: 2},
 		peer.SyncArgs{Orders: []fleet.Order{{Machine: "m", To: fleet.Back}}},
@@ -147,7 +156,7 @@
 // Reports that make no sense are answered 400 at once and logged once for each machine;
 // they change nothing that is remembered.
 func TestSenselessReportsAreAnswered(t *testing.T) {
-	c := ownerForTest(t, testkit.NewState())
+	c := newOwner(t)
 	out := logged(c)
 	for _, body := range []string{
 		``, `{`, `[]`, `null`, `"x"`, `{}`, `{"bush":7}`, `{"bush":"m","season":-1,"tally":1}`, `{"bush":"m","season":1,"tally":-4}`,
@@ -195,9 +204,12 @@
 	} {
 		f.Add([]byte(seed))
 	}
-	c := ownerForTest(f, testkit.NewState())
+	c := newOwner(f)
 	known := []int{200, 201, 400, 422, 503}
 	f.Fuzz(func(t *testing.T, body []byte) {
+		c.mu.Lock()
+		c.lease.setRenewed(time.Now()) // else all is refused after some seconds
+		c.mu.Unlock()
 		for _, path := range []string{wire.JobsPath, wire.PipelinesPath} {
 			work, _ := c.route(httpwire.Request{Method: "POST", Path: path, Body: body})
 			if r := work(); !slices.Contains(known, r.status) {
--- a/internal/controller/requests_test.go
+++ b/internal/controller/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bramblespur/internal/httpwire"
@@ -52,17 +53,23 @@
 		{"POST", wire.JobsPath, sound, 201, 503},
 	} {
 		for _, down := range []bool{true, false} {
-			c := newTest(t, testkit.NewState())
-			want := x.up
-			if down {
-				c.store.(*testkit.State).Outage(true)
-				c.lease.setRenewed(time.Now().Add(-time.Minute))
-				want = x.down
-			}
-			got := c.serveUser(httpwire.Request{Method: x.method, Path: x.path, Body: []byte(x.body)})
-			if got.status != want || (want == 503) != (got.retryAfter > 0) {
-				t.Errorf("%s %.40s %.40s, outage %t: status %d, retry after %d, want %d", x.method, x.path, x.body, down, got.status, got.retryAfter, want)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				c := newTest(t, testkit.NewState())
+				want := x.up
+				if down {
+					c.store.(*testkit.State).Outage(true)
+					c.lease.setRenewed(time.Now().Add(-time.Minute))
+					want = x.down
+				}
+				begun := time.Now()
+				got := c.serveUser(httpwire.Request{Method: x.method, Path: x.path, Body: []byte(x.body)})
+				if got.status != want || (want == 503) != (got.retryAfter > 0) {
+					t.Errorf("%s %.40s %.40s, outage %t: status %d, retry after %d, want %d", x.method, x.path, x.body, down, got.status, got.retryAfter, want)
+				}
+				if took := time.Since(begun); took > 0 {
+					t.Errorf("%s %.40s %.40s, outage %t: answered after %v", x.method, x.path, x.body, down, took)
+				}
+			})
 		}
 	}
 }
--- a/internal/controller/withheld_test.go
+++ b/internal/controller/withheld_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bramblespur/internal/record"
@@ -49,8 +49,7 @@
 // ride on answers to its reports, and what brings the next of those.
 func ownerOfOne(t *testing.T, state *testkit.State, store statestore.Store) (c *Controller, starts func() int) {
 	t.Helper()
-	c = ownerForTest(t, state)
-	c.store = store
+	c = ownerForTest(t, state, store)
 	e := state.Put(record.RentalKey("r"), record.Rental{Type: "big", Zone: "z", Parts: []int{0}, IDs: []string{"m"}})
 	c.changeFleet(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, time.Now())
 	w := testkit.NewWorker("m", "big", "z", false)
@@ -78,42 +77,46 @@
 // not made again. Taken for refused, each would cost a change that fails and another
 // one, of which all controllers together have few.
 func TestWriteWithoutAnswerIsReadBack(t *testing.T) {
-	state := testkit.NewState()
-	store := &lossyState{State: state}
-	c, starts := ownerOfOne(t, state, store)
-	submitOne(t, c)
-	for starts() == 0 {
-		runtime.Gosched()
-	}
-	store.mu.Lock()
-	defer store.mu.Unlock()
-	if got := strings.Join(store.asked, ", "); got != "write, read" {
-		t.Errorf("asked of the state service: %s; want one write that is read back", got)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		state := testkit.NewState()
+		store := &lossyState{State: state}
+		c, starts := ownerOfOne(t, state, store)
+		submitOne(t, c)
+		for starts() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if got := strings.Join(store.asked, ", "); got != "write, read" {
+			t.Errorf("asked of the state service: %s; want one write that is read back", got)
+		}
+	})
 }
 
 // A controller that renews its lease while its watches bring nothing does not know what
 // users have cancelled elsewhere: it starts nothing, not even what it recorded before,
 // until it sees again.
 func TestStartsAreWithheldWithoutAView(t *testing.T) {
-	state := testkit.NewState()
-	c, starts := ownerOfOne(t, state, state)
-	submitOne(t, c)
-	for starts() == 0 { // until the start is recorded
-		runtime.Gosched()
-	}
-	seen := func(ago time.Duration) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.lease.setRenewed(time.Now())
-		c.jobsAt = time.Now().Add(-ago)
-	}
-	seen(2*c.watchWait() + callSlack + time.Second)
-	if n := starts(); n != 0 {
-		t.Errorf("%d starts without a view of cancellations", n)
-	}
-	seen(0)
-	if starts() == 0 {
-		t.Error("the start is lost")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		state := testkit.NewState()
+		c, starts := ownerOfOne(t, state, state)
+		submitOne(t, c)
+		for starts() == 0 { // until the start is recorded
+			time.Sleep(10 * time.Millisecond)
+		}
+		seen := func(ago time.Duration) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.lease.setRenewed(time.Now())
+			c.jobsAt = time.Now().Add(-ago)
+		}
+		seen(2*c.watchWait() + callSlack + time.Second)
+		if n := starts(); n != 0 {
+			t.Errorf("%d starts without a view of cancellations", n)
+		}
+		seen(0)
+		if starts() == 0 {
+			t.Error("the start is lost")
+		}
+	})
 }
