State service: what waits for its limits is ordered, bounded and refused in time

Writers without a deadline took tokens for minutes ahead, first come first served: after an outage, with four one-task jobs a second, submissions, given up after 1.5 s, were all refused while the ends of jobs went through. What waits is now ordered by what it is for (leases and leadership, starts, acceptances and cancellations, ends that are waited for, other ends, the rest), each wait and queue is bounded, and what can't be in time is refused at once. After four units of others the longest waiting has its turn, so no class starves. One timer runs, only while something waits; routine work no longer looks every 50 ms. What was refused comes again the later, the more waits.

--- a/internal/sched/outcomes.go
+++ b/internal/sched/outcomes.go
@@ -105,9 +105,10 @@
 	}
 }
 
-// Refused takes in that a transaction was not executed.
+// Refused takes in that a transaction was not executed. The more waits for the
+// state service, the later it is asked again.
 func (p *Part) Refused(t *Txn, now time.Time) {
-	at := now.Add(retryAfter)
+	at := now.Add(retryAfter + p.backlog)
 	switch {
 	case t.back != nil:
 		t.back.txn, t.back.retry = nil, at
--- /dev/null
+++ b/internal/statestore/admission_test.go
@@ -0,0 +1,239 @@
+package statestore
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// admitted is a request's outcome.
+type admitted struct {
+	ok   bool
+	took time.Duration
+}
+
+// ask starts a request with so many changes and returns where its outcome will be.
+func ask(ctx context.Context, c *Client, n int, u Use) <-chan admitted {
+	out := make(chan admitted, 1)
+	begun := time.Now()
+	go func() {
+		err := c.admit(ctx, n, u)
+		out <- admitted{err == nil, time.Since(begun)}
+	}()
+	synctest.Wait()
+	return out
+}
+
+// spend uses up the burst of changes that a client has saved.
+func spend(t *testing.T, c *Client) {
+	t.Helper()
+	time.Sleep(time.Minute)
+	if err := c.admit(t.Context(), c.changes.Burst(), Urgent("start")); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Ends of jobs queue up by the dozen after an outage, whether anybody waits for them
+// or not. A user's submission, which is given up after a while, must not wait behind
+// them.
+func TestAcceptanceGoesBeforeBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4)
+		spend(t, c)
+		for range 20 {
+			ask(t.Context(), c, 2, Routine("job end"))
+			ask(t.Context(), c, 2, Urgent("job end"))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		if got := <-ask(ctx, c, 1, Urgent("accept")); !got.ok || got.took > time.Second {
+			t.Errorf("acceptance: %+v, want it let through within a second", got)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// Requests are let through in the order of what they are for, whatever order they
+// came in.
+func TestClassesGoInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4)
+		spend(t, c)
+		uses := []Use{Routine("completions"), Routine("job end"), Urgent("job end"), Urgent("cancel"), Urgent("start"), Urgent("member")}
+		var outcomes []<-chan admitted
+		for _, u := range uses {
+			outcomes = append(outcomes, ask(t.Context(), c, 1, u))
+		}
+		last := time.Hour
+		for i, out := range outcomes {
+			got := <-out
+			if !got.ok || got.took > last {
+				t.Errorf("%v: %+v, after what goes behind it (%v)", uses[i], got, last)
+			}
+			last = got.took
+		}
+	})
+}
+
+// Where more acceptances come than the limits allow, jobs must go on ending: the
+// longest wait of each class is bounded.
+func TestEndsGoOnWhileAcceptancesCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4)
+		spend(t, c)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var accepted atomic.Int64
+		go func() {
+			for ctx.Err() == nil {
+				go func() {
+					ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+					defer cancel()
+					if c.admit(ctx, 1, Urgent("accept")) == nil {
+						accepted.Add(1)
+					}
+				}()
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		var ends []<-chan admitted
+		for range 4 {
+			ends = append(ends, ask(t.Context(), c, 2, Routine("job end")))
+		}
+		for i, end := range ends {
+			// Of each five changes two are an end's, which are 1.25 s at 4 a second.
+			if got := <-end; !got.ok || got.took > time.Duration(i+1)*1500*time.Millisecond+fairAfter {
+				t.Errorf("end %d: %+v", i, got)
+			}
+		}
+		if n := accepted.Load(); n < 10 {
+			t.Errorf("%d acceptances meanwhile, want most of the changes to be theirs", n)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// A request that can't be let through before its caller gives up is refused at once:
+// the user is told to come again instead of waiting in vain.
+func TestRefusedAtOnceWhatCannotBeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4)
+		spend(t, c)
+		for range 8 {
+			ask(t.Context(), c, 1, Urgent("accept"))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		if got := <-ask(ctx, c, 1, Urgent("accept")); got.ok || got.took > 0 {
+			t.Errorf("%+v, want it refused at once", got)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// A writer without a deadline of its own has one here, and no queue grows for ever.
+func TestQueueIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4)
+		spend(t, c)
+		refused := 0
+		var longest time.Duration
+		var outcomes []<-chan admitted
+		for range 200 {
+			outcomes = append(outcomes, ask(t.Context(), c, 2, Routine("job end")))
+		}
+		if waiting := c.backlog(); waiting > longestWaits[endClass] {
+			t.Errorf("%v of changes wait, more than the longest wait", waiting)
+		}
+		for _, out := range outcomes {
+			got := <-out
+			longest = max(longest, got.took)
+			if !got.ok {
+				refused++
+			}
+		}
+		if refused < 100 || longest > longestWaits[endClass]+time.Second {
+			t.Errorf("%d of 200 refused, the longest wait %v", refused, longest)
+		}
+		if waiting := c.backlog(); waiting > 0 {
+			t.Errorf("%v of changes still wait", waiting)
+		}
+	})
+}
+
+// Questions must not wait for changes, nor behind those who do.
+func TestReadsDoNotWaitForChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4)
+		spend(t, c)
+		for range 10 {
+			ask(t.Context(), c, 1, Urgent("accept"))
+		}
+		if got := <-ask(t.Context(), c, 0, Routine("poll")); !got.ok || got.took > 0 {
+			t.Errorf("poll: %+v, want it let through at once", got)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// Routine work leaves a part of the burst to what may come, for a while.
+func TestRoutineLeavesAPartFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 0.1)
+		time.Sleep(time.Hour)
+		burst := c.changes.Burst()
+		if err := c.admit(t.Context(), burst-1, Urgent("start")); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-ask(t.Context(), c, 1, Routine("completions")); !got.ok || got.took != routinePatience {
+			t.Errorf("completions: %+v, want %v", got, routinePatience)
+		}
+	})
+}
+
+// A small machine pays for each wake-up: while nothing waits no timer may run.
+func TestNoTimerWhileNothingWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4)
+		time.Sleep(time.Minute)
+		for range 3 {
+			if err := c.admit(t.Context(), 1, Urgent("start")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.timer != nil {
+			t.Error("a timer was set though nothing waited")
+		}
+		c.mu.Unlock()
+		if err := c.admit(t.Context(), 3, Urgent("start")); err != nil {
+			t.Fatal(err)
+		}
+		c.mu.Lock()
+		if c.timer == nil || c.timer.Stop() {
+			t.Error("the timer does not end with what waits")
+		}
+	})
+}
+
+// A caller that gives up leaves its place, and its changes, to the others.
+func TestAbandonedRequestLeavesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4)
+		spend(t, c)
+		ctx, cancel := context.WithCancel(t.Context())
+		first := ask(ctx, c, 8, Urgent("accept"))
+		second := ask(t.Context(), c, 1, Urgent("start"))
+		cancel()
+		if got := <-first; got.ok {
+			t.Errorf("given up: %+v", got)
+		}
+		if got := <-second; !got.ok || got.took > 300*time.Millisecond {
+			t.Errorf("after it: %+v, want a change's time", got)
+		}
+	})
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net/url"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -72,17 +71,13 @@
 
 // Client is a Store over HTTP.
 type Client struct {
-	http    *httpwire.Client
-	watch   *httpwire.Client
-	reqs    *rate.Limiter
-	changes *rate.Limiter
-	burst   int        // of changes
-	taking  sync.Mutex // held while what a request needs of both is taken or given back
+	admission
+	http  *httpwire.Client
+	watch *httpwire.Client
+	burst int // of changes
 
-	mu     sync.Mutex
-	counts map[string]Count
-	passed [2]int // requests and changes let through since last asked
-	queued [2]int // and those waiting
+	countsMu sync.Mutex
+	counts   map[string]Count
 }
 
 // New returns a client that keeps to an equal share of the service's budget, which
@@ -92,7 +87,8 @@
 	c := &Client{
 		burst: max(minBurst, int(writeRPS/2)),
 		http:  httpwire.NewClient(addr, 4), watch: httpwire.NewClient(addr, 4),
-		reqs: rate.NewLimiter(0, 0), changes: rate.NewLimiter(0, 0), counts: map[string]Count{},
+		admission: admission{reqs: rate.NewLimiter(0, 0), changes: rate.NewLimiter(0, 0)},
+		counts:    map[string]Count{},
 	}
 	c.Budget(rps/n, writeRPS/n)
 	return c
@@ -105,47 +101,31 @@
 // several at once, as the jobs of a pipeline, and a controller's part of a second is
 // two or three: so each may use half of what all may, which seldom meet.
 func (c *Client) Budget(rps, writeRPS float64) {
-	set := func(l *rate.Limiter, r float64, burst int) {
-		if l.Limit() != rate.Limit(r) {
-			l.SetLimit(rate.Limit(r))
-			l.SetBurst(burst)
-		}
-	}
-	set(c.reqs, rps, max(minBurst, int(rps/2)))
-	set(c.changes, writeRPS, max(c.burst, int(writeRPS/2)))
+	c.limit(c.reqs, rps, max(minBurst, int(rps/2)))
+	c.limit(c.changes, writeRPS, max(c.burst, int(writeRPS/2)))
 }
 
 // minBurst lets the smallest budget still pass a job's end in one go.
 const minBurst = 3
 
 // Needed implements Store.
-func (c *Client) Needed() (requests, changes int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	requests, changes = c.passed[0]+c.queued[0], c.passed[1]+c.queued[1]
-	c.passed = [2]int{}
-	return requests, changes
-}
+func (c *Client) Needed() (requests, changes int) { return c.needed() }
 
 // Backlog implements Store.
-func (c *Client) Backlog() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return time.Duration(float64(c.queued[changes]) / float64(c.changes.Limit()) * float64(time.Second))
-}
+func (c *Client) Backlog() time.Duration { return c.backlog() }
 
 // Counts implements Store.
 func (c *Client) Counts() map[string]Count {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.countsMu.Lock()
+	defer c.countsMu.Unlock()
 	out := c.counts
 	c.counts = map[string]Count{}
 	return out
 }
 
 func (c *Client) count(purpose string, add Count) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.countsMu.Lock()
+	defer c.countsMu.Unlock()
 	n := c.counts[purpose]
 	n.Requests += add.Requests
 	n.Puts += add.Puts
@@ -159,124 +139,16 @@
 // a few hundred, and a connection can hang in silence.
 const callTimeout = 2500 * time.Millisecond
 
-// routineFloor is the share of a burst that routine work leaves free.
-const routineFloor = 0.3
-
-// routinePatience is how long routine work lets urgent work pass before it
-// queues up with it.
-const routinePatience = time.Second
-
-// admit waits for the budgets of one request and of its changes, if it makes any,
-// until both allow it. What is given up has used nothing: a change let through whose
-// request is not would be lost to all the others.
+// admit waits for this controller's part of the limits, for a request and its
+// changes, if it makes any. What is refused has used nothing.
 func (c *Client) admit(ctx context.Context, n int, u Use) error {
-	c.queue(1, n, false)
-	passed := false
-	defer func() { c.queue(-1, -n, passed) }()
-	if u.Routine {
-		c.letPass(ctx, n)
-	}
-	if passed = c.wait(ctx, n); !passed {
+	if !c.admission.admit(ctx, n, u) {
 		c.count(u.For, Count{Refused: 1})
 		return fmt.Errorf("%w: request budget used up", ErrRefused)
 	}
 	return nil
 }
 
-// letPass is how routine work waits while urgent work needs what there is.
-func (c *Client) letPass(ctx context.Context, n int) {
-	calm := func(l *rate.Limiter, n int) bool {
-		return n == 0 || l.Tokens() >= routineFloor*float64(l.Burst())+float64(min(n, l.Burst()/2))
-	}
-	for until := time.Now().Add(routinePatience); time.Now().Before(until); {
-		if calm(c.reqs, 1) && calm(c.changes, n) {
-			return
-		}
-		if !sleep(ctx, 50*time.Millisecond) {
-			return
-		}
-	}
-}
-
-// wait takes a request and n changes from the budgets and waits until it may be
-// sent. It takes nothing if that is later than the caller waits.
-func (c *Client) wait(ctx context.Context, n int) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	c.taking.Lock()
-	now := time.Now()
-	taken := []*rate.Reservation{c.reqs.ReserveN(now, 1)}
-	for left := n; left > 0; { // more than a burst is taken piece by piece
-		k := min(left, c.changes.Burst())
-		taken = append(taken, c.changes.ReserveN(now, k))
-		left -= k
-	}
-	var d time.Duration
-	for _, r := range taken {
-		if !r.OK() {
-			d = rate.InfDuration
-			break
-		}
-		d = max(d, r.DelayFrom(now))
-	}
-	deadline, limited := ctx.Deadline()
-	if d == rate.InfDuration || (limited && now.Add(d).After(deadline)) {
-		giveBack(taken, now)
-		c.taking.Unlock()
-		return false
-	}
-	c.taking.Unlock()
-	if !sleep(ctx, d) {
-		c.taking.Lock()
-		defer c.taking.Unlock()
-		giveBack(taken, time.Now())
-		return false
-	}
-	return true
-}
-
-// giveBack undoes what was taken, the latest first.
-func giveBack(taken []*rate.Reservation, now time.Time) {
-	for _, r := range slices.Backward(taken) {
-		r.CancelAt(now)
-	}
-}
-
-// sleep reports whether the time passed before the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
-// queue counts a request and its changes as waiting, or as waiting no more, let
-// through or not.
-func (c *Client) queue(reqs, changed int, passed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for kind, n := range [2]int{requests: reqs, changes: changed} {
-		c.queued[kind] += n
-		if passed {
-			c.passed[kind] -= n
-		}
-	}
-}
-
-// The kinds of budget.
-const (
-	requests = iota
-	changes
-)
-
 func (c *Client) do(ctx context.Context, u Use, method, target string, in, out any) (int, []byte, error) {
 	return c.change(ctx, u, method, target, Count{}, in, out)
 }
