State service: most of the burst of changes is lent by the leader

Now each saves up one change, and the leader lends the rest of the burst and half of the rate to whoever needs it (RPC Lend, which the first version does not have: it lends nothing). All rates and bursts together keep within the service's; processes and leaders begin with nothing saved up.

--- a/internal/controller/budget.go
+++ b/internal/controller/budget.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"bramblespur/internal/fleet"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/statestore"
 )
 
 // The state service's limits hold for all controllers together. Every one may
-// use an equal share; the leader, which asks each what it needs, lends what the
-// others leave.
+// use an equal share; the leader, which asks each what it needs, gives it what the
+// others leave, and lends changes to those that need several at once.
 
 // budgetLife is how long a budget given by the leader counts.
 const budgetLife = 4 * time.Second
@@ -19,6 +21,10 @@
 // when budgets change must not exceed them.
 const budgetUse = 0.95
 
+// lendTimeout bounds a question for changes. They wait for it, and without an answer
+// for their own part of the limit.
+const lendTimeout = 400 * time.Millisecond
+
 // budgets is what the leader last gave, by controller.
 type budgets struct{ requests, changes map[string]float64 }
 
@@ -27,7 +33,8 @@
 // is left to it. The lock is held.
 func (c *Controller) share(needs map[string]fleet.Use, turn time.Duration) budgets {
 	s := c.rates()
-	rps, writes := s.RPS*budgetUse, s.WriteRPS*budgetUse
+	c.lead.pool.Limit(c.cfg.Params.Count, s.WriteRPS, time.Now())
+	rps, writes := s.RPS*budgetUse, s.WriteRPS*(budgetUse-statestore.LentRate)
 	requests, changes := map[string]float64{}, map[string]float64{}
 	for _, l := range c.cfg.Labels() {
 		u, answered := needs[l]
@@ -42,6 +49,36 @@
 	return budgets{fleet.Share(rps, requests), fleet.Share(writes, changes)}
 }
 
+// Lend implements peer.Handler: whether another controller may make changes beyond
+// its budget.
+func (c *Controller) Lend(a peer.LendArgs) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return c.leads(now) && c.lead != nil && c.lead.pool.Lend(a.Changes, a.Modest, now)
+}
+
+// borrow asks the leader for changes beyond this controller's budget.
+func (c *Controller) borrow(changes int, modest bool) bool {
+	a := peer.LendArgs{From: c.cfg.Label, Changes: changes, Modest: modest}
+	c.mu.Lock()
+	leader := c.leader.rec.Label
+	c.mu.Unlock()
+	if leader == c.cfg.Label {
+		return c.Lend(a)
+	}
+	p := c.peers[leader]
+	if p == nil {
+		return false
+	}
+	var lent bool
+	if err := p.Call("Lend", a, &lent, lendTimeout); err != nil {
+		c.log.Debug("changes to be lent", "by", leader, "err", err)
+		return false
+	}
+	return lent
+}
+
 // setBudget takes a budget in; 0 means the plain share. The lock is held.
 func (c *Controller) setBudget(requests, changes float64, now time.Time) {
 	if requests > 0 && changes > 0 {
--- /dev/null
+++ b/internal/controller/budget_test.go
@@ -0,0 +1,88 @@
+package controller
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramblespur/internal/fleet"
+	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+)
+
+// leaderOf makes a controller the leader of so many.
+func leaderOf(c *Controller, n int) {
+	c.cfg.Params.Count = n
+	c.cfg.Params.State.RPS, c.cfg.Params.State.WriteRPS = 200, 25
+	c.lease.granted(leaseState{id: 1, incarnation: 5, renewedAt: time.Now()})
+	c.leader = versioned[record.Head]{rec: record.Head{Label: c.cfg.Label, Incarnation: 5}, version: 1}
+	c.lead = &leading{pool: statestore.NewPool()}
+}
+
+// What the leader shares out and what it lends keep within the limit together, and
+// an ousted leader lends nothing: its successor does.
+func TestLeaderLendsWithinTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTest(t, testkit.NewState())
+		leaderOf(c, 7)
+		shared := 0.0
+		for range 2 { // each turn sets the limits anew
+			shared = 0
+			for _, changes := range c.share(map[string]fleet.Use{"c-0": {Requests: 50, Changes: 50}}, time.Second).changes {
+				shared += changes
+			}
+		}
+		count := func(d time.Duration) (lent int) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				c.lease.setRenewed(time.Now())
+				for c.borrow(1, false) {
+					lent++
+				}
+			}
+			return lent
+		}
+		if lent := count(10 * time.Second); float64(lent)/10+shared > 25*budgetUse+0.01 || lent < 50 {
+			t.Errorf("lent %d in 10 s, shared out %.1f a second", lent, shared)
+		}
+		time.Sleep(time.Minute)
+		if c.Lend(peer.LendArgs{From: "c-1", Changes: 1}) {
+			t.Error("it lends though its lease is over")
+		}
+		c.lease.setRenewed(time.Now())
+		if !c.Lend(peer.LendArgs{From: "c-1", Changes: 12}) {
+			t.Error("after a calm minute it lends too few for a pipeline")
+		}
+		c.leader.rec.Incarnation++
+		if c.Lend(peer.LendArgs{From: "c-1", Changes: 1}) {
+			t.Error("it lends though another leads")
+		}
+	})
+}
+
+// A follower asks the leader it knows. One of the first version has no method for it,
+// and so lends nothing.
+func TestBorrowFromLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newCluster(t, layout{controllers: 2, zones: []string{"a", "b"}})
+		defer k.stop()
+		for _, label := range k.labels {
+			k.start(label)
+		}
+		k.await(30*time.Second, "a leader", func() bool { return k.leader() != "" })
+		time.Sleep(20 * time.Second)
+		for _, label := range k.labels {
+			if !k.process(label).c.borrow(2, false) {
+				t.Errorf("%s is lent nothing by %s", label, k.leader())
+			}
+		}
+		c := k.process(k.labels[0]).c
+		c.mu.Lock()
+		c.leader.rec.Label = "gone"
+		c.mu.Unlock()
+		if c.borrow(1, false) {
+			t.Error("lent without a leader")
+		}
+	})
+}
--- a/internal/controller/cluster_process_test.go
+++ b/internal/controller/cluster_process_test.go
@@ -101,6 +101,9 @@
 	case "Format":
 		r := h.Format()
 		return func() { *result.(*int) = r }, nil
+	case "Lend":
+		r := h.Lend(args.(peer.LendArgs))
+		return func() { *result.(*bool) = r }, nil
 	case "Status":
 		r, ok := h.Status(args.(string))
 		if !ok {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -127,10 +127,11 @@
 	defer cancel()
 	c := &Controller{
 		cfg: cfg, policy: pol, log: log, life: ctx,
-		store:  statestore.New(cfg.Outside.State, p.Count, p.State.RPS, p.State.WriteRPS),
 		cloud:  cloud.New(cfg.Outside.Cloud, p.Cloud.RPS*followerShare),
 		agents: agent.Client{},
 	}
+	tight := p.State.Tight() // bursts are for good, the rates follow at once
+	c.store = statestore.New(cfg.Outside.State, p.Count, tight.RPS, tight.WriteRPS, c.borrow)
 	c.init()
 	for _, q := range cfg.Peers {
 		c.peers[q.Label] = peer.NewClient(q.Addr)
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -10,6 +10,7 @@
 	"bramblespur/internal/peer"
 	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
 )
 
@@ -48,6 +49,7 @@
 	addressing map[string]bool
 	backs      map[string]bool // batches being given back
 	grants     budgets
+	pool       *statestore.Pool // changes that it lends
 	synced     time.Time
 	planned    time.Time
 	addrs      map[string]string // of machines, as their owners tell
@@ -233,6 +235,7 @@
 			plan:    fleet.NewLeader(c.fleetConfig()),
 			rentals: map[string]record.Rental{}, strange: map[string]int{}, known: map[string]time.Time{}, started: now,
 			backs: map[string]bool{}, addrs: map[string]string{}, addressing: map[string]bool{},
+			pool: statestore.NewPool(),
 		}
 	}
 	return c.lead
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -31,6 +31,11 @@
 		kind, from, err = "orders of the leader", a.From, c.checkSync(&a)
 	case peer.NudgeArgs:
 		kind, from, err = "record of another controller", "a controller", c.checkNudge(&a)
+	case peer.LendArgs:
+		kind, from = "question for changes", a.From
+		if most := c.cfg.Params.State.TxnOps; a.Changes <= 0 || a.Changes > most {
+			err = errSenseless("%d changes, of %d at most", a.Changes, most)
+		}
 	case wire.Report:
 		kind, from, err = "relayed report", a.Machine, a.Check()
 	case peer.UserArgs:
--- a/internal/controller/messages_test.go
+++ b/internal/controller/messages_test.go
@@ -71,6 +71,9 @@
 		"a negative budget":            peer.SyncArgs{Requests: -1, Changes: 1},
 		"an endless budget":            peer.SyncArgs{Requests: 1, Changes: math.Inf(1)},
 		"a budget that is no number":   peer.SyncArgs{Requests: math.NaN(), Changes: 1},
+		"no changes to be lent":        peer.LendArgs{From: "c-1"},
+		"negative changes to be lent":  peer.LendArgs{From: "c-1", Changes: -2},
+		"too many changes to be lent":  peer.LendArgs{From: "c-1", Changes: 1 << 40},
 		"negative tasks":               peer.NudgeArgs{Key: key, Version: 9, Value: openOf(func(o *record.Open) { o.Spec.Tasks = -5 })},
 		"too many tasks":               peer.NudgeArgs{Key: key, Version: 9, Value: openOf(func(o *record.Open) { o.Spec.Tasks = 1 << 40 })},
 		"no tasks":                     peer.NudgeArgs{Key: key, Version: 9, Value: openOf(func(o *record.Open) { o.Spec.Tasks = 0 })},
@@ -110,7 +113,7 @@
 		peer.SyncArgs{Orders: []fleet.Order{{Machine: "m", To: fleet.Back}}},
 		peer.NudgeArgs{Key: record.OpenKey("run-000001"), Version: 9, Value: openOf(func(*record.Open) {})},
 		peer.NudgeArgs{Key: record.JobKey("run-000001"), Value: record.Encode(record.Job{State: wire.Done, Tasks: 3})},
-		wire.Report{Machine: "m", Session: 1, Seq: 1}, peer.UserArgs{Method: "GET", Path: wire.JobsPath + "/run-000001"},
+		peer.LendArgs{From: "c-1", Changes: 2}, wire.Report{Machine: "m", Session: 1, Seq: 1}, peer.UserArgs{Method: "GET", Path: wire.JobsPath + "/run-000001"},
 	} {
 		if err := c.Check(args); err != nil {
 			t.Errorf("%+v: %v", args, err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -67,6 +67,14 @@
 	RetryAfter int
 }
 
+// LendArgs asks the leader for changes beyond the sender's part of the state
+// service's limit.
+type LendArgs struct {
+	From    string
+	Changes int
+	Modest  bool // leave a part to those that need many at once
+}
+
 // Handler carries out what peers ask.
 type Handler interface {
 	// Check refuses arguments that make no sense. Nothing else is called with them.
@@ -80,6 +88,7 @@
 	User(UserArgs) UserReply
 	Ping() bool
 	Format() int
+	Lend(LendArgs) bool
 }
 
 // Service is the net/rpc side of a Handler.
@@ -135,6 +144,17 @@
 	return nil
 }
 
+// Lend serves Handler.Lend: whether the sender may make the changes it asks for.
+//
+// Upgrade: the first version has no such method, and lends nothing.
+func (s *Service) Lend(a LendArgs, r *bool) error {
+	if err := s.h.Check(a); err != nil {
+		return err
+	}
+	*r = s.h.Lend(a)
+	return nil
+}
+
 // ErrNotHere says that a controller does not hold a job.
 var ErrNotHere = errors.New("peer: job not held here")
 
--- a/internal/peer/serve_test.go
+++ b/internal/peer/serve_test.go
@@ -51,6 +51,7 @@
 func (s *scripted) User(UserArgs) UserReply           { return UserReply{} }
 func (s *scripted) Ping() bool                        { return true }
 func (s *scripted) Format() int                       { return 0 }
+func (s *scripted) Lend(LendArgs) bool                { return false }
 
 // pipes is a listener in memory.
 type pipes struct{ calls chan net.Conn }
--- a/internal/statestore/admission.go
+++ b/internal/statestore/admission.go
@@ -25,6 +25,8 @@
 	longestQueue = 200
 	// answerTime is left of a caller's deadline for the service's answer.
 	answerTime = 100 * time.Millisecond
+	// lendPause is how long no changes are asked for after they were denied.
+	lendPause = 200 * time.Millisecond
 	// shortestTimer keeps rounding from waking the process twice.
 	shortestTimer = time.Millisecond
 )
@@ -41,8 +43,16 @@
 	writes lane // need changes as well
 	timer  *time.Timer
 	passed [2]int // requests and changes let through since last asked
+
+	lender   Lender
+	asking   bool      // it is being asked
+	askAfter time.Time // it denied changes, and is not asked again before
 }
 
+// Lender lets a controller make changes beyond its own part of the limit, if there
+// are any left. Where it asks modestly, some must be left to those that need more.
+type Lender func(changes int, modest bool) bool
+
 // The kinds of budget.
 const (
 	requests = iota
@@ -183,7 +193,7 @@
 		return nil
 	}
 	ahead := l.enter(w)
-	if now.Add(a.estimate(w, ahead, now)).After(w.until) {
+	if !a.mayBorrow(w, now) && now.Add(a.estimate(w, ahead, now)).After(w.until) {
 		l.leave(w)
 		return nil
 	}
@@ -191,6 +201,66 @@
 	return w
 }
 
+// mayBorrow reports whether a waiter's changes may come from the lender, so that its
+// place does not tell how long it waits.
+func (a *admission) mayBorrow(w *waiter, now time.Time) bool {
+	return a.lender != nil && w.changes > 0 && !now.Before(a.askAfter)
+}
+
+// awaitsLoan reports whether a waiter needs more than can be saved up here, and the
+// lender's answer may spare it the time that taking the rest in advance costs.
+func (a *admission) awaitsLoan(w *waiter, now time.Time) bool {
+	return !w.routine && w.changes > a.changes.Burst() && (a.asking || a.mayBorrow(w, now))
+}
+
+// borrow asks the lender for the changes of the next write, if these are what it
+// waits for. The lock is held.
+func (a *admission) borrow(now time.Time) {
+	w := a.writes.next(now)
+	if w == nil || a.asking || w.restrained(now) || !a.mayBorrow(w, now) || a.changesDelay(w, now) <= shortestTimer {
+		return
+	}
+	a.asking = true
+	modest := w.routine
+	go func() {
+		ok := a.lender(w.changes, modest)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		now := time.Now()
+		a.asking = false
+		if ok {
+			a.lent(w.changes, now)
+		} else {
+			a.askAfter = now.Add(lendPause)
+			a.shed(now)
+		}
+		a.dispatch(now)
+	}()
+}
+
+// lent lets the first write through that needs no more than the changes lent.
+func (a *admission) lent(changed int, now time.Time) {
+	w := a.writes.next(now)
+	if w == nil || w.changes > changed { // which were for one that has left since
+		return
+	}
+	a.writes.grant(w)
+	a.send(w, []*rate.Reservation{a.reqs.ReserveN(now, 1)}, now)
+}
+
+// shed refuses the writes that can't be in time at their places.
+func (a *admission) shed(now time.Time) {
+	ahead := 0
+	a.writes.waiting = slices.DeleteFunc(a.writes.waiting, func(w *waiter) bool {
+		if now.Add(a.estimate(w, ahead, now)).After(w.until) {
+			w.answer <- verdict{}
+			return true
+		}
+		ahead += w.units()
+		return false
+	})
+}
+
 // estimate is how long a waiter waits behind so many units if nothing comes that
 // goes before it.
 func (a *admission) estimate(w *waiter, ahead int, now time.Time) time.Duration {
@@ -221,6 +291,7 @@
 		}
 		a.pass(w, now)
 	}
+	a.borrow(now)
 	a.setTimer(now)
 }
 
@@ -257,14 +328,17 @@
 // changesDelay is the same for its changes alone. Of more than a burst the rest is
 // taken in advance, and the request sent when that has come.
 func (a *admission) changesDelay(w *waiter, now time.Time) time.Duration {
-	if w.changes == 0 {
+	switch {
+	case w.changes == 0:
 		return 0
+	case a.awaitsLoan(w, now):
+		return w.until.Sub(now)
 	}
 	burst := a.changes.Burst()
 	least := float64(min(w.changes, burst))
 	tokens := least
 	if w.restrained(now) {
-		tokens = routineFloor*float64(burst) + float64(min(w.changes, burst/2))
+		tokens = max(least, routineFloor*float64(burst)+float64(min(w.changes, burst/2)))
 	}
 	return a.restraint(w, a.changes, tokens, least, now)
 }
@@ -302,6 +376,12 @@
 		taken = append(taken, a.changes.ReserveN(now, n))
 		left -= n
 	}
+	a.send(w, taken, now)
+}
+
+// send lets a waiter through once what was taken for it has come, unless that is too
+// late.
+func (a *admission) send(w *waiter, taken []*rate.Reservation, now time.Time) {
 	var delay time.Duration
 	for _, r := range taken {
 		delay = max(delay, r.DelayFrom(now))
@@ -335,6 +415,9 @@
 			earliest(now.Add(a.delay(w, now)))
 		}
 	}
+	if len(a.writes.waiting) > 0 && a.lender != nil && !a.asking && now.Before(a.askAfter) {
+		earliest(a.askAfter)
+	}
 	switch d := max(next.Sub(now), shortestTimer); {
 	case next.IsZero() && a.timer != nil:
 		a.timer.Stop()
--- a/internal/statestore/admission_test.go
+++ b/internal/statestore/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -40,7 +41,7 @@
 // them.
 func TestAcceptanceGoesBeforeBacklog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 4)
+		c := New("127.0.0.1:1", 1, 100, 4, nil)
 		spend(t, c)
 		for range 20 {
 			ask(t.Context(), c, 2, Routine("job end"))
@@ -59,7 +60,7 @@
 // came in.
 func TestClassesGoInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 4)
+		c := New("127.0.0.1:1", 1, 100, 4, nil)
 		spend(t, c)
 		uses := []Use{Routine("completions"), Routine("job end"), Urgent("job end"), Urgent("cancel"), Urgent("start"), Urgent("member")}
 		var outcomes []<-chan admitted
@@ -81,7 +82,7 @@
 // longest wait of each class is bounded.
 func TestEndsGoOnWhileAcceptancesCome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 4)
+		c := New("127.0.0.1:1", 1, 100, 4, nil)
 		spend(t, c)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -116,11 +117,49 @@
 	})
 }
 
+// A write whose caller sets no deadline has that of its class: what would wait longer
+// than it was expected to, as more and more goes before it, is refused then, and made
+// anew by its owner.
+func TestWriterWithoutDeadlineIsRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New("127.0.0.1:1", 1, 100, 4, nil)
+		spend(t, c)
+		var ends []<-chan admitted
+		for range 40 {
+			ends = append(ends, ask(t.Context(), c, 2, Routine("job end")))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var others sync.WaitGroup
+		for range 4 {
+			others.Go(func() {
+				for ctx.Err() == nil {
+					_ = c.admit(ctx, 1, Urgent("accept")) // nil or not, the next follows
+				}
+			})
+		}
+		refused := 0
+		for _, end := range ends {
+			got := <-end
+			if !got.ok {
+				refused++
+			}
+			if limit := longestWaits[endClass]; got.took > limit+10*time.Millisecond {
+				t.Errorf("%+v, want an answer within %v", got, limit)
+			}
+		}
+		if refused == 0 || refused > 30 {
+			t.Errorf("%d of 40 refused", refused)
+		}
+		cancel()
+		others.Wait()
+	})
+}
+
 // A request that can't be let through before its caller gives up is refused at once:
 // the user is told to come again instead of waiting in vain.
 func TestRefusedAtOnceWhatCannotBeInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 4)
+		c := New("127.0.0.1:1", 1, 100, 4, nil)
 		spend(t, c)
 		for range 8 {
 			ask(t.Context(), c, 1, Urgent("accept"))
@@ -137,7 +176,7 @@
 // A writer without a deadline of its own has one here, and no queue grows for ever.
 func TestQueueIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 4)
+		c := New("127.0.0.1:1", 1, 100, 4, nil)
 		spend(t, c)
 		refused := 0
 		var longest time.Duration
@@ -167,7 +206,7 @@
 // Questions must not wait for changes, nor behind those who do.
 func TestReadsDoNotWaitForChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 4)
+		c := New("127.0.0.1:1", 1, 100, 4, nil)
 		spend(t, c)
 		for range 10 {
 			ask(t.Context(), c, 1, Urgent("accept"))
@@ -182,10 +221,10 @@
 // Routine work leaves a part of the burst to what may come, for a while.
 func TestRoutineLeavesAPartFree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 0.1)
-		time.Sleep(time.Hour)
-		burst := c.changes.Burst()
-		if err := c.admit(t.Context(), burst-1, Urgent("start")); err != nil {
+		c := New("127.0.0.1:1", 1, 100, 10, nil)
+		time.Sleep(time.Minute)
+		c.Budget(100, 0.1)
+		if err := c.admit(t.Context(), c.changes.Burst()-1, Urgent("start")); err != nil {
 			t.Fatal(err)
 		}
 		if got := <-ask(t.Context(), c, 1, Routine("completions")); !got.ok || got.took != routinePatience {
@@ -197,15 +236,14 @@
 // A small machine pays for each wake-up: while nothing waits no timer may run.
 func TestNoTimerWhileNothingWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 4)
+		c := New("127.0.0.1:1", 1, 100, 10, nil)
 		time.Sleep(time.Minute)
-		for range 3 {
+		for range c.changes.Burst() {
 			if err := c.admit(t.Context(), 1, Urgent("start")); err != nil {
 				t.Fatal(err)
 			}
 		}
 		c.mu.Lock()
-		defer c.mu.Unlock()
 		if c.timer != nil {
 			t.Error("a timer was set though nothing waited")
 		}
@@ -214,6 +252,7 @@
 			t.Fatal(err)
 		}
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		if c.timer == nil || c.timer.Stop() {
 			t.Error("the timer does not end with what waits")
 		}
@@ -223,7 +262,7 @@
 // A caller that gives up leaves its place, and its changes, to the others.
 func TestAbandonedRequestLeavesItsPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 100, 4)
+		c := New("127.0.0.1:1", 1, 100, 4, nil)
 		spend(t, c)
 		ctx, cancel := context.WithCancel(t.Context())
 		first := ask(ctx, c, 8, Urgent("accept"))
@@ -237,3 +276,78 @@
 		}
 	})
 }
+
+// Several changes at once are lent: a client that waited for its own part would be
+// seconds late with a pipeline.
+func TestLentChangesAreUsedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		c := New("127.0.0.1:1", 7, 200, 25, func(changes int, _ bool) bool {
+			asked += changes
+			time.Sleep(10 * time.Millisecond)
+			return true
+		})
+		time.Sleep(time.Minute)
+		if got := <-ask(t.Context(), c, 8, Urgent("accept")); !got.ok || got.took > 20*time.Millisecond {
+			t.Errorf("%+v, want it let through once they are lent", got)
+		}
+		if got := <-ask(t.Context(), c, 1, Urgent("start")); !got.ok || got.took > 0 {
+			t.Errorf("%+v: its own changes were used", got)
+		}
+		if asked != 8 {
+			t.Errorf("asked for %d changes, want 8", asked)
+		}
+	})
+}
+
+// Where nothing is lent, as without a leader or with one of the first version, a
+// client keeps to its own part, asks seldom, and refuses at once what would be late.
+func TestNothingLent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		c := New("127.0.0.1:1", 7, 200, 28, func(int, bool) bool {
+			asked++
+			return false
+		})
+		time.Sleep(time.Minute)
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		if got := <-ask(ctx, c, 10, Urgent("accept")); got.ok || got.took > 0 {
+			t.Errorf("%+v, want it refused at once", got)
+		}
+		begun := time.Now()
+		for range 20 { // one is there already
+			if got := <-ask(t.Context(), c, 1, Urgent("start")); !got.ok {
+				t.Error(got)
+			}
+		}
+		if took := time.Since(begun); took < 4700*time.Millisecond || took > 4800*time.Millisecond {
+			t.Errorf("20 changes took %v at 4 a second", took)
+		}
+		if asked > 26 {
+			t.Errorf("asked %d times in 5 s", asked)
+		}
+	})
+}
+
+// All clients together keep within the service's burst, also when each is new, and
+// when each has saved up what it may.
+func TestBurstsSumUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, x := range []struct {
+			n     int
+			limit float64
+		}{{7, 25}, {7, 18}, {3, 25}, {3, 28}, {7, 100}} {
+			fresh, saved := 0.0, 0.0
+			for range x.n {
+				c := New("127.0.0.1:1", x.n, 200, x.limit, nil)
+				fresh += c.changes.Tokens()
+				time.Sleep(time.Hour)
+				saved += c.changes.Tokens()
+			}
+			if fresh > 0.01 || saved > x.limit/2 {
+				t.Errorf("%d controllers of %v changes a second: %.2f at once when new, %.2f later", x.n, x.limit, fresh, saved)
+			}
+		}
+	})
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -81,13 +81,14 @@
 }
 
 // New returns a client that keeps to an equal share of the service's budget, which
-// so many controllers have together.
-func New(addr string, controllers int, rps, writeRPS float64) *Client {
+// so many controllers have together. Changes beyond it may come from a lender, which
+// is optional.
+func New(addr string, controllers int, rps, writeRPS float64, lender Lender) *Client {
 	n := float64(controllers)
 	c := &Client{
-		burst: max(minBurst, int(writeRPS/2)),
+		burst: ownBurst(controllers, writeRPS),
 		http:  httpwire.NewClient(addr, 4), watch: httpwire.NewClient(addr, 4),
-		admission: admission{reqs: rate.NewLimiter(0, 0), changes: rate.NewLimiter(0, 0)},
+		admission: admission{reqs: rate.NewLimiter(0, 0), changes: rate.NewLimiter(0, 0), lender: lender},
 		counts:    map[string]Count{},
 	}
 	c.Budget(rps/n, writeRPS/n)
@@ -97,15 +98,14 @@
 var _ Store = (*Client)(nil)
 
 // Budget implements Store. Bursts of requests are of half a second's worth: the
-// service allows a second's for all controllers together. Changes come seldom and
-// several at once, as the jobs of a pipeline, and a controller's part of a second is
-// two or three: so each may use half of what all may, which seldom meet.
+// service allows a second's for all controllers together. A process begins with
+// nothing saved up.
 func (c *Client) Budget(rps, writeRPS float64) {
 	c.limit(c.reqs, rps, max(minBurst, int(rps/2)))
-	c.limit(c.changes, writeRPS, max(c.burst, int(writeRPS/2)))
+	c.limit(c.changes, writeRPS, c.burst)
 }
 
-// minBurst lets the smallest budget still pass a job's end in one go.
+// minBurst is the burst of requests of the smallest budget.
 const minBurst = 3
 
 // Needed implements Store.
--- a/internal/statestore/statestore_test.go
+++ b/internal/statestore/statestore_test.go
@@ -14,7 +14,7 @@
 // each that takes them for nothing keeps a start, an end or a cancellation waiting.
 func TestRefusedTransactionUsesNoChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 10, 10)
+		c := New("127.0.0.1:1", 1, 10, 10, nil)
 		time.Sleep(time.Second)         // fills both budgets
 		for range c.reqs.Burst() + 20 { // others' requests, for two seconds
 			c.reqs.ReserveN(time.Now(), 1)
@@ -41,7 +41,7 @@
 // Nor does it use a request when it gets no changes.
 func TestRefusedTransactionUsesNoRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 10, 10)
+		c := New("127.0.0.1:1", 1, 10, 10, nil)
 		time.Sleep(time.Second)
 		for range c.changes.Burst() + 20 {
 			c.changes.ReserveN(time.Now(), 1)
@@ -61,7 +61,7 @@
 // What waits is let through as both budgets allow it, in turn.
 func TestBudgetsAreKeptTo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New("127.0.0.1:1", 1, 10, 4)
+		c := New("127.0.0.1:1", 1, 10, 4, nil)
 		begun, done := time.Now(), make(chan time.Duration, 30)
 		for range 30 {
 			go func() {
