--- a/internal/controller/cancellations.go
+++ b/internal/controller/cancellations.go
@@ -38,6 +38,11 @@
 	defer cancel()
 	use := statestore.Urgent("cancel")
 	for range cancelTries {
+		// Users come again each second until the job's end is recorded: what the view
+		// tells as cancelled is, and needs no reading.
+		if c.cancelling(ref) && !c.awaitEnd(ctx, ref) {
+			return ending()
+		}
 		key := record.OpenKey(ref)
 		e, err := c.store.Get(ctx, use, key)
 		if errors.Is(err, statestore.ErrNotFound) {
@@ -76,6 +81,14 @@
 	return later()
 }
 
+// cancelling reports whether a fresh view tells of a job that its cancellation is
+// recorded and its end is not.
+func (c *Controller) cancelling(ref string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open[ref].cancelled && !c.blind(time.Now())
+}
+
 // ending answers a cancellation whose tasks are not all proven gone yet, which
 // every controller would answer alike.
 func ending() reply { return reply{status: 503, retryAfter: retryLater, settled: true} }
--- a/internal/controller/lean_test.go
+++ b/internal/controller/lean_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bramblespur/internal/httpwire"
@@ -20,15 +21,21 @@
 // countingState counts what is asked of it.
 type countingState struct {
 	*testkit.State
-	txns, lists, read atomic.Int64 // read: records in lists
+	txns, gets, lists, read atomic.Int64 // read: records in lists
 }
 
 func (s *countingState) reset() {
 	s.txns.Store(0)
+	s.gets.Store(0)
 	s.lists.Store(0)
 	s.read.Store(0)
 }
 
+func (s *countingState) Get(ctx context.Context, u statestore.Use, key string) (wire.Entry, error) {
+	s.gets.Add(1)
+	return s.State.Get(ctx, u, key)
+}
+
 func (s *countingState) List(ctx context.Context, u statestore.Use, prefix string) ([]wire.Entry, uint64, error) {
 	l, rev, err := s.State.List(ctx, u, prefix)
 	s.read.Add(int64(len(l)))
@@ -209,3 +216,38 @@
 	wayAllocs = 22  // measured: 19, with those of the test's own worker; once more decoded: 27
 	jobBytes  = 210 // 140
 )
+
+// Users repeat a cancellation each second until the job's end is recorded, at all
+// controllers. What the view tells of it costs no request; a view that may be old
+// does not count, and the end is read.
+func TestRepeatedCancellationReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := testkit.NewState()
+		c := newTest(t, inner)
+		c.submit(body(t, nil))
+		state := &countingState{State: inner}
+		c.store = state
+		c.jobsAt = time.Now()
+		if got := c.cancel("run-000412"); got.status != 503 || state.gets.Load() != 1 || state.txns.Load() != 1 {
+			t.Fatalf("first: %+v with %d readings and %d changes", got, state.gets.Load(), state.txns.Load())
+		}
+		state.reset()
+		for range 5 {
+			if got := c.cancel("run-000412"); got.status != 503 {
+				t.Fatalf("repeated: %+v", got)
+			}
+		}
+		if n := state.gets.Load() + state.txns.Load(); n != 0 {
+			t.Errorf("%d requests for repeated cancellations", n)
+		}
+		inner.Put(record.JobKey("run-000412"), record.Job{State: wire.Cancelled})
+		if _, err := inner.Txn(t.Context(), statestore.Urgent("test"), wire.Txn{Then: []wire.Op{{Delete: record.OpenKey("run-000412")}}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute) // without a word of the watch
+		c.lease.setRenewed(time.Now())
+		if got := c.cancel("run-000412"); got.status != 200 || got.body.(wire.Brief).State != wire.Cancelled {
+			t.Errorf("after the end, which the view missed: %+v", got)
+		}
+	})
+}
