--- a/internal/statestore/admission.go
+++ b/internal/statestore/admission.go
@@ -59,97 +59,6 @@
 	changes
 )
 
-// waiter is a request that waits.
-type waiter struct {
-	class   class
-	routine bool
-	changes int
-	since   time.Time
-	until   time.Time // it is of no use after this
-	answer  chan verdict
-}
-
-// verdict tells a waiter whether it may be sent, and after which further delay.
-type verdict struct {
-	admitted bool
-	delay    time.Duration
-}
-
-// units is what a waiter counts in its lane.
-func (w *waiter) units() int { return max(1, w.changes) }
-
-// restrained reports whether a waiter still leaves a part of the budget free.
-func (w *waiter) restrained(now time.Time) bool {
-	return w.routine && now.Sub(w.since) < routinePatience
-}
-
-// lane holds waiters by class, and by arrival within one.
-type lane struct {
-	waiting []*waiter
-	passed  int // units since the longest waiting had its turn
-}
-
-// enter puts a waiter at its place and returns the units that go before it.
-func (l *lane) enter(w *waiter) (ahead int) {
-	at := len(l.waiting)
-	for at > 0 && l.waiting[at-1].class > w.class {
-		at--
-	}
-	for _, earlier := range l.waiting[:at] {
-		ahead += earlier.units()
-	}
-	l.waiting = slices.Insert(l.waiting, at, w)
-	return ahead
-}
-
-// leave takes a waiter out and reports whether it was there.
-func (l *lane) leave(w *waiter) bool {
-	at := slices.Index(l.waiting, w)
-	if at < 0 {
-		return false
-	}
-	l.waiting = slices.Delete(l.waiting, at, at+1)
-	return true
-}
-
-// oldest returns the waiter that came first.
-func (l *lane) oldest() *waiter {
-	return slices.MinFunc(l.waiting, func(a, b *waiter) int { return a.since.Compare(b.since) })
-}
-
-// next returns the waiter whose turn it is, nil if there is none.
-func (l *lane) next(now time.Time) *waiter {
-	if len(l.waiting) == 0 {
-		return nil
-	}
-	first := l.waiting[0]
-	if l.passed < fairTurn || first.class == officeClass {
-		return first
-	}
-	if w := l.oldest(); now.Sub(w.since) >= fairAfter {
-		return w
-	}
-	return first
-}
-
-// grant takes a waiter out that is let through.
-func (l *lane) grant(w *waiter) {
-	if l.oldest() == w {
-		l.passed = 0
-	} else {
-		l.passed += w.units()
-	}
-	l.leave(w)
-}
-
-// units is what all that wait count.
-func (l *lane) units() (sum int) {
-	for _, w := range l.waiting {
-		sum += w.units()
-	}
-	return sum
-}
-
 // lane returns the lane of requests that make so many changes.
 func (a *admission) lane(changed int) *lane {
 	if changed > 0 {
@@ -201,66 +110,6 @@
 	return w
 }
 
-// mayBorrow reports whether a waiter's changes may come from the lender, so that its
-// place does not tell how long it waits.
-func (a *admission) mayBorrow(w *waiter, now time.Time) bool {
-	return a.lender != nil && w.changes > 0 && !now.Before(a.askAfter)
-}
-
-// awaitsLoan reports whether a waiter needs more than can be saved up here, and the
-// lender's answer may spare it the time that taking the rest in advance costs.
-func (a *admission) awaitsLoan(w *waiter, now time.Time) bool {
-	return !w.routine && w.changes > a.changes.Burst() && (a.asking || a.mayBorrow(w, now))
-}
-
-// borrow asks the lender for the changes of the next write, if these are what it
-// waits for. The lock is held.
-func (a *admission) borrow(now time.Time) {
-	w := a.writes.next(now)
-	if w == nil || a.asking || w.restrained(now) || !a.mayBorrow(w, now) || a.changesDelay(w, now) <= shortestTimer {
-		return
-	}
-	a.asking = true
-	modest := w.routine
-	go func() {
-		ok := a.lender(w.changes, modest)
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		now := time.Now()
-		a.asking = false
-		if ok {
-			a.lent(w.changes, now)
-		} else {
-			a.askAfter = now.Add(lendPause)
-			a.shed(now)
-		}
-		a.dispatch(now)
-	}()
-}
-
-// lent lets the first write through that needs no more than the changes lent.
-func (a *admission) lent(changed int, now time.Time) {
-	w := a.writes.next(now)
-	if w == nil || w.changes > changed { // which were for one that has left since
-		return
-	}
-	a.writes.grant(w)
-	a.send(w, []*rate.Reservation{a.reqs.ReserveN(now, 1)}, now)
-}
-
-// shed refuses the writes that can't be in time at their places.
-func (a *admission) shed(now time.Time) {
-	ahead := 0
-	a.writes.waiting = slices.DeleteFunc(a.writes.waiting, func(w *waiter) bool {
-		if now.Add(a.estimate(w, ahead, now)).After(w.until) {
-			w.answer <- verdict{}
-			return true
-		}
-		ahead += w.units()
-		return false
-	})
-}
-
 // estimate is how long a waiter waits behind so many units if nothing comes that
 // goes before it.
 func (a *admission) estimate(w *waiter, ahead int, now time.Time) time.Duration {
@@ -295,17 +144,6 @@
 	a.setTimer(now)
 }
 
-// expire refuses what is too late.
-func (l *lane) expire(now time.Time) {
-	l.waiting = slices.DeleteFunc(l.waiting, func(w *waiter) bool {
-		late := now.After(w.until)
-		if late {
-			w.answer <- verdict{}
-		}
-		return late
-	})
-}
-
 // first returns the waiter to be let through next: of the two lanes' the one of the
 // smaller class. A write that lacks changes keeps no read waiting.
 func (a *admission) first(now time.Time) *waiter {
