Drains: budgets, cordons and evictions, recorded before they are ordered

Need: operators retire machines while work runs on them; that may end a gang that then starts from nothing, and nothing bounds how often a team is interrupted.

A drain is a record under ctl/drain/ that all controllers see by their watch. The pure package internal/drain decides which machines are cordoned next and whose work may be evicted; the owner of a part writes that, conditioned on its token, the drain, and the team's ledger, and orders only what it sees on record. A disruption stays open until the work runs again or is over, and then counts for the window's length; losses that nobody chose count, too.

--- a/cmd/bramblespur/main.go
+++ b/cmd/bramblespur/main.go
@@ -13,6 +13,7 @@
 
 	"bramblespur/internal/config"
 	"bramblespur/internal/controller"
+	"bramblespur/internal/operations"
 	"bramblespur/internal/policy"
 )
 
@@ -27,7 +28,7 @@
 }
 
 func command() *cobra.Command {
-	var path string
+	var path, operationsPath string
 	root := &cobra.Command{
 		Use:           "bramblespur --config FILE",
 		Short:         "A cluster scheduler: run one controller",
@@ -35,20 +36,21 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, pol, err := load(path)
+			l, err := load(path, operationsPath)
 			if err != nil {
 				return err
 			}
-			return run(cfg, pol)
+			return run(l)
 		},
 	}
 	root.PersistentFlags().StringVar(&path, "config", "", "settings file (TOML)")
+	root.PersistentFlags().StringVar(&operationsPath, "operations", "", "operators' file of what else is turned on (TOML)")
 	check := &cobra.Command{
 		Use:   "check --config FILE",
-		Short: "Check the settings and the policy they name without starting",
+		Short: "Check the settings, the policy they name and the operations file without starting",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, _, err := load(path); err != nil {
+			if _, err := load(path, operationsPath); err != nil {
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
@@ -65,16 +67,27 @@
 	return root
 }
 
-func load(path string) (*config.Settings, *policy.Policy, error) {
+// loaded is all that a controller is configured by.
+type loaded struct {
+	settings   *config.Settings
+	policy     *policy.Policy
+	operations *operations.Settings
+}
+
+func load(path, operationsPath string) (l loaded, err error) {
 	if path == "" {
-		return nil, nil, fmt.Errorf("--config is missing")
+		return l, fmt.Errorf("--config is missing")
+	}
+	if l.settings, err = config.Load(path); err != nil {
+		return l, err
+	}
+	if l.policy, err = policy.Load(l.settings.PolicyFile); err != nil {
+		return l, err
 	}
-	cfg, err := config.Load(path)
-	if err != nil {
-		return nil, nil, err
+	if l.operations, err = operations.Load(operationsPath); err != nil {
+		return l, err
 	}
-	pol, err := policy.Load(cfg.PolicyFile)
-	return cfg, pol, err
+	return l, l.operations.CheckTeams(&l.settings.Params)
 }
 
 // gcPercent lets the heap grow to five times what lives between collections:
@@ -95,15 +108,15 @@
 // a core only makes the two wake each other.
 func processors(r config.Resources) int { return max(1, int(math.Ceil(r.CPUShare))) }
 
-func run(cfg *config.Settings, pol *policy.Policy) error {
+func run(l loaded) error {
 	// The machines are small: a share of a core and a hard memory limit, so the
 	// runtime gets no more processors, collects garbage seldom, since little of
 	// the memory is in use, and in time before the limit bites.
-	r := cfg.Params.Resources
+	r := l.settings.Params.Resources
 	runtime.GOMAXPROCS(processors(r))
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimit(r))
-	return controller.Run(cfg, pol, logger(os.Getenv("LOG_LEVEL")))
+	return controller.Run(l.settings, l.policy, l.operations, logger(os.Getenv("LOG_LEVEL")))
 }
 
 func logger(level string) *slog.Logger {
--- a/internal/controller/cluster_jobs_test.go
+++ b/internal/controller/cluster_jobs_test.go
@@ -105,16 +105,31 @@
 // load submits jobs of every kind and waits until they run.
 func (k *cluster) load() {
 	k.t.Helper()
-	k.submit(spec(ref(arrayJob), teamOf[arrayJob], func(s *wire.Spec) { s.Tasks = 4 }), long)
-	k.submit(spec(ref(gangJob), teamOf[gangJob], gang(2)), long)
-	k.submit(spec(ref(serviceJob), teamOf[serviceJob], func(s *wire.Spec) {
+	k.loadWith(func(*wire.Spec) {})
+}
+
+// loadWith does the same with specifications changed as wished.
+func (k *cluster) loadWith(change func(*wire.Spec)) {
+	k.t.Helper()
+	submit := func(n int, kind func(*wire.Spec)) {
+		s := spec(ref(n), teamOf[n], kind)
+		change(&s)
+		k.submit(s, long)
+	}
+	submit(arrayJob, func(s *wire.Spec) { s.Tasks = 4 })
+	submit(gangJob, gang(2))
+	submit(serviceJob, func(s *wire.Spec) {
 		s.Kind, s.Tasks, s.Spread, s.Priority, s.CheckpointS = wire.Service, 2, true, "prod", 0
-	}), long)
-	k.submit(spec(ref(limitJob), teamOf[limitJob], func(s *wire.Spec) { s.Tasks = teamLimit + 2 }), long)
+	})
+	submit(limitJob, func(s *wire.Spec) { s.Tasks = teamLimit + 2 })
 	k.running(ref(arrayJob), 4)
 	k.running(ref(gangJob), 2)
 	k.running(ref(serviceJob), 2)
-	k.running(ref(limitJob), teamLimit)
+	most := teamLimit
+	if len(k.params.Teams) == 0 {
+		most += 2
+	}
+	k.running(ref(limitJob), most)
 }
 
 // gang makes a specification one of a gang of whole machines in one zone.
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -40,18 +40,19 @@
 	zones       []string
 	timing      testkit.Timing
 	seed        uint64
+	byHash      bool // no teams: jobs are parted among the controllers by their names
 }
 
 // near is like the smaller deployment, whose workers report often: starts ride on
 // answers to reports. far is like the larger: starts go straight to the workers.
 func near(seed uint64) layout {
 	return layout{3, []string{"a", "b"}, testkit.Timing{Report: 1500 * time.Millisecond, Lease: 12 * time.Second,
-		GangWait: 45 * time.Second, GangPeer: 4 * time.Second, Cancel: 32 * time.Second}, seed}
+		GangWait: 45 * time.Second, GangPeer: 4 * time.Second, Cancel: 32 * time.Second}, seed, false}
 }
 
 func far(seed uint64) layout {
 	return layout{3, []string{"a", "b", "c"}, testkit.Timing{Report: 8 * time.Second, Lease: 34 * time.Second,
-		GangWait: 45 * time.Second, GangPeer: 4 * time.Second, Cancel: 64 * time.Second}, seed}
+		GangWait: 45 * time.Second, GangPeer: 4 * time.Second, Cancel: 64 * time.Second}, seed, false}
 }
 
 var layouts = map[string]func(uint64) layout{"near": near, "far": far}
@@ -92,7 +93,11 @@
 		State: config.State{RPS: 200, WriteRPS: 50, ValueKB: 16, TxnOps: 16}, Cloud: config.Cloud{RPS: 4, ListLagS: 10},
 		Resources: config.Resources{CPUShare: 0.2, MemoryMB: 200, MaxSockets: 2000},
 	}
-	k.check = testkit.NewChecker(map[string]float64{"tight": teamLimit}, l.timing.Cancel)
+	limits := map[string]float64{"tight": teamLimit}
+	if l.byHash {
+		k.params.Teams, limits = nil, nil
+	}
+	k.check = testkit.NewChecker(limits, l.timing.Cancel)
 	k.world = testkit.NewWorld(k.labels, types, l.timing, k.check, l.seed)
 	return k
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	"bramblespur/internal/config"
 	"bramblespur/internal/fragment"
 	"bramblespur/internal/httpwire"
+	"bramblespur/internal/operations"
 	"bramblespur/internal/peer"
 	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
@@ -97,6 +98,7 @@
 	status           memberStatus            // as the member record says
 	memberPut        time.Time               // when that was last written
 	renewals         renewals
+	drains           drains
 	held             map[string]*held
 	budgetAt         time.Time // when the leader last gave a budget
 	readiness        readiness
@@ -121,7 +123,7 @@
 }
 
 // Run runs a controller until its server fails.
-func Run(cfg *config.Settings, pol *policy.Policy, log *slog.Logger) error {
+func Run(cfg *config.Settings, pol *policy.Policy, ops *operations.Settings, log *slog.Logger) error {
 	p := cfg.Params
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -133,6 +135,7 @@
 	tight := p.State.Tight() // bursts are for good, the rates follow at once
 	c.store = statestore.New(cfg.Outside.State, p.Count, tight.RPS, tight.WriteRPS, c.borrow)
 	c.init()
+	c.drains.turnOn(ops.Drains, &p)
 	for _, q := range cfg.Peers {
 		c.peers[q.Label] = peer.NewClient(q.Addr)
 	}
@@ -169,6 +172,9 @@
 	go c.tickLoop(ctx)
 	go c.leadLoop(ctx)
 	go c.countLoop(ctx)
+	if c.drains.settings != nil {
+		go c.drainLoop(ctx)
+	}
 }
 
 func (c *Controller) init() {
@@ -198,6 +204,7 @@
 	c.held = map[string]*held{}
 	c.peerHealth = newPeerHealth()
 	c.peerLoads = map[string]peerLoad{}
+	c.drains = newDrains()
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- /dev/null
+++ b/internal/controller/drains_harness_test.go
@@ -0,0 +1,224 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramblespur/internal/drain"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// drainBudget is what every team of the drain tests has.
+var drainBudget = drain.Limit{AtOnce: 1, InWindow: 3, Window: 2 * time.Minute}
+
+func drainSettings(limit drain.Limit) *drain.Settings {
+	return &drain.Settings{StoreShare: 1, ZoneShare: 0.5, Wait: 30 * time.Second, Default: drain.Budget{Limit: limit}}
+}
+
+// drainCluster is a cluster whose interruptions are counted.
+type drainCluster struct {
+	*cluster
+	settings *drain.Settings
+	off      map[string]bool // controllers that know nothing of drains
+	counted  *testkit.Interruptions
+}
+
+// drainLayout is what differs between the clusters of drain tests.
+type drainLayout struct {
+	layout
+	limit   drain.Limit
+	without string
+	// settings are the controllers', if their budget is not the one that is counted by.
+	settings *drain.Settings
+}
+
+// playDrain runs a script on a cluster that takes part in drains, and checks in the end
+// that no rule was broken and no team's budget passed.
+func playDrain(t *testing.T, l drainLayout, script func(k *drainCluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		k := &drainCluster{cluster: newCluster(t, l.layout), settings: drainSettings(l.limit), off: map[string]bool{l.without: true}}
+		defer k.stop()
+		if l.settings != nil {
+			k.settings = l.settings
+		}
+		k.prepare = func(label string, c *Controller) {
+			if !k.off[label] {
+				c.drains.turnOn(k.settings, &k.params)
+			}
+		}
+		k.counted = k.world.CountInterruptions(l.limit.AtOnce, l.limit.InWindow, l.limit.Window)
+		for _, label := range k.labels {
+			k.start(label)
+		}
+		k.await(30*time.Second, "a leader and all parts", func() bool { return k.leader() != "" && k.owned() })
+		script(k)
+		k.settle()
+		for _, b := range k.counted.Broken() {
+			t.Error("over budget: " + b)
+			break
+		}
+	})
+}
+
+// loadEvenly submits jobs of every kind and one priority, so that none is preempted.
+func (k *drainCluster) loadEvenly() {
+	k.t.Helper()
+	k.loadWith(func(s *wire.Spec) { s.Priority = "normal" })
+}
+
+// drainOn plays a script on both layouts with the usual budget.
+func drainOn(t *testing.T, script func(k *drainCluster)) {
+	t.Helper()
+	drainOnWith(t, drainLayout{limit: drainBudget}, script)
+}
+
+// drainOnWith plays a script on both layouts with what else a layout says.
+func drainOnWith(t *testing.T, with drainLayout, script func(k *drainCluster)) {
+	t.Helper()
+	for name, l := range layouts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			with.layout = l(1)
+			playDrain(t, with, script)
+		})
+	}
+}
+
+// ask asks for a drain as an operator does.
+func (k *drainCluster) ask(name string, change func(*drain.Plan)) {
+	k.t.Helper()
+	p := drain.Plan{Name: name, AtOnce: 2, Reason: "test", State: drain.Active, Created: time.Now().UnixMilli()}
+	change(&p)
+	if err := p.Check(); err != nil {
+		k.t.Fatal(err)
+	}
+	k.operator(drain.StartTxn(p))
+}
+
+// operator carries out an operator's transaction.
+func (k *drainCluster) operator(t wire.Txn) {
+	k.t.Helper()
+	link := k.world.State.Link(context.Background(), "operator")
+	if _, err := link.Txn(context.Background(), statestore.Urgent("operator"), t); err != nil {
+		k.t.Fatal(err)
+	}
+}
+
+// change pauses, resumes or cancels a drain.
+func (k *drainCluster) change(name string, to drain.State) {
+	k.t.Helper()
+	for range 10 { // the leader may end it at the same moment
+		t, err := drain.ChangeTxn(k.plan(name), to, time.Now())
+		if err != nil {
+			return
+		}
+		link := k.world.State.Link(context.Background(), "operator")
+		if _, err := link.Txn(context.Background(), statestore.Urgent("operator"), t); err == nil {
+			return
+		}
+	}
+	k.t.Fatalf("%s did not become %s", name, to)
+}
+
+func (k *drainCluster) plan(name string) drain.Versioned[drain.Plan] {
+	k.t.Helper()
+	e, _ := k.world.State.Entry(drain.PlanKey(name))
+	out := drain.Versioned[drain.Plan]{Version: e.Version}
+	if err := json.Unmarshal(e.Value, &out.Rec); err != nil {
+		k.t.Fatal(err)
+	}
+	return out
+}
+
+func (k *drainCluster) state(name string) drain.State { return k.plan(name).Rec.State }
+
+// cordons returns the machines that are cordoned on record.
+func (k *drainCluster) cordons() map[string]drain.Cordon {
+	var c drain.Cordons
+	if e, ok := k.world.State.Entry(drain.CordonsKey); ok {
+		if err := json.Unmarshal(e.Value, &c); err != nil {
+			k.t.Fatal(err)
+		}
+	}
+	return c.Machines
+}
+
+// granted returns how many evictions were granted so far, on record.
+func (k *drainCluster) granted() int {
+	seen := map[string]bool{}
+	for _, w := range k.world.State.Writes() {
+		for _, op := range w.Txn.Then {
+			if !strings.HasPrefix(op.Put, drain.LedgerPrefix) {
+				continue
+			}
+			var l drain.Ledger
+			if err := json.Unmarshal(op.Value, &l); err != nil {
+				k.t.Fatal(err)
+			}
+			for _, d := range l.Open {
+				if d.Drain != "" {
+					seen[fmt.Sprint(d.UnitID, d.Attempt)] = true
+				}
+			}
+		}
+	}
+	return len(seen)
+}
+
+// machineNames returns the names of all machines that are up.
+func (k *drainCluster) machineNames() []string {
+	var out []string
+	for _, m := range k.world.Machines() {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// gone reports whether none of some machines is up.
+func (k *drainCluster) gone(names []string) bool {
+	for _, m := range k.world.Machines() {
+		for _, n := range names {
+			if m.ID == n {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// named selects machines by their names.
+func named(names []string) func(*drain.Plan) {
+	return func(p *drain.Plan) { p.Selector.Machines = names }
+}
+
+// finished waits until a drain has come to its end.
+func (k *drainCluster) finished(name string, within time.Duration) {
+	k.t.Helper()
+	for end := time.Now().Add(within); k.state(name) != drain.Finished; time.Sleep(time.Second) {
+		if time.Now().After(end) {
+			k.t.Fatalf("%s is %s after %v: %s", name, k.state(name), within, k.drainRecords())
+		}
+	}
+}
+
+// drainRecords returns what is recorded of drains, for messages.
+func (k *drainCluster) drainRecords() string {
+	link := k.world.State.Link(context.Background(), "operator")
+	entries, _, err := link.List(context.Background(), statestore.Urgent("operator"), drain.Prefix)
+	if err != nil {
+		return err.Error()
+	}
+	var out strings.Builder
+	for _, e := range entries {
+		fmt.Fprintf(&out, "\n%s: %.400s", e.Key, e.Value)
+	}
+	return out.String()
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -92,6 +92,7 @@
 		c.cloud.Budget(c.cfg.Params.Cloud.RPS * share)
 		c.publishStatus(ctx)
 		c.askFormats(ctx)
+		c.retractDrains(ctx)
 	}
 }
 
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -77,7 +77,9 @@
 		return
 	}
 	c.lookUp(p, now)
+	c.keepCordons(p)
 	eff := p.Step(now)
+	c.noteLosses(eff.Interrupted, now)
 	if p.Lost() {
 		delete(c.parts, p.ID())
 		go c.rereadPart(p.ID())
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bramblespur/internal/config"
+	"bramblespur/internal/drain"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
@@ -60,8 +61,9 @@
 	}
 }
 
-func (c *Controller) resetCluster(entries []wire.Entry, _ uint64, at time.Time) {
+func (c *Controller) resetCluster(entries []wire.Entry, rev uint64, at time.Time) {
 	c.mu.Lock()
+	c.resetDrains(entries, rev)
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.members = map[string]record.Member{}
 	c.leader = versioned[record.Head]{}
@@ -111,6 +113,8 @@
 				c.formats[record.Last(key)] = f
 			}
 		}
+	case strings.HasPrefix(key, drain.Prefix):
+		err = c.drains.view.Change(e)
 	case strings.HasPrefix(key, record.PartPrefix):
 		id, ok := partID(key)
 		if !ok || gone {
--- /dev/null
+++ b/internal/drain/operator.go
@@ -0,0 +1,38 @@
+package drain
+
+import (
+	"fmt"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// StartTxn is the transaction by which an operator asks for a drain. It fails if there is
+// one of that name.
+func StartTxn(p Plan) wire.Txn {
+	key := PlanKey(p.Name)
+	return wire.Txn{
+		If:   []wire.Cond{{Key: key}},
+		Then: []wire.Op{{Put: key, Value: encode(p)}},
+	}
+}
+
+// ChangeTxn is the transaction by which an operator pauses, resumes or cancels a drain.
+func ChangeTxn(p Versioned[Plan], to State, now time.Time) (wire.Txn, error) {
+	if p.Rec.State.Over() {
+		return wire.Txn{}, fmt.Errorf("drain %s is %s already", p.Rec.Name, p.Rec.State)
+	}
+	if p.Rec.State == to {
+		return wire.Txn{}, fmt.Errorf("drain %s is %s", p.Rec.Name, to)
+	}
+	changed := p.Rec
+	changed.State = to
+	if to.Over() {
+		changed.Ended = now.UnixMilli()
+	}
+	key := PlanKey(p.Rec.Name)
+	return wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: p.Version}},
+		Then: []wire.Op{{Put: key, Value: encode(changed)}},
+	}, nil
+}
--- /dev/null
+++ b/internal/drain/settings.go
@@ -0,0 +1,132 @@
+package drain
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Settings are the operators' settings for drains.
+type Settings struct {
+	// StoreShare is the part of the state service's limits that drains may use.
+	StoreShare float64
+	// ZoneShare is the part of a zone's machines that may be cordoned at a time by all
+	// drains together; one machine always may.
+	ZoneShare float64
+	// Wait bounds how long a drain waits for one machine's work to end by itself.
+	Wait    time.Duration
+	Default Budget
+	Teams   map[string]Budget
+}
+
+// Defaults of what the operators' file may leave out.
+const (
+	DefaultStoreShare = 0.05
+	DefaultZoneShare  = 0.34
+	DefaultWait       = 15 * time.Minute
+)
+
+// Budget returns a team's budget.
+func (s *Settings) Budget(team string) Budget {
+	if b, ok := s.Teams[team]; ok {
+		return b
+	}
+	return s.Default
+}
+
+// Check refuses limits that contradict each other, naming the field.
+func (s *Settings) Check() error {
+	if err := s.Default.check("default"); err != nil {
+		return err
+	}
+	for _, team := range slices.Sorted(maps.Keys(s.Teams)) {
+		b := s.Teams[team]
+		if err := b.check(fmt.Sprintf("team.%s", team)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Budget) check(field string) error {
+	if b.AtOnce > b.InWindow {
+		return fmt.Errorf("budgets.%s.at_once: %d at once, but only %d in a window", field, b.AtOnce, b.InWindow)
+	}
+	for _, class := range slices.Sorted(maps.Keys(b.Classes)) {
+		c := b.Classes[class]
+		at := fmt.Sprintf("budgets.%s.class.%s", field, class)
+		if c.AtOnce > c.InWindow {
+			return fmt.Errorf("%s.at_once: %d at once, but only %d in a window", at, c.AtOnce, c.InWindow)
+		}
+		if c.AtOnce > b.AtOnce {
+			return fmt.Errorf("%s.at_once: %d is more than the team's %d", at, c.AtOnce, b.AtOnce)
+		}
+		if c.Window <= b.Window && c.InWindow > b.InWindow {
+			return fmt.Errorf("%s.in_window: %d is more than the team's %d", at, c.InWindow, b.InWindow)
+		}
+	}
+	return nil
+}
+
+// Fingerprint tells whether two controllers have the same budgets.
+func (s *Settings) Fingerprint() string {
+	h := fnv.New64a()
+	// Maps are written in the order of their keys.
+	if err := json.NewEncoder(h).Encode(struct {
+		Default Budget
+		Teams   map[string]Budget
+	}{s.Default, s.Teams}); err != nil {
+		panic("drain: " + err.Error()) // numbers and strings always encode
+	}
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+// WithClockError returns settings whose windows hold by everybody's clock, if each is wrong
+// by some error at most.
+func (s *Settings) WithClockError(most time.Duration) *Settings {
+	out := *s
+	out.Default = s.Default.widened(2 * most)
+	out.Teams = map[string]Budget{}
+	for team, b := range s.Teams {
+		out.Teams[team] = b.widened(2 * most)
+	}
+	return &out
+}
+
+func (b Budget) widened(by time.Duration) Budget {
+	b.Window += by
+	classes := maps.Clone(b.Classes)
+	for name, c := range classes {
+		c.Window += by
+		classes[name] = c
+	}
+	b.Classes = classes
+	return b
+}
+
+// LongestWindow returns the longest window of any budget.
+func (s *Settings) LongestWindow() time.Duration {
+	longest := s.Default.longest()
+	for _, b := range s.Teams {
+		longest = max(longest, b.longest())
+	}
+	return longest
+}
+
+func (b Budget) longest() time.Duration {
+	longest := b.Window
+	for _, c := range b.Classes {
+		longest = max(longest, c.Window)
+	}
+	return longest
+}
+
+// zoneLimit is how many of a zone's machines may be cordoned at a time.
+func (s *Settings) zoneLimit(machines int) int {
+	share := cmp.Or(s.ZoneShare, DefaultZoneShare)
+	return max(1, int(share*float64(machines)))
+}
--- /dev/null
+++ b/internal/drain/view.go
@@ -0,0 +1,316 @@
+package drain
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"bramblespur/internal/wire"
+)
+
+// Keys and prefixes of the records. They share the prefix of the cluster's records, so
+// that the controllers' watch of these tells them, too.
+const (
+	Prefix       = "ctl/drain/"
+	PlanPrefix   = Prefix + "plan/"
+	LedgerPrefix = Prefix + "ledger/"
+	AwarePrefix  = Prefix + "aware/"
+	CoursePrefix = Prefix + "course/"
+	CordonsKey   = Prefix + "cordons"
+)
+
+// PlanKey names a drain's record.
+func PlanKey(name string) string { return PlanPrefix + name }
+
+// LedgerKey names a team's ledger.
+func LedgerKey(team string) string { return LedgerPrefix + ledgerName(team) }
+
+// maxLedgerName keeps keys within the state service's bound.
+const maxLedgerName = 150
+
+// ledgerName is a team's name as a part of a key, which may hold no spaces.
+func ledgerName(team string) string {
+	name := url.PathEscape(team)
+	if len(name) <= maxLedgerName {
+		return name
+	}
+	h := fnv.New64a()
+	h.Write([]byte(team))
+	return fmt.Sprintf("%s-%016x", name[:maxLedgerName/2], h.Sum64())
+}
+
+// AwareKey names the record by which a controller tells that it knows of drains.
+func AwareKey(label string) string { return AwarePrefix + label }
+
+// CourseKey names the record of what a part did for a drain.
+func CourseKey(name string, part int) string { return CoursePrefix + name + "/" + strconv.Itoa(part) }
+
+// Cordon is a machine that takes no new work, for a drain.
+type Cordon struct {
+	Drain string `json:"d"`
+	Since int64  `json:"at"` // milliseconds
+	Part  int    `json:"p"`  // whose owner lifts it once the machine is gone
+	Zone  string `json:"z"`
+}
+
+// Cordons are all machines that are cordoned, by name. There is one record for all
+// drains, so that what they may do at a time holds for them together.
+type Cordons struct {
+	Machines map[string]Cordon `json:"m"`
+}
+
+// Clone returns a copy that shares nothing.
+func (c Cordons) Clone() Cordons {
+	m := maps.Clone(c.Machines)
+	if m == nil {
+		m = map[string]Cordon{}
+	}
+	return Cordons{m}
+}
+
+// Aware is a controller's word that it takes part in drains, and by which budgets.
+type Aware struct {
+	Budgets string `json:"budgets"`
+}
+
+// Versioned is a record with its version, 0 if there is none.
+type Versioned[T any] struct {
+	Rec     T
+	Version uint64
+}
+
+// View is what the records tell of drains. It takes changes in any order and is not safe
+// for concurrent use.
+type View struct {
+	plans    map[string]Versioned[Plan]
+	ledgers  map[string]Versioned[Ledger]
+	courses  map[string]Versioned[Course] // by key
+	aware    map[string]Aware
+	cordons  Versioned[Cordons]
+	versions map[string]uint64 // of the last change of each key
+	invalid  map[string]error  // records that make no sense, by key
+	changes  uint64
+}
+
+// NewView returns a view without records.
+func NewView() *View {
+	return &View{
+		plans: map[string]Versioned[Plan]{}, ledgers: map[string]Versioned[Ledger]{}, courses: map[string]Versioned[Course]{},
+		aware: map[string]Aware{}, versions: map[string]uint64{}, invalid: map[string]error{},
+	}
+}
+
+// ErrMalformed says that a record makes no sense. It is passed over.
+var ErrMalformed = errors.New("malformed drain record")
+
+// Change takes in a record's change. What is older than what is held is passed over.
+func (v *View) Change(e wire.Change) error {
+	key := e.Put + e.Delete
+	if !strings.HasPrefix(key, Prefix) || e.Version <= v.versions[key] {
+		return nil
+	}
+	v.versions[key] = e.Version
+	v.changes++
+	delete(v.invalid, key)
+	v.forget(key)
+	if e.Put == "" {
+		return nil
+	}
+	if err := v.take(key, e); err != nil {
+		v.invalid[key] = err
+		return fmt.Errorf("%w %s: %w", ErrMalformed, key, err)
+	}
+	return nil
+}
+
+// Reset takes in all records as of a revision. What is not among them is gone, unless it
+// was written since.
+func (v *View) Reset(entries []wire.Entry, revision uint64) error {
+	var errs []error
+	there := map[string]bool{}
+	for _, e := range entries {
+		there[e.Key] = true
+		errs = append(errs, v.Change(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}))
+	}
+	for key, version := range v.versions {
+		if !there[key] && version <= revision {
+			v.forget(key)
+			delete(v.invalid, key)
+			delete(v.versions, key)
+			v.changes++
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// forget drops what a key's record told.
+func (v *View) forget(key string) {
+	switch {
+	case key == CordonsKey:
+		v.cordons = Versioned[Cordons]{}
+	case strings.HasPrefix(key, PlanPrefix):
+		delete(v.plans, key[len(PlanPrefix):])
+	case strings.HasPrefix(key, LedgerPrefix):
+		delete(v.ledgers, key[len(LedgerPrefix):])
+	case strings.HasPrefix(key, AwarePrefix):
+		delete(v.aware, key[len(AwarePrefix):])
+	case strings.HasPrefix(key, CoursePrefix):
+		delete(v.courses, key)
+	}
+}
+
+// take decodes a record and keeps it.
+func (v *View) take(key string, e wire.Change) error {
+	switch {
+	case key == CordonsKey:
+		return keep(e, &v.cordons)
+	case strings.HasPrefix(key, PlanPrefix):
+		return v.takePlan(key[len(PlanPrefix):], e)
+	case strings.HasPrefix(key, LedgerPrefix):
+		return keepIn(v.ledgers, key[len(LedgerPrefix):], e)
+	case strings.HasPrefix(key, CoursePrefix):
+		return keepIn(v.courses, key, e)
+	case strings.HasPrefix(key, AwarePrefix):
+		var a Aware
+		if err := json.Unmarshal(e.Value, &a); err != nil {
+			return err
+		}
+		v.aware[key[len(AwarePrefix):]] = a
+	}
+	return nil
+}
+
+func (v *View) takePlan(name string, e wire.Change) error {
+	var p Plan
+	if err := json.Unmarshal(e.Value, &p); err != nil {
+		return err
+	}
+	if p.Name != name {
+		return invalid("it is named %.70q", p.Name)
+	}
+	if err := p.Check(); err != nil {
+		return err
+	}
+	v.plans[name] = Versioned[Plan]{p, e.Version}
+	return nil
+}
+
+func keep[T any](e wire.Change, to *Versioned[T]) error {
+	var rec T
+	if err := json.Unmarshal(e.Value, &rec); err != nil {
+		return err
+	}
+	*to = Versioned[T]{rec, e.Version}
+	return nil
+}
+
+func keepIn[T any](m map[string]Versioned[T], name string, e wire.Change) error {
+	var held Versioned[T]
+	if err := keep(e, &held); err != nil {
+		return err
+	}
+	m[name] = held
+	return nil
+}
+
+// Changes counts the changes taken in.
+func (v *View) Changes() uint64 { return v.changes }
+
+// Plan returns a drain's record.
+func (v *View) Plan(name string) (Versioned[Plan], bool) {
+	p, ok := v.plans[name]
+	return p, ok
+}
+
+// Plans returns all drains, the oldest first.
+func (v *View) Plans() []Versioned[Plan] {
+	out := slices.Collect(maps.Values(v.plans))
+	slices.SortFunc(out, func(a, b Versioned[Plan]) int {
+		if a.Rec.Created != b.Rec.Created {
+			return cmp.Compare(a.Rec.Created, b.Rec.Created)
+		}
+		return strings.Compare(a.Rec.Name, b.Rec.Name)
+	})
+	return out
+}
+
+// Cordons returns the machines that are cordoned.
+func (v *View) Cordons() Versioned[Cordons] { return v.cordons }
+
+// Ledger returns a team's ledger.
+func (v *View) Ledger(team string) Versioned[Ledger] { return v.ledgers[ledgerName(team)] }
+
+// Ledgers returns the ledgers of all teams, by the teams' names as they are in keys.
+func (v *View) Ledgers() map[string]Versioned[Ledger] { return v.ledgers }
+
+// Open returns the open disruptions of a part, with the name of the ledger of each.
+func (v *View) Open(part int) []Disruption {
+	var out []Disruption
+	for _, name := range slices.Sorted(maps.Keys(v.ledgers)) {
+		for _, d := range v.ledgers[name].Rec.Open {
+			if d.Part == part {
+				out = append(out, d)
+			}
+		}
+	}
+	return out
+}
+
+// Course returns what a part did for a drain.
+func (v *View) Course(name string, part int) Versioned[Course] {
+	return v.courses[CourseKey(name, part)]
+}
+
+// Courses returns what all parts did for a drain, in the order of their keys.
+func (v *View) Courses(name string) []Course {
+	var out []Course
+	for _, key := range slices.Sorted(maps.Keys(v.courses)) {
+		if strings.HasPrefix(key, CoursePrefix+name+"/") {
+			out = append(out, v.courses[key].Rec)
+		}
+	}
+	return out
+}
+
+// Invalid returns the records that make no sense, by key.
+func (v *View) Invalid() map[string]error { return v.invalid }
+
+// Said returns a controller's word on drains.
+func (v *View) Said(label string) (Aware, bool) {
+	a, ok := v.aware[label]
+	return a, ok
+}
+
+// Ready reports whether every controller has said that it takes part in drains, all by the
+// same budgets: until then nothing is drained, since one that knows nothing of drains would
+// not count what it loses, and others would grant by another budget.
+func (v *View) Ready(labels []string, budgets string) bool {
+	return !slices.ContainsFunc(labels, func(l string) bool { return v.aware[l].Budgets != budgets })
+}
+
+// InUse reports whether there is a drain that is not over, or a machine cordoned.
+func (v *View) InUse() bool {
+	for _, p := range v.plans {
+		if !p.Rec.State.Over() {
+			return true
+		}
+	}
+	return len(v.cordons.Rec.Machines) > 0 || v.anyOpen()
+}
+
+// anyOpen reports whether a disruption that a drain caused is still open.
+func (v *View) anyOpen() bool {
+	for _, l := range v.ledgers {
+		if slices.ContainsFunc(l.Rec.Open, func(d Disruption) bool { return d.Drain != "" }) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -89,7 +89,7 @@
 
 func (b *bin) fits(n *Need) bool {
 	const slack = 1e-6
-	return (b.For == "" || b.For == n.Job) && (!b.Spot || n.Spot) && (n.Zone == "" || n.Zone == b.Zone) && (n.Types == nil || slices.Contains(n.Types, b.Type)) &&
+	return (b.For == "" || b.For == n.Job) && !(n.Ahead && b.Avoided) && (!b.Spot || n.Spot) && (n.Zone == "" || n.Zone == b.Zone) && (n.Types == nil || slices.Contains(n.Types, b.Type)) &&
 		n.CPUs <= b.CPUs+slack && n.GPUs <= b.GPUs+slack && n.MemoryGB <= b.MemoryGB+slack
 }
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -28,6 +28,9 @@
 	// and InZone how many are in each.
 	ZoneLimit int
 	InZone    map[string]int
+	// Ahead says that the work still runs, on machines that are being drained: it is
+	// not to go to one that will be drained later.
+	Ahead bool
 }
 
 // open reports whether one more task may go to a zone.
@@ -61,6 +64,7 @@
 	Images   []string // believed to be cached
 	For      string   // job that it is kept for
 	Addr     string   // its address, if that is known and not recorded yet
+	Avoided  bool     // will be drained later
 }
 
 // Summary is one part's state for the leader.
--- /dev/null
+++ b/internal/operations/operations.go
@@ -0,0 +1,174 @@
+// Package operations reads and checks the operators' file that turns on what goes beyond
+// serving: each of its sections is one subsystem, and one that is missing is off.
+package operations
+
+import (
+	"bytes"
+	_ "embed"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"bramblespur/internal/config"
+	"bramblespur/internal/drain"
+)
+
+// Settings are what the file turns on.
+type Settings struct {
+	Drains *drain.Settings // nil: off
+}
+
+//go:embed schema.json
+var schemaText []byte
+
+const schemaName = "operations.schema.json"
+
+// file is the layout of the file, as the schema describes it.
+type file struct {
+	Drains *drains `toml:"drains"`
+}
+
+type drains struct {
+	StoreShare float64 `toml:"store_share"`
+	ZoneShare  float64 `toml:"zone_share"`
+	WaitS      float64 `toml:"wait_s"`
+	Budgets    budgets `toml:"budgets"`
+}
+
+type budgets struct {
+	Default budget            `toml:"default"`
+	Team    map[string]budget `toml:"team"`
+}
+
+type budget struct {
+	AtOnce   int               `toml:"at_once"`
+	InWindow int               `toml:"in_window"`
+	WindowS  float64           `toml:"window_s"`
+	Class    map[string]budget `toml:"class"`
+}
+
+// Load reads and checks a file. Without a path everything is off.
+func Load(path string) (*Settings, error) {
+	if path == "" {
+		return &Settings{}, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read operations file: %w", err)
+	}
+	return Parse(string(data))
+}
+
+// Parse decodes and checks the text of a file.
+func Parse(text string) (*Settings, error) {
+	var raw map[string]any
+	if _, err := toml.Decode(text, &raw); err != nil {
+		return nil, fmt.Errorf("operations file: %w", err)
+	}
+	if err := validate(raw); err != nil {
+		return nil, fmt.Errorf("operations file: %w", err)
+	}
+	var f file
+	if _, err := toml.Decode(text, &f); err != nil {
+		return nil, fmt.Errorf("operations file: %w", err)
+	}
+	s := &Settings{}
+	if f.Drains != nil {
+		s.Drains = f.Drains.settings()
+		if err := s.Drains.Check(); err != nil {
+			return nil, fmt.Errorf("operations file: drains.%w", err)
+		}
+	}
+	return s, nil
+}
+
+// CheckTeams refuses budgets of teams that the platform's settings do not have.
+func (s *Settings) CheckTeams(p *config.Params) error {
+	if s.Drains == nil || len(p.Teams) == 0 {
+		return nil
+	}
+	known := map[string]bool{}
+	for _, t := range p.Teams {
+		known[t.Name] = true
+	}
+	for _, team := range slices.Sorted(maps.Keys(s.Drains.Teams)) {
+		if !known[team] {
+			return fmt.Errorf("operations file: drains.budgets.team.%s: there is no such team", team)
+		}
+	}
+	return nil
+}
+
+func validate(raw map[string]any) error {
+	schema, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(schemaName, schema); err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	compiled, err := c.Compile(schemaName)
+	if err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	err = compiled.Validate(raw)
+	var found *jsonschema.ValidationError
+	if errors.As(err, &found) {
+		return fieldError(found)
+	}
+	return err
+}
+
+// fieldError tells the innermost cause of a violation in one line, with its field.
+func fieldError(e *jsonschema.ValidationError) error {
+	for len(e.Causes) > 0 {
+		e = e.Causes[0]
+	}
+	field := strings.Join(e.InstanceLocation, ".")
+	if field == "" {
+		field = "file"
+	}
+	return fmt.Errorf("%s: %s", field, e.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
+}
+
+func (d *drains) settings() *drain.Settings {
+	s := &drain.Settings{StoreShare: d.StoreShare, ZoneShare: d.ZoneShare, Wait: config.Seconds(d.WaitS),
+		Default: d.Budgets.Default.budget(), Teams: map[string]drain.Budget{}}
+	if s.StoreShare == 0 {
+		s.StoreShare = drain.DefaultStoreShare
+	}
+	if s.ZoneShare == 0 {
+		s.ZoneShare = drain.DefaultZoneShare
+	}
+	if s.Wait == 0 {
+		s.Wait = drain.DefaultWait
+	}
+	for team, b := range d.Budgets.Team {
+		s.Teams[team] = b.budget()
+	}
+	return s
+}
+
+func (b budget) limit() drain.Limit {
+	return drain.Limit{AtOnce: b.AtOnce, InWindow: b.InWindow, Window: config.Seconds(b.WindowS)}
+}
+
+func (b budget) budget() drain.Budget {
+	out := drain.Budget{Limit: b.limit()}
+	for class, c := range b.Class {
+		if out.Classes == nil {
+			out.Classes = map[string]drain.Limit{}
+		}
+		out.Classes[class] = c.limit()
+	}
+	return out
+}
--- a/internal/sched/attain.go
+++ b/internal/sched/attain.go
@@ -34,7 +34,7 @@
 
 // stays reports whether a machine is, or will be once it has booted, this part's.
 func (m *Machine) stays() bool {
-	return m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.taken.IsZero()
+	return m.Phase == record.InUse && !m.drain && m.cordon == NotCordoned && m.moveTo < 0 && m.taken.IsZero()
 }
 
 // lasting returns the room that a machine has but for what does not give way to j and
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -55,6 +55,8 @@
 			if len(m.on) == 0 {
 				p.giveBack(m, "drained", now)
 			}
+		case m.cordon == CordonedForReturn && len(m.on) == 0:
+			p.giveBack(m, "drained", now)
 		case m.moveTo >= 0 && len(m.on) == 0 && m.fenced && m.settled():
 			p.moveTxn(m)
 		default:
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -67,7 +67,7 @@
 	f := free(m)
 	return class{
 		typ: m.Type.Name, zone: m.Zone, spot: m.Spot,
-		open: m.up && m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.unreachableSince.IsZero(),
+		open: m.up && m.Phase == record.InUse && !m.drain && m.cordon == NotCordoned && m.moveTo < 0 && m.unreachableSince.IsZero(),
 		cpus: int(math.Floor(f.cpus + slack)), gpus: int(math.Floor(f.gpus + slack)),
 	}
 }
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -310,6 +310,7 @@
 // completes it; of one that runs, what was not saved is lost already, so the
 // rest only holds places and is ended.
 func (p *Part) lose(k key, now time.Time) {
+	p.noteInterruption(k)
 	p.take(k, now)
 	if k.job.spec.Kind == wire.Gang && !k.job.gathering() {
 		p.endAttempt(k.job, now)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -12,7 +12,7 @@
 
 // usable reports whether new work may be placed on a machine.
 func (p *Part) usable(m *Machine, now time.Time) bool {
-	return m.up && m.Phase == record.InUse && !m.drain && m.moveTo < 0 && m.txn == nil && !m.unsure &&
+	return m.up && m.Phase == record.InUse && !m.drain && m.cordon == NotCordoned && m.moveTo < 0 && m.txn == nil && !m.unsure &&
 		m.unreachableSince.IsZero() && (m.fenced || !m.inherited) && m.taken.IsZero() && now.Sub(m.reported) < p.suspectAfter()
 }
 
@@ -534,6 +534,10 @@
 	holdsUp  = 110
 )
 
+// soonCordoned is what it counts against a machine that is to be drained: more than its
+// image is worth, as what starts there may be evicted soon.
+const soonCordoned = 250
+
 // score ranks a machine for a task: one that caches its image first (DESIGN's
 // stand-in for sending fragments to the data), then a spot machine where the
 // job may use one, then the fullest, so that whole machines stay free, and of
@@ -554,6 +558,9 @@
 			v -= holdsUp
 		}
 	}
+	if m.avoided {
+		v -= soonCordoned
+	}
 	if m.Spot {
 		v += 30
 	}
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -36,25 +36,11 @@
 		if n == 0 {
 			continue
 		}
-		sp := j.spec
-		need := fleet.Need{
-			Job: j.ref, Image: sp.Image, CPUs: sp.CPUs, GPUs: sp.GPUs, MemoryGB: sp.MemoryGB, Types: sp.Types, Spot: sp.Spot,
-			OneZone: sp.OneZone, Gang: sp.Kind == wire.Gang, Count: n, Rank: j.rank, Waited: now.Sub(j.accepted),
-			Starved: j.starved(now),
-		}
-		if sp.Zone != nil {
-			need.Zone = *sp.Zone
-		}
-		if sp.OneZone {
-			for z := range j.zones {
-				need.Zone = z // the others have to follow
-			}
-		}
-		if sp.Spread {
-			need.ZoneLimit, need.InZone = j.zoneLimit(), maps.Clone(j.zones)
-		}
+		need := j.need(n)
+		need.Waited, need.Starved = now.Sub(j.accepted), j.starved(now)
 		s.Needs = append(s.Needs, need)
 	}
+	s.Needs = append(s.Needs, p.replacementNeeds()...)
 	sort.Slice(s.Needs, func(a, b int) bool {
 		if s.Needs[a].Rank != s.Needs[b].Rank {
 			return s.Needs[a].Rank > s.Needs[b].Rank
@@ -69,8 +55,9 @@
 		f := free(m)
 		fm := fleet.Machine{
 			ID: m.ID, Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot, Up: m.up, Usable: p.usable(m, now),
-			Leaving: m.moveTo >= 0 || m.drain || m.Phase != record.InUse || !m.taken.IsZero(),
+			Leaving: m.moveTo >= 0 || m.drain || m.cordon != NotCordoned || m.Phase != record.InUse || !m.taken.IsZero(),
 			CPUs:    f.cpus, GPUs: f.gpus, MemoryGB: f.mem, Tasks: len(m.on),
+			Avoided: m.avoided,
 		}
 		if m.moveTo >= 0 {
 			fm.Moving, fm.To = true, m.moveTo
@@ -100,13 +87,34 @@
 	return s
 }
 
+// need describes machines for n of a job's tasks.
+func (j *Job) need(n int) fleet.Need {
+	s := j.spec
+	need := fleet.Need{
+		Job: j.ref, Image: s.Image, CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, Spot: s.Spot,
+		OneZone: s.OneZone, Gang: s.Kind == wire.Gang, Count: n, Rank: j.rank,
+	}
+	if s.Zone != nil {
+		need.Zone = *s.Zone
+	}
+	if s.OneZone {
+		for z := range j.zones {
+			need.Zone = z // the others have to follow
+		}
+	}
+	if s.Spread {
+		need.ZoneLimit, need.InZone = j.zoneLimit(), maps.Clone(j.zones)
+	}
+	return need
+}
+
 // maxNeeds bounds what a summary tells.
 const maxNeeds = 64
 
 // Order carries out the leader's wish for a machine, as far as it still fits.
 func (p *Part) Order(o fleet.Order, now time.Time) {
 	m := p.machines[o.Machine]
-	if m == nil || m.moveTo >= 0 || m.drain || m.Phase != record.InUse || m.txn != nil {
+	if m == nil || m.moveTo >= 0 || m.drain || m.cordon != NotCordoned || m.Phase != record.InUse || m.txn != nil {
 		return
 	}
 	for k, t := range m.on {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -188,6 +188,8 @@
 	failed           map[string]bool // jobs that failed here in a row
 	moveTo           int             // -1: stays
 	drain            bool
+	cordon           Cordon
+	avoided          bool // to be cordoned later: new work goes elsewhere if it can
 	txn              *Txn // its move, under way
 	unsure           bool
 	retry            time.Time
@@ -260,6 +262,9 @@
 	Started        []Start  // tasks seen to run for the first time
 	Ended          []End    // jobs that are over
 	Given          []Give   // machines to be given back
+	// Interrupted are units of work that stopped without having ended, if these are
+	// watched for: see WatchInterruptions.
+	Interrupted []Interruption
 }
 
 type usage struct{ cpus, gpus float64 }
@@ -305,6 +310,7 @@
 	cut                map[string]bool
 	behind             bool                    // this controller falls behind: see lostWhy
 	zones              map[zoneLimit]zoneCount // since the last health check
+	drained            drained
 	// Machines' worth that arrived, fading; what may use spot machines apart.
 	arrived, arrivedSpot float64
 	arriveAt             time.Time
--- a/internal/testkit/agent.go
+++ b/internal/testkit/agent.go
@@ -29,6 +29,8 @@
 	mu        sync.Mutex
 	gone      bool
 	hung      bool
+	returned  bool      // while it was well
+	ailsUntil time.Time // while what is stopped there counts as lost
 	session   uint64
 	seq       uint64
 	token     uint64
@@ -227,6 +229,12 @@
 		a.queue = nil
 	}
 	a.hung = hung
+	switch {
+	case hung:
+		a.ailsUntil = time.Now().Add(ailsLong)
+	case a.ailsUntil.After(time.Now()):
+		a.ailsUntil = time.Now().Add(ailsAfter)
+	}
 	a.poke()
 }
 
--- a/internal/testkit/cloud.go
+++ b/internal/testkit/cloud.go
@@ -104,6 +104,9 @@
 			delete(c.w.agents, id)
 			c.w.mu.Unlock()
 			if a != nil {
+				a.mu.Lock()
+				a.returned = !a.gone
+				a.mu.Unlock()
 				a.Die()
 			}
 		}
