--- a/internal/controller/drains_harness_test.go
+++ b/internal/controller/drains_harness_test.go
@@ -194,11 +194,6 @@
 	return true
 }
 
-// named selects machines by their names.
-func named(names []string) func(*drain.Plan) {
-	return func(p *drain.Plan) { p.Selector.Machines = names }
-}
-
 // finished waits until a drain has come to its end.
 func (k *drainCluster) finished(name string, within time.Duration) {
 	k.t.Helper()
