Drains: the operators' tool, its report, and a run on real sockets

Need: operators ask for drains, see what holds them up, and want a report; that budgets hold has to be seen with real processes and by a count that is not the project's own.

bramblespurctl drain start, list, show, pause, resume, cancel and report read and write the state service's records within a small share of its limits. The stand-ins now also serve the published protocols over HTTP.

Seen: TestDrainOverLoopback, three real processes that are killed and refused in turn, 70 s: no team over its budget by the stand-in workers' count.

--- /dev/null
+++ b/cmd/bramblespur/loopback_test.go
@@ -0,0 +1,266 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"bramblespur/internal/drain"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// loopbackLabels are the controllers of the loopback tests.
+var loopbackLabels = []string{"c-0", "c-1", "c-2"}
+
+// loopback is real processes of controllers, which this test binary runs, on real sockets
+// among stand-ins of the state service, the cloud and the workers, in real time.
+type loopback struct {
+	t       *testing.T
+	world   *testkit.World
+	check   *testkit.Checker
+	dir     string
+	public  map[string]string
+	running map[string]*exec.Cmd
+}
+
+const loopbackSettings = `
+label = %q
+zone = %q
+public_addr = %q
+cluster_listen = %q
+%s
+[outside]
+cloud = %q
+state = %q
+[params]
+count = 3
+zones = ["a", "b"]
+clock_error_ms = 5.0
+[[params.teams]]
+name = "wide"
+[[params.teams]]
+name = "other"
+[params.workers]
+report_s = 0.6
+lease_s = 10.0
+gang_wait_s = 20.0
+gang_peer_s = 2.0
+cancel_s = 30.0
+[params.state]
+rps = 300.0
+write_rps = 100.0
+value_kb = 16.0
+txn_ops = 16
+[params.cloud]
+rps = 10.0
+list_lag_s = 5.0
+[params.resources]
+cpu_share = 1.0
+memory_mb = 256.0
+max_sockets = 1000
+`
+
+const loopbackOperations = `
+[drains]
+store_share = 0.5
+zone_share = 0.5
+wait_s = 5.0
+[drains.budgets.default]
+at_once = 1
+in_window = 3
+window_s = 10.0
+`
+
+// freeAddr returns an address on which nothing listens.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func newLoopback(t *testing.T, seed uint64) *loopback {
+	t.Helper()
+	l := &loopback{t: t, dir: t.TempDir(), public: map[string]string{}, running: map[string]*exec.Cmd{}}
+	timing := testkit.Timing{Report: 600 * time.Millisecond, Lease: 10 * time.Second, GangWait: 20 * time.Second,
+		GangPeer: 2 * time.Second, Cancel: 30 * time.Second}
+	types := []wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, CacheGB: 100, FetchGBps: 1, Price: 5, SpotPrice: 2, BootS: 2, Zones: []string{"a", "b"}}}
+	l.check = testkit.NewChecker(nil, timing.Cancel)
+	l.world = testkit.NewWorld(loopbackLabels, types, timing, l.check, seed)
+	l.world.Boot(time.Second, false)
+	stopWorkers := l.world.ServeWorkers()
+	cloud := httptest.NewServer(l.world.CloudHTTP())
+	l.configure(cloud)
+	for _, label := range loopbackLabels {
+		l.start(label)
+	}
+	t.Cleanup(func() {
+		for _, label := range loopbackLabels {
+			l.kill(label)
+		}
+		l.world.Stop()
+		stopWorkers()
+		cloud.CloseClientConnections()
+		cloud.Close()
+	})
+	return l
+}
+
+// configure writes the settings of all controllers. Each reaches the state service by an
+// address of its own, so that it can be refused alone.
+func (l *loopback) configure(cloud *httptest.Server) {
+	peers := map[string]string{}
+	zones := map[string]string{"c-0": "a", "c-1": "b", "c-2": "a"}
+	for _, label := range loopbackLabels {
+		l.public[label], peers[label] = freeAddr(l.t), freeAddr(l.t)
+	}
+	for _, label := range loopbackLabels {
+		state := httptest.NewServer(l.world.State.HTTP(label))
+		l.t.Cleanup(state.CloseClientConnections)
+		var seeds strings.Builder
+		for _, other := range loopbackLabels {
+			if other != label {
+				fmt.Fprintf(&seeds, "[[seeds]]\nlabel = %q\nzone = %q\npeer_addr = %q\n", other, zones[other], peers[other])
+			}
+		}
+		l.write(label+".toml", fmt.Sprintf(loopbackSettings, label, zones[label], l.public[label], peers[label], seeds.String(),
+			strings.TrimPrefix(cloud.URL, "http://"), strings.TrimPrefix(state.URL, "http://")))
+	}
+	l.write("operations.toml", loopbackOperations)
+}
+
+func (l *loopback) write(name, text string) {
+	l.t.Helper()
+	if err := os.WriteFile(filepath.Join(l.dir, name), []byte(text), 0o600); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+// start begins a controller's process.
+func (l *loopback) start(label string) {
+	l.t.Helper()
+	cmd := exec.Command(os.Args[0], "--operations", filepath.Join(l.dir, "operations.toml"), "--config", filepath.Join(l.dir, label+".toml"))
+	cmd.Env = append(os.Environ(), asProgram+"=1", "LOG_LEVEL="+os.Getenv("CLUSTER_LOG"))
+	if os.Getenv("CLUSTER_LOG") != "" {
+		cmd.Stderr = os.Stderr
+	}
+	if err := cmd.Start(); err != nil {
+		l.t.Fatal(err)
+	}
+	l.running[label] = cmd
+	l.world.SetNode(label, testkit.RemoteNode{Addr: l.public[label]})
+}
+
+// kill ends a controller's process without a word.
+func (l *loopback) kill(label string) {
+	if cmd := l.running[label]; cmd != nil {
+		cmd.Process.Kill()
+		cmd.Wait() // it was killed: its status says so
+		delete(l.running, label)
+		l.world.SetNode(label, nil)
+	}
+}
+
+// giveUp is when a loopback test stops waiting; nothing is timed by it.
+const giveUp = 10 * time.Minute
+
+func (l *loopback) await(what string, holds func() bool) {
+	l.t.Helper()
+	for end := time.Now().Add(giveUp); !holds(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			l.t.Fatalf("%s: not within %v", what, giveUp)
+		}
+	}
+}
+
+func (l *loopback) submit(s wire.Spec) {
+	l.t.Helper()
+	length := testkit.Length{Run: time.Hour, Fetch: 200 * time.Millisecond}
+	l.world.Register(s, length)
+	body, err := json.Marshal(s)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	if _, ok := l.world.Until(testkit.Submission, s.Ref, body, giveUp); !ok {
+		l.t.Fatalf("%s was not accepted", s.Ref)
+	}
+	l.await(s.Ref+" running", func() bool {
+		n := 0
+		for _, m := range l.world.On(s.Ref) {
+			for _, task := range m.Tasks() {
+				if strings.HasPrefix(task, s.Ref+"/") {
+					n++
+				}
+			}
+		}
+		return n == s.Tasks
+	})
+}
+
+// drainState returns a drain's state on record.
+func (l *loopback) drainState(name string) drain.State {
+	e, _ := l.world.State.Entry(drain.PlanKey(name))
+	var p drain.Plan
+	if json.Unmarshal(e.Value, &p) != nil {
+		return ""
+	}
+	return p.State
+}
+
+// Real processes on real sockets drain all machines while they are killed and the state
+// service refuses one after the other: stand-in workers, which count by themselves, never
+// find a team interrupted beyond its budget.
+func TestDrainOverLoopback(t *testing.T) {
+	const seed = 1
+	l := newLoopback(t, seed)
+	base := wire.Spec{Class: "c", Team: "wide", Kind: wire.Array, Priority: "normal", Tasks: 6, CPUs: 6, GPUs: 1, MemoryGB: 24,
+		Image: "img", ImageGB: 1, EstimateS: 5, CheckpointS: 3, SaveS: 0.3}
+	array, gang, others := base, base, base
+	array.Ref = "run-000001"
+	gang.Ref, gang.Kind, gang.Tasks, gang.CPUs, gang.GPUs, gang.OneZone = "run-000002", wire.Gang, 2, 14, 2, true
+	others.Ref, others.Team, others.Tasks = "run-000003", "other", 4
+	for _, s := range []wire.Spec{array, gang, others} {
+		l.submit(s)
+	}
+	counted := l.world.CountInterruptions(1, 3, 10*time.Second)
+	plan := drain.Plan{Name: "all", Selector: drain.Selector{Types: []string{"big"}}, AtOnce: 3, Reason: "test",
+		State: drain.Active, Created: time.Now().UnixMilli()}
+	if err := l.world.State.Put(drain.StartTxn(plan)); err != nil {
+		t.Fatal(err)
+	}
+	r := rand.New(rand.NewPCG(seed, 1))
+	for n := 0; l.drainState("all") != drain.Finished; n++ {
+		label := loopbackLabels[r.IntN(len(loopbackLabels))]
+		if n%2 == 0 {
+			l.kill(label)
+			time.Sleep(time.Duration(100+r.IntN(3000)) * time.Millisecond)
+			l.start(label)
+		} else {
+			l.world.State.Refuse(label, true)
+			time.Sleep(time.Duration(500+r.IntN(5000)) * time.Millisecond)
+			l.world.State.Refuse(label, false)
+		}
+		time.Sleep(10 * time.Second)
+		if n > 60 {
+			t.Fatalf("the drain is %s", l.drainState("all"))
+		}
+	}
+	if counted.Chosen("wide") == 0 {
+		t.Error("nothing was interrupted")
+	}
+	for _, b := range append(counted.Broken(), l.check.Broken()...) {
+		t.Error(b)
+	}
+}
--- /dev/null
+++ b/cmd/bramblespurctl/text.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"bramblespur/internal/drainctl"
+)
+
+// table writes lines of cells, set apart by tabs, in columns.
+func table(out io.Writer, write func(w io.Writer)) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	write(w)
+	w.Flush()
+}
+
+func writeSteps(out io.Writer, steps []drainctl.Step) {
+	table(out, func(w io.Writer) {
+		fmt.Fprintln(w, "STEP\tMACHINES\tINTERRUPTS")
+		for i, s := range steps {
+			fmt.Fprintf(w, "%d\t%s\t%s\n", i+1, strings.Join(s.Machines, " "), units(s.Units))
+		}
+	})
+}
+
+// units tells how many units of each team there are.
+func units(n map[string]int) string {
+	var out []string
+	for _, team := range slices.Sorted(maps.Keys(n)) {
+		out = append(out, fmt.Sprintf("%s:%d", team, n[team]))
+	}
+	return cmp.Or(strings.Join(out, " "), "-")
+}
+
+func writeList(out io.Writer, all []drainctl.Summary) {
+	table(out, func(w io.Writer) {
+		fmt.Fprintln(w, "NAME\tSTATE\tLEFT\tCORDONED\tAT ONCE\tFINISH BY\tREASON")
+		for _, s := range all {
+			if s.Invalid != "" {
+				fmt.Fprintf(w, "%s\t%s\t-\t-\t-\t-\t%s\n", s.Name, s.State, s.Invalid)
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%s\n", s.Name, s.State, s.Left, s.Cordoned, s.AtOnce, finish(s), s.Reason)
+		}
+	})
+}
+
+func finish(s drainctl.Summary) string {
+	if s.Late {
+		return s.FinishBy + " (late)"
+	}
+	return cmp.Or(s.FinishBy, "-")
+}
+
+func writeStatus(out io.Writer, s *drainctl.Status) {
+	table(out, func(w io.Writer) {
+		fmt.Fprintf(w, "name\t%s\nstate\t%s\nreason\t%s\nfinish by\t%s\n", s.Name, s.State, s.Reason, finish(s.Summary))
+		fmt.Fprintf(w, "machines left\t%d\ncordoned\t%d of %d at once\nreturned\t%d\n", s.Left, s.Cordoned, s.AtOnce, s.Returned)
+	})
+	if len(s.Machines) > 0 {
+		fmt.Fprintln(out)
+		table(out, func(w io.Writer) {
+			fmt.Fprintln(w, "CORDONED\tSINCE")
+			for _, m := range s.Machines {
+				fmt.Fprintf(w, "%s\t%s\n", m.Machine, m.Since)
+			}
+		})
+	}
+	if len(s.Teams) > 0 {
+		fmt.Fprintln(out)
+		table(out, func(w io.Writer) {
+			fmt.Fprintln(w, "TEAM\tEVICTED\tBEYOND BUDGET\tLOST\tINTERRUPTED NOW")
+			for _, t := range s.Teams {
+				fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%d\n", t.Team, t.Evicted, t.Forced, span(t.LostS), t.Open)
+			}
+		})
+	}
+	if len(s.Held) > 0 {
+		fmt.Fprintln(out)
+		table(out, func(w io.Writer) {
+			fmt.Fprintln(w, "HELD UP BY\tMACHINES' TIME")
+			for _, h := range s.Held {
+				fmt.Fprintf(w, "%s\t%s\n", h.Reason, span(h.Seconds))
+			}
+		})
+	}
+}
+
+func span(seconds float64) string { return (time.Duration(seconds) * time.Second).String() }
--- a/internal/controller/drains_harness_test.go
+++ b/internal/controller/drains_harness_test.go
@@ -106,8 +106,7 @@
 // operator carries out an operator's transaction.
 func (k *drainCluster) operator(t wire.Txn) {
 	k.t.Helper()
-	link := k.world.State.Link(context.Background(), "operator")
-	if _, err := link.Txn(context.Background(), statestore.Urgent("operator"), t); err != nil {
+	if err := k.world.State.Put(t); err != nil {
 		k.t.Fatal(err)
 	}
 }
@@ -120,8 +119,7 @@
 		if err != nil {
 			return
 		}
-		link := k.world.State.Link(context.Background(), "operator")
-		if _, err := link.Txn(context.Background(), statestore.Urgent("operator"), t); err == nil {
+		if k.world.State.Put(t) == nil {
 			return
 		}
 	}
--- a/internal/controller/drains_test.go
+++ b/internal/controller/drains_test.go
@@ -214,7 +214,7 @@
 			k.ask("all", func(p *drain.Plan) { p.Selector.Types = []string{"big"} })
 			time.Sleep(2 * time.Minute)
 			for _, w := range k.world.State.Writes() {
-				if writes(w.Txn, drain.Prefix) && w.From != "operator" {
+				if writes(w.Txn, drain.Prefix) && w.From != testkit.TestEnd {
 					k.t.Errorf("%s wrote %v", w.From, w.Txn)
 				}
 			}
--- /dev/null
+++ b/internal/drainctl/status.go
@@ -0,0 +1,163 @@
+package drainctl
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bramblespur/internal/drain"
+)
+
+// Summary is a drain in short.
+type Summary struct {
+	Name     string      `json:"name"`
+	State    drain.State `json:"state"`
+	Left     int         `json:"machines_left"`
+	Cordoned int         `json:"machines_cordoned"`
+	AtOnce   int         `json:"at_once"`
+	FinishBy string      `json:"finish_by,omitempty"`
+	Late     bool        `json:"late,omitempty"`
+	Reason   string      `json:"reason,omitempty"`
+	Invalid  string      `json:"invalid,omitempty"` // why its record makes no sense
+}
+
+// Hold is how long machines were held up for a reason, all together.
+type Hold struct {
+	Reason  drain.HoldReason `json:"reason"`
+	Seconds float64          `json:"machine_seconds"`
+}
+
+// TeamStatus is what a drain did to a team, and what the team has in use of its budget.
+type TeamStatus struct {
+	Team    string  `json:"team"`
+	Evicted int     `json:"evicted"`
+	Forced  int     `json:"forced,omitempty"`
+	LostS   float64 `json:"lost_task_seconds"`
+	Open    int     `json:"interrupted_now"`
+}
+
+// Status is a drain in detail.
+type Status struct {
+	Summary
+	Plan     drain.Plan     `json:"plan"`
+	Returned int            `json:"machines_returned"`
+	Machines []MachineState `json:"cordoned,omitempty"`
+	Teams    []TeamStatus   `json:"teams,omitempty"`
+	Held     []Hold         `json:"held,omitempty"`
+	Courses  []drain.Course `json:"-"`
+}
+
+// MachineState is a machine that is cordoned for a drain.
+type MachineState struct {
+	Machine string `json:"machine"`
+	Since   string `json:"since"`
+}
+
+// List returns all drains, and the records of such that make no sense.
+func (c *Client) List(ctx context.Context) ([]Summary, error) {
+	v, err := c.view(ctx)
+	if err != nil {
+		return nil, err
+	}
+	fleet, err := c.fleet(ctx)
+	if err != nil {
+		return nil, err
+	}
+	machines := inService(fleet)
+	out := []Summary{}
+	for _, p := range v.Plans() {
+		s := c.summary(v, &p.Rec)
+		for id, m := range machines {
+			if selects(&p.Rec, id, m) {
+				s.Left++
+			}
+		}
+		out = append(out, s)
+	}
+	invalid := v.Invalid()
+	for _, key := range slices.Sorted(maps.Keys(invalid)) {
+		out = append(out, Summary{Name: key[len(drain.Prefix):], State: "invalid", Invalid: invalid[key].Error()})
+	}
+	return out, nil
+}
+
+func (c *Client) summary(v *drain.View, p *drain.Plan) Summary {
+	s := Summary{Name: p.Name, State: p.State, AtOnce: p.AtOnce, Reason: p.Reason}
+	if p.FinishBy != 0 {
+		s.FinishBy = stamp(p.FinishBy)
+		s.Late = !p.State.Over() && c.Now().UnixMilli() > p.FinishBy
+	}
+	for _, at := range v.Cordons().Rec.Machines {
+		if at.Drain == p.Name {
+			s.Cordoned++
+		}
+	}
+	return s
+}
+
+// stamp writes a time as operators read it.
+func stamp(ms int64) string { return time.UnixMilli(ms).UTC().Format(time.RFC3339) }
+
+// Show returns a drain in detail.
+func (c *Client) Show(ctx context.Context, name string) (*Status, error) {
+	v, err := c.view(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p, ok := v.Plan(name)
+	if !ok {
+		return nil, fmt.Errorf("%w drain %s", ErrUnknown, name)
+	}
+	fleet, err := c.fleet(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s := &Status{Summary: c.summary(v, &p.Rec), Plan: p.Rec, Courses: v.Courses(name)}
+	for id, m := range inService(fleet) {
+		if selects(&p.Rec, id, m) {
+			s.Left++
+		}
+	}
+	s.Machines = cordonedFor(v, name)
+	s.addCourses(v)
+	return s, nil
+}
+
+func cordonedFor(v *drain.View, name string) []MachineState {
+	var out []MachineState
+	all := v.Cordons().Rec.Machines
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		if all[id].Drain == name {
+			out = append(out, MachineState{id, stamp(all[id].Since)})
+		}
+	}
+	return out
+}
+
+// addCourses sums up what the parts did.
+func (s *Status) addCourses(v *drain.View) {
+	teams := map[string]*TeamStatus{}
+	held := map[drain.HoldReason]float64{}
+	for _, c := range s.Courses {
+		s.Returned += c.Returned
+		for team, total := range c.Teams {
+			if teams[team] == nil {
+				teams[team] = &TeamStatus{Team: team, Open: len(v.Ledger(team).Rec.Open)}
+			}
+			teams[team].Evicted += total.Evicted
+			teams[team].Forced += total.Forced
+			teams[team].LostS += total.LostS
+		}
+		for reason, seconds := range c.HeldS {
+			held[reason] += seconds
+		}
+	}
+	for _, team := range slices.Sorted(maps.Keys(teams)) {
+		s.Teams = append(s.Teams, *teams[team])
+	}
+	for _, reason := range slices.Sorted(maps.Keys(held)) {
+		s.Held = append(s.Held, Hold{reason, held[reason]})
+	}
+}
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -90,6 +90,10 @@
 	return s, nil
 }
 
+// Defaults are the settings of subsystems for tools that run without a file: limits alone,
+// no budgets.
+func Defaults() *Settings { return &Settings{Drains: (&drains{}).settings()} }
+
 // CheckTeams refuses budgets of teams that the platform's settings do not have.
 func (s *Settings) CheckTeams(p *config.Params) error {
 	if s.Drains == nil || len(p.Teams) == 0 {
@@ -128,15 +132,19 @@
 	return err
 }
 
-// fieldError tells the innermost cause of a violation in one line, with its field.
+// fieldError tells the innermost cause of a violation in one line, with its field. Of a name
+// that is not allowed only what encloses it has a place in the file.
 func fieldError(e *jsonschema.ValidationError) error {
-	for len(e.Causes) > 0 {
+	field := "file"
+	for {
+		if len(e.InstanceLocation) > 0 {
+			field = strings.Join(e.InstanceLocation, ".")
+		}
+		if len(e.Causes) == 0 {
+			break
+		}
 		e = e.Causes[0]
 	}
-	field := strings.Join(e.InstanceLocation, ".")
-	if field == "" {
-		field = "file"
-	}
 	return fmt.Errorf("%s: %s", field, e.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
 }
 
--- /dev/null
+++ b/internal/operations/operations_test.go
@@ -0,0 +1,70 @@
+package operations
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"bramblespur/internal/config"
+)
+
+const least = `
+[drains.budgets.default]
+at_once = 1
+in_window = 2
+window_s = 60.0
+`
+
+// The file that is shipped, and the least that turns drains on, are taken.
+func TestFiles(t *testing.T) {
+	example, err := os.ReadFile("../../deploy/operations.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{string(example), least} {
+		s, err := Parse(text)
+		if err != nil || s.Drains == nil || s.Drains.Default.AtOnce < 1 || s.Drains.Wait != 15*time.Minute {
+			t.Errorf("%v, %+v", err, s)
+		}
+	}
+	for _, text := range []string{"", "# nothing\n"} {
+		if s, err := Parse(text); err != nil || s.Drains != nil {
+			t.Errorf("without a section: %v, %+v", err, s)
+		}
+	}
+}
+
+// What is unknown or contradicts itself is refused with the field's name.
+func TestBadFiles(t *testing.T) {
+	team := least + "[drains.budgets.team.vision]\nat_once = 2\nin_window = 4\nwindow_s = 60.0\n"
+	for _, x := range []struct{ field, text string }{
+		{"nothing", least + "[nothing]\n"},
+		{"drains", "[drains]\nwait_s = 3.0\n"},
+		{"wait_s", strings.Replace(least, "[drains.", "[drains]\nwait_s = -1.0\n[drains.", 1)},
+		{"wait_s", strings.Replace(least, "[drains.", "[drains]\nwait_s = \"long\"\n[drains.", 1)},
+		{"zone_share", strings.Replace(least, "[drains.", "[drains]\nzone_share = 2.0\n[drains.", 1)},
+		{"store_share", strings.Replace(least, "[drains.", "[drains]\nstore_share = 0.0\n[drains.", 1)},
+		{"window_s", strings.Replace(least, "window_s = 60.0", "", 1)},
+		{"often", least + "often = 3\n"},
+		{"default.at_once", strings.Replace(least, "at_once = 1", "at_once = 3", 1)},
+		{"default.at_once", strings.Replace(least, "at_once = 1", "at_once = -1", 1)},
+		{"at_once", strings.Replace(least, "at_once = 1", "at_once = 1.5", 1)},
+		{"class.train.at_once", team + "[drains.budgets.team.vision.class.train]\nat_once = 3\nin_window = 4\nwindow_s = 60.0\n"},
+		{"class.train.in_window", team + "[drains.budgets.team.vision.class.train]\nat_once = 1\nin_window = 9\nwindow_s = 60.0\n"},
+		{"drains.budgets.team", strings.Replace(team, "team.vision", `team."a b"`, 1)},
+		{"file", "[drains"},
+	} {
+		_, err := Parse(x.text)
+		if err == nil || !strings.Contains(err.Error(), x.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", x.field, err)
+		}
+	}
+	s, err := Parse(team)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.CheckTeams(&config.Params{Teams: []config.Team{{Name: "other"}}}); err == nil || !strings.Contains(err.Error(), "vision") {
+		t.Errorf("a budget of an unknown team: %v", err)
+	}
+}
--- a/internal/testkit/cloud.go
+++ b/internal/testkit/cloud.go
@@ -67,6 +67,9 @@
 // bootLater lets a rented machine come up. The lock is held.
 func (w *World) bootLater(a *Agent) {
 	a.gone = true
+	if w.listen != nil {
+		a.addr = w.listen(a)
+	}
 	w.agents[a.ID] = a
 	boot := w.boot
 	w.running.Go(func() {
--- /dev/null
+++ b/internal/testkit/loopback.go
@@ -0,0 +1,195 @@
+package testkit
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"time"
+
+	"bramblespur/internal/cloud"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// HTTP serves the state service by its published protocol, as one of the label reaches it.
+func (s *Service) HTTP(label string) http.Handler {
+	link := s.Link(context.Background(), label)
+	use := statestore.Urgent("loopback")
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /store/{key...}", func(w http.ResponseWriter, r *http.Request) {
+		e, err := link.Get(r.Context(), use, r.PathValue("key"))
+		answer(w, e, err)
+	})
+	mux.HandleFunc("GET /store", func(w http.ResponseWriter, r *http.Request) {
+		items, rev, err := link.List(r.Context(), use, r.FormValue("prefix"))
+		answer(w, wire.EntryPage{Items: items, Revision: rev}, err)
+	})
+	mux.HandleFunc("POST /txn", func(w http.ResponseWriter, r *http.Request) {
+		var t wire.Txn
+		if !decodeBody(w, r, &t) {
+			return
+		}
+		rev, err := link.Txn(r.Context(), use, t)
+		answer(w, wire.TxnResult{Revision: rev}, err)
+	})
+	mux.HandleFunc("POST /holds", func(w http.ResponseWriter, r *http.Request) {
+		var q wire.LeaseRequest
+		if !decodeBody(w, r, &q) {
+			return
+		}
+		id, err := link.Grant(r.Context(), time.Duration(q.TTLMillis)*time.Millisecond)
+		answer(w, wire.LeaseGrant{Lease: id}, err)
+	})
+	mux.HandleFunc("POST /holds/{id}/renew", func(w http.ResponseWriter, r *http.Request) {
+		id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+		answer(w, wire.LeaseGrant{Lease: id}, link.Renew(r.Context(), id))
+	})
+	mux.HandleFunc("GET /follow", func(w http.ResponseWriter, r *http.Request) {
+		since, _ := strconv.ParseUint(r.FormValue("since"), 10, 64)
+		wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
+		ch, err := link.Watch(r.Context(), r.FormValue("prefix"), since, time.Duration(wait)*time.Millisecond)
+		answer(w, ch, err)
+	})
+	return mux
+}
+
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// answer writes what a call came to, with the protocol's statuses.
+func answer(w http.ResponseWriter, v any, err error) {
+	var conflict *statestore.ConflictError
+	status := http.StatusOK
+	switch {
+	case errors.As(err, &conflict):
+		status, v = http.StatusConflict, wire.TxnResult{Failed: conflict.Keys}
+	case errors.Is(err, statestore.ErrNotFound), errors.Is(err, statestore.ErrNoLease):
+		status = http.StatusNotFound
+	case errors.Is(err, cloud.ErrNoCapacity):
+		status, v = http.StatusServiceUnavailable, map[string]string{"error": "no capacity"}
+	case errors.Is(err, statestore.ErrRefused):
+		status = http.StatusServiceUnavailable
+	case err != nil:
+		status = http.StatusBadRequest
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+// CloudHTTP serves the cloud by its published protocol.
+func (w *World) CloudHTTP() http.Handler {
+	api := w.Rentals(context.Background(), "loopback")
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /machine_types", func(rw http.ResponseWriter, r *http.Request) {
+		types, err := api.Types(r.Context())
+		answer(rw, wire.MachineTypes{Types: types}, err)
+	})
+	mux.HandleFunc("POST /rentals", func(rw http.ResponseWriter, r *http.Request) {
+		var q wire.Rental
+		if decodeBody(rw, r, &q) {
+			ids, err := api.Rent(r.Context(), q)
+			answer(rw, wire.Names{Machines: ids}, err)
+		}
+	})
+	mux.HandleFunc("POST /rentals/return", func(rw http.ResponseWriter, r *http.Request) {
+		var q wire.Names
+		if decodeBody(rw, r, &q) {
+			answer(rw, struct{}{}, api.Return(r.Context(), q.Machines))
+		}
+	})
+	mux.HandleFunc("GET /rentals", func(rw http.ResponseWriter, r *http.Request) {
+		var page wire.MachineList
+		list, err := api.List(r.Context())
+		for _, m := range list {
+			if m.ID > r.FormValue("since") {
+				page.Machines = append(page.Machines, m)
+			}
+		}
+		answer(rw, page, err)
+	})
+	return mux
+}
+
+// ServeWorkers gives every machine that is rented from now on an address of its own on
+// which it serves direct commands, until the returned function is called.
+func (w *World) ServeWorkers() (stop func()) {
+	var servers []*httptest.Server
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listen = func(a *Agent) string {
+		s := httptest.NewServer(a.http())
+		servers = append(servers, s)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, s := range servers {
+			s.CloseClientConnections()
+			s.Close()
+		}
+	}
+}
+
+// http serves a worker's direct commands.
+func (a *Agent) http() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.CommandPath, func(w http.ResponseWriter, r *http.Request) {
+		var o wire.DirectOrders
+		if !decodeBody(w, r, &o) {
+			return
+		}
+		rep, ok, err := a.command(o)
+		switch {
+		case err != nil:
+			w.WriteHeader(http.StatusInternalServerError)
+		case !ok:
+			w.WriteHeader(http.StatusConflict)
+			json.NewEncoder(w).Encode(rep)
+		default:
+			answer(w, rep, nil)
+		}
+	})
+	mux.HandleFunc("GET "+wire.ShowPath, func(w http.ResponseWriter, r *http.Request) {
+		rep, err := a.show()
+		answer(w, rep, err)
+	})
+	return mux
+}
+
+// RemoteNode is a controller's process that listens on an address.
+type RemoteNode struct{ Addr string }
+
+// Handle implements Node.
+func (n RemoteNode) Handle(method, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequest(method, "http://"+n.Addr+path, strings.NewReader(string(body)))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := remote.Do(req)
+	if err != nil {
+		return 0, nil, ErrLost
+	}
+	defer resp.Body.Close()
+	var raw json.RawMessage
+	if err := json.NewDecoder(resp.Body).Decode(&raw); err != nil {
+		raw = nil
+	}
+	return resp.StatusCode, raw, nil
+}
+
+// remote follows no redirects, as users and workers do.
+var remote = &http.Client{
+	Timeout:       submitTimeout,
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
--- a/internal/testkit/service.go
+++ b/internal/testkit/service.go
@@ -342,3 +342,14 @@
 
 // Counts implements statestore.Store.
 func (l *Link) Counts() map[string]statestore.Count { return nil }
+
+// TestEnd is who writes what a test itself puts.
+const TestEnd = "test"
+
+// Put carries out a transaction of the test's own.
+func (s *Service) Put(t wire.Txn) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := s.apply(TestEnd, t)
+	return err
+}
