--- /dev/null
+++ b/internal/drain/ledger_test.go
@@ -0,0 +1,149 @@
+package drain
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// stop is when work was really interrupted.
+type stop struct {
+	class string
+	at    time.Time
+	open  bool
+}
+
+// However long each disruption takes from its grant to the stop and from there to its end,
+// and however counts are merged, no sliding window holds more stops than the budget, and
+// never are more open at once.
+func TestBudgetHoldsForAnyCourse(t *testing.T) {
+	budget := Budget{Limit: Limit{AtOnce: 3, InWindow: 5, Window: time.Minute},
+		Classes: map[string]Limit{"train": {AtOnce: 1, InWindow: 2, Window: 2 * time.Minute}}}
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		var l Ledger
+		stops := map[UnitID]*stop{}
+		var all []*stop
+		granted := 0
+		for now := start; now.Before(start.Add(20 * time.Minute)); now = now.Add(time.Duration(r.IntN(2000)) * time.Millisecond) {
+			class := []string{"train", "live"}[r.IntN(2)]
+			if l.Room(budget, class, now) > 0 {
+				u := UnitID{Job: "j", Task: granted}
+				granted++
+				l.Add(Disruption{UnitID: u, Class: class, Drain: "d", At: now.UnixMilli()})
+				stops[u] = &stop{class: class}
+			}
+			for u, s := range stops {
+				switch {
+				case s.at.IsZero() && r.IntN(8) == 0:
+					s.at, s.open = now, true
+					all = append(all, s)
+				case s.open && r.IntN(8) == 0:
+					s.open = false
+					l.Close(u, now)
+					delete(stops, u)
+				}
+			}
+			if r.IntN(20) == 0 {
+				l.Fit(func(l *Ledger) int { return len(l.Spent) }, 2)
+			}
+			l.Forget(budget, now)
+			checkWithin(t, all, "", budget.Limit, now)
+			checkWithin(t, all, "train", budget.Classes["train"], now)
+		}
+		if granted < 10 {
+			t.Errorf("seed %d: only %d grants", seed, granted)
+		}
+	}
+}
+
+func checkWithin(t *testing.T, all []*stop, class string, limit Limit, now time.Time) {
+	t.Helper()
+	open, recent := 0, 0
+	for _, s := range all {
+		if class != "" && s.class != class {
+			continue
+		}
+		if s.open {
+			open++
+		}
+		if now.Sub(s.at) <= limit.Window {
+			recent++
+		}
+	}
+	if open > limit.AtOnce || recent > limit.InWindow {
+		t.Fatalf("%q: %d open, %d in the window, of %+v", class, open, recent, limit)
+	}
+}
+
+// Losses take from the budget, are never refused, and a drain gets what they leave.
+func TestLossesLowerTheBudget(t *testing.T) {
+	budget := Budget{Limit: Limit{AtOnce: 2, InWindow: 3, Window: time.Minute}}
+	view := NewView()
+	l := NewLedgers(view)
+	for i := range 4 {
+		l.Lose([]Loss{{Disruption{UnitID: UnitID{Job: "j", Task: i}, At: start.UnixMilli()}, "team"}})
+	}
+	if got := l.of("team").Room(budget, "", start); got != -2 {
+		t.Errorf("room for %d after four losses, want -2", got)
+	}
+	l.Settle(0, func(Disruption) Fate { return Recovered }, start)
+	if got := l.of("team").Room(budget, "", start.Add(time.Minute)); got != -1 {
+		t.Errorf("room for %d in the window of four losses, want -1", got)
+	}
+	if got := l.of("team").Room(budget, "", start.Add(time.Minute+time.Millisecond)); got != 2 {
+		t.Errorf("room for %d after the window, want 2", got)
+	}
+}
+
+// Two owners who see the same ledger can't both take the last grant; nor can one whose
+// drain was cancelled meanwhile, or who lost the part.
+func TestOnlyOneTakesTheLastGrant(t *testing.T) {
+	ctx, use := context.Background(), statestore.Urgent("test")
+	for name, meanwhile := range map[string]func(state *testkit.State){
+		"other owner":     nil,
+		"drain cancelled": func(s *testkit.State) { s.Put(PlanKey("d"), testPlan(func(p *Plan) { p.State = Cancelled })) },
+		"part lost":       func(s *testkit.State) { s.Put("ctl/parts/1", "another") },
+	} {
+		state := testkit.NewState()
+		state.Put(PlanKey("d"), testPlan(func(*Plan) {}))
+		view := NewView()
+		entries, rev, _ := state.List(ctx, use, Prefix)
+		if err := view.Reset(entries, rev); err != nil {
+			t.Fatal(err)
+		}
+		cordoned := view.cordons.Rec.Clone()
+		cordoned.Machines["m"] = Cordon{Drain: "d", Since: start.UnixMilli()}
+		view.cordons.Rec = cordoned
+		var grants []wire.Txn
+		for part := range 2 {
+			owner := state.Put([]string{"ctl/parts/0", "ctl/parts/1"}[part], part)
+			in := Input{Now: start, Settings: testSettings(1), View: view, Part: part, Bytes: 1 << 14,
+				Machines: []*Machine{testMachine("m", task(part))}}
+			a := Author{Input: in, Owner: wire.Cond{Key: owner.Key, Version: owner.Version}, Gone: func(string) bool { return false }}
+			ledgers := NewLedgers(view)
+			writes := a.Writes(Next(&in, ledgers), ledgers)
+			if len(writes) == 0 || writes[0].Team != "team" {
+				t.Fatalf("%s: nothing is granted: %+v", name, writes)
+			}
+			grants = append(grants, writes[0].Txn)
+		}
+		if meanwhile != nil {
+			meanwhile(state)
+		} else if _, err := state.Txn(ctx, use, grants[0]); err != nil {
+			t.Fatal(err)
+		}
+		var conflict *statestore.ConflictError
+		if _, err := state.Txn(ctx, use, grants[1]); !errors.As(err, &conflict) {
+			t.Errorf("%s: the second grant is taken, too: %v", name, err)
+		}
+	}
+}
--- a/internal/drain/planner.go
+++ b/internal/drain/planner.go
@@ -238,6 +238,10 @@
 	return Eviction{d, c.unit.Team, c.unit.Loss}, ""
 }
 
+// cordonsAtOnce bounds the machines that are chosen in one turn, which bounds what a turn
+// computes: turns are a second apart, and a drain takes minutes.
+const cordonsAtOnce = 16
+
 // cordon chooses the machines that are drained next, for the oldest drain that may have more.
 func (in *Input) cordon(s *Steps) {
 	cordons := in.View.Cordons().Rec.Machines
@@ -257,7 +261,8 @@
 			}
 		}
 		room := func(zone string) int { return in.Settings.zoneLimit(in.Zones[zone]) - zones[zone] }
-		if chosen := Choose(selected, p.Rec.AtOnce-active[p.Rec.Name], room); len(chosen) > 0 {
+		most := min(p.Rec.AtOnce-active[p.Rec.Name], cordonsAtOnce)
+		if chosen := Choose(selected, most, room); len(chosen) > 0 {
 			s.Cordon, s.Drain = chosen, p.Rec.Name
 			return
 		}
