Fleets of 4,000 machines: tests of the core and a whole controller, and what gave way below

Need: the operators run about 4,000 machines, too. Every constant, buffer, list and bound was looked through. Two gave way: a watch's answer over 16 MB was asked for again and again, now all records are read anew; and the cloud's list, eight calls long, took a fifth of the cloud's calls, now a tenth at most. Names of machines that a drain selects are looked up in a set.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -112,10 +112,14 @@
 	return c.do(ctx, "POST", "/rentals/return", wire.Names{Machines: ids}, nil)
 }
 
+// ListPage is the most machines that one call of the list returns.
+const ListPage = 500
+
 // List returns the cloud's (lagging) list of machines.
 func (c *Client) List(ctx context.Context) ([]wire.Listed, error) {
 	var all []wire.Listed
-	target := "/rentals?page=500"
+	first := fmt.Sprintf("/rentals?page=%d", ListPage)
+	target := first
 	for {
 		var p wire.MachineList
 		if err := c.do(ctx, "GET", target, nil, &p); err != nil {
@@ -125,6 +129,6 @@
 		if !p.More || len(p.Machines) == 0 {
 			return all, nil
 		}
-		target = "/rentals?page=500&since=" + url.QueryEscape(p.Machines[len(p.Machines)-1].ID)
+		target = first + "&since=" + url.QueryEscape(p.Machines[len(p.Machines)-1].ID)
 	}
 }
--- a/internal/controller/account_test.go
+++ b/internal/controller/account_test.go
@@ -23,8 +23,8 @@
 
 // The largest fleet that one controller may come to hold, with two tasks on each machine.
 const (
-	accountMachines = 2400
-	accountJobs     = 2400
+	accountMachines = 4000
+	accountJobs     = 4000
 	tasksOfJob      = 2
 	jobsOfSlot      = 64 // as many plain ranges of two tasks as a slot holds
 	machinesOfOne   = 50 // rental
--- a/internal/controller/bounds_test.go
+++ b/internal/controller/bounds_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"maps"
 	"runtime"
 	"strings"
@@ -26,6 +28,7 @@
 	pollAllocs      = 53   // for one of an open job and one of a job that is over; 46
 	startAllocs     = 280  // from a submission to its recorded start; 242
 	controllerBytes = 4400 // for a machine and its job; 2976
+	summaryWire     = 90   // of a call's answer for a machine, of which it may have 8 MB
 )
 
 // bubble runs f where time moves only when all wait.
@@ -175,6 +178,44 @@
 	runtime.KeepAlive(c)
 }
 
+// A whole controller with the largest fleet: what it holds, what it reads and allocates to
+// take it over, and what it tells the leader, which must fit what one call may bring.
+func TestControllerHoldsLargestFleet(t *testing.T) {
+	before := liveHeap()
+	c, state, workers := fleetController(t, accountMachines, accountJobs)
+	met(t, c, workers)
+	inc := uint64(1)
+	allocs := testing.AllocsPerRun(1, func() {
+		c.mu.Lock()
+		held := c.partRecs[0]
+		clear(c.parts)
+		c.mu.Unlock()
+		inc++
+		takeOverPart(t, c, state, held, inc)
+	})
+	if got := allocs / accountMachines; got > takeOverAllocs {
+		t.Errorf("%.1f allocations to take a machine and its job over, want %d at most", got, takeOverAllocs)
+	}
+	met(t, c, workers)
+	c.mu.Lock()
+	reply := peer.SyncReply{Summaries: c.summaries(time.Now())}
+	c.mu.Unlock()
+	var told bytes.Buffer
+	if err := gob.NewEncoder(&told).Encode(reply); err != nil {
+		t.Fatal(err)
+	}
+	if len(reply.Summaries[0].Machines) != accountMachines || told.Len() > accountMachines*summaryWire {
+		t.Errorf("%d bytes for %d machines, want %d each at most", told.Len(), len(reply.Summaries[0].Machines), summaryWire)
+	}
+	state.State, workers, reply = nil, nil, peer.SyncReply{} // the test's own
+	c.store = nil
+	told.Reset()
+	if got := (liveHeap() - before) / accountMachines; got > controllerBytes {
+		t.Errorf("%d bytes for a machine and its job, want %d at most", got, controllerBytes)
+	}
+	runtime.KeepAlive(c)
+}
+
 // tally counts what a controller's loops do.
 type tally struct {
 	mu  sync.Mutex
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"bramblespur/internal/cloud"
 	"bramblespur/internal/config"
 	"bramblespur/internal/fleet"
 	"bramblespur/internal/peer"
@@ -28,6 +29,7 @@
 	leaderShare   = 0.95
 	followerShare = 0.05
 	rentalsAtOnce = 3
+	listCalls     = 0.1 // of the cloud's calls may read its list
 	returnCalls   = 3.0 // while machines are rented, every third call returns some
 	returnTimeout = 15 * time.Second
 	clearEvery    = 5 * time.Second // records of machines long gone are cleared;
@@ -221,11 +223,22 @@
 	}
 	c.clear(ctx, l, now)
 	if now.After(l.nextList) {
-		l.nextList = now.Add(time.Duration(listFactor * float64(config.Seconds(c.cfg.Params.Cloud.ListLagS))))
+		l.nextList = now.Add(c.listInterval())
 		go c.compareCloudList(ctx, l)
 	}
 }
 
+// listInterval is how long after the cloud's list was read it is read again: the larger the
+// fleet, the more calls that takes, of which rentals and returns need most.
+func (c *Controller) listInterval() time.Duration {
+	c.mu.Lock()
+	pages := 1 + c.fleet.Len()/cloud.ListPage
+	c.mu.Unlock()
+	byLag := listFactor * c.cfg.Params.Cloud.ListLagS
+	byCalls := float64(pages) / (listCalls * c.cfg.Params.Cloud.RPS)
+	return config.Seconds(max(byLag, byCalls))
+}
+
 // leadership returns what this controller holds as the leader, anew if it has just come
 // to lead.
 func (c *Controller) leadership(now time.Time) *leading {
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -10,6 +10,7 @@
 
 	"bramblespur/internal/config"
 	"bramblespur/internal/drain"
+	"bramblespur/internal/httpwire"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
@@ -29,8 +30,8 @@
 		for ctx.Err() == nil {
 			at := time.Now()
 			ch, err := c.store.Watch(ctx, prefix, rev, c.watchWait())
-			if errors.Is(err, statestore.ErrTooOld) {
-				break
+			if errors.Is(err, statestore.ErrTooOld) || errors.Is(err, httpwire.ErrTooLarge) {
+				break // what is there is smaller than all that happened since
 			}
 			if err != nil {
 				sleep(ctx, jitter(400*time.Millisecond))
--- a/internal/drain/plan.go
+++ b/internal/drain/plan.go
@@ -51,6 +51,16 @@
 	// never selected, else a drain by type would drain its own replacements.
 	Created int64 `json:"created"`
 	Ended   int64 `json:"ended,omitempty"`
+
+	named map[string]bool // the selector's machines, if they were looked up before
+}
+
+// index makes the machines that are selected by name quick to find.
+func (p *Plan) index() {
+	p.named = make(map[string]bool, len(p.Selector.Machines))
+	for _, id := range p.Selector.Machines {
+		p.named[id] = true
+	}
 }
 
 // Limits of a plan's fields.
@@ -119,7 +129,10 @@
 	if rented.UnixMilli() >= p.Created {
 		return false
 	}
-	if len(s.Machines) > 0 {
+	switch {
+	case len(s.Machines) > 0 && p.named != nil:
+		return p.named[id]
+	case len(s.Machines) > 0:
 		return slices.Contains(s.Machines, id)
 	}
 	return (len(s.Types) == 0 || slices.Contains(s.Types, typ)) &&
--- a/internal/drain/view.go
+++ b/internal/drain/view.go
@@ -198,6 +198,7 @@
 	if err := p.Check(); err != nil {
 		return err
 	}
+	p.index()
 	v.plans[name] = Versioned[Plan]{p, e.Version}
 	return nil
 }
--- a/internal/drainctl/drainctl.go
+++ b/internal/drainctl/drainctl.go
@@ -115,6 +115,8 @@
 			return fmt.Errorf("there is a drain %s already, it is %s", name, p.Rec.State)
 		}
 		return fmt.Errorf("the record of drain %s has changed: try again", name)
+	case errors.Is(err, statestore.ErrInvalid):
+		return fmt.Errorf("the state service does not take the record of drain %s, perhaps for its size: %w", name, err)
 	case errors.Is(err, statestore.ErrRefused):
 		return fmt.Errorf("not asked for: %w", err)
 	}
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -9,7 +9,7 @@
 // BenchmarkPlan is the leader's turn with the parts of seven controllers, all
 // their machines in use and as much work waiting as they tell.
 func BenchmarkPlan(b *testing.B) {
-	const parts, machines, needs = 7, 2400, 64
+	const parts, machines, needs = 7, 4000, 64
 	var sums []Summary
 	for p := range parts {
 		s := Summary{Part: p, Arriving: 0.3, ArrivingSpot: 0.3}
--- a/internal/operations/operations_test.go
+++ b/internal/operations/operations_test.go
@@ -18,7 +18,7 @@
 
 // The file that is shipped, and the least that turns drains on, are taken.
 func TestFiles(t *testing.T) {
-	example, err := os.ReadFile("../../deploy/operations.example.toml")
+	example, err := os.ReadFile("../../deploy/operations.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sched/lean_test.go
+++ b/internal/sched/lean_test.go
@@ -73,6 +73,40 @@
 	}
 }
 
+// The core of the largest fleet: reports, starts of what ended and what the leader is told
+// cost what they cost in small ones, and a machine with its tasks holds as little.
+func TestLargestFleet(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	r := fleetRig(t, manyMachines, 80)
+	r.workers, r.state, r.fleet = map[string]*testkit.Worker{"i-003999": r.workers["i-003999"]}, nil, nil // the test's own
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if got := (after.HeapAlloc - before.HeapAlloc) / manyMachines; got > machineBytes {
+		t.Errorf("%d bytes for a machine, want %d at most", got, machineBytes)
+	}
+	now := r.clock.Now()
+	r.part.Step(now)
+	rep := r.workers["i-003999"].Report()
+	got := testing.AllocsPerRun(200, func() {
+		rep.Seq++
+		if _, v := r.part.Report(&rep, false, now); v != Answered {
+			t.Fatal("not answered")
+		}
+		r.part.Step(now)
+	})
+	if len(rep.Tasks) != 2 || got > reportAllocs {
+		t.Errorf("%.0f allocations for a report of %d tasks, want %d at most", got, len(rep.Tasks), reportAllocs)
+	}
+	runtime.ReadMemStats(&before)
+	summary := r.part.Summary(now)
+	runtime.ReadMemStats(&after)
+	if got := (after.TotalAlloc - before.TotalAlloc) / manyMachines; got > summaryBytes || len(summary.Machines) != manyMachines {
+		t.Errorf("%d bytes to tell of a machine, want %d at most; %d machines", got, summaryBytes, len(summary.Machines))
+	}
+}
+
 // A machine with its two tasks holds few bytes.
 func TestBytesPerMachine(t *testing.T) {
 	held := func(machines int) (*rig, uint64) {
--- a/internal/sched/size_test.go
+++ b/internal/sched/size_test.go
@@ -11,8 +11,8 @@
 )
 
 // The most machines that one part may come to hold, when one controller takes
-// over all parts of the largest deployment there is to be.
-const manyMachines = 2400
+// over all parts of the largest deployment.
+const manyMachines = 4000
 
 // crowd makes a part of many machines in two zones, all of them busy, with jobs
 // that wait for room.
