--- /dev/null
+++ b/internal/pace/pace.go
@@ -0,0 +1,169 @@
+// Package pace is pure: it releases orders to workers after a restart no faster than a
+// bound that all controllers share, slowly at first and faster as answers arrive.
+package pace
+
+import (
+	"cmp"
+	"time"
+)
+
+// Class orders what waits for the pace.
+type Class uint8
+
+// Classes of orders, the most urgent first.
+const (
+	// Limited are stops that a rule has a time limit for. They are never held back; what
+	// they take, the others lack.
+	Limited Class = iota
+	// Urgent are starts of services and of guaranteed work.
+	Urgent
+	// Routine is everything else.
+	Routine
+)
+
+// Settings bound the pace.
+type Settings struct {
+	// OrdersPerS is how many orders all controllers together may release in any second; 0:
+	// by the fleet's size.
+	OrdersPerS float64
+	// PerWorker is how many starts one answer to a worker may carry.
+	PerWorker int
+	// SettleWithin is the time within which whatever waits must be released.
+	SettleWithin time.Duration
+}
+
+// Defaults of what the operators leave out.
+const (
+	DefaultPerWorker    = 16
+	DefaultSettleWithin = 30 * time.Second
+	// A fleet may be told all that it has to do in a few seconds: one order for each two
+	// machines a second, and no fewer than so many.
+	ordersPerMachine = 0.5
+	leastOrders      = 30.0
+)
+
+// Total is how many orders all controllers may release in a second.
+func (s *Settings) Total(machines int) float64 {
+	return cmp.Or(s.OrdersPerS, max(leastOrders, ordersPerMachine*float64(machines)))
+}
+
+const (
+	// initialShare is the part of its rate with which a controller begins.
+	initialShare = 0.25
+	// answersToDouble is how many answers in a row let it release twice as much.
+	answersToDouble = 8
+	// urgentReserve is the part of what has been saved up that is left to urgent orders.
+	urgentReserve = 0.25
+)
+
+// Pace is one controller's. It holds from a restart until that has settled; before and
+// after, everything is released, and so it is by a nil one. It is not safe for concurrent use.
+type Pace struct {
+	settings Settings
+	on       bool
+	share    float64 // of the orders of all controllers, a second
+	factor   float64 // of that, by the answers so far
+	answers  int
+	saved    float64 // orders that may be released now
+	at       time.Time
+	denied   int // orders that waited since the last call of Waiting
+	seconds  []int
+	began    time.Time
+}
+
+// New returns a pace that releases everything.
+func New(s Settings) *Pace {
+	s.PerWorker = cmp.Or(s.PerWorker, DefaultPerWorker)
+	s.SettleWithin = cmp.Or(s.SettleWithin, DefaultSettleWithin)
+	return &Pace{settings: s}
+}
+
+// Settings returns the bounds.
+func (p *Pace) Settings() *Settings { return &p.settings }
+
+// Begin starts to hold orders back, with nothing saved up.
+func (p *Pace) Begin(share float64, now time.Time) {
+	if p.on {
+		return
+	}
+	*p = Pace{settings: p.settings, on: true, share: share, factor: initialShare, at: now, began: now}
+}
+
+// End releases everything from now on.
+func (p *Pace) End() { p.on = false }
+
+// On reports whether orders are held back.
+func (p *Pace) On() bool { return p != nil && p.on }
+
+// SetShare sets this controller's part of the orders of all.
+func (p *Pace) SetShare(share float64, now time.Time) {
+	p.fill(now)
+	p.share = share
+}
+
+// Answered takes in that a worker has carried out an order.
+func (p *Pace) Answered() {
+	if !p.On() || p.factor >= 1 {
+		return
+	}
+	if p.answers++; p.answers >= answersToDouble {
+		p.answers, p.factor = 0, min(1, 2*p.factor)
+	}
+}
+
+// fill saves up orders with time. Half of a second's worth may be saved up and half comes
+// within a second, so that no second has more than the share.
+func (p *Pace) fill(now time.Time) {
+	half := p.share * p.factor / 2
+	p.saved = min(p.capacity(), p.saved+half*max(0, now.Sub(p.at).Seconds()))
+	p.at = now
+}
+
+// capacity is what may be saved up: one order at least, else none would ever be released.
+func (p *Pace) capacity() float64 { return max(1, p.share*p.factor/2) }
+
+// Allow reports whether an order may be released now, and counts it if so.
+func (p *Pace) Allow(c Class, now time.Time) bool {
+	if !p.On() {
+		return true
+	}
+	p.fill(now)
+	reserve := 0.0
+	if c == Routine && p.capacity() >= 1/urgentReserve {
+		reserve = urgentReserve * p.capacity()
+	}
+	if c != Limited && p.saved-reserve < 1 {
+		p.denied++
+		return false
+	}
+	p.saved--
+	p.count(now)
+	return true
+}
+
+// maxSeconds bounds the seconds of which orders are counted.
+const maxSeconds = 120
+
+func (p *Pace) count(now time.Time) {
+	n := min(int(now.Sub(p.began)/time.Second), maxSeconds-1)
+	for len(p.seconds) <= n {
+		p.seconds = append(p.seconds, 0)
+	}
+	p.seconds[max(n, 0)]++
+}
+
+// Seconds returns the orders that were released in each second since the pace began.
+func (p *Pace) Seconds() []int { return p.seconds }
+
+// Waiting returns how many times an order had to wait since the last call.
+func (p *Pace) Waiting() int {
+	n := p.denied
+	p.denied = 0
+	return n
+}
+
+// NextAt returns when the next order may be released.
+func (p *Pace) NextAt(now time.Time) time.Time {
+	half := max(p.share*p.factor/2, 1e-3)
+	return now.Add(time.Duration(max(0, 1-p.saved) / half * float64(time.Second)))
+}
--- a/internal/sched/held_answers.go
+++ b/internal/sched/held_answers.go
@@ -6,17 +6,6 @@
 	"bramblespur/internal/wire"
 )
 
-// starts returns the starts of recorded tasks that the machine has not shown.
-func (p *Part) starts(m *Machine, now time.Time) []wire.Command {
-	var out []wire.Command
-	for k, t := range m.on {
-		if !t.stop {
-			out = append(out, p.commands(k, t, m, now)...)
-		}
-	}
-	return out[:min(len(out), maxCommands)]
-}
-
 // Hold says how long a report's answer may be kept back so that a start that
 // is decided meanwhile reaches the machine at once. A machine without tasks has
 // nothing to tell; one with some tells of their ends a little later.
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"bramblespur/internal/reconcile"
 	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
@@ -78,6 +79,7 @@
 		return
 	}
 	if t.state == placed {
+		p.judge(t, reconcile.Finished)
 		p.take(k, now)
 	}
 	*t = task{state: done}
@@ -310,6 +312,7 @@
 // completes it; of one that runs, what was not saved is lost already, so the
 // rest only holds places and is ended.
 func (p *Part) lose(k key, now time.Time) {
+	p.judge(&k.job.tasks[k.i], reconcile.Missing)
 	p.noteInterruption(k)
 	p.take(k, now)
 	if k.job.spec.Kind == wire.Gang && !k.job.gathering() {
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -39,6 +39,7 @@
 	for _, l := range runs {
 		p.loadRun(l, now)
 	}
+	p.beginSettling(now)
 	return nil
 }
 
--- /dev/null
+++ b/internal/sched/orders.go
@@ -0,0 +1,131 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bramblespur/internal/pace"
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// which says what the orders to a machine are.
+type which bool
+
+// Kinds of orders.
+const (
+	startsOnly which = false
+	stopsToo   which = true
+)
+
+// starts returns the starts of recorded tasks that the machine has not shown.
+func (p *Part) starts(m *Machine, now time.Time) []wire.Command {
+	out := p.appendOrders(nil, m, startsOnly, now)
+	return out[:min(len(out), maxCommands)]
+}
+
+// appendOrders adds what an answer to a machine carries for the tasks in the ledger. While
+// orders are paced the urgent ones come first, and a worker gets a few starts at a time.
+func (p *Part) appendOrders(out []wire.Command, m *Machine, w which, now time.Time) []wire.Command {
+	if p.cfg.Pace.On() {
+		return p.appendPaced(out, m, w, now)
+	}
+	for k, t := range m.on {
+		if c, ok := p.order(k, t, m, w, now); ok {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// appendPaced does the same within the pace.
+func (p *Part) appendPaced(out []wire.Command, m *Machine, w which, now time.Time) []wire.Command {
+	var due []key
+	for k := range m.on {
+		due = append(due, k)
+	}
+	slices.SortFunc(due, func(a, b key) int {
+		return cmp.Or(cmp.Compare(p.paceClass(a), p.paceClass(b)), cmp.Compare(a.job.ref, b.job.ref), cmp.Compare(a.i, b.i))
+	})
+	left := p.cfg.Pace.Settings().PerWorker
+	for _, k := range due {
+		t := m.on[k]
+		isStart := !t.stop
+		if isStart && left <= 0 {
+			p.delay(m, now.Add(p.cfg.Report))
+			continue
+		}
+		if !p.hasOrder(k, t, m, w, now) {
+			continue
+		}
+		if !p.cfg.Pace.Allow(p.paceClass(k), now) {
+			p.delay(m, p.cfg.Pace.NextAt(now))
+			continue
+		}
+		if c, ok := p.order(k, t, m, w, now); ok {
+			out = append(out, c)
+		}
+		if isStart {
+			left--
+		}
+	}
+	return out
+}
+
+// paceClass tells how urgent the order for a task is. Those of a gang of which one was
+// started follow it, as they wait for each other only for so long.
+func (p *Part) paceClass(k key) pace.Class {
+	t := &k.job.tasks[k.i]
+	switch {
+	case t.stop && k.job.cancelled:
+		return pace.Limited
+	case k.job.spec.Kind == wire.Service, p.guaranteed(k.job, 0), k.job.spec.Kind == wire.Gang && k.job.started():
+		return pace.Urgent
+	}
+	return pace.Routine
+}
+
+// started reports whether the start of one of a job's placed tasks was sent.
+func (j *Job) started() bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.state == placed && t.sent })
+}
+
+// delay makes a machine be looked at again for starts that wait.
+func (p *Part) delay(m *Machine, until time.Time) {
+	if due, ok := p.delayed[m]; !ok || until.Before(due) {
+		p.delayed[m] = until
+	}
+}
+
+// hasOrder reports whether there is an order for a task.
+func (p *Part) hasOrder(k key, t *task, m *Machine, w which, now time.Time) bool {
+	switch {
+	case !t.recorded:
+		return false
+	case t.stop:
+		return w == stopsToo && !(t.phase == wire.Saving && t.grace > 0)
+	case t.seen || t.inherited || p.lost || p.blind || m.Phase != record.InUse || k.job.cancelled || !k.job.wholeRecorded():
+		return false
+	}
+	if due := p.startAfter(k, t); !t.sent && now.Before(due) {
+		p.delayed[m] = due
+		return false
+	}
+	return true
+}
+
+// order returns the order for a task that is on a machine, if there is one.
+func (p *Part) order(k key, t *task, m *Machine, w which, now time.Time) (wire.Command, bool) {
+	if !p.hasOrder(k, t, m, w, now) {
+		return wire.Command{}, false
+	}
+	if t.stop {
+		return halt(k.name(), t.attempt, t.grace), true
+	}
+	if !t.sent {
+		t.step(func(st *steps) { st.sent = now })
+	}
+	t.sent, t.sentSess = true, m.session
+	return wire.Command{Op: wire.Start, Task: k.name(), Attempt: t.attempt}, true
+}
--- /dev/null
+++ b/internal/sched/settling.go
@@ -0,0 +1,108 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"bramblespur/internal/reconcile"
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// settling is what became of what a part's owner found on record when it took the part over.
+type settling struct {
+	since   time.Time // zero: it has settled
+	awaited int       // placements of earlier owners without a verdict
+	tally   reconcile.Tally
+	strays  map[string]bool // tasks in reports that are not on record, each counted once
+}
+
+// Bounds of what is remembered while a part settles.
+const (
+	maxStrays  = 4096
+	maxUnheard = 16 // machines that are named
+)
+
+// Progress is how far a part has settled after it was taken over.
+type Progress struct {
+	Since   time.Time
+	Awaited int      // tasks of which nothing is proven yet
+	Unheard int      // machines that have not reported under the part's token
+	Names   []string // some of them
+	Tally   reconcile.Tally
+}
+
+// beginSettling counts what is to be found out about.
+func (p *Part) beginSettling(now time.Time) {
+	p.settling = settling{since: now, strays: map[string]bool{}}
+	for _, m := range p.machines {
+		for _, t := range m.on {
+			if t.inherited {
+				p.settling.awaited++
+			}
+		}
+	}
+}
+
+// Progress tells how far the part has settled; there is nothing to tell once it has.
+func (p *Part) Progress() (Progress, bool) {
+	s := &p.settling
+	if s.since.IsZero() {
+		return Progress{}, false
+	}
+	out := Progress{Since: s.since, Awaited: s.awaited, Tally: s.tally}
+	for _, m := range p.machines {
+		if !m.inherited || m.fenced || m.Phase != record.InUse || (!m.up && len(m.on) == 0) {
+			continue
+		}
+		out.Unheard++
+		if len(out.Names) < maxUnheard {
+			out.Names = append(out.Names, m.ID)
+		}
+	}
+	slices.Sort(out.Names)
+	return out, true
+}
+
+// EndSettling forgets what was found out.
+func (p *Part) EndSettling() { p.settling = settling{} }
+
+// judge counts the verdict on a placement of an earlier owner, once.
+func (p *Part) judge(t *task, v reconcile.Verdict) {
+	if p.settling.since.IsZero() || !t.inherited || t.judged {
+		return
+	}
+	t.judged = true
+	p.settling.awaited--
+	p.settling.tally.Add(v)
+}
+
+// judgeStray counts the verdict on a task in a report that is not on record there, once, and
+// tells of a contradiction.
+func (p *Part) judgeStray(m *Machine, rt *wire.ReportTask, v reconcile.Verdict) {
+	if p.settling.since.IsZero() || p.settling.strays[rt.Task] || len(p.settling.strays) >= maxStrays {
+		return
+	}
+	p.settling.strays[rt.Task] = true
+	p.settling.tally.Add(v)
+	if v == reconcile.Contradictory {
+		p.out.Contradictions = append(p.out.Contradictions, Contradiction{
+			Task: rt.Task, Machine: m.ID, Claimed: rt.State + " " + rt.Why, Known: p.knownOf(rt.Task)})
+	}
+}
+
+// knownOf tells what the ledger has of a task.
+func (p *Part) knownOf(name string) string {
+	ref, n, ok := SplitTask(name)
+	j := p.jobs[ref]
+	if !ok || j == nil || n >= len(j.tasks) {
+		return "no such task"
+	}
+	switch t := &j.tasks[n]; t.state {
+	case placed:
+		return "placed on " + t.machine.ID
+	case done:
+		return "done"
+	}
+	return "without a place"
+}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"bramblespur/internal/pace"
 	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
@@ -58,6 +59,8 @@
 	// deadline, in seconds from when it began to wait, is its own or the one that
 	// those which need it leave.
 	Urgency func(spec *wire.Spec, waited time.Duration, deadline *float64) float64
+	// Pace holds orders back after a restart; nil: they are never held back.
+	Pace *pace.Pace
 }
 
 type taskState uint8
@@ -74,6 +77,7 @@
 	inTxn     bool // the placement is in a transaction under way
 	durable   bool // the completion is in the state service
 	inherited bool // placed by an earlier owner: never started by us
+	judged    bool // what became of it after a take-over is known
 	seen      bool // its machine has reported this attempt to us
 	sentSess  uint64
 	sent      bool
@@ -262,6 +266,8 @@
 	Started        []Start  // tasks seen to run for the first time
 	Ended          []End    // jobs that are over
 	Given          []Give   // machines to be given back
+	// Contradictions are claims of workers that disagree with what is known.
+	Contradictions []Contradiction
 	// Interrupted are units of work that stopped without having ended, if these are
 	// watched for: see WatchInterruptions.
 	Interrupted []Interruption
@@ -311,6 +317,7 @@
 	behind             bool                    // this controller falls behind: see lostWhy
 	zones              map[zoneLimit]zoneCount // since the last health check
 	drained            drained
+	settling           settling
 	// Machines' worth that arrived, fading; what may use spot machines apart.
 	arrived, arrivedSpot float64
 	arriveAt             time.Time
