Quiet restart: paced orders, records of restarts, and the operators' view of them

Need: after a restart nothing bounded how fast workers get orders, and nobody could see what was adopted, what was awaited and when it had settled.

While parts settle, starts, stops and calls of the cloud go by a pace that all controllers share: the leader shares its bound out by what waits, and without it each keeps an equal share. It begins slowly, doubles as answers come, serves services and guaranteed work first, and never holds back a stop that a rule has a time limit for. Each controller keeps a bounded record of its restarts, which bramblespurctl restart list, show and report read. Off without its section in the operators' file.

--- a/cmd/bramblespur/main.go
+++ b/cmd/bramblespur/main.go
@@ -87,7 +87,7 @@
 	if l.operations, err = operations.Load(operationsPath); err != nil {
 		return l, err
 	}
-	return l, l.operations.CheckTeams(&l.settings.Params)
+	return l, l.operations.Check(&l.settings.Params)
 }
 
 // gcPercent lets the heap grow to five times what lives between collections:
--- a/cmd/bramblespurctl/drain.go
+++ b/cmd/bramblespurctl/drain.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -101,7 +100,7 @@
 }
 
 func (t *tool) start(ctx context.Context, out io.Writer, f *startFlags) error {
-	c, err := t.client()
+	c, err := t.drainClient()
 	if err != nil {
 		return err
 	}
@@ -139,7 +138,7 @@
 		Short: short,
 		Args:  oneName,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := t.client()
+			c, err := t.drainClient()
 			if err != nil {
 				return err
 			}
@@ -162,7 +161,7 @@
 		Short: "List all drains",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := t.client()
+			c, err := t.drainClient()
 			if err != nil {
 				return err
 			}
@@ -193,7 +192,7 @@
 }
 
 func (t *tool) status(ctx context.Context, name string) (*drainctl.Status, error) {
-	c, err := t.client()
+	c, err := t.drainClient()
 	if err != nil {
 		return nil, err
 	}
@@ -227,18 +226,10 @@
 }
 
 func (t *tool) writeReport(out io.Writer, path string, r *drainreport.Report) error {
-	write := r.HTML
 	if t.output == jsonOutput {
-		write = r.JSON
+		return writeTo(out, path, r.JSON)
 	}
-	if path == "" {
-		return write(out)
-	}
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(write(file), file.Close())
+	return writeTo(out, path, r.HTML)
 }
 
 // print writes what was asked for, as JSON or as text.
--- a/cmd/bramblespurctl/main.go
+++ b/cmd/bramblespurctl/main.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"bramblespur/internal/config"
+	"bramblespur/internal/drain"
 	"bramblespur/internal/drainctl"
 	"bramblespur/internal/operations"
 	"bramblespur/internal/statestore"
@@ -83,7 +84,7 @@
 	flags.StringVar(&t.stateAddr, "state", "", "address of the state service, instead of --config")
 	flags.StringVar(&t.operationsPath, "operations", "", "the controllers' operations file, for budgets and limits")
 	flags.StringVarP(&t.output, "output", "o", textOutput, "text or json")
-	root.AddCommand(t.drainCommand())
+	root.AddCommand(t.drainCommand(), t.restartCommand())
 	return root
 }
 
@@ -93,8 +94,8 @@
 	usualWriteRPS = 20.0
 )
 
-// client returns the way to the state service, within a small share of its limits.
-func (t *tool) client() (*drainctl.Client, error) {
+// store returns the way to the state service, within a small share of its limits.
+func (t *tool) store() (statestore.Store, error) {
 	addr := t.stateAddr
 	rps, writeRPS := usualRPS, usualWriteRPS
 	switch {
@@ -109,11 +110,18 @@
 	case addr == "":
 		return nil, usageError{errors.New("--config or --state is missing")}
 	}
-	ops, err := t.operations()
+	return statestore.New(addr, 1, rps*drain.DefaultStoreShare, writeRPS*drain.DefaultStoreShare, nil), nil
+}
+
+// drainClient returns what reads and changes drains.
+func (t *tool) drainClient() (*drainctl.Client, error) {
+	if _, err := t.operations(); err != nil {
+		return nil, err
+	}
+	store, err := t.store()
 	if err != nil {
 		return nil, err
 	}
-	store := statestore.New(addr, 1, rps*ops.Drains.StoreShare, writeRPS*ops.Drains.StoreShare, nil)
 	return &drainctl.Client{Store: store, Now: t.now}, nil
 }
 
--- /dev/null
+++ b/cmd/bramblespurctl/restart.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bramblespur/internal/restartctl"
+	"bramblespur/internal/restartreport"
+)
+
+// followEvery is how often "restart show --follow" looks again.
+const followEvery = 2 * time.Second
+
+func (t *tool) restartCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "restart", Short: "See how controllers settled after they started or took over"}
+	cmd.AddCommand(t.restartListCommand(), t.restartShowCommand(), t.restartReportCommand())
+	return cmd
+}
+
+func (t *tool) restartClient() (*restartctl.Client, error) {
+	store, err := t.store()
+	if err != nil {
+		return nil, err
+	}
+	return &restartctl.Client{Store: store, Now: t.now}, nil
+}
+
+func (t *tool) restartListCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the restarts on record",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := t.restartClient()
+			if err != nil {
+				return err
+			}
+			all, err := c.List(cmd.Context())
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			return t.print(out, all, func() { writeRestarts(out, all) })
+		},
+	}
+}
+
+func (t *tool) restartShowCommand() *cobra.Command {
+	follow := false
+	cmd := &cobra.Command{
+		Use:   "show CONTROLLER[/TIME]",
+		Short: "Show a restart: what was found, and what is still awaited",
+		Args:  oneArgument,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := t.restartClient()
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			for {
+				e, err := c.Show(cmd.Context(), args[0])
+				if err != nil {
+					return err
+				}
+				if err := t.print(out, e, func() { writeRestart(out, e) }); err != nil {
+					return err
+				}
+				if !follow || e.Settled != 0 || !pause(cmd.Context(), followEvery) {
+					return nil
+				}
+			}
+		},
+	}
+	cmd.Flags().BoolVar(&follow, "follow", false, "show it again and again until it has settled")
+	return cmd
+}
+
+// pause waits, and reports false if the command ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (t *tool) restartReportCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "report CONTROLLER[/TIME]",
+		Short: "Write the report of a restart: one HTML page, or JSON with --output json",
+		Args:  oneArgument,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := t.restartClient()
+			if err != nil {
+				return err
+			}
+			e, err := c.Show(cmd.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			write := func(w io.Writer) error { return restartreport.HTML(w, e) }
+			if t.output == jsonOutput {
+				write = func(w io.Writer) error { return restartreport.JSON(w, e) }
+			}
+			return writeTo(cmd.OutOrStdout(), path, write)
+		},
+	}
+	cmd.Flags().StringVar(&path, "file", "", "where to write it; without it, to standard output")
+	return cmd
+}
+
+// oneArgument is the check for a command with one argument.
+func oneArgument(_ *cobra.Command, args []string) error {
+	if len(args) != 1 {
+		return usageError{fmt.Errorf("want one name, not %d", len(args))}
+	}
+	return nil
+}
+
+// writeTo writes a report to a file, or without a path to out.
+func writeTo(out io.Writer, path string, write func(io.Writer) error) error {
+	if path == "" {
+		return write(out)
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(file), file.Close())
+}
+
+func writeRestarts(out io.Writer, all []restartctl.Episode) {
+	table(out, func(w io.Writer) {
+		fmt.Fprintln(w, "NAME\tSTATE\tCAUSE\tTOOK\tPARTS\tAWAITED")
+		for _, e := range all {
+			if e.Invalid != "" {
+				fmt.Fprintf(w, "%s\t%s\t-\t-\t-\t%s\n", e.Name, e.State(), e.Invalid)
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%.1fs\t%v\t%s\n", e.Name, e.State(), e.Cause, e.TookS, e.Parts, awaited(&e))
+		}
+	})
+}
+
+// awaited tells what a restart still waits for.
+func awaited(e *restartctl.Episode) string {
+	if e.Awaited+e.Unheard == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d tasks, %d machines", e.Awaited, e.Unheard)
+}
+
+func writeRestart(out io.Writer, e *restartctl.Episode) {
+	table(out, func(w io.Writer) {
+		fmt.Fprintf(w, "name\t%s\nstate\t%s\ncause\t%s\ntook\t%.1fs\nparts\t%v\nawaited\t%s\n", e.Name, e.State(), e.Cause, e.TookS, e.Parts, awaited(e))
+		if len(e.Names) > 0 {
+			fmt.Fprintf(w, "not heard\t%s\n", strings.Join(e.Names, " "))
+		}
+		for _, verdict := range slices.Sorted(maps.Keys(e.Verdicts)) {
+			fmt.Fprintf(w, "%s\t%d\n", verdict, e.Verdicts[verdict])
+		}
+		peak := 0
+		for _, n := range e.Orders {
+			peak = max(peak, n)
+		}
+		fmt.Fprintf(w, "orders in a second\t%d at most, of %.1f\n", peak, e.Bound)
+		fmt.Fprintf(w, "contradictory claims\t%d\n", e.Contradictions)
+	})
+}
--- a/internal/controller/budget.go
+++ b/internal/controller/budget.go
@@ -26,12 +26,18 @@
 const lendTimeout = 400 * time.Millisecond
 
 // budgets is what the leader last gave, by controller.
-type budgets struct{ requests, changes map[string]float64 }
+type budgets struct{ requests, changes, orders map[string]float64 }
+
+// need is what a controller needed since the leader last asked.
+type need struct {
+	fleet.Use
+	ordersWaiting int
+}
 
 // share computes the budgets from what each controller needed in the last
 // turn. One that lives but did not answer may be using its equal share, so that
 // is left to it. The lock is held.
-func (c *Controller) share(needs map[string]fleet.Use, turn time.Duration) budgets {
+func (c *Controller) share(needs map[string]need, turn time.Duration) budgets {
 	s := c.rates()
 	c.lead.pool.Limit(c.cfg.Params.Count, s.WriteRPS, time.Now())
 	rps, writes := s.RPS*budgetUse, s.WriteRPS*(budgetUse-statestore.LentRate)
@@ -46,7 +52,11 @@
 			writes -= s.WriteRPS / float64(c.cfg.Params.Count)
 		}
 	}
-	return budgets{fleet.Share(rps, requests), fleet.Share(writes, changes)}
+	waiting := map[string]int{}
+	for label, n := range needs {
+		waiting[label] = n.ordersWaiting
+	}
+	return budgets{fleet.Share(rps, requests), fleet.Share(writes, changes), c.shareOrders(waiting)}
 }
 
 // Lend implements peer.Handler: whether another controller may make changes beyond
--- a/internal/controller/budget_test.go
+++ b/internal/controller/budget_test.go
@@ -30,7 +30,7 @@
 		shared := 0.0
 		for range 2 { // each turn sets the limits anew
 			shared = 0
-			for _, changes := range c.share(map[string]fleet.Use{"c-0": {Requests: 50, Changes: 50}}, time.Second).changes {
+			for _, changes := range c.share(map[string]need{"c-0": {Use: fleet.Use{Requests: 50, Changes: 50}}}, time.Second).changes {
 				shared += changes
 			}
 		}
--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -177,6 +177,7 @@
 		}
 	}
 	c.log.Info("part claimed", "part", id, "token", p.Token())
+	c.beginEpisode(p, now)
 	c.pump(p, now)
 	go c.rereadOpen(ctx, p)
 	return nil
--- a/internal/controller/cloud_list.go
+++ b/internal/controller/cloud_list.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramblespur/internal/config"
+	"bramblespur/internal/reconcile"
 	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
@@ -38,9 +39,8 @@
 	}
 	c.mu.Lock()
 	unknown := c.unknownMachines(l, list)
-	busy := len(l.rentals) > 0
 	c.mu.Unlock()
-	if len(unknown) == 0 || busy {
+	if len(unknown) == 0 {
 		return
 	}
 	// The view may be behind: the records decide.
@@ -49,12 +49,11 @@
 		c.log.Debug("fleet records", "err", err)
 		return
 	}
-	if len(fl.Unfinished()) > 0 {
-		return
-	}
+	renting := len(fl.Unfinished()) > 0
 	var unrecorded []string
-	for _, id := range unknown {
-		if _, ok := fl.Machine(id); !ok {
+	for id, seen := range unknown {
+		_, ok := fl.Machine(id)
+		if reconcile.Machine(reconcile.MachineEvidence{Recorded: ok, Listed: seen, Renting: renting}).Action == reconcile.GiveBack {
 			unrecorded = append(unrecorded, id)
 		}
 	}
@@ -67,23 +66,22 @@
 // listTimeout bounds one comparison with the cloud's list.
 const listTimeout = 20 * time.Second
 
-// unknownMachines returns those of a list that have been in enough lists without being in
-// the view. The lock is held.
-func (c *Controller) unknownMachines(l *leading, list []wire.Listed) []string {
-	var unknown []string
+// unknownMachines returns those of a list that no record seems to name, with in how many
+// lists they were. The lock is held.
+func (c *Controller) unknownMachines(l *leading, list []wire.Listed) map[string]int {
+	unknown := map[string]int{}
 	for _, m := range list {
 		_, ours := c.fleet.Machine(m.ID)
-		if _, lately := l.known[m.ID]; ours || lately {
+		_, lately := l.known[m.ID]
+		if ours || lately {
 			delete(l.strange, m.ID)
-			continue // the list lags
+		} else {
+			l.strange[m.ID]++
 		}
-		l.strange[m.ID]++
-		if l.strange[m.ID] >= unknownInLists && len(unknown) < maxReturn {
-			unknown = append(unknown, m.ID)
+		f := reconcile.Machine(reconcile.MachineEvidence{Recorded: ours, Lately: lately, Listed: l.strange[m.ID], Renting: len(l.rentals) > 0})
+		if f.Action == reconcile.GiveBack && len(unknown) < maxReturn {
+			unknown[m.ID] = l.strange[m.ID]
 		}
 	}
 	return unknown
 }
-
-// unknownInLists is in how many lists an unrecorded machine must appear.
-const unknownInLists = 2
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -99,6 +99,7 @@
 	memberPut        time.Time               // when that was last written
 	renewals         renewals
 	drains           drains
+	restarts         restarts
 	held             map[string]*held
 	budgetAt         time.Time // when the leader last gave a budget
 	readiness        readiness
@@ -136,6 +137,7 @@
 	c.store = statestore.New(cfg.Outside.State, p.Count, tight.RPS, tight.WriteRPS, c.borrow)
 	c.init()
 	c.drains.turnOn(ops.Drains, &p)
+	c.restarts.turnOn(ops.Restart)
 	for _, q := range cfg.Peers {
 		c.peers[q.Label] = peer.NewClient(q.Addr)
 	}
@@ -175,6 +177,9 @@
 	if c.drains.settings != nil {
 		go c.drainLoop(ctx)
 	}
+	if c.restarts.on {
+		go c.restartLoop(ctx)
+	}
 }
 
 func (c *Controller) init() {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -100,16 +100,16 @@
 
 // syncPeers asks every other controller for its parts and for what it needs of
 // the state service, handing over claims, hand-overs and budgets by label.
-func (c *Controller) syncPeers(claims, hand map[string][]int, grants budgets) ([]fleet.Summary, map[string]fleet.Use) {
+func (c *Controller) syncPeers(claims, hand map[string][]int, grants budgets) ([]fleet.Summary, map[string]need) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var sums []fleet.Summary
-	needs := map[string]fleet.Use{}
+	needs := map[string]need{}
 	for label, p := range c.peers {
 		wg.Go(func() {
 			var r peer.SyncReply
 			a := peer.SyncArgs{From: c.cfg.Label, Claim: claims[label], HandHome: hand[label],
-				Requests: grants.requests[label], Changes: grants.changes[label]}
+				Requests: grants.requests[label], Changes: grants.changes[label], OrderRate: grants.orders[label]}
 			err := p.Call("Sync", a, &r, syncTimeout)
 			err = c.sensible("controller's word on its parts", label, err, func() error { return c.checkSyncReply(&r) })
 			c.peerHealth.called(label, err, r.StateOK)
@@ -124,7 +124,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			sums = append(sums, r.Summaries...)
-			needs[label] = fleet.Use{Requests: r.Requests, Changes: r.Changes}
+			needs[label] = need{fleet.Use{Requests: r.Requests, Changes: r.Changes}, r.OrdersWaiting}
 		})
 	}
 	wg.Wait()
@@ -152,11 +152,13 @@
 	}
 	c.syncedAt = now
 	c.setBudget(a.Requests, a.Changes, now)
+	c.setOrderShare(a.OrderRate, now)
 	load := c.ownLoad(now)
 	r := peer.SyncReply{Summaries: c.summaries(now), StateOK: c.sure(now),
 		Recovering: load.recovering, HasRoom: load.hasRoom}
 	if len(a.Orders) == 0 { // orders alone come between the leader's turns
 		r.Requests, r.Changes = c.store.Needed()
+		r.OrdersWaiting = c.ordersWaiting()
 	}
 	return r
 }
@@ -257,17 +259,18 @@
 
 // shareBudget shares out what all controllers may use of the state service, by what each
 // needed since the last turn. The lock is held.
-func (c *Controller) shareBudget(l *leading, needs map[string]fleet.Use, now time.Time) {
+func (c *Controller) shareBudget(l *leading, needs map[string]need, now time.Time) {
 	turn := syncEvery
 	if !l.synced.IsZero() {
 		turn = max(turn, now.Sub(l.synced))
 	}
 	l.synced = now
-	var own fleet.Use
+	own := need{ordersWaiting: c.ordersWaiting()}
 	own.Requests, own.Changes = c.store.Needed()
 	needs[c.cfg.Label] = own
 	l.grants = c.share(needs, turn)
 	c.setBudget(l.grants.requests[c.cfg.Label], l.grants.changes[c.cfg.Label], now)
+	c.setOrderShare(l.grants.orders[c.cfg.Label], now)
 }
 
 // planFleet plans with the summaries of all parts, carries out what concerns the parts
@@ -292,7 +295,9 @@
 	// A queue of requests would go stale before the cloud's few calls got to
 	// it: what is not asked for now is planned anew, with what came since.
 	for _, r := range chosen(rents, rentalsAtOnce-len(l.rentals)) {
-		c.rent(ctx, l, r)
+		if c.allowCloudCall(now) {
+			c.rent(ctx, l, r)
+		}
 	}
 	return byOwner
 }
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -67,7 +67,7 @@
 			return errSenseless("an order from part %d to %d", o.Part, o.To)
 		}
 	}
-	for _, rate := range []float64{a.Requests, a.Changes} {
+	for _, rate := range []float64{a.Requests, a.Changes, a.OrderRate} {
 		if !(rate >= 0) || math.IsInf(rate, 0) {
 			return errSenseless("a budget of %g", rate)
 		}
@@ -122,8 +122,8 @@
 
 // checkSyncReply refuses a controller's word on its parts that can't be true.
 func (c *Controller) checkSyncReply(r *peer.SyncReply) error {
-	if r.Requests < 0 || r.Changes < 0 {
-		return errSenseless("%d requests and %d changes were needed", r.Requests, r.Changes)
+	if r.Requests < 0 || r.Changes < 0 || r.OrdersWaiting < 0 {
+		return errSenseless("%d requests, %d changes and %d orders were needed", r.Requests, r.Changes, r.OrdersWaiting)
 	}
 	for i := range r.Summaries {
 		if err := c.checkSummary(&r.Summaries[i]); err != nil {
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -52,6 +52,7 @@
 		GatherEnds:   gatherEnds,
 		GatherStarts: gatherStarts,
 		GatherBacks:  gatherBacks,
+		Pace:         c.restarts.pace,
 		Urgency: func(s *wire.Spec, waited time.Duration, deadline *float64) float64 {
 			j := policy.Job{Class: s.Class, Team: s.Team, Kind: kinds[s.Kind], Tasks: s.Tasks, WaitedS: waited.Seconds(), EstimateS: s.EstimateS}
 			if deadline != nil {
@@ -80,6 +81,7 @@
 	c.keepCordons(p)
 	eff := p.Step(now)
 	c.noteLosses(eff.Interrupted, now)
+	c.noteContradictions(eff.Contradictions)
 	if p.Lost() {
 		delete(c.parts, p.ID())
 		go c.rereadPart(p.ID())
--- a/internal/controller/returns.go
+++ b/internal/controller/returns.go
@@ -15,6 +15,10 @@
 // ran on the machines, to whoever owns their parts by then.
 func (c *Controller) returns(ctx context.Context, l *leading, now time.Time) {
 	c.mu.Lock()
+	if len(c.fleet.Pending()) > 0 && !c.allowCloudCall(now) {
+		c.mu.Unlock()
+		return
+	}
 	var ids []string
 	batches := map[string]record.Versioned[record.Back]{}
 	for key, b := range c.fleet.Pending() {
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -19,13 +19,18 @@
 
 	"bramblespur/internal/config"
 	"bramblespur/internal/drain"
+	"bramblespur/internal/pace"
 )
 
 // Settings are what the file turns on.
 type Settings struct {
-	Drains *drain.Settings // nil: off
+	Drains  *drain.Settings // nil: off
+	Restart *Restart        // nil: off
 }
 
+// Restart is how quietly controllers restart.
+type Restart struct{ pace.Settings }
+
 //go:embed schema.json
 var schemaText []byte
 
@@ -33,7 +38,14 @@
 
 // file is the layout of the file, as the schema describes it.
 type file struct {
-	Drains *drains `toml:"drains"`
+	Drains  *drains  `toml:"drains"`
+	Restart *restart `toml:"restart"`
+}
+
+type restart struct {
+	OrdersPerS    float64 `toml:"orders_per_s"`
+	PerWorker     int     `toml:"per_worker"`
+	SettleWithinS float64 `toml:"settle_within_s"`
 }
 
 type drains struct {
@@ -87,6 +99,9 @@
 			return nil, fmt.Errorf("operations file: drains.%w", err)
 		}
 	}
+	if r := f.Restart; r != nil {
+		s.Restart = &Restart{pace.Settings{OrdersPerS: r.OrdersPerS, PerWorker: r.PerWorker, SettleWithin: config.Seconds(r.SettleWithinS)}}
+	}
 	return s, nil
 }
 
@@ -94,8 +109,19 @@
 // no budgets.
 func Defaults() *Settings { return &Settings{Drains: (&drains{}).settings()} }
 
-// CheckTeams refuses budgets of teams that the platform's settings do not have.
-func (s *Settings) CheckTeams(p *config.Params) error {
+// Check refuses what contradicts the platform's settings.
+func (s *Settings) Check(p *config.Params) error {
+	if err := s.checkTeams(p); err != nil {
+		return fmt.Errorf("operations file: %w", err)
+	}
+	if err := s.checkRestart(p); err != nil {
+		return fmt.Errorf("operations file: %w", err)
+	}
+	return nil
+}
+
+// checkTeams refuses budgets of teams that there are not.
+func (s *Settings) checkTeams(p *config.Params) error {
 	if s.Drains == nil || len(p.Teams) == 0 {
 		return nil
 	}
@@ -105,12 +131,28 @@
 	}
 	for _, team := range slices.Sorted(maps.Keys(s.Drains.Teams)) {
 		if !known[team] {
-			return fmt.Errorf("operations file: drains.budgets.team.%s: there is no such team", team)
+			return fmt.Errorf("drains.budgets.team.%s: there is no such team", team)
 		}
 	}
 	return nil
 }
 
+// reportsToSettle is how many reports of a worker come at least before the bound on orders
+// is given up: its orders ride on the answers.
+const reportsToSettle = 2
+
+// checkRestart refuses a time to settle in which orders can't be brought to workers.
+func (s *Settings) checkRestart(p *config.Params) error {
+	if s.Restart == nil || s.Restart.SettleWithin == 0 {
+		return nil
+	}
+	if least := reportsToSettle * config.Seconds(p.Workers.ReportS); s.Restart.SettleWithin < least {
+		return fmt.Errorf("restart.settle_within_s: %v is less than %d reports of a worker take, %v",
+			s.Restart.SettleWithin, reportsToSettle, least)
+	}
+	return nil
+}
+
 func validate(raw map[string]any) error {
 	schema, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
 	if err != nil {
--- a/internal/operations/operations_test.go
+++ b/internal/operations/operations_test.go
@@ -54,6 +54,11 @@
 		{"class.train.in_window", team + "[drains.budgets.team.vision.class.train]\nat_once = 1\nin_window = 9\nwindow_s = 60.0\n"},
 		{"drains.budgets.team", strings.Replace(team, "team.vision", `team."a b"`, 1)},
 		{"file", "[drains"},
+		{"restart.orders_per_s", "[restart]\norders_per_s = 0\n"},
+		{"restart.orders_per_s", "[restart]\norders_per_s = -1.0\n"},
+		{"restart.per_worker", "[restart]\nper_worker = 0\n"},
+		{"restart.settle_within_s", "[restart]\nsettle_within_s = 600.0\n"},
+		{"restart", "[restart]\nfast = true\n"},
 	} {
 		_, err := Parse(x.text)
 		if err == nil || !strings.Contains(err.Error(), x.field) || strings.Contains(err.Error(), "\n") {
@@ -64,7 +69,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := s.CheckTeams(&config.Params{Teams: []config.Team{{Name: "other"}}}); err == nil || !strings.Contains(err.Error(), "vision") {
+	if err := s.Check(&config.Params{Teams: []config.Team{{Name: "other"}}}); err == nil || !strings.Contains(err.Error(), "vision") {
 		t.Errorf("a budget of an unknown team: %v", err)
 	}
+	hasty, err := Parse("[restart]\nsettle_within_s = 5.0\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := hasty.Check(&config.Params{Workers: config.Workers{ReportS: 3}}); err == nil || !strings.Contains(err.Error(), "restart.settle_within_s") {
+		t.Errorf("a time to settle of less than two reports: %v", err)
+	}
 }
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 )
 
@@ -28,7 +29,8 @@
 	OrdersPerS float64
 	// PerWorker is how many starts one answer to a worker may carry.
 	PerWorker int
-	// SettleWithin is the time within which whatever waits must be released.
+	// SettleWithin is how long the bound holds: what waits then is released faster and
+	// faster.
 	SettleWithin time.Duration
 }
 
@@ -66,7 +68,8 @@
 	answers  int
 	saved    float64 // orders that may be released now
 	at       time.Time
-	denied   int // orders that waited since the last call of Waiting
+	denied   int  // orders that waited since the last call of Waiting
+	held     bool // one waited since the last call of Held
 	seconds  []int
 	began    time.Time
 }
@@ -114,13 +117,22 @@
 // fill saves up orders with time. Half of a second's worth may be saved up and half comes
 // within a second, so that no second has more than the share.
 func (p *Pace) fill(now time.Time) {
-	half := p.share * p.factor / 2
-	p.saved = min(p.capacity(), p.saved+half*max(0, now.Sub(p.at).Seconds()))
+	p.saved = min(p.capacity(now), p.saved+p.rate(now)/2*max(0, now.Sub(p.at).Seconds()))
 	p.at = now
 }
 
+// rate is how many orders may be released in a second. What still waits after SettleWithin
+// would come too late by the rules: from then on the rate doubles each second.
+func (p *Pace) rate(now time.Time) float64 {
+	late := (now.Sub(p.began) - p.settings.SettleWithin).Seconds()
+	return p.share * p.factor * math.Exp2(min(max(0, late), maxDoublings))
+}
+
+// maxDoublings bounds the exponent; by then nothing waits.
+const maxDoublings = 20
+
 // capacity is what may be saved up: one order at least, else none would ever be released.
-func (p *Pace) capacity() float64 { return max(1, p.share*p.factor/2) }
+func (p *Pace) capacity(now time.Time) float64 { return max(1, p.rate(now)/2) }
 
 // Allow reports whether an order may be released now, and counts it if so.
 func (p *Pace) Allow(c Class, now time.Time) bool {
@@ -129,11 +141,12 @@
 	}
 	p.fill(now)
 	reserve := 0.0
-	if c == Routine && p.capacity() >= 1/urgentReserve {
-		reserve = urgentReserve * p.capacity()
+	if most := p.capacity(now); c == Routine && most >= 1/urgentReserve {
+		reserve = urgentReserve * most
 	}
 	if c != Limited && p.saved-reserve < 1 {
 		p.denied++
+		p.held = true
 		return false
 	}
 	p.saved--
@@ -162,8 +175,18 @@
 	return n
 }
 
+// Held reports whether an order had to wait since the last call.
+func (p *Pace) Held() bool {
+	held := p.held
+	p.held = false
+	return held
+}
+
+// leastRate keeps waits finite.
+const leastRate = 0.1
+
 // NextAt returns when the next order may be released.
 func (p *Pace) NextAt(now time.Time) time.Time {
-	half := max(p.share*p.factor/2, 1e-3)
-	return now.Add(time.Duration(max(0, 1-p.saved) / half * float64(time.Second)))
+	wait := max(0, 1-p.saved) / max(p.rate(now)/2, leastRate)
+	return now.Add(time.Duration(wait * float64(time.Second)))
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,6 +25,9 @@
 	// Requests and Changes are what the receiver may use of the state
 	// service's limits, a second; 0: its plain share.
 	Requests, Changes float64
+	// OrderRate is how many orders to workers the receiver may release in a second while
+	// it settles after a restart; 0: its plain share.
+	OrderRate float64
 }
 
 // SyncReply tells a controller's parts.
@@ -38,6 +41,8 @@
 	// did, and should not have its parts back; HasRoom that it could take another's.
 	// Both are false from versions that don't tell.
 	Recovering, HasRoom bool
+	// OrdersWaiting is how many orders the sender held back since it was last asked.
+	OrdersWaiting int
 }
 
 // NudgeArgs tells an owner a job's record as it was just written.
--- /dev/null
+++ b/internal/restart/episode.go
@@ -0,0 +1,98 @@
+// Package restart is pure: the record of what a controller found and did after it started
+// or took parts over, until all had settled.
+package restart
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Prefix is that of the records, one for each controller. It is one of the cluster's.
+const Prefix = "ctl/restart/"
+
+// Key names a controller's record.
+func Key(label string) string { return Prefix + label }
+
+// Cause says why parts had to settle.
+type Cause string
+
+// Causes.
+const (
+	Started  Cause = "started"   // the process began
+	TookOver Cause = "took over" // it claimed parts later
+)
+
+// Episode is the time from a start or a take-over until all of it had settled.
+type Episode struct {
+	Incarnation uint64 `json:"inc"`
+	Cause       Cause  `json:"cause"`
+	Began       int64  `json:"began"`             // milliseconds
+	Settled     int64  `json:"settled,omitempty"` // 0: it has not
+	Parts       []int  `json:"parts"`
+	// Verdicts counts what was found, by the verdicts' names.
+	Verdicts map[string]int `json:"verdicts,omitempty"`
+	Awaited  int            `json:"awaited,omitempty"` // tasks of which nothing is proven yet
+	Unheard  int            `json:"unheard,omitempty"` // machines that have not reported yet
+	Names    []string       `json:"names,omitempty"`   // some of them
+	// Orders are those to workers, by second, and Bound how many were allowed to this
+	// controller in one.
+	Orders []int   `json:"orders,omitempty"`
+	Bound  float64 `json:"bound,omitempty"`
+	// Contradictions counts claims that disagree with what is known.
+	Contradictions int `json:"contradictions,omitempty"`
+}
+
+// Took returns how long it took to settle, or has taken so far.
+func (e *Episode) Took(now time.Time) time.Duration {
+	end := now
+	if e.Settled != 0 {
+		end = time.UnixMilli(e.Settled)
+	}
+	return end.Sub(time.UnixMilli(e.Began))
+}
+
+// Name tells an episode from others of its controller.
+func (e *Episode) Name(label string) string { return fmt.Sprintf("%s/%d", label, e.Began) }
+
+// History is a controller's record: its latest episodes, the newest last.
+type History struct {
+	Episodes []Episode `json:"episodes"`
+}
+
+// maxEpisodes bounds the episodes that are kept.
+const maxEpisodes = 8
+
+// Put takes in an episode as it stands, in place of what was kept of it.
+func (h *History) Put(e Episode) {
+	h.Episodes = slices.DeleteFunc(h.Episodes, func(o Episode) bool { return o.Began == e.Began })
+	h.Episodes = append(h.Episodes, e)
+	if n := len(h.Episodes); n > maxEpisodes {
+		h.Episodes = slices.Delete(h.Episodes, 0, n-maxEpisodes)
+	}
+}
+
+// Encode returns the record, with as many of the latest episodes as it has room for. One
+// that has no room alone goes without its orders and names.
+func (h *History) Encode(bytes int) json.RawMessage {
+	kept := History{Episodes: slices.Clone(h.Episodes)}
+	for {
+		b, err := json.Marshal(kept)
+		if err != nil {
+			panic("restart: " + err.Error()) // numbers and strings always encode
+		}
+		if len(b) <= bytes {
+			return b
+		}
+		if len(kept.Episodes) > 1 {
+			kept.Episodes = kept.Episodes[1:]
+			continue
+		}
+		last := &kept.Episodes[0]
+		if last.Orders == nil && last.Names == nil {
+			return b
+		}
+		last.Orders, last.Names = nil, nil
+	}
+}
--- /dev/null
+++ b/internal/sched/history_test.go
@@ -0,0 +1,332 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// history is a generated course of records, reports and ends, with a ground truth of its own
+// of what ran where.
+type history struct {
+	*rig
+	r       *rand.Rand
+	jobs    map[string]wire.Spec
+	ended   map[string]bool       // tasks that completed, by the workers
+	asked   map[string]bool       // jobs whose users asked for their end
+	finals  map[string]string     // final records as they first were
+	copies  []wire.Report         // reports to come once more
+	deposed []*Part               // earlier owners that don't know it yet
+	late    map[string]lateAnswer // by machine
+	rented  int
+}
+
+// lateAnswer is an answer on its way, and the report that it answers.
+type lateAnswer struct {
+	session, seq uint64
+	orders       wire.Orders
+}
+
+// happenings are what may happen next.
+var happenings = []func(h *history){
+	func(h *history) { h.submitOne() }, func(h *history) { h.submitOne() },
+	func(h *history) { h.reportOne() }, func(h *history) { h.reportOne() }, func(h *history) { h.reportOne() }, func(h *history) { h.reportOne() },
+	func(h *history) { h.endOne(wire.Done) }, func(h *history) { h.endOne(wire.Done) },
+	func(h *history) { h.endOne(wire.WhyError) },
+	func(h *history) { h.takeOver() },
+	func(h *history) { h.replay() }, func(h *history) { h.replay() },
+	func(h *history) { h.answerLate() },
+	func(h *history) { h.expire(h.worker()) },
+	func(h *history) { h.cancelOne() },
+	func(h *history) { h.state.LoseAnswers = h.r.IntN(3) },
+	func(h *history) { h.state.HoldTxns = h.r.IntN(2) },
+	func(h *history) { h.state.Release(); h.settle() },
+	func(h *history) { h.beat() },
+}
+
+func (h *history) worker() *testkit.Worker {
+	names := slices.Sorted(maps.Keys(h.workers))
+	return h.workers[names[h.r.IntN(len(names))]]
+}
+
+func (h *history) submitOne() {
+	ref := fmt.Sprintf("run-%06d", len(h.jobs))
+	s := spec(ref, "b", wire.Array, "normal", 1+h.r.IntN(3), 1)
+	if h.r.IntN(4) == 0 {
+		s = spec(ref, "b", wire.Gang, "normal", 2, 1)
+	}
+	h.jobs[ref] = s
+	h.submit(s)
+	h.settle()
+}
+
+// reportOne lets a worker report. Its answer arrives, is lost, or comes late; a copy of the
+// report may come once more.
+func (h *history) reportOne() {
+	w := h.worker()
+	h.clock.Advance(h.cfg.Report)
+	rep := w.Report()
+	if h.r.IntN(3) == 0 {
+		h.copies = append(h.copies, rep)
+	}
+	to := h.part
+	if n := len(h.deposed); n > 0 && h.r.IntN(4) == 0 {
+		to = h.deposed[h.r.IntN(n)]
+	}
+	o, v := to.Report(&rep, false, h.clock.Now())
+	switch {
+	case v != Answered || h.r.IntN(5) == 0:
+	case h.r.IntN(6) == 0:
+		h.late[w.ID] = lateAnswer{rep.Session, rep.Seq, o}
+	default:
+		w.Obey(o)
+	}
+	h.settle()
+}
+
+// answerLate brings an answer that was late. Its worker takes it if it has heard nothing
+// since, else it has dropped it.
+func (h *history) answerLate() {
+	for _, id := range slices.Sorted(maps.Keys(h.late)) {
+		a := h.late[id]
+		if w := h.workers[id]; w != nil && w.Session == a.session && w.Seq == a.seq {
+			w.Obey(a.orders)
+		}
+	}
+	clear(h.late)
+}
+
+// replay brings a copy of an old report to the owner or to one that is none any more.
+func (h *history) replay() {
+	if len(h.copies) == 0 {
+		return
+	}
+	rep := h.copies[h.r.IntN(len(h.copies))]
+	for _, p := range append(h.deposed, h.part) {
+		p.Report(&rep, false, h.clock.Now())
+	}
+	h.settle()
+}
+
+func (h *history) endOne(why string) {
+	w := h.worker()
+	for _, name := range slices.Sorted(maps.Keys(w.Tasks)) {
+		if t := w.Tasks[name]; t.State == wire.Running {
+			h.end(name, t.Attempt, why)
+			return
+		}
+	}
+}
+
+// end ends a task; the tasks of a gang's attempt complete together.
+func (h *history) end(name string, attempt uint64, why string) {
+	ref, _, _ := strings.Cut(name, "/")
+	gang := h.jobs[ref].Kind == wire.Gang && why == wire.Done
+	if gang && h.running(ref, attempt) < h.jobs[ref].Tasks {
+		return // it is not complete
+	}
+	for _, w := range h.workers {
+		for other, t := range w.Tasks {
+			of, _, _ := strings.Cut(other, "/")
+			if t.State == wire.Running && (other == name || gang && of == ref && t.Attempt == attempt) {
+				w.End(other, why)
+				h.ended[other] = h.ended[other] || why == wire.Done
+			}
+		}
+	}
+}
+
+func (h *history) running(ref string, attempt uint64) int {
+	n := 0
+	for _, w := range h.workers {
+		for name, t := range w.Tasks {
+			if strings.HasPrefix(name, ref+"/") && t.State == wire.Running && t.Attempt == attempt {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// leaveMates lets gang tasks exit whose attempt is not complete, as workers do after a while.
+func (h *history) leaveMates() {
+	for _, w := range h.workers {
+		for name, t := range w.Tasks {
+			ref, _, _ := strings.Cut(name, "/")
+			if s := h.jobs[ref]; s.Kind == wire.Gang && t.State == wire.Running && h.running(ref, t.Attempt) < s.Tasks {
+				w.End(name, wire.WhyPeers)
+			}
+		}
+	}
+}
+
+// takeOver ends the owner: the next one knows only the records.
+func (h *history) takeOver() {
+	h.deposed = append(h.deposed[max(0, len(h.deposed)-1):], h.part)
+	h.claim()
+	h.settle()
+}
+
+func (h *history) cancelOne() {
+	refs := slices.Sorted(maps.Keys(h.jobs))
+	if len(refs) == 0 {
+		return
+	}
+	ref := refs[h.r.IntN(len(refs))]
+	if h.get(record.OpenKey(ref)) == nil || h.asked[ref] {
+		return
+	}
+	h.asked[ref] = true
+	h.cancel(h.jobs[ref])()
+	h.settle()
+}
+
+// replaceMachines takes out the machines that were given back, with all on them, and rents
+// others.
+func (h *history) replaceMachines() {
+	h.returns() // also what was recorded late
+	for _, id := range h.cloud.Returned {
+		delete(h.workers, id)
+	}
+	for len(h.workers) < historyMachines {
+		h.rented++
+		h.machine(fmt.Sprint("m", h.rented), "z1", false)
+	}
+}
+
+// check compares the records with the ground truth.
+func (h *history) check() error {
+	for ref, s := range h.jobs {
+		for i := range s.Tasks {
+			name := fmt.Sprintf("%s/%d", ref, i)
+			places := 0
+			for _, w := range h.workers {
+				if t := w.Tasks[name]; t != nil && t.State != wire.Exited {
+					places++
+				}
+			}
+			if places > 1 {
+				return fmt.Errorf("%s runs in %d places", name, places)
+			}
+		}
+		open, final := h.get(record.OpenKey(ref)), h.get(record.JobKey(ref))
+		if (open == nil) == (final == nil) {
+			return fmt.Errorf("%s is in both records or in none", ref)
+		}
+		if final == nil {
+			continue
+		}
+		if had, ok := h.finals[ref]; ok && had != string(final.Value) {
+			return fmt.Errorf("%s ended as %s and then as %s", ref, had, final.Value)
+		}
+		h.finals[ref] = string(final.Value)
+		if err := h.checkEnd(ref, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *history) checkEnd(ref string, s wire.Spec) error {
+	if h.jobState(ref) == wire.Cancelled {
+		if !h.asked[ref] {
+			return fmt.Errorf("%s is cancelled though nobody asked", ref)
+		}
+		for _, w := range h.workers {
+			for name, t := range w.Tasks {
+				if strings.HasPrefix(name, ref+"/") && t.State != wire.Exited {
+					return fmt.Errorf("%s runs on %s after its end was recorded", name, w.ID)
+				}
+			}
+		}
+		return nil
+	}
+	for i := range s.Tasks {
+		if name := fmt.Sprintf("%s/%d", ref, i); !h.ended[name] {
+			return fmt.Errorf("%s is done without %s", ref, name)
+		}
+	}
+	return nil
+}
+
+// calm lets everything be heard and end, after which no job may be left.
+func (h *history) calm() error {
+	h.state.LoseAnswers, h.state.HoldTxns = 0, 0
+	h.state.Release()
+	for n := range 200 {
+		h.beat()
+		if n%5 == 4 {
+			h.leaveMates()
+		}
+		h.replaceMachines()
+		if err := h.check(); err != nil {
+			return err
+		}
+		left := false
+		for ref := range h.jobs {
+			left = left || h.get(record.OpenKey(ref)) != nil
+		}
+		if !left {
+			return nil
+		}
+		for _, w := range h.workers {
+			for name, t := range maps.Clone(w.Tasks) {
+				if t.State == wire.Running {
+					h.end(name, t.Attempt, wire.Done)
+				}
+			}
+		}
+	}
+	return fmt.Errorf("not all jobs have ended: %s", h.openJobs())
+}
+
+func (h *history) openJobs() string {
+	var out []string
+	for ref := range h.jobs {
+		if h.get(record.OpenKey(ref)) != nil {
+			out = append(out, ref)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// historySeeds is how many histories are generated, historySteps how long each is, and
+// historyMachines on how many machines.
+const (
+	historySeeds    = 3000
+	historySteps    = 60
+	historyMachines = 4
+)
+
+// playHistory plays the history of a seed and returns what was wrong.
+func playHistory(t *testing.T, seed uint64) error {
+	h := &history{rig: newRig(t), r: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]wire.Spec{}, ended: map[string]bool{},
+		asked: map[string]bool{}, finals: map[string]string{}, late: map[string]lateAnswer{}}
+	h.replaceMachines()
+	for n := range historySteps {
+		happenings[h.r.IntN(len(happenings))](h)
+		h.replaceMachines()
+		if err := h.check(); err != nil {
+			return fmt.Errorf("step %d: %w", n, err)
+		}
+	}
+	return h.calm()
+}
+
+// Whatever the order in which owners end, reports come, late, doubled or to who is no owner
+// any more, and writes are answered or not: no task runs on two machines, no answer changes,
+// no end is recorded that was none, and no job is lost.
+func TestAnyHistorySettles(t *testing.T) {
+	for seed := range uint64(historySeeds) {
+		if err := playHistory(t, seed); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
--- a/internal/statestore/classes.go
+++ b/internal/statestore/classes.go
@@ -34,7 +34,7 @@
 	"accept": userClass, "cancel": userClass,
 	"job end": endClass, "cascade": endClass,
 	"completions": backgroundClass, "split": backgroundClass, "addresses": backgroundClass,
-	"clear": backgroundClass, "strangers": backgroundClass, "poll": backgroundClass, "drain": backgroundClass,
+	"clear": backgroundClass, "strangers": backgroundClass, "poll": backgroundClass, "drain": backgroundClass, "restart": backgroundClass,
 }
 
 // class returns where a request stands.
