--- /dev/null
+++ b/cmd/bramblespur/loopback_restart_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/restart"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// Real processes on real sockets all end in a busy batch, twice, and start again: running work
+// is adopted, workers are given no more orders in any second than the bound, and every job
+// ends once.
+func TestRestartOverLoopback(t *testing.T) {
+	const seed, jobs, tasks = 2, 12, 4
+	l := newLoopback(t, seed)
+	submit := func(n int) {
+		s := loopbackJob(n)
+		s.Tasks = tasks
+		l.submitLater(s, testkit.Length{Run: time.Duration(8+n%7) * time.Second, Fetch: 200 * time.Millisecond})
+	}
+	for n := range jobs {
+		submit(n)
+	}
+	l.await("work runs", func() bool { return len(l.world.On(loopbackJob(0).Ref)) > 0 })
+	r := rand.New(rand.NewPCG(seed, 1))
+	var ended time.Time
+	for round := range 2 {
+		for n := range jobs {
+			submit(jobs*(round+1) + n)
+		}
+		time.Sleep(time.Duration(1000+r.IntN(2000)) * time.Millisecond)
+		for _, label := range loopbackLabels {
+			l.kill(label)
+		}
+		if round == 0 {
+			ended = time.Now()
+		}
+		time.Sleep(time.Duration(200+r.IntN(4000)) * time.Millisecond)
+		for _, i := range r.Perm(len(loopbackLabels)) {
+			l.start(loopbackLabels[i])
+			time.Sleep(time.Duration(r.IntN(500)) * time.Millisecond)
+		}
+	}
+	back := time.Now()
+	l.await("all jobs done", func() bool {
+		for n := range 3 * jobs {
+			if l.world.Told(loopbackJob(n).Ref) != wire.Done {
+				return false
+			}
+		}
+		return true
+	})
+	if n := l.world.Orders().Most(time.Second, ended, back.Add(loopbackSettle), true); n > loopbackOrders {
+		t.Errorf("%d orders in a second, of %d", n, loopbackOrders)
+	}
+	for n := range 3 * jobs {
+		ref := loopbackJob(n).Ref
+		if ends := l.writesOf(record.JobKey(ref)); ends != 1 {
+			t.Errorf("the end of %s was recorded %d times", ref, ends)
+		}
+	}
+	for _, label := range loopbackLabels {
+		if _, ok := l.world.State.Entry(restart.Key(label)); !ok {
+			t.Errorf("%s has no record of its restart", label)
+		}
+	}
+	for _, b := range l.check.Broken() {
+		t.Error(b)
+	}
+}
+
+// loopbackJob is the n-th job of a batch.
+func loopbackJob(n int) wire.Spec {
+	return wire.Spec{Ref: fmt.Sprintf("run-%06d", n), Class: "c", Team: []string{"wide", "other"}[n%2], Kind: wire.Array, Priority: "normal",
+		Tasks: 1, CPUs: 6, GPUs: 1, MemoryGB: 24, Image: "img", ImageGB: 1, EstimateS: 10, CheckpointS: 3, SaveS: 0.3}
+}
--- a/internal/controller/budget.go
+++ b/internal/controller/budget.go
@@ -52,11 +52,7 @@
 			writes -= s.WriteRPS / float64(c.cfg.Params.Count)
 		}
 	}
-	waiting := map[string]int{}
-	for label, n := range needs {
-		waiting[label] = n.ordersWaiting
-	}
-	return budgets{fleet.Share(rps, requests), fleet.Share(writes, changes), c.shareOrders(waiting)}
+	return budgets{fleet.Share(rps, requests), fleet.Share(writes, changes), c.shareOrders(c.lead, needs)}
 }
 
 // Lend implements peer.Handler: whether another controller may make changes beyond
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -29,7 +29,10 @@
 	mu    sync.Mutex
 	procs map[string]*process
 	refs  []string
-	said  []string // what a script did, told if it fails
+	said  []string  // what a script did, told if it fails
+	ended time.Time // when all controllers first ended
+	// cancels says that jobs were cancelled: their stops are never held back.
+	cancels bool
 	// prepare is called with each new process before it starts, nil for nothing.
 	prepare func(label string, c *Controller)
 }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -8,6 +8,7 @@
 	"bramblespur/internal/cloud"
 	"bramblespur/internal/config"
 	"bramblespur/internal/fleet"
+	"bramblespur/internal/pace"
 	"bramblespur/internal/peer"
 	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
@@ -51,6 +52,7 @@
 	addressing map[string]bool
 	backs      map[string]bool // batches being given back
 	grants     budgets
+	orders     *pace.Shares     // of the orders to workers; nil until they are shared out
 	pool       *statestore.Pool // changes that it lends
 	synced     time.Time
 	planned    time.Time
@@ -268,9 +270,9 @@
 	own := need{ordersWaiting: c.ordersWaiting()}
 	own.Requests, own.Changes = c.store.Needed()
 	needs[c.cfg.Label] = own
+	c.setOrderShare(l.grants.orders[c.cfg.Label], now) // as the others were told in this turn
 	l.grants = c.share(needs, turn)
 	c.setBudget(l.grants.requests[c.cfg.Label], l.grants.changes[c.cfg.Label], now)
-	c.setOrderShare(l.grants.orders[c.cfg.Label], now)
 }
 
 // planFleet plans with the summaries of all parts, carries out what concerns the parts
--- a/internal/controller/restarts.go
+++ b/internal/controller/restarts.go
@@ -120,22 +120,29 @@
 	return c.restarts.pace.Waiting()
 }
 
-// shareOrders shares out the orders of all by what waited at each controller. One that did
-// not answer may be using its equal share, so that is left to it. The lock is held.
-func (c *Controller) shareOrders(waiting map[string]int) map[string]float64 {
+// shareOrders shares out the orders of all by what waited at each controller that answered.
+// The lock is held.
+func (c *Controller) shareOrders(l *leading, needs map[string]need) map[string]float64 {
 	if !c.restarts.on {
 		return nil
 	}
-	total := c.restarts.pace.Settings().Total(c.fleet.Len())
-	left, needs := total, map[string]float64{}
+	if l.orders == nil {
+		l.orders = pace.NewShares(c.restarts.pace.Settings().Total(c.fleet.Len()), c.cfg.Labels())
+	}
+	waiting := map[string]float64{}
 	for _, label := range c.cfg.Labels() {
-		if n, answered := waiting[label]; answered {
-			needs[label] = float64(n)
-		} else {
-			left -= total / float64(c.cfg.Params.Count)
+		n, answered := needs[label]
+		if !answered {
+			l.orders.Silent(label)
+			continue
+		}
+		waiting[label] = float64(n.ordersWaiting)
+		if share, given := l.grants.orders[label]; given {
+			l.orders.Confirm(label, share)
 		}
 	}
-	return fleet.Share(left, needs)
+	left := c.restarts.pace.Settings().Total(c.fleet.Len()) * float64(len(waiting)) / float64(c.cfg.Params.Count)
+	return l.orders.Next(fleet.Share(left, waiting))
 }
 
 // restartLoop follows what has to settle, and records it.
@@ -154,14 +161,15 @@
 	}
 }
 
-// endPace ends the pace once nothing has waited for it for a while. The lock is held.
+// endPace ends the pace once all should have settled, here and elsewhere, and nothing has
+// waited for it for a while. The lock is held.
 func (c *Controller) endPace(now time.Time) {
 	r := &c.restarts
 	if !r.pace.On() {
 		return
 	}
-	if r.pace.Held() {
-		r.calmAt = now
+	if r.pace.Held() || !r.pace.Late(now) {
+		r.calmAt = now // others may be settling yet
 	}
 	if now.Sub(r.calmAt) > paceCalm {
 		r.pace.End()
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -114,10 +114,13 @@
 	}
 }
 
-// fill saves up orders with time. Half of a second's worth may be saved up and half comes
-// within a second, so that no second has more than the share.
+// burstShare is the part of a second's orders that may be saved up; the rest comes within a
+// second, so that no second has more than the share.
+const burstShare = 0.25
+
+// fill saves up orders with time.
 func (p *Pace) fill(now time.Time) {
-	p.saved = min(p.capacity(now), p.saved+p.rate(now)/2*max(0, now.Sub(p.at).Seconds()))
+	p.saved = min(p.capacity(now), p.saved+(1-burstShare)*p.rate(now)*max(0, now.Sub(p.at).Seconds()))
 	p.at = now
 }
 
@@ -132,7 +135,7 @@
 const maxDoublings = 20
 
 // capacity is what may be saved up: one order at least, else none would ever be released.
-func (p *Pace) capacity(now time.Time) float64 { return max(1, p.rate(now)/2) }
+func (p *Pace) capacity(now time.Time) float64 { return max(1, burstShare*p.rate(now)) }
 
 // Allow reports whether an order may be released now, and counts it if so.
 func (p *Pace) Allow(c Class, now time.Time) bool {
@@ -175,6 +178,9 @@
 	return n
 }
 
+// Late reports whether the time is over within which all should have settled.
+func (p *Pace) Late(now time.Time) bool { return now.Sub(p.began) > p.settings.SettleWithin }
+
 // Held reports whether an order had to wait since the last call.
 func (p *Pace) Held() bool {
 	held := p.held
@@ -187,6 +193,6 @@
 
 // NextAt returns when the next order may be released.
 func (p *Pace) NextAt(now time.Time) time.Time {
-	wait := max(0, 1-p.saved) / max(p.rate(now)/2, leastRate)
+	wait := max(0, 1-p.saved) / max((1-burstShare)*p.rate(now), leastRate)
 	return now.Add(time.Duration(wait * float64(time.Second)))
 }
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -209,15 +209,22 @@
 		if m.Addr == "" || m.session == 0 {
 			continue
 		}
-		o := wire.DirectOrders{Token: m.token(p), Session: m.session}
-		for k, t := range m.on {
-			if t.stop && t.recorded {
-				o.Commands = append(o.Commands, halt(k.name(), t.attempt, t.grace))
-			}
-		}
+		o := wire.DirectOrders{Token: m.token(p), Session: m.session, Commands: p.stops(m, now)}
 		if len(o.Commands) > 0 || m.announceToken {
 			m.announceToken = false
 			p.out.Pushes = append(p.out.Pushes, Push{Machine: m.ID, Addr: m.Addr, Orders: o})
 		}
 	}
 }
+
+// stops returns the stops for a machine. What has to wait for the pace goes with a later
+// report's answer.
+func (p *Part) stops(m *Machine, now time.Time) []wire.Command {
+	var out []wire.Command
+	for k, t := range m.on {
+		if t.stop && t.recorded && p.cfg.Pace.Allow(p.paceClass(k), now) {
+			out = append(out, halt(k.name(), t.attempt, t.grace))
+		}
+	}
+	return out
+}
--- a/internal/sched/reconcile.go
+++ b/internal/sched/reconcile.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramblespur/internal/pace"
 	"bramblespur/internal/reconcile"
 	"bramblespur/internal/wire"
 )
@@ -46,6 +47,7 @@
 				p.complete(key{j, n}, now) // of whatever attempt: the result is kept
 			}
 		case reconcile.Stop:
+			p.cfg.Pace.Allow(pace.Limited, now) // its job may have been cancelled
 			commands = append(commands, halt(rt.Task, rt.Attempt, 0))
 		case reconcile.Forget:
 			commands = append(commands, wire.Command{Op: wire.Forget, Task: rt.Task, Attempt: rt.Attempt})
--- a/internal/testkit/agent_tasks.go
+++ b/internal/testkit/agent_tasks.go
@@ -26,6 +26,7 @@
 // obey carries out commands in order. The lock is held.
 func (a *Agent) obey(commands []wire.Command) {
 	for _, c := range commands {
+		a.w.orders.note(c.Op)
 		t := a.tasks[c.Task]
 		switch c.Op {
 		case wire.Start:
@@ -165,3 +166,15 @@
 		}
 	}
 }
+
+// Inject puts a task on the machine that nobody ordered there, running or exited.
+func (a *Agent) Inject(ref string, i int, attempt uint64, state, why string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := &agentTask{ref: ref, i: i, attempt: attempt, state: state, why: why, since: time.Now()}
+	if t.on() {
+		a.w.check.expect(t.name(), a.Place)
+	}
+	a.tasks[t.name()] = t
+	a.note()
+}
