Malformed job records and reports that contradict themselves are isolated

Need: one record that could not be decoded kept a whole part from being taken over. It is passed over now, logged and counted in the record of the restart. A report that has one attempt of a task twice is refused; two attempts of one may be there, as where a start is refused.

--- a/cmd/bramblespurctl/main_test.go
+++ b/cmd/bramblespurctl/main_test.go
@@ -11,6 +11,7 @@
 
 	"bramblespur/internal/drain"
 	"bramblespur/internal/record"
+	"bramblespur/internal/restart"
 	"bramblespur/internal/testkit"
 	"bramblespur/internal/wire"
 )
@@ -113,6 +114,24 @@
 	s.want(1, "is cancelled already", "drain", "resume", "old")
 }
 
+// What an operator sees of restarts.
+func TestRestartCommands(t *testing.T) {
+	s := newSite(t)
+	s.put(restart.Key("c-0"), restart.History{Episodes: []restart.Episode{
+		{Incarnation: 4, Cause: restart.Started, Began: 1000, Settled: 9000, Parts: []int{0, 1}, Verdicts: map[string]int{"adopted": 12}, Orders: []int{3, 5}, Bound: 10, Malformed: 1},
+		{Incarnation: 7, Cause: restart.TookOver, Began: 20000, Parts: []int{2}, Awaited: 3, Unheard: 1, Names: []string{"i-000007"}},
+	}})
+	s.put(restart.Key("c-1"), "nonsense")
+	s.want(0, "invalid", "restart", "list")
+	s.want(0, "3 tasks, 1 machines", "restart", "list")
+	s.want(0, "i-000007", "restart", "show", "c-0")
+	s.want(0, "5 at most, of 10.0", "restart", "show", "c-0/1000", "--follow")
+	s.want(0, "<svg", "restart", "report", "c-0/1000")
+	s.want(0, `"adopted": 12`, "restart", "report", "c-0/1000", "-o", "json")
+	s.want(1, "unknown restart c-9", "restart", "show", "c-9")
+	s.want(2, "want one name", "restart", "show")
+}
+
 // What makes no sense is refused in one line, before anything is written: with exit code 2
 // if it was not asked for properly, and 1 if it can't be done.
 func TestDrainBadInput(t *testing.T) {
--- a/cmd/bramblespurctl/restart.go
+++ b/cmd/bramblespurctl/restart.go
@@ -177,6 +177,6 @@
 			peak = max(peak, n)
 		}
 		fmt.Fprintf(w, "orders in a second\t%d at most, of %.1f\n", peak, e.Bound)
-		fmt.Fprintf(w, "contradictory claims\t%d\n", e.Contradictions)
+		fmt.Fprintf(w, "contradictory claims\t%d\nmalformed records\t%d\n", e.Contradictions, e.Malformed)
 	})
 }
--- a/internal/controller/restarts.go
+++ b/internal/controller/restarts.go
@@ -63,6 +63,10 @@
 // beginEpisode takes in that a part was taken over. The lock is held.
 func (c *Controller) beginEpisode(p *sched.Part, now time.Time) {
 	r := &c.restarts
+	malformed := p.Malformed()
+	for _, err := range malformed {
+		c.log.Error("malformed record passed over", "part", p.ID(), "err", err)
+	}
 	if !r.on {
 		p.EndSettling()
 		return
@@ -77,6 +81,7 @@
 		r.tally, r.calmAt = reconcile.Tally{}, now
 		c.log.Info("restart: settling begins", "cause", cause)
 	}
+	r.episode.Malformed += len(malformed)
 	r.pace.Begin(c.equalOrders(), now)
 	r.parts[p.ID()] = true
 	if !slices.Contains(r.episode.Parts, p.ID()) {
--- a/internal/restart/episode.go
+++ b/internal/restart/episode.go
@@ -42,6 +42,8 @@
 	Bound  float64 `json:"bound,omitempty"`
 	// Contradictions counts claims that disagree with what is known.
 	Contradictions int `json:"contradictions,omitempty"`
+	// Malformed counts records that could not be decoded and were passed over.
+	Malformed int `json:"malformed,omitempty"`
 }
 
 // Took returns how long it took to settle, or has taken so far.
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -11,7 +11,8 @@
 )
 
 // Load fills a newly claimed part from its records. Placements of earlier
-// owners count as there until their machines answer under our token.
+// owners count as there until their machines answer under our token. A job's record that
+// can't be decoded is passed over; one of placements can't be, since what it says may run.
 func (p *Part) Load(fleet *record.Fleet, open, slots []wire.Entry, now time.Time) error {
 	var err error
 	fleet.Each(func(id string, v record.View) {
@@ -28,7 +29,8 @@
 	for _, e := range open {
 		o, err := decode[record.Open](e)
 		if err != nil {
-			return err
+			p.settling.malformed = append(p.settling.malformed, err)
+			continue // that job waits for who mends its record; the others go on
 		}
 		p.SetJob(record.Last(e.Key), o, e.Version, now)
 	}
--- a/internal/sched/settling.go
+++ b/internal/sched/settling.go
@@ -15,6 +15,8 @@
 	awaited int       // placements of earlier owners without a verdict
 	tally   reconcile.Tally
 	strays  map[string]bool // tasks in reports that are not on record, each counted once
+	// malformed is what is wrong with records that were passed over.
+	malformed []error
 }
 
 // Bounds of what is remembered while a part settles.
@@ -34,7 +36,7 @@
 
 // beginSettling counts what is to be found out about.
 func (p *Part) beginSettling(now time.Time) {
-	p.settling = settling{since: now, strays: map[string]bool{}}
+	p.settling.since, p.settling.strays = now, map[string]bool{}
 	for _, m := range p.machines {
 		for _, t := range m.on {
 			if t.inherited {
@@ -64,6 +66,9 @@
 	return out, true
 }
 
+// Malformed returns what is wrong with records that were passed over when the part was loaded.
+func (p *Part) Malformed() []error { return p.settling.malformed }
+
 // EndSettling forgets what was found out.
 func (p *Part) EndSettling() { p.settling = settling{} }
 
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
@@ -168,3 +169,18 @@
 		t.Fatalf("returned %v, want the silent machine, whatever late copies say", r.cloud.Returned)
 	}
 }
+
+// A job's record that can't be decoded is passed over and told, and the other jobs go on.
+func TestMalformedJobIsIsolated(t *testing.T) {
+	r, _ := newRigWithMachine(t)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	r.state.Put(record.OpenKey("run-000002"), "nonsense")
+	r.claim()
+	if got := r.part.Malformed(); len(got) != 1 {
+		t.Errorf("told of %v", got)
+	}
+	r.beats(3)
+	if r.on("run-000001/0") == "" || r.get(record.OpenKey("run-000002")) == nil {
+		t.Error("the other job does not run, or the record is gone")
+	}
+}
--- a/internal/wire/check.go
+++ b/internal/wire/check.go
@@ -40,9 +40,43 @@
 			return err
 		}
 	}
+	if name, twice := r.attemptTwice(); twice {
+		return fmt.Errorf("%w: one attempt of %.64q twice on one machine", ErrSenseless, name)
+	}
 	return nil
 }
 
+// fewTasks is up to how many tasks each is compared with each: that takes no memory.
+const fewTasks = 64
+
+// attemptTwice returns a task of which the report has one attempt twice. Two attempts of a
+// task may well be there: a start is refused where another attempt runs.
+func (r *Report) attemptTwice() (name string, twice bool) {
+	type attempt struct {
+		task string
+		n    uint64
+	}
+	if len(r.Tasks) > fewTasks {
+		seen := make(map[attempt]bool, len(r.Tasks))
+		for i := range r.Tasks {
+			a := attempt{r.Tasks[i].Task, r.Tasks[i].Attempt}
+			if seen[a] {
+				return a.task, true
+			}
+			seen[a] = true
+		}
+		return "", false
+	}
+	for i := range r.Tasks {
+		for k := range i {
+			if r.Tasks[i].Task == r.Tasks[k].Task && r.Tasks[i].Attempt == r.Tasks[k].Attempt {
+				return r.Tasks[i].Task, true
+			}
+		}
+	}
+	return "", false
+}
+
 // taskStates are the states of tasks in reports.
 var taskStates = []string{Fetching, Gathering, Running, Saving, Exited}
 
--- a/internal/wire/check_test.go
+++ b/internal/wire/check_test.go
@@ -18,14 +18,21 @@
 	}
 	notice := func(s float64) func(*Report) { return func(r *Report) { r.NoticeS = &s } }
 	for name, change := range map[string]func(*Report){
-		"no machine":         func(r *Report) { r.Machine = "" },
-		"a long name":        func(r *Report) { r.Machine = strings.Repeat("x", maxName+1) },
-		"a long address":     func(r *Report) { r.Addr = strings.Repeat("x", maxName+1) },
-		"no session":         func(r *Report) { r.Session = 0 },
-		"an endless notice":  notice(1e300),
-		"a notice of NaN":    notice(math.NaN()),
-		"too many tasks":     func(r *Report) { r.Tasks = make([]ReportTask, maxOnOne+1) },
-		"an unknown state":   func(r *Report) { r.Tasks[0].State = "dreaming" },
+		"no machine":        func(r *Report) { r.Machine = "" },
+		"a long name":       func(r *Report) { r.Machine = strings.Repeat("x", maxName+1) },
+		"a long address":    func(r *Report) { r.Addr = strings.Repeat("x", maxName+1) },
+		"no session":        func(r *Report) { r.Session = 0 },
+		"an endless notice": notice(1e300),
+		"a notice of NaN":   notice(math.NaN()),
+		"too many tasks":    func(r *Report) { r.Tasks = make([]ReportTask, maxOnOne+1) },
+		"an unknown state":  func(r *Report) { r.Tasks[0].State = "dreaming" },
+		"an attempt twice":  func(r *Report) { r.Tasks[1] = r.Tasks[0] },
+		"one twice of many": func(r *Report) {
+			r.Tasks = nil
+			for i := range 2 * fewTasks {
+				r.Tasks = append(r.Tasks, ReportTask{Task: "run-000412/3", Attempt: uint64(i%(2*fewTasks-1) + 1), State: Exited, Why: WhyBusy})
+			}
+		},
 		"a task by no name":  func(r *Report) { r.Tasks[0].Task = "" },
 		"a task's long name": func(r *Report) { r.Tasks[0].Task = strings.Repeat("x", maxName+1) },
 	} {
@@ -37,6 +44,7 @@
 	}
 	for name, change := range map[string]func(*Report){
 		"a notice that is over": notice(-0.5),
+		"two attempts":          func(r *Report) { r.Tasks[1].Task = r.Tasks[0].Task },
 		"the first number":      func(r *Report) { r.Seq = 0 }, // PROTOCOL says only that it increases
 	} {
 		r := good()
