Readable code: placement and the leader's plan in files by subject

What finds candidates, scores them, knows limits, assigns, rents and returns stands in files of its own now; nothing else has changed.

--- /dev/null
+++ b/internal/sched/candidates.go
@@ -0,0 +1,181 @@
+package sched
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// find chooses a machine for each of n tasks of j, nil if there is no room for
+// all of them.
+func (p *Part) find(j *Job, n int, now time.Time) []*Machine {
+	s := j.spec
+	if n == 1 && p.found.job == j {
+		return p.next(j)
+	}
+	p.found.job = nil
+	var cands []*Machine
+	p.roomy(s, now, func(m *Machine) {
+		if j.failedOn[m.ID] && !j.atFault() {
+			return
+		}
+		if m.keptFromOthers(j, now) {
+			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && p.yields(j, o, now) {
+				return
+			}
+		}
+		cands = append(cands, m)
+	})
+	if len(cands) == 0 {
+		return nil
+	}
+	limit := j.zoneLimit()
+	only := ""
+	if s.OneZone {
+		for z := range j.zones {
+			only = z
+		}
+	}
+	if n == 1 && (s.Spread || s.OneZone || j.nIdle == 1) {
+		return p.best(j, cands, limit, only)
+	}
+	scores := p.sortByScore(j, cands)
+	if n == 1 {
+		p.found = found{j, cands}
+		return p.next(j)
+	}
+	if !s.OneZone || only != "" {
+		return pick(s, cands, n, j.zones, limit, only)
+	}
+	// The zone that serves the whole gang best: it starts when the last of its
+	// tasks has the image.
+	var best []*Machine
+	bestScore := math.Inf(-1)
+	tried := map[string]bool{}
+	for _, m := range cands {
+		if tried[m.Zone] {
+			continue
+		}
+		tried[m.Zone] = true
+		got := pick(s, cands, n, j.zones, limit, m.Zone)
+		if got == nil {
+			continue
+		}
+		sum := 0.0
+		for _, g := range got {
+			sum += scores[g]
+		}
+		if sum > bestScore {
+			best, bestScore = got, sum
+		}
+	}
+	return best
+}
+
+// zoneLimit is how many of a job's tasks may be in one zone.
+func (j *Job) zoneLimit() int {
+	if j.spec.Spread {
+		return (len(j.tasks) + 1) / 2
+	}
+	return len(j.tasks)
+}
+
+// mayGoTo reports whether a zone may take one more of a job's tasks, as those that
+// are placed leave it.
+func (j *Job) mayGoTo(zone string) bool {
+	if j.spec.OneZone && len(j.zones) > 0 && j.zones[zone] == 0 {
+		return false
+	}
+	return j.zones[zone] < j.zoneLimit()
+}
+
+// found is the candidates for a job's tasks, the best first, while no other
+// job's task is placed.
+type found struct {
+	job  *Job
+	list []*Machine
+}
+
+// next returns the machine for the next task of a job that places one after the
+// other: a wide array would else look at all free machines for each of them. A
+// machine that took one is fuller, and so stays the best until it is full.
+func (p *Part) next(j *Job) []*Machine {
+	for len(p.found.list) > 0 {
+		m := p.found.list[0]
+		if r := free(m); roomFor(j.spec, r.cpus, r.gpus, r.mem) {
+			return p.found.list[:1]
+		}
+		p.found.list = p.found.list[1:]
+	}
+	return nil
+}
+
+// sortByScore puts the best machines first.
+func (p *Part) sortByScore(j *Job, ms []*Machine) map[*Machine]float64 {
+	scores := make(map[*Machine]float64, len(ms))
+	for _, m := range ms {
+		scores[m] = p.score(j, m)
+	}
+	sort.Slice(ms, func(a, b int) bool {
+		if x, y := scores[ms[a]], scores[ms[b]]; x != y {
+			return x > y
+		}
+		return ms[a].ID < ms[b].ID
+	})
+	return scores
+}
+
+// yields reports whether a job leaves alone what is kept for another. One that has
+// waited too long takes it from those that have not, but not from those that go
+// before it: small gangs, which find room soon, would keep the largest from ever
+// having gathered enough.
+func (p *Part) yields(j, other *Job, now time.Time) bool {
+	if p.aged(j, now) {
+		return p.aged(other, now) && beforeAged(other, j)
+	}
+	return other.rank >= j.rank
+}
+
+// best returns the best of the candidates for one task.
+func (p *Part) best(j *Job, cands []*Machine, limit int, only string) []*Machine {
+	var best *Machine
+	top := 0.0
+	for _, m := range cands {
+		if (only != "" && m.Zone != only) || j.zones[m.Zone] >= limit {
+			continue
+		}
+		if v := p.score(j, m); best == nil || v > top || (v == top && m.ID < best.ID) {
+			best, top = m, v
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*Machine{best}
+}
+
+// pick takes machines in order, several tasks to one where they fit.
+func pick(s *wire.Spec, cands []*Machine, n int, placed map[string]int, limit int, only string) []*Machine {
+	zones := make(map[string]int, len(placed))
+	for z, c := range placed {
+		zones[z] = c
+	}
+	var got []*Machine
+	for _, m := range cands {
+		if only != "" && m.Zone != only {
+			continue
+		}
+		r := free(m)
+		for len(got) < n && roomFor(s, r.cpus, r.gpus, r.mem) && zones[m.Zone] < limit {
+			got = append(got, m)
+			zones[m.Zone]++
+			r = r.less(s, 1)
+		}
+		if len(got) == n {
+			return got
+		}
+	}
+	return nil
+}
--- a/internal/sched/reservations.go
+++ b/internal/sched/reservations.go
@@ -1,17 +1,6 @@
-// Package sched is the pure core of one part of the work: the ledger of its
-// tasks and machines, its queues, placement, preemption and demand. Events and
-// the time go in, transactions, commands and requests come out. It starts no
-// goroutines and does no input or output.
-//
-// Nothing runs that was not recorded: a placement first becomes a transaction,
-// and only when that has succeeded does a report's answer carry the start. A
-// placed task keeps its place, its resources and its quota until its machine
-// proved it gone.
 package sched
 
-import (
-	"time"
-)
+import "time"
 
 // heldFor returns for how many of a job's tasks room is kept on a machine.
 func (m *Machine) heldFor(j *Job, now time.Time) int {
--- /dev/null
+++ b/internal/sched/score.go
@@ -0,0 +1,56 @@
+package sched
+
+import (
+	"math"
+)
+
+// breaksUp is what it counts against a machine that none of its cards is in use, and
+// holdsUp that all its work is such as may have to give way to a gang: a task that
+// has inherited a priority would not.
+const (
+	breaksUp = 150
+	holdsUp  = 110
+)
+
+// soonCordoned is what it counts against a machine that is to be drained: more than its
+// image is worth, as what starts there may be evicted soon.
+const soonCordoned = 250
+
+// score ranks a machine for a task: one that caches its image first (DESIGN's
+// stand-in for sending fragments to the data), then a spot machine where the
+// job may use one, then the fullest, so that whole machines stay free, and of
+// these the one with the fewest images, so that caches stay for whom they serve.
+// Work without cards goes beside work with cards, even where its image, which is
+// small, must be fetched first: a machine of which it takes a few cores is lost to
+// a gang that needs all of it.
+func (p *Part) score(j *Job, m *Machine) float64 {
+	v := 0.0
+	if m.hasImage(j.spec.Image) {
+		v += 100
+	}
+	if j.spec.GPUs <= 0 && m.Type.GPUs > 0 {
+		switch {
+		case m.gpus <= 0:
+			v -= breaksUp
+		case m.ranks[highestRank]+m.ranks[highestRank-1] == 0:
+			v -= holdsUp
+		}
+	}
+	if m.avoided {
+		v -= soonCordoned
+	}
+	if m.Spot {
+		v += 30
+	}
+	if j.spec.Spread {
+		v -= 10 * float64(j.zones[m.Zone])
+	}
+	used := 0.0
+	if m.Type.GPUs > 0 {
+		used = m.gpus / m.Type.GPUs
+	}
+	if m.Type.CPUs > 0 {
+		used = math.Max(used, m.cpus/m.Type.CPUs)
+	}
+	return v + 20*used - float64(len(m.images))/2
+}
