Readable code: counts of tasks, unknown versions and returns under whole names; one way to read and print

nIdle, nPlaced, nDone and nRunning are idleTasks and so on, unsure is versionUnknown, Give is MachineReturn, and sched.Verdict, which was no verdict of reconciliation, is Disposition. Go names only; tests unchanged.

--- a/cmd/bramblespurctl/drain.go
+++ b/cmd/bramblespurctl/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -156,39 +155,19 @@
 }
 
 func (t *tool) listCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "list",
-		Short: "List all drains",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := t.drainClient()
-			if err != nil {
-				return err
-			}
-			all, err := c.List(cmd.Context())
-			if err != nil {
-				return err
-			}
-			out := cmd.OutOrStdout()
-			return t.print(out, all, func() { writeList(out, all) })
-		},
+	list := func(ctx context.Context, _ []string) ([]drainctl.Summary, error) {
+		c, err := t.drainClient()
+		if err != nil {
+			return nil, err
+		}
+		return c.List(ctx)
 	}
+	return reading(t, "list", "List all drains", cobra.NoArgs, list, writeList)
 }
 
 func (t *tool) showCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "show NAME",
-		Short: "Show a drain: how far it is, and what holds it up",
-		Args:  oneName,
-		RunE: func(cmd *cobra.Command, args []string) error {
-			s, err := t.status(cmd.Context(), args[0])
-			if err != nil {
-				return err
-			}
-			out := cmd.OutOrStdout()
-			return t.print(out, s, func() { writeStatus(out, s) })
-		},
-	}
+	show := func(ctx context.Context, args []string) (*drainctl.Status, error) { return t.status(ctx, args[0]) }
+	return reading(t, "show NAME", "Show a drain: how far it is, and what holds it up", oneName, show, writeStatus)
 }
 
 func (t *tool) status(ctx context.Context, name string) (*drainctl.Status, error) {
@@ -231,14 +210,3 @@
 	}
 	return writeTo(out, path, r.HTML)
 }
-
-// print writes what was asked for, as JSON or as text.
-func (t *tool) print(out io.Writer, v any, text func()) error {
-	if t.output == jsonOutput {
-		e := json.NewEncoder(out)
-		e.SetIndent("", "  ")
-		return e.Encode(v)
-	}
-	text()
-	return nil
-}
--- a/cmd/bramblespurctl/restart.go
+++ b/cmd/bramblespurctl/restart.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -35,23 +33,14 @@
 }
 
 func (t *tool) restartListCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "list",
-		Short: "List the restarts on record",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := t.restartClient()
-			if err != nil {
-				return err
-			}
-			all, err := c.List(cmd.Context())
-			if err != nil {
-				return err
-			}
-			out := cmd.OutOrStdout()
-			return t.print(out, all, func() { writeRestarts(out, all) })
-		},
+	list := func(ctx context.Context, _ []string) ([]restartctl.Episode, error) {
+		c, err := t.restartClient()
+		if err != nil {
+			return nil, err
+		}
+		return c.List(ctx)
 	}
+	return reading(t, "list", "List the restarts on record", cobra.NoArgs, list, writeRestarts)
 }
 
 func (t *tool) restartShowCommand() *cobra.Command {
@@ -130,18 +119,6 @@
 	return nil
 }
 
-// writeTo writes a report to a file, or without a path to out.
-func writeTo(out io.Writer, path string, write func(io.Writer) error) error {
-	if path == "" {
-		return write(out)
-	}
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(write(file), file.Close())
-}
-
 func writeRestarts(out io.Writer, all []restartctl.Episode) {
 	table(out, func(w io.Writer) {
 		fmt.Fprintln(w, "NAME\tSTATE\tCAUSE\tTOOK\tPARTS\tAWAITED")
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -114,7 +114,7 @@
 			go c.push(p, d)
 		}
 	}
-	for _, g := range eff.Given {
+	for _, g := range eff.Returned {
 		c.log.Info("giving back", "machine", g.Machine, "part", p.ID(), "why", g.Why, "tasks", g.Tasks, "silent", g.Silent.Round(time.Millisecond))
 	}
 	for _, e := range eff.Ended {
--- a/internal/sched/attain.go
+++ b/internal/sched/attain.go
@@ -43,7 +43,7 @@
 func (p *Part) lasting(m *Machine, j *Job, within bool) room {
 	r := room{m.Type.CPUs, m.Type.GPUs, m.Type.MemoryGB}
 	for k, t := range m.on {
-		goesOn := k.job.spec.Kind == wire.Service || (k.job.kept && k.job.nIdle > 0)
+		goesOn := k.job.spec.Kind == wire.Service || (k.job.kept && k.job.idleTasks > 0)
 		if goesOn && !t.stop && !p.givesWay(k.job, j, within) {
 			r = r.less(k.job.spec, 1)
 		}
--- a/internal/sched/candidates.go
+++ b/internal/sched/candidates.go
@@ -22,7 +22,7 @@
 			return
 		}
 		if m.keptFromOthers(j, now) {
-			if o := p.jobs[m.reserved]; o != nil && o.nIdle > 0 && p.yields(j, o, now) {
+			if o := p.jobs[m.reserved]; o != nil && o.idleTasks > 0 && p.yields(j, o, now) {
 				return
 			}
 		}
@@ -38,7 +38,7 @@
 			only = z
 		}
 	}
-	if n == 1 && (s.Spread || s.OneZone || j.nIdle == 1) {
+	if n == 1 && (s.Spread || s.OneZone || j.idleTasks == 1) {
 		return p.best(j, cands, limit, only)
 	}
 	scores := p.sortByScore(j, cands)
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -32,7 +32,7 @@
 // flush makes the transactions that bring the records up to the ledger.
 func (p *Part) flush(now time.Time) {
 	for ref, j := range p.ending {
-		if j.ending != nil || j.unsure || now.Before(j.retry) {
+		if j.ending != nil || j.versionUnknown || now.Before(j.retry) {
 			continue
 		}
 		if !j.over() {
@@ -45,7 +45,7 @@
 		p.retire()
 	}
 	for _, s := range p.slots {
-		if !s.dirty || len(s.left) > 0 || s.txn != nil || s.unsure || now.Before(s.retry) {
+		if !s.dirty || len(s.left) > 0 || s.txn != nil || s.versionUnknown || now.Before(s.retry) {
 			continue
 		}
 		// Completions alone wait for others to share the write: a user may be
@@ -232,10 +232,10 @@
 	return last(record.Within(p.valueBytes, 0, len(m.images), last)).(record.Machine)
 }
 
-// giveBack makes a machine leave for good. Only the answered return, as its
+// returnMachine makes a machine leave for good. Only the answered return, as its
 // batch's record tells, proves gone what may run on it.
-func (p *Part) giveBack(m *Machine, why string, now time.Time) {
-	p.out.Given = append(p.out.Given, Give{Machine: m.ID, Why: why, Tasks: len(m.on), Silent: now.Sub(m.heard)})
+func (p *Part) returnMachine(m *Machine, why string, now time.Time) {
+	p.out.Returned = append(p.out.Returned, MachineReturn{Machine: m.ID, Why: why, Tasks: len(m.on), Silent: now.Sub(m.heard)})
 	m.Phase = record.Returning
 	p.index.update(m)
 	if len(p.leaving) == 0 {
--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -118,14 +118,14 @@
 	u := &drain.Unit{
 		UnitID: unitOf(k), Team: s.Team, Class: s.Class, Attempt: t.attempt, Service: s.Kind == wire.Service, Tasks: 1,
 		Estimate: wire.Seconds(s.EstimateS), Checkpoint: wire.Seconds(s.CheckpointS), Save: wire.Seconds(s.SaveS),
-		Running: t.phase == wire.Running, Stopping: t.stop || j.cancelled, OthersUp: j.nRunning >= len(j.tasks)-1,
+		Running: t.phase == wire.Running, Stopping: t.stop || j.cancelled, OthersUp: j.runningTasks >= len(j.tasks)-1,
 	}
 	if u.Running {
 		u.Ran = now.Sub(t.runSince)
 	}
 	if u.Task == drain.WholeGang {
 		u.Tasks = len(j.tasks)
-		u.Running = j.nRunning == len(j.tasks)
+		u.Running = j.runningTasks == len(j.tasks)
 	}
 	u.Loss = lost(s, u)
 	for _, o := range j.tasksOf(u.UnitID) {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -43,20 +43,20 @@
 	p.zones = map[zoneLimit]zoneCount{}
 	p.probe(now)
 	for _, m := range p.machines {
-		if m.txn != nil || m.unsure || m.Phase != record.InUse || now.Before(m.retry) {
+		if m.txn != nil || m.versionUnknown || m.Phase != record.InUse || now.Before(m.retry) {
 			continue
 		}
 		// Only the answered return proves gone what may run there.
 		switch why := p.lostWhy(m, now); {
 		case why != "":
-			p.giveBack(m, why, now)
+			p.returnMachine(m, why, now)
 		case m.drain:
 			p.clear(m, now)
 			if len(m.on) == 0 {
-				p.giveBack(m, "drained", now)
+				p.returnMachine(m, "drained", now)
 			}
 		case m.cordon == CordonedForReturn && len(m.on) == 0:
-			p.giveBack(m, "drained", now)
+			p.returnMachine(m, "drained", now)
 		case m.moveTo >= 0 && len(m.on) == 0 && m.fenced && m.settled():
 			p.moveTxn(m)
 		default:
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -120,7 +120,7 @@
 
 // queue notes whether a job has a task without a place.
 func (x *index) queue(j *Job) {
-	if j.nIdle > 0 {
+	if j.idleTasks > 0 {
 		x.waiting[j.ref] = j
 	} else {
 		delete(x.waiting, j.ref)
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -14,8 +14,8 @@
 	j := k.job
 	t := &j.tasks[k.i]
 	*t = task{state: placed, attempt: attempt, machine: m}
-	j.nIdle--
-	j.nPlaced++
+	j.idleTasks--
+	j.placedTasks++
 	j.zones[m.Zone]++
 	p.index.queue(j)
 	s := j.spec
@@ -60,8 +60,8 @@
 	u.cpus -= s.CPUs
 	u.gpus -= s.GPUs
 	*t = task{state: idle}
-	j.nPlaced--
-	j.nIdle++
+	j.placedTasks--
+	j.idleTasks++
 	if j.zones[m.Zone]--; j.zones[m.Zone] == 0 {
 		delete(j.zones, m.Zone)
 	}
@@ -83,8 +83,8 @@
 		p.take(k, now)
 	}
 	*t = task{state: done}
-	j.nIdle--
-	j.nDone++
+	j.idleTasks--
+	j.doneTasks++
 	p.index.queue(j)
 	j.fails = 0
 	p.touch(k, now)
@@ -101,7 +101,7 @@
 
 // over reports whether nothing of a job is left to run or to be proven gone.
 func (j *Job) over() bool {
-	return (j.cancelled && j.nPlaced == 0) || (!j.cancelled && j.nDone == len(j.tasks))
+	return (j.cancelled && j.placedTasks == 0) || (!j.cancelled && j.doneTasks == len(j.tasks))
 }
 
 // touch marks the range of a task as changed.
@@ -133,7 +133,7 @@
 	if j == nil {
 		spec := o.Spec
 		j = &Job{
-			ref: ref, spec: &spec, accepted: time.UnixMilli(o.At), tasks: make([]task, spec.Tasks), nIdle: spec.Tasks,
+			ref: ref, spec: &spec, accepted: time.UnixMilli(o.At), tasks: make([]task, spec.Tasks), idleTasks: spec.Tasks,
 			zones: map[string]int{}, rank: Rank(spec.Priority), held: true,
 		}
 		p.jobs[ref] = j
@@ -280,7 +280,7 @@
 	if j == nil {
 		return wire.Status{}, false
 	}
-	s := wire.Status{Ref: ref, State: wire.Pending, Done: j.nDone, Running: j.nRunning}
+	s := wire.Status{Ref: ref, State: wire.Pending, Done: j.doneTasks, Running: j.runningTasks}
 	if s.Running > 0 {
 		s.State = wire.Running
 	}
--- a/internal/sched/pipeline.go
+++ b/internal/sched/pipeline.go
@@ -16,13 +16,13 @@
 // releases neither more nor less. A job's end, the pipeline's record and the
 // records of the jobs that this releases are one transaction.
 type line struct {
-	ref     string // empty for a job that is in no pipeline with others
-	rec     record.Pipe
-	version uint64 // 0: not read yet
-	run     *fragment.Pipeline
-	others  []record.PipeEnd // ends that its record has no room for
-	busy    bool             // an end is being recorded
-	unsure  bool             // a reread is under way
+	ref            string // empty for a job that is in no pipeline with others
+	rec            record.Pipe
+	version        uint64 // 0: not read yet
+	run            *fragment.Pipeline
+	others         []record.PipeEnd // ends that its record has no room for
+	busy           bool             // an end is being recorded
+	versionUnknown bool             // a reread is under way
 }
 
 // alone is the pipeline of each job that was submitted by itself. Its only fragment is
@@ -106,7 +106,7 @@
 // JobGone takes in that a job that is held here has no open record any more: some
 // controller found a job that it needs cancelled, and recorded its end.
 func (p *Part) JobGone(ref string, now time.Time) {
-	if j := p.jobs[ref]; j != nil && j.held && j.nPlaced == 0 && j.ending == nil && !j.unsure {
+	if j := p.jobs[ref]; j != nil && j.held && j.placedTasks == 0 && j.ending == nil && !j.versionUnknown {
 		p.end(j, now)
 	}
 }
@@ -123,8 +123,8 @@
 }
 
 func (p *Part) rereadPipe(l *line) {
-	if !l.unsure {
-		l.unsure = true
+	if !l.versionUnknown {
+		l.versionUnknown = true
 		p.out.RereadPipes = append(p.out.RereadPipes, l.ref)
 	}
 }
@@ -152,7 +152,7 @@
 		run = fragment.Begin(net)
 		rec.Replay(run, others)
 	}
-	l.unsure, l.busy = false, false
+	l.versionUnknown, l.busy = false, false
 	l.rec, l.version, l.run, l.others = rec, e.Version, run, others
 	for _, ref := range run.Ready() {
 		// Released by a step that could not be recorded in one piece, if at all:
@@ -220,7 +220,7 @@
 	if l.ref == "" || j.dead || l.rec.State != "" {
 		return true // alone, or its pipeline is over without it
 	}
-	if l.version == 0 || l.unsure || l.busy {
+	if l.version == 0 || l.versionUnknown || l.busy {
 		return false
 	}
 	next, free := l.after(j, p)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -10,7 +10,7 @@
 
 // usable reports whether new work may be placed on a machine.
 func (p *Part) usable(m *Machine, now time.Time) bool {
-	return m.up && m.Phase == record.InUse && !m.drain && m.cordon == NotCordoned && m.moveTo < 0 && m.txn == nil && !m.unsure &&
+	return m.up && m.Phase == record.InUse && !m.drain && m.cordon == NotCordoned && m.moveTo < 0 && m.txn == nil && !m.versionUnknown &&
 		m.unreachableSince.IsZero() && (m.fenced || !m.inherited) && m.taken.IsZero() && now.Sub(m.reported) < p.suspectAfter()
 }
 
@@ -19,13 +19,13 @@
 
 func (j *Job) unit() int {
 	if j.spec.Kind == wire.Gang {
-		return j.nIdle // all, or what replaces those lost while it waits
+		return j.idleTasks // all, or what replaces those lost while it waits
 	}
 	return 1
 }
 
 func (p *Part) waiting(j *Job, now time.Time) bool {
-	if j.held || j.cancelled || j.nIdle == 0 || j.unsure {
+	if j.held || j.cancelled || j.idleTasks == 0 || j.versionUnknown {
 		return false
 	}
 	if j.spec.Kind == wire.Gang && !j.gathering() {
@@ -93,7 +93,7 @@
 		if bestJob == nil {
 			return
 		}
-		if p.start(bestJob, now) && bestJob.nIdle > 0 {
+		if p.start(bestJob, now) && bestJob.idleTasks > 0 {
 			continue
 		}
 		queues[best] = queues[best][1:]
@@ -115,7 +115,7 @@
 
 // starved reports whether nothing of a job has run for too long.
 func (j *Job) starved(now time.Time) bool {
-	return j.nPlaced+j.nDone == 0 && now.Sub(j.accepted) > agedAfter
+	return j.placedTasks+j.doneTasks == 0 && now.Sub(j.accepted) > agedAfter
 }
 
 // beforeAged orders jobs that have waited too long: the lowest priority first,
@@ -136,7 +136,7 @@
 	p.keptLoad = [highestRank + 1]float64{}
 	for j := range p.kept {
 		if p.index.cpus > 0 {
-			p.keptLoad[j.rank] += float64(j.nPlaced) * j.spec.CPUs / p.index.cpus
+			p.keptLoad[j.rank] += float64(j.placedTasks) * j.spec.CPUs / p.index.cpus
 		}
 	}
 }
@@ -201,7 +201,7 @@
 		p.put(key{j, i}, m, a, now)
 		p.use(m, j)
 	}
-	if j.nIdle == 0 {
+	if j.idleTasks == 0 {
 		j.stuck = time.Time{}
 	}
 	return true
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -244,7 +244,7 @@
 			zones[m.Zone] += n
 		}
 	}
-	if coming >= j.nIdle {
+	if coming >= j.idleTasks {
 		return true, false
 	}
 	var best *Machine
--- a/internal/sched/push.go
+++ b/internal/sched/push.go
@@ -130,7 +130,7 @@
 			due = true
 		}
 	}
-	if !due || !m.fenced || m.txn != nil || m.unsure {
+	if !due || !m.fenced || m.txn != nil || m.versionUnknown {
 		return
 	}
 	at := record.OwnKey(m.ID)
--- a/internal/sched/ranges.go
+++ b/internal/sched/ranges.go
@@ -61,20 +61,20 @@
 
 // slot is one record of placements, shared by ranges of several jobs.
 type slot struct {
-	n       int
-	version uint64 // 0: no record
-	stated  bool
-	used    int // in bytes
-	chunks  map[string]*chunk
-	left    map[*chunk]struct{} // ranges that went elsewhere and are not written there yet
-	dirty   bool
-	urgent  bool      // a start waits for it
-	moved   bool      // a range must come here for its old slot to be written
-	since   time.Time // when it became dirty
-	written time.Time // when it was last written
-	txn     *Txn
-	unsure  bool // a transaction's outcome is unknown; a reread is under way
-	retry   time.Time
+	n              int
+	version        uint64 // 0: no record
+	stated         bool
+	used           int // in bytes
+	chunks         map[string]*chunk
+	left           map[*chunk]struct{} // ranges that went elsewhere and are not written there yet
+	dirty          bool
+	urgent         bool      // a start waits for it
+	moved          bool      // a range must come here for its old slot to be written
+	since          time.Time // when it became dirty
+	written        time.Time // when it was last written
+	txn            *Txn
+	versionUnknown bool // a transaction's outcome is unknown; a reread is under way
+	retry          time.Time
 }
 
 // SetStated tells that no controller of the first version is left.
@@ -255,7 +255,7 @@
 // that tell nothing any more.
 func (p *Part) retire() {
 	for n, s := range p.slots {
-		if s.stated || s.txn != nil || s.unsure {
+		if s.stated || s.txn != nil || s.versionUnknown {
 			continue
 		}
 		for _, c := range s.chunks {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -7,19 +7,19 @@
 	"bramblespur/internal/wire"
 )
 
-// Verdict says how to answer a report.
-type Verdict int
+// Disposition says how to answer a report.
+type Disposition int
 
-// Verdicts of Report.
+// Dispositions of Report.
 const (
-	Answered Verdict = iota // 200 with the orders
-	Deposed                 // the worker has seen a higher token: not ours
-	NotMine                 // no such machine in this part
+	Answered Disposition = iota // 200 with the orders
+	Deposed                     // the worker has seen a higher token: not ours
+	NotMine                     // no such machine in this part
 )
 
 // Report takes in a worker's report and returns the answer. A direct report is
 // the answer to a command; it gets no orders.
-func (p *Part) Report(r *wire.Report, direct bool, now time.Time) (wire.Orders, Verdict) {
+func (p *Part) Report(r *wire.Report, direct bool, now time.Time) (wire.Orders, Disposition) {
 	m := p.machines[r.Machine]
 	if m == nil {
 		return wire.Orders{}, NotMine
@@ -136,10 +136,10 @@
 // reported takes in what a report says of a placed task.
 func (t *task) reported(j *Job, phase string) {
 	if t.phase == wire.Running {
-		j.nRunning--
+		j.runningTasks--
 	}
 	if t.phase = phase; phase == wire.Running {
-		j.nRunning++
+		j.runningTasks++
 	}
 }
 
--- a/internal/sched/reread.go
+++ b/internal/sched/reread.go
@@ -8,22 +8,22 @@
 )
 
 func (p *Part) rereadJob(j *Job) {
-	if !j.unsure {
-		j.unsure = true
+	if !j.versionUnknown {
+		j.versionUnknown = true
 		p.out.RereadJobs = append(p.out.RereadJobs, j.ref)
 	}
 }
 
 func (p *Part) rereadSlot(s *slot) {
-	if !s.unsure {
-		s.unsure = true
+	if !s.versionUnknown {
+		s.versionUnknown = true
 		p.out.RereadSlots = append(p.out.RereadSlots, s.n)
 	}
 }
 
 func (p *Part) rereadMachine(m *Machine) {
-	if !m.unsure {
-		m.unsure = true
+	if !m.versionUnknown {
+		m.versionUnknown = true
 		p.out.RereadMachines = append(p.out.RereadMachines, m.ID)
 	}
 }
@@ -31,7 +31,7 @@
 // JobRead takes in a job's open record as read back, nil when there is none.
 func (p *Part) JobRead(ref string, open *wire.Entry, now time.Time) error {
 	j := p.jobs[ref]
-	if j == nil || !j.unsure {
+	if j == nil || !j.versionUnknown {
 		return nil
 	}
 	if open == nil {
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	j.unsure = false
+	j.versionUnknown = false
 	j.ending = nil
 	j.retry = now.Add(retryAfter)
 	p.alarm(j.retry)
@@ -59,7 +59,7 @@
 // SlotRead takes in a slot's record as read back, nil when there is none.
 func (p *Part) SlotRead(n int, e *wire.Entry, now time.Time) error {
 	s := p.slots[n]
-	if s == nil || !s.unsure {
+	if s == nil || !s.versionUnknown {
 		return nil
 	}
 	var rec record.Slot
@@ -71,7 +71,7 @@
 		}
 		version = e.Version
 	}
-	s.unsure = false
+	s.versionUnknown = false
 	t := s.txn
 	s.txn = nil
 	changed := version != s.version
@@ -118,7 +118,7 @@
 	if m == nil {
 		return nil
 	}
-	m.unsure, m.txn = false, nil
+	m.versionUnknown, m.txn = false, nil
 	m.retry = now.Add(retryAfter)
 	p.changed = true
 	if e == nil {
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -18,7 +18,7 @@
 		if !p.waiting(j, now) || now.Before(j.hold) {
 			continue
 		}
-		n := j.nIdle
+		n := j.idleTasks
 		for n > 0 && !p.withinLimit(j, n) {
 			if j.spec.Kind == wire.Gang {
 				n = 0
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -103,8 +103,8 @@
 	Tasks, Attempts   int // attempts: of the task that needed most
 }
 
-// Give tells why a machine is given back, for the log.
-type Give struct {
+// MachineReturn tells why a machine is given back, for the log.
+type MachineReturn struct {
 	Machine, Why string
 	Tasks        int
 	Silent       time.Duration
@@ -121,36 +121,36 @@
 
 // Job is an unfinished job.
 type Job struct {
-	ref       string
-	spec      *wire.Spec
-	line      *line     // its pipeline; of one job alone unless it was submitted with one
-	held      bool      // not released by its pipeline, or by the jobs that it names, yet
-	freeAt    time.Time // when the last of these that is over was done
-	dead      bool      // its pipeline has no use for it any more
-	version   uint64
-	accepted  time.Time
-	cancelled bool
-	tasks     []task
-	nIdle     int
-	nPlaced   int
-	nDone     int
-	firstIdle int            // no idle task before it
-	chunks    []*chunk       // in order, apart
-	zones     map[string]int // placed tasks by zone
-	nRunning  int            // placed tasks reported as running
-	ending    *Txn           // its end, under way
-	unsure    bool           // the record's version is unknown; a reread is under way
-	retry     time.Time
-	hold      time.Time // not to be placed before, after failures
-	fails     int
-	failedOn  map[string]bool
-	stuck     time.Time // since when something waits that fits nowhere
-	rank      int       // its priority, or a higher one of those that need it
-	due       time.Time // when it is to be done, for itself and these; zero: whenever
-	needed    bool      // others wait for its end
-	madeRoom  time.Time // until when room made for it is awaited
-	roomTried time.Time // when room was last sought in vain
-	kept      bool      // started after too long a wait: nothing takes its place
+	ref            string
+	spec           *wire.Spec
+	line           *line     // its pipeline; of one job alone unless it was submitted with one
+	held           bool      // not released by its pipeline, or by the jobs that it names, yet
+	freeAt         time.Time // when the last of these that is over was done
+	dead           bool      // its pipeline has no use for it any more
+	version        uint64
+	accepted       time.Time
+	cancelled      bool
+	tasks          []task
+	idleTasks      int
+	placedTasks    int
+	doneTasks      int
+	firstIdle      int            // no idle task before it
+	chunks         []*chunk       // in order, apart
+	zones          map[string]int // placed tasks by zone
+	runningTasks   int            // placed tasks reported as running
+	ending         *Txn           // its end, under way
+	versionUnknown bool           // the record's version is unknown; a reread is under way
+	retry          time.Time
+	hold           time.Time // not to be placed before, after failures
+	fails          int
+	failedOn       map[string]bool
+	stuck          time.Time // since when something waits that fits nowhere
+	rank           int       // its priority, or a higher one of those that need it
+	due            time.Time // when it is to be done, for itself and these; zero: whenever
+	needed         bool      // others wait for its end
+	madeRoom       time.Time // until when room made for it is awaited
+	roomTried      time.Time // when room was last sought in vain
+	kept           bool      // started after too long a wait: nothing takes its place
 }
 
 // batch is a number of machines to be given back with one record.
@@ -195,7 +195,7 @@
 	cordon           Cordon
 	avoided          bool // to be cordoned later: new work goes elsewhere if it can
 	txn              *Txn // its move, under way
-	unsure           bool
+	versionUnknown   bool
 	retry            time.Time
 	runs             map[string]*pushedStart // starts sent straight to it, by task
 	kept             int                     // exited tasks in its last report that it may not forget
@@ -262,10 +262,10 @@
 	RereadPipes    []string
 	Pushes         []Push
 	Probes         []Probe
-	Wake           []string // machines for which a start is ready
-	Started        []Start  // tasks seen to run for the first time
-	Ended          []End    // jobs that are over
-	Given          []Give   // machines to be given back
+	Wake           []string        // machines for which a start is ready
+	Started        []Start         // tasks seen to run for the first time
+	Ended          []End           // jobs that are over
+	Returned       []MachineReturn // machines to be given back
 	// Contradictions are claims of workers that disagree with what is known.
 	Contradictions []Contradiction
 	// Interrupted are units of work that stopped without having ended, if these are
