--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -66,10 +66,10 @@
 	share    float64 // of the orders of all controllers, a second
 	factor   float64 // of that, by the answers so far
 	answers  int
-	saved    float64 // orders that may be released now
-	at       time.Time
-	denied   int  // orders that waited since the last call of Waiting
-	held     bool // one waited since the last call of Held
+	orders   bucket
+	calls    bucket // questions to workers, which count apart
+	denied   int    // orders that waited since the last call of Waiting
+	held     bool   // one waited since the last call of Held
 	seconds  []int
 	began    time.Time
 }
@@ -89,7 +89,8 @@
 	if p.on {
 		return
 	}
-	*p = Pace{settings: p.settings, on: true, share: share, factor: initialShare, at: now, began: now}
+	*p = Pace{settings: p.settings, on: true, share: share, factor: initialShare, began: now,
+		orders: bucket{at: now}, calls: bucket{at: now}}
 }
 
 // End releases everything from now on.
@@ -100,7 +101,8 @@
 
 // SetShare sets this controller's part of the orders of all.
 func (p *Pace) SetShare(share float64, now time.Time) {
-	p.fill(now)
+	p.fill(&p.orders, now)
+	p.fill(&p.calls, now)
 	p.share = share
 }
 
@@ -118,10 +120,29 @@
 // second, so that no second has more than the share.
 const burstShare = 0.25
 
-// fill saves up orders with time.
-func (p *Pace) fill(now time.Time) {
-	p.saved = min(p.capacity(now), p.saved+(1-burstShare)*p.rate(now)*max(0, now.Sub(p.at).Seconds()))
-	p.at = now
+// bucket is what has been saved up.
+type bucket struct {
+	saved float64
+	at    time.Time // as of when
+}
+
+// fill saves up with time.
+func (p *Pace) fill(b *bucket, now time.Time) {
+	b.saved = min(p.capacity(now), b.saved+(1-burstShare)*p.rate(now)*max(0, now.Sub(b.at).Seconds()))
+	b.at = now
+}
+
+// AllowCall reports whether a worker may be asked for its report now, and counts it if so.
+func (p *Pace) AllowCall(now time.Time) bool {
+	if !p.On() {
+		return true
+	}
+	p.fill(&p.calls, now)
+	if p.calls.saved < 1 {
+		return false
+	}
+	p.calls.saved--
+	return true
 }
 
 // rate is how many orders may be released in a second. What still waits after SettleWithin
@@ -142,17 +163,17 @@
 	if !p.On() {
 		return true
 	}
-	p.fill(now)
+	p.fill(&p.orders, now)
 	reserve := 0.0
 	if most := p.capacity(now); c == Routine && most >= 1/urgentReserve {
 		reserve = urgentReserve * most
 	}
-	if c != Limited && p.saved-reserve < 1 {
+	if c != Limited && p.orders.saved-reserve < 1 {
 		p.denied++
 		p.held = true
 		return false
 	}
-	p.saved--
+	p.orders.saved--
 	p.count(now)
 	return true
 }
@@ -193,6 +214,6 @@
 
 // NextAt returns when the next order may be released.
 func (p *Pace) NextAt(now time.Time) time.Time {
-	wait := max(0, 1-p.saved) / max((1-burstShare)*p.rate(now), leastRate)
+	wait := max(0, 1-p.orders.saved) / max((1-burstShare)*p.rate(now), leastRate)
 	return now.Add(time.Duration(wait * float64(time.Second)))
 }
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// Questions to workers keep to the same rate, and take nothing from the orders.
+func TestCallsCountApart(t *testing.T) {
+	p := begun(64)
+	calls := 0
+	for now := start.Add(time.Second); now.Before(start.Add(2 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		for p.AllowCall(now) {
+			calls++
+		}
+	}
+	if calls < 8 || calls > 64 {
+		t.Errorf("%d calls in a second", calls)
+	}
+	if !p.Allow(Urgent, start.Add(2*time.Second)) {
+		t.Error("no order is left after the calls")
+	}
+}
+
 // It begins slowly, grows as answers come, and doubles without end once that took too long.
 func TestRamp(t *testing.T) {
 	p := begun(80)
--- a/internal/sched/probe.go
+++ b/internal/sched/probe.go
@@ -91,7 +91,7 @@
 }
 
 func (p *Part) ask(m *Machine, now time.Time) {
-	if m.probes.asked || p.asked >= p.cfg.Probes {
+	if m.probes.asked || p.asked >= p.cfg.Probes || !p.cfg.Pace.AllowCall(now) {
 		return
 	}
 	m.probes.asked, m.probes.fair, m.probes.late = true, p.zoneSeen[m.Zone].After(m.probes.at), p.leaseOver(m, now)
