Quiet restart: no pace without workers, a bound that follows the fleet, and when all had settled

A part without machines begins no episode; the leader's total follows the fleet's size; an episode ends when nothing is awaited and no order has waited since.

--- a/internal/controller/restarts.go
+++ b/internal/controller/restarts.go
@@ -37,7 +37,9 @@
 	pace    *pace.Pace
 	shareAt time.Time // when the leader last gave a share of the orders
 	large   bool      // and whether that was more than an equal one
-	calmAt  time.Time // since when no order has waited
+	calmAt  time.Time // since when the pace might end
+	// waitedAt is when something last was awaited, or an order had to wait.
+	waitedAt time.Time
 
 	episode *restart.Episode // nil: everything has settled
 	begun   bool             // an episode has begun since the process has
@@ -67,8 +69,8 @@
 	for _, err := range malformed {
 		c.log.Error("malformed record passed over", "part", p.ID(), "err", err)
 	}
-	if !r.on {
-		p.EndSettling()
+	if !r.on || !p.HasMachines() {
+		p.EndSettling() // where there are no workers there is nothing to find out
 		return
 	}
 	if r.episode == nil {
@@ -78,7 +80,7 @@
 		}
 		r.begun = true
 		r.episode = &restart.Episode{Incarnation: c.lease.current().incarnation, Cause: cause, Began: now.UnixMilli()}
-		r.tally, r.calmAt = reconcile.Tally{}, now
+		r.tally, r.calmAt, r.waitedAt = reconcile.Tally{}, now, now
 		c.log.Info("restart: settling begins", "cause", cause)
 	}
 	r.episode.Malformed += len(malformed)
@@ -131,9 +133,11 @@
 	if !c.restarts.on {
 		return nil
 	}
+	total := c.restarts.pace.Settings().Total(c.fleet.Len())
 	if l.orders == nil {
-		l.orders = pace.NewShares(c.restarts.pace.Settings().Total(c.fleet.Len()), c.cfg.Labels())
+		l.orders = pace.NewShares(total, c.cfg.Labels())
 	}
+	l.orders.SetTotal(total)
 	waiting := map[string]float64{}
 	for _, label := range c.cfg.Labels() {
 		n, answered := needs[label]
@@ -146,7 +150,7 @@
 			l.orders.Confirm(label, share)
 		}
 	}
-	left := c.restarts.pace.Settings().Total(c.fleet.Len()) * float64(len(waiting)) / float64(c.cfg.Params.Count)
+	left := total * float64(len(waiting)) / float64(c.cfg.Params.Count)
 	return l.orders.Next(fleet.Share(left, waiting))
 }
 
@@ -173,7 +177,11 @@
 	if !r.pace.On() {
 		return
 	}
-	if r.pace.Held() || !r.pace.Late(now) {
+	held := r.pace.Held()
+	if held {
+		r.waitedAt = now
+	}
+	if held || !r.pace.Late(now) {
 		r.calmAt = now // others may be settling yet
 	}
 	if now.Sub(r.calmAt) > paceCalm {
@@ -210,10 +218,12 @@
 		}
 	}
 	e.Verdicts = tally.Named()
-	e.Orders, e.Bound = slices.Clone(r.pace.Seconds()), c.equalOrders()
-	done := len(r.parts) == 0 && !r.pace.On()
-	if done {
-		e.Settled = now.UnixMilli()
+	e.Orders, e.Bound = slices.Clone(r.pace.Seconds(time.UnixMilli(e.Began))), c.equalOrders()
+	if len(r.parts) > 0 {
+		r.waitedAt = now
+	}
+	if now.Sub(r.waitedAt) > paceCalm {
+		e.Settled = r.waitedAt.UnixMilli()
 		r.episode = nil
 		c.log.Info("restart: settled", "took", e.Took(now).Round(time.Millisecond), "verdicts", e.Verdicts)
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -71,7 +71,8 @@
 	denied   int    // orders that waited since the last call of Waiting
 	held     bool   // one waited since the last call of Held
 	seconds  []int
-	began    time.Time
+	began    time.Time // when the first of seconds did
+	since    time.Time // when it was last begun
 }
 
 // New returns a pace that releases everything.
@@ -84,12 +85,14 @@
 // Settings returns the bounds.
 func (p *Pace) Settings() *Settings { return &p.settings }
 
-// Begin starts to hold orders back, with nothing saved up.
+// Begin starts to hold orders back, with nothing saved up, or goes on doing so for as long
+// again.
 func (p *Pace) Begin(share float64, now time.Time) {
 	if p.on {
+		p.since = now
 		return
 	}
-	*p = Pace{settings: p.settings, on: true, share: share, factor: initialShare, began: now,
+	*p = Pace{settings: p.settings, on: true, share: share, factor: initialShare, began: now, since: now,
 		orders: bucket{at: now}, calls: bucket{at: now}}
 }
 
@@ -148,7 +151,7 @@
 // rate is how many orders may be released in a second. What still waits after SettleWithin
 // would come too late by the rules: from then on the rate doubles each second.
 func (p *Pace) rate(now time.Time) float64 {
-	late := (now.Sub(p.began) - p.settings.SettleWithin).Seconds()
+	late := (now.Sub(p.since) - p.settings.SettleWithin).Seconds()
 	return p.share * p.factor * math.Exp2(min(max(0, late), maxDoublings))
 }
 
@@ -189,8 +192,11 @@
 	p.seconds[max(n, 0)]++
 }
 
-// Seconds returns the orders that were released in each second since the pace began.
-func (p *Pace) Seconds() []int { return p.seconds }
+// Seconds returns the orders that were released in each second from some moment on.
+func (p *Pace) Seconds(from time.Time) []int {
+	first := max(0, int(from.Sub(p.began)/time.Second))
+	return p.seconds[min(first, len(p.seconds)):]
+}
 
 // Waiting returns how many times an order had to wait since the last call.
 func (p *Pace) Waiting() int {
@@ -200,7 +206,7 @@
 }
 
 // Late reports whether the time is over within which all should have settled.
-func (p *Pace) Late(now time.Time) bool { return now.Sub(p.began) > p.settings.SettleWithin }
+func (p *Pace) Late(now time.Time) bool { return now.Sub(p.since) > p.settings.SettleWithin }
 
 // Held reports whether an order had to wait since the last call.
 func (p *Pace) Held() bool {
--- a/internal/pace/shares.go
+++ b/internal/pace/shares.go
@@ -44,6 +44,10 @@
 	return out
 }
 
+// SetTotal follows the fleet's size. Where there is less to share out, shares are lowered as
+// they are wanted, and none is raised before that is confirmed.
+func (s *Shares) SetTotal(total float64) { s.total = total }
+
 // Confirm takes in that a controller goes by a share now.
 func (s *Shares) Confirm(label string, share float64) { s.may[label] = share }
 
--- a/internal/sched/settling.go
+++ b/internal/sched/settling.go
@@ -66,6 +66,9 @@
 	return out, true
 }
 
+// HasMachines reports whether the part has any machine.
+func (p *Part) HasMachines() bool { return len(p.machines) > 0 }
+
 // Malformed returns what is wrong with records that were passed over when the part was loaded.
 func (p *Part) Malformed() []error { return p.settling.malformed }
 
