Quiet restart: workers are asked at the full share from the beginning

Questions to workers after a take-over began at a quarter of the share, so that some 95 machines of a part took new work only after 8 s. They go at the full share now, a second's worth at once: answers are what the orders wait for.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -93,7 +93,7 @@
 		return
 	}
 	*p = Pace{settings: p.settings, on: true, share: share, factor: initialShare, began: now, since: now,
-		orders: bucket{at: now}, calls: bucket{at: now}}
+		orders: bucket{at: now}, calls: bucket{saved: share, at: now}}
 }
 
 // End releases everything from now on.
@@ -104,8 +104,8 @@
 
 // SetShare sets this controller's part of the orders of all.
 func (p *Pace) SetShare(share float64, now time.Time) {
-	p.fill(&p.orders, now)
-	p.fill(&p.calls, now)
+	p.fillOrders(now)
+	p.calls.fill(p.share, max(1, p.share), now)
 	p.share = share
 }
 
@@ -129,18 +129,24 @@
 	at    time.Time // as of when
 }
 
-// fill saves up with time.
-func (p *Pace) fill(b *bucket, now time.Time) {
-	b.saved = min(p.capacity(now), b.saved+(1-burstShare)*p.rate(now)*max(0, now.Sub(b.at).Seconds()))
+// fill saves up at a rate, up to a capacity.
+func (b *bucket) fill(rate, capacity float64, now time.Time) {
+	b.saved = min(capacity, b.saved+rate*max(0, now.Sub(b.at).Seconds()))
 	b.at = now
 }
 
+// fillOrders saves up orders with time.
+func (p *Pace) fillOrders(now time.Time) {
+	p.orders.fill((1-burstShare)*p.rate(now), p.capacity(now), now)
+}
+
 // AllowCall reports whether a worker may be asked for its report now, and counts it if so.
+// Calls go at the full share from the beginning: they are what answers come from.
 func (p *Pace) AllowCall(now time.Time) bool {
 	if !p.On() {
 		return true
 	}
-	p.fill(&p.calls, now)
+	p.calls.fill(p.share, max(1, p.share), now)
 	if p.calls.saved < 1 {
 		return false
 	}
@@ -166,7 +172,7 @@
 	if !p.On() {
 		return true
 	}
-	p.fill(&p.orders, now)
+	p.fillOrders(now)
 	reserve := 0.0
 	if most := p.capacity(now); c == Routine && most >= 1/urgentReserve {
 		reserve = urgentReserve * most
