--- a/internal/controller/drains_test.go
+++ b/internal/controller/drains_test.go
@@ -149,6 +149,12 @@
 		k.settings = usual
 		k.restart("c-1", time.Second)
 		k.finished("all", time.Hour)
+		k.off["c-1"] = true
+		k.restart("c-1", time.Second)
+		k.await(time.Minute, "c-1 takes its word back", func() bool {
+			_, said := k.world.State.Entry(drain.AwareKey("c-1"))
+			return !said
+		})
 	})
 }
 
