--- a/internal/controller/bounds_test.go
+++ b/internal/controller/bounds_test.go
@@ -45,16 +45,7 @@
 				state.Put(record.OpenKey(s.Ref), record.Open{Spec: *s, Part: 1})
 			}
 			viewOpen(t, c)
-			inc := uint64(1)
-			allocs = testing.AllocsPerRun(5, func() {
-				c.mu.Lock()
-				held := c.partRecs[0]
-				clear(c.parts)
-				c.mu.Unlock()
-				inc++
-				takeOverPart(t, c, state, held, inc)
-				synctest.Wait()
-			})
+			allocs = takeOverAllocations(t, 5, c, state, synctest.Wait)
 		})
 		return allocs
 	}
@@ -67,6 +58,21 @@
 	}
 }
 
+// takeOverAllocations measures what a controller allocates to take its part over anew.
+func takeOverAllocations(t *testing.T, runs int, c *Controller, state *countingState, settled func()) float64 {
+	t.Helper()
+	inc := uint64(1)
+	return testing.AllocsPerRun(runs, func() {
+		c.mu.Lock()
+		held := c.partRecs[0]
+		clear(c.parts)
+		c.mu.Unlock()
+		inc++
+		takeOverPart(t, c, state, held, inc)
+		settled()
+	})
+}
+
 // asked brings a user's request to a controller whose lease stands, and waits for the
 // answer.
 func asked(c *Controller, method, path string, body []byte) reply {
@@ -184,15 +190,7 @@
 	before := liveHeap()
 	c, state, workers := fleetController(t, accountMachines, accountJobs)
 	met(t, c, workers)
-	inc := uint64(1)
-	allocs := testing.AllocsPerRun(1, func() {
-		c.mu.Lock()
-		held := c.partRecs[0]
-		clear(c.parts)
-		c.mu.Unlock()
-		inc++
-		takeOverPart(t, c, state, held, inc)
-	})
+	allocs := takeOverAllocations(t, 1, c, state, func() {})
 	if got := allocs / accountMachines; got > takeOverAllocs {
 		t.Errorf("%.1f allocations to take a machine and its job over, want %d at most", got, takeOverAllocs)
 	}
--- a/internal/drain/ledgers.go
+++ b/internal/drain/ledgers.go
@@ -112,7 +112,7 @@
 // Orders returns the grants of a part that its owner has to carry out.
 func (v *View) Orders(part int) []Disruption {
 	var out []Disruption
-	for _, d := range v.Open(part) {
+	for _, d := range v.open(part) {
 		if d.Drain != "" && v.carriesOut(d) {
 			out = append(out, d)
 		}
--- a/internal/drain/view.go
+++ b/internal/drain/view.go
@@ -248,11 +248,8 @@
 // Ledger returns a team's ledger.
 func (v *View) Ledger(team string) Versioned[Ledger] { return v.ledgers[ledgerName(team)] }
 
-// Ledgers returns the ledgers of all teams, by the teams' names as they are in keys.
-func (v *View) Ledgers() map[string]Versioned[Ledger] { return v.ledgers }
-
-// Open returns the open disruptions of a part, with the name of the ledger of each.
-func (v *View) Open(part int) []Disruption {
+// open returns the open disruptions of a part.
+func (v *View) open(part int) []Disruption {
 	var out []Disruption
 	for _, name := range slices.Sorted(maps.Keys(v.ledgers)) {
 		for _, d := range v.ledgers[name].Rec.Open {
