--- a/internal/controller/cluster_jobs_test.go
+++ b/internal/controller/cluster_jobs_test.go
@@ -57,7 +57,7 @@
 
 // cancel asks for a job's end until that is confirmed, beside the test.
 func (k *cluster) cancel(ref string) (confirmed func() bool) {
-	k.cancels = true
+	k.cancels.Store(true)
 	var mu sync.Mutex
 	var ok bool
 	k.world.Go(func() {
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +33,7 @@
 	said  []string  // what a script did, told if it fails
 	ended time.Time // when all controllers first ended
 	// cancels says that jobs were cancelled: their stops are never held back.
-	cancels bool
+	cancels atomic.Bool
 	// prepare is called with each new process before it starts, nil for nothing.
 	prepare func(label string, c *Controller)
 }
--- a/internal/controller/drains_harness_test.go
+++ b/internal/controller/drains_harness_test.go
@@ -86,8 +86,9 @@
 	for name, l := range layouts {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			with.layout = l(1)
-			playDrain(t, with, script)
+			own := with
+			own.layout = l(1)
+			playDrain(t, own, script)
 		})
 	}
 }
--- a/internal/controller/restarts_test.go
+++ b/internal/controller/restarts_test.go
@@ -63,7 +63,7 @@
 		back := time.Now()
 		k.await(3*time.Minute, "all have settled", func() bool { return k.settled() })
 		paced := back.Add(pace.DefaultSettleWithin)
-		if n := k.world.Orders().Most(time.Second, k.ended, paced, !k.cancels); n > restartOrders {
+		if n := k.world.Orders().Most(time.Second, k.ended, paced, !k.cancels.Load()); n > restartOrders {
 			k.t.Errorf("%d orders in a second, of %d", n, restartOrders)
 		}
 	})
