--- a/internal/drain/ledgers.go
+++ b/internal/drain/ledgers.go
@@ -1,10 +1,11 @@
 package drain
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
+
+	"bramblespur/internal/record"
 )
 
 // Fate is what became of a unit whose disruption is open.
@@ -121,13 +122,4 @@
 }
 
 // encodedSize is the size of a record.
-func encodedSize(rec any) int { return len(encode(rec)) }
-
-// encode marshals a record. The types of this package always marshal.
-func encode(rec any) json.RawMessage {
-	b, err := json.Marshal(rec)
-	if err != nil {
-		panic("drain: " + err.Error())
-	}
-	return b
-}
+func encodedSize(rec any) int { return len(record.Encode(rec)) }
--- a/internal/drain/operator.go
+++ b/internal/drain/operator.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
@@ -13,7 +14,7 @@
 	key := PlanKey(p.Name)
 	return wire.Txn{
 		If:   []wire.Cond{{Key: key}},
-		Then: []wire.Op{{Put: key, Value: encode(p)}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(p)}},
 	}
 }
 
@@ -33,6 +34,6 @@
 	key := PlanKey(p.Rec.Name)
 	return wire.Txn{
 		If:   []wire.Cond{{Key: key, Version: p.Version}},
-		Then: []wire.Op{{Put: key, Value: encode(changed)}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(changed)}},
 	}, nil
 }
--- a/internal/drain/planner_test.go
+++ b/internal/drain/planner_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
@@ -38,7 +39,7 @@
 		c.Machines[m] = Cordon{Drain: p.Name, Since: start.UnixMilli(), Zone: "a"}
 	}
 	for key, rec := range map[string]any{PlanKey(p.Name): p, CordonsKey: c} {
-		if err := v.Change(wire.Change{Put: key, Value: encode(rec), Version: 7}); err != nil {
+		if err := v.Change(wire.Change{Put: key, Value: record.Encode(rec), Version: 7}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -160,7 +161,7 @@
 func TestViewTakesRecordsInAnyOrder(t *testing.T) {
 	v := NewView()
 	put := func(version uint64, p Plan) error {
-		return v.Change(wire.Change{Put: PlanKey("d"), Value: encode(p), Version: version})
+		return v.Change(wire.Change{Put: PlanKey("d"), Value: record.Encode(p), Version: version})
 	}
 	newer := testPlan(func(p *Plan) { p.State = Paused })
 	for _, err := range []error{put(5, newer), put(4, testPlan(func(*Plan) {})), v.Change(wire.Change{Delete: PlanKey("d"), Version: 3})} {
--- a/internal/drain/view.go
+++ b/internal/drain/view.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 
+	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
@@ -81,10 +82,7 @@
 }
 
 // Versioned is a record with its version, 0 if there is none.
-type Versioned[T any] struct {
-	Rec     T
-	Version uint64
-}
+type Versioned[T any] = record.Versioned[T]
 
 // View is what the records tell of drains. It takes changes in any order and is not safe
 // for concurrent use.
@@ -199,7 +197,7 @@
 		return err
 	}
 	p.index()
-	v.plans[name] = Versioned[Plan]{p, e.Version}
+	v.plans[name] = Versioned[Plan]{Rec: p, Version: e.Version}
 	return nil
 }
 
@@ -208,7 +206,7 @@
 	if err := json.Unmarshal(e.Value, &rec); err != nil {
 		return err
 	}
-	*to = Versioned[T]{rec, e.Version}
+	*to = Versioned[T]{Rec: rec, Version: e.Version}
 	return nil
 }
 
--- a/internal/drain/writes.go
+++ b/internal/drain/writes.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
@@ -157,7 +158,7 @@
 // put adds a record that replaces one of a version.
 func (a *Author) put(w *Write, key string, version uint64, rec any) {
 	w.Txn.If = append(w.Txn.If, wire.Cond{Key: key, Version: version})
-	w.Txn.Then = append(w.Txn.Then, wire.Op{Put: key, Value: encode(rec)})
+	w.Txn.Then = append(w.Txn.Then, wire.Op{Put: key, Value: record.Encode(rec)})
 }
 
 // relyOn makes a write fail if a drain's record is not what it is taken for.
@@ -214,7 +215,7 @@
 	ended.State, ended.Ended = Finished, now.UnixMilli()
 	return wire.Txn{
 		If:   []wire.Cond{{Key: key, Version: p.Version}, {Key: CordonsKey, Version: v.cordons.Version}},
-		Then: []wire.Op{{Put: key, Value: encode(ended)}},
+		Then: []wire.Op{{Put: key, Value: record.Encode(ended)}},
 	}
 }
 
