Readable code: an order is looked for once, and a restart is read in one place

While orders are paced each was looked for before and after the pace allowed it; restart show and report each opened a client.

--- a/cmd/bramblespurctl/restart.go
+++ b/cmd/bramblespurctl/restart.go
@@ -43,6 +43,15 @@
 	return reading(t, "list", "List the restarts on record", cobra.NoArgs, list, writeRestarts)
 }
 
+// episode reads a restart by its name.
+func (t *tool) episode(ctx context.Context, name string) (*restartctl.Episode, error) {
+	c, err := t.restartClient()
+	if err != nil {
+		return nil, err
+	}
+	return c.Show(ctx, name)
+}
+
 func (t *tool) restartShowCommand() *cobra.Command {
 	follow := false
 	cmd := &cobra.Command{
@@ -50,13 +59,9 @@
 		Short: "Show a restart: what was found, and what is still awaited",
 		Args:  oneArgument,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := t.restartClient()
-			if err != nil {
-				return err
-			}
 			out := cmd.OutOrStdout()
 			for {
-				e, err := c.Show(cmd.Context(), args[0])
+				e, err := t.episode(cmd.Context(), args[0])
 				if err != nil {
 					return err
 				}
@@ -92,11 +97,7 @@
 		Short: "Write the report of a restart: one HTML page, or JSON with --output json",
 		Args:  oneArgument,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := t.restartClient()
-			if err != nil {
-				return err
-			}
-			e, err := c.Show(cmd.Context(), args[0])
+			e, err := t.episode(cmd.Context(), args[0])
 			if err != nil {
 				return err
 			}
--- a/internal/sched/orders.go
+++ b/internal/sched/orders.go
@@ -32,8 +32,8 @@
 		return p.appendPaced(out, m, w, now)
 	}
 	for k, t := range m.on {
-		if c, ok := p.order(k, t, m, w, now); ok {
-			out = append(out, c)
+		if p.hasOrder(k, t, m, w, now) {
+			out = append(out, t.order(k, m, now))
 		}
 	}
 	return out
@@ -63,9 +63,7 @@
 			p.delay(m, p.cfg.Pace.NextAt(now))
 			continue
 		}
-		if c, ok := p.order(k, t, m, w, now); ok {
-			out = append(out, c)
-		}
+		out = append(out, t.order(k, m, now))
 		if isStart {
 			left--
 		}
@@ -115,17 +113,14 @@
 	return true
 }
 
-// order returns the order for a task that is on a machine, if there is one.
-func (p *Part) order(k key, t *task, m *Machine, w which, now time.Time) (wire.Command, bool) {
-	if !p.hasOrder(k, t, m, w, now) {
-		return wire.Command{}, false
-	}
+// order returns the order that there is for a task, and notes that a start is sent.
+func (t *task) order(k key, m *Machine, now time.Time) wire.Command {
 	if t.stop {
-		return halt(k.name(), t.attempt, t.grace), true
+		return halt(k.name(), t.attempt, t.grace)
 	}
 	if !t.sent {
 		t.step(func(st *steps) { st.sent = now })
 	}
 	t.sent, t.sentSess = true, m.session
-	return wire.Command{Op: wire.Start, Task: k.name(), Attempt: t.attempt}, true
+	return wire.Command{Op: wire.Start, Task: k.name(), Attempt: t.attempt}
 }
