--- a/internal/controller/drains_failures_test.go
+++ b/internal/controller/drains_failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,19 +78,19 @@
 	for name, fate := range map[string]testkit.Fate{"lost": {Lost: true}, "late": {Late: 7 * time.Second}} {
 		t.Run(name, func(t *testing.T) {
 			drainWithTrouble(t, func(k *drainCluster) {
-				n := 0
+				var n atomic.Int64
 				k.world.State.Decide(func(_ string, w wire.Txn) testkit.Fate {
 					if !writes(w, drain.LedgerPrefix) {
 						return testkit.Fate{}
 					}
-					if n++; n%2 == 1 {
+					if n.Add(1)%2 == 1 {
 						return fate
 					}
 					return testkit.Fate{}
 				})
 				k.awaitGrant()
 				time.Sleep(2 * time.Minute)
-				k.happened(n > 1, "writes of ledgers without an answer")
+				k.happened(n.Load() > 1, "writes of ledgers without an answer")
 				k.world.State.Decide(nil)
 			})
 		})
