Restart: a record of placements that can't be decoded is isolated, not its whole part

Need: one damaged record of placements kept its part from being taken over, with all its jobs.

Change: the record is left as it is. Nothing starts until all machines have reported under the new token; what runs by it is adopted where it is and recorded, what may have completed is not started again, a cancellation is told once nothing can run unseen, and jobs accepted later go on. Once the record is restored or deleted the part is read again; what was recorded meanwhile counts before it, by ranges of one task with the part's token as their turn. Parts of plain records turn to stated ones for that; beside the first version the part still waits.

Found by the new histories and mended: a range entered while its slot waits for what leaves it could go to that same slot, which then was never written.

--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -216,6 +216,9 @@
 	p := sched.New(cfg, id, token)
 	c.mu.Lock()
 	open = slices.DeleteFunc(open, func(e wire.Entry) bool { return c.knownElsewhere(e, id) })
+	if c.upgraded() {
+		p.SetUpgraded()
+	}
 	if c.allStated() {
 		p.SetStated() // before it writes anything
 	}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -12,6 +12,7 @@
 func (p *Part) Step(now time.Time) Effects {
 	if !p.lost {
 		p.checkHealth(now)
+		p.releaseWithheld(now)
 		if p.changed || (!p.wake.IsZero() && !now.Before(p.wake)) {
 			p.changed, p.wake = false, time.Time{}
 			p.place(now)
--- a/internal/sched/history_test.go
+++ b/internal/sched/history_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -26,6 +27,7 @@
 	deposed []*Part               // earlier owners that don't know it yet
 	late    map[string]lateAnswer // by machine
 	rented  int
+	intact  map[string]json.RawMessage // records of placements that are damaged now
 }
 
 // lateAnswer is an answer on its way, and the report that it answers.
@@ -201,6 +203,32 @@
 	}
 }
 
+// damage makes a record of placements unreadable and ends the owner.
+func (h *history) damage() {
+	slots := h.list(record.SlotsOf(h.id))
+	if len(slots) == 0 {
+		return
+	}
+	e := slots[h.r.IntN(len(slots))]
+	if h.intact[e.Key] != nil {
+		return
+	}
+	h.intact[e.Key] = slices.Clone(e.Value)
+	h.state.Put(e.Key, "damaged")
+	h.takeOver()
+}
+
+// restore brings the damaged records back; their owner finds that out by itself, or ends.
+func (h *history) restore() {
+	for _, key := range slices.Sorted(maps.Keys(h.intact)) {
+		h.state.Put(key, h.intact[key])
+		delete(h.intact, key)
+	}
+	if h.r.IntN(2) == 0 {
+		h.takeOver()
+	}
+}
+
 // check compares the records with the ground truth.
 func (h *history) check() error {
 	for ref, s := range h.jobs {
@@ -260,8 +288,12 @@
 func (h *history) calm() error {
 	h.state.LoseAnswers, h.state.HoldTxns = 0, 0
 	h.state.Release()
+	h.restore()
 	for n := range 200 {
 		h.beat()
+		if h.part.Lost() {
+			h.claim()
+		}
 		if n%5 == 4 {
 			h.leaveMates()
 		}
@@ -305,10 +337,14 @@
 	historyMachines = 4
 )
 
-// playHistory plays the history of a seed and returns what was wrong.
-func playHistory(t *testing.T, seed uint64) error {
-	h := &history{rig: newRig(t), r: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]wire.Spec{}, ended: map[string]bool{},
-		asked: map[string]bool{}, finals: map[string]string{}, late: map[string]lateAnswer{}}
+// newHistory begins the history of a seed.
+func newHistory(t *testing.T, seed uint64) *history {
+	return &history{rig: newRig(t), r: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]wire.Spec{}, ended: map[string]bool{},
+		asked: map[string]bool{}, finals: map[string]string{}, late: map[string]lateAnswer{}, intact: map[string]json.RawMessage{}}
+}
+
+// play plays the history with so many of the happenings and returns what was wrong.
+func (h *history) play(happenings []func(h *history)) error {
 	h.replaceMachines()
 	for n := range historySteps {
 		happenings[h.r.IntN(len(happenings))](h)
@@ -325,7 +361,21 @@
 // no end is recorded that was none, and no job is lost.
 func TestAnyHistorySettles(t *testing.T) {
 	for seed := range uint64(historySeeds) {
-		if err := playHistory(t, seed); err != nil {
+		if err := newHistory(t, seed).play(happenings); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// The same while records of placements are damaged, and restored as they were.
+func TestAnyHistorySettlesWithDamagedPlacements(t *testing.T) {
+	damaging := append(slices.Clone(happenings),
+		func(h *history) { h.damage() }, func(h *history) { h.damage() }, func(h *history) { h.restore() })
+	for seed := range uint64(historySeeds) {
+		h := newHistory(t, seed)
+		h.upgraded = true
+		h.claim()
+		if err := h.play(damaging); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
 	}
--- a/internal/sched/ledger.go
+++ b/internal/sched/ledger.go
@@ -101,7 +101,7 @@
 
 // over reports whether nothing of a job is left to run or to be proven gone.
 func (j *Job) over() bool {
-	return (j.cancelled && j.placedTasks == 0) || (!j.cancelled && j.doneTasks == len(j.tasks))
+	return (j.cancelled && j.placedTasks == 0 && !j.withheld) || (!j.cancelled && j.doneTasks == len(j.tasks))
 }
 
 // touch marks the range of a task as changed.
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -12,7 +12,7 @@
 
 // Load fills a newly claimed part from its records. Placements of earlier
 // owners count as there until their machines answer under our token. A job's record that
-// can't be decoded is passed over; one of placements can't be, since what it says may run.
+// can't be decoded is passed over; what one of placements may tell of is withheld.
 func (p *Part) Load(fleet *record.Fleet, open, slots []wire.Entry, now time.Time) error {
 	var err error
 	fleet.Each(func(id string, v record.View) {
@@ -41,6 +41,7 @@
 	for _, l := range runs {
 		p.loadRun(l, now)
 	}
+	p.withhold()
 	p.beginSettling(now)
 	return nil
 }
@@ -56,7 +57,8 @@
 	} else {
 		for _, span := range fresh {
 			c := &chunk{job: j, first: span[0], end: span[1], turn: r.Turn, from: l.slot}
-			p.enter(c, nil)
+			// A slot that waits for what leaves it must not be where that goes.
+			p.enter(c, p.roomySlot(p.cost(c, p.stated), l.slot))
 			l.slot.left[c] = struct{}{}
 			if l.slot.stated { // which can't be written before this is
 				c.slot.dirty, c.slot.urgent, c.slot.moved = true, true, true
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -25,7 +25,7 @@
 }
 
 func (p *Part) waiting(j *Job, now time.Time) bool {
-	if j.held || j.cancelled || j.idleTasks == 0 || j.versionUnknown {
+	if j.held || j.withheld || j.cancelled || j.idleTasks == 0 || j.versionUnknown {
 		return false
 	}
 	if j.spec.Kind == wire.Gang && !j.gathering() {
@@ -36,6 +36,9 @@
 
 // place starts what can be started: team by team, in turn by shares.
 func (p *Part) place(now time.Time) {
+	if p.unreadable.unheard {
+		return // what runs unrecorded uses room and quota
+	}
 	p.gathers, p.found = map[string]*Job{}, found{}
 	p.weighKept()
 	queues := map[string][]*Job{}
--- a/internal/sched/ranges.go
+++ b/internal/sched/ranges.go
@@ -64,7 +64,8 @@
 	n              int
 	version        uint64 // 0: no record
 	stated         bool
-	used           int // in bytes
+	unreadable     bool // its record can't be decoded, and is never written
+	used           int  // in bytes
 	chunks         map[string]*chunk
 	left           map[*chunk]struct{} // ranges that went elsewhere and are not written there yet
 	dirty          bool
@@ -77,7 +78,12 @@
 	retry          time.Time
 }
 
-// SetStated tells that no controller of the first version is left.
+// SetUpgraded tells that no controller of the first version is left, so that ranges may state
+// their size where that is needed.
+func (p *Part) SetUpgraded() { p.upgraded = true }
+
+// SetStated makes ranges state their size from now on: no controller of the first version is
+// left.
 func (p *Part) SetStated() {
 	if !p.stated {
 		p.stated, p.changed = true, true
@@ -141,6 +147,9 @@
 	if c := j.chunkAt(i); c != nil {
 		return c
 	}
+	if j.withheld {
+		return p.enter(p.withheldRange(j, i), nil)
+	}
 	size := p.cfg.chunkTasks()
 	if p.stated {
 		size = p.statedTasks()
@@ -182,7 +191,7 @@
 	}
 	for n := 0; ; n++ {
 		s := p.slot(n)
-		if s != leaves && s.stated == p.stated && len(s.left) == 0 && (len(s.chunks) == 0 || s.used+cost <= most) {
+		if s != leaves && !s.unreadable && s.stated == p.stated && len(s.left) == 0 && (len(s.chunks) == 0 || s.used+cost <= most) {
 			return s
 		}
 	}
@@ -255,7 +264,7 @@
 // that tell nothing any more.
 func (p *Part) retire() {
 	for n, s := range p.slots {
-		if s.stated || s.txn != nil || s.versionUnknown {
+		if s.stated || s.unreadable || s.txn != nil || s.versionUnknown {
 			continue
 		}
 		for _, c := range s.chunks {
@@ -309,13 +318,16 @@
 func (p *Part) loadSlots(slots []wire.Entry) ([]loaded, error) {
 	var out []loaded
 	for _, e := range slots {
-		n, err := strconv.Atoi(record.Last(e.Key))
+		r, err := decode[record.Slot](e)
 		if err != nil {
-			return nil, fmt.Errorf("record %s: %w", e.Key, err)
+			if err := p.passOver(e, err); err != nil {
+				return nil, err
+			}
+			continue
 		}
-		r, err := decode[record.Slot](e)
+		n, err := strconv.Atoi(record.Last(e.Key))
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("record %s: %w", e.Key, err)
 		}
 		if r.Format > record.Stated {
 			return nil, fmt.Errorf("record %s: format %d is unknown", e.Key, r.Format)
--- a/internal/sched/reconcile.go
+++ b/internal/sched/reconcile.go
@@ -24,7 +24,7 @@
 		ref, n, ok := SplitTask(rt.Task)
 		j := p.jobs[ref]
 		known := ok && j != nil && n < len(j.tasks)
-		if known && j.tasks[n].on(m, rt.Attempt) {
+		if known && (j.tasks[n].on(m, rt.Attempt) || p.adoptWithheld(key{j, n}, m, rt, now)) {
 			placedHere[key{j, n}] = rt
 			continue
 		}
--- a/internal/sched/reread.go
+++ b/internal/sched/reread.go
@@ -59,6 +59,10 @@
 // SlotRead takes in a slot's record as read back, nil when there is none.
 func (p *Part) SlotRead(n int, e *wire.Entry, now time.Time) error {
 	s := p.slots[n]
+	if s != nil && s.unreadable {
+		p.unreadableRead(s, e)
+		return nil
+	}
 	if s == nil || !s.versionUnknown {
 		return nil
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -29,6 +29,8 @@
 	afterTxn func()
 	// answers are the machines that answer probes.
 	answers []string
+	// upgraded says that no controller of the first version is left.
+	upgraded bool
 	// sendStart, if set, carries direct starts to their workers.
 	sendStart func(d Push)
 }
@@ -63,6 +65,9 @@
 	r.t.Helper()
 	e := r.state.Put(record.PartKey(r.id), record.Part{Owner: "x"})
 	r.part = New(r.cfg, r.id, e.Version)
+	if r.upgraded {
+		r.part.SetUpgraded()
+	}
 	r.fleet = record.NewFleet()
 	for _, e := range r.list(record.FleetPrefix) {
 		r.fleetChange(e)
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -114,7 +114,7 @@
 // Order carries out the leader's wish for a machine, as far as it still fits.
 func (p *Part) Order(o fleet.Order, now time.Time) {
 	m := p.machines[o.Machine]
-	if m == nil || m.moveTo >= 0 || m.drain || m.cordon != NotCordoned || m.Phase != record.InUse || m.txn != nil {
+	if p.unreadable.unheard || m == nil || m.moveTo >= 0 || m.drain || m.cordon != NotCordoned || m.Phase != record.InUse || m.txn != nil {
 		return
 	}
 	for k, t := range m.on {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -148,6 +148,7 @@
 	rank           int       // its priority, or a higher one of those that need it
 	due            time.Time // when it is to be done, for itself and these; zero: whenever
 	needed         bool      // others wait for its end
+	withheld       bool      // a record that can't be decoded may tell of its tasks
 	madeRoom       time.Time // until when room made for it is awaited
 	roomTried      time.Time // when room was last sought in vain
 	kept           bool      // started after too long a wait: nothing takes its place
@@ -287,7 +288,8 @@
 	// txnOps and valueBytes are the limits to write by: those of the settings,
 	// or less where the state service turned out to have others.
 	txnOps, valueBytes int
-	stated             bool                         // ranges state their size: no controller of the first version is left
+	upgraded           bool                         // no controller of the first version is left
+	stated             bool                         // ranges state their size
 	plain              []*slot                      // to be deleted
 	lines              map[string]*line             // pipelines of several jobs
 	dependents         map[string]map[*Job]struct{} // by dependency, the jobs here that wait for it
@@ -318,6 +320,7 @@
 	zones              map[zoneLimit]zoneCount // since the last health check
 	drained            drained
 	settling           settling
+	unreadable         unreadable
 	// Machines' worth that arrived, fading; what may use spot machines apart.
 	arrived, arrivedSpot float64
 	arriveAt             time.Time
--- /dev/null
+++ b/internal/sched/unreadable_test.go
@@ -0,0 +1,180 @@
+package sched
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/testkit"
+	"bramblespur/internal/wire"
+)
+
+// unreadableRig is a part whose only record of placements is damaged: it told of a job that
+// runs on a machine, and of another with one task done and one to be started again.
+type unreadableRig struct {
+	*rig
+	worker     *testkit.Worker
+	runs, half wire.Spec
+	key        string
+	intact     []byte
+}
+
+func newUnreadableRig(t *testing.T) *unreadableRig {
+	t.Helper()
+	r := newRig(t)
+	r.upgraded = true
+	r.claim()
+	w := r.machine("m1", "z1", false)
+	r.beats(2)
+	u := &unreadableRig{
+		rig: r, worker: w, key: record.SlotKey(r.id, 0),
+		runs: spec("run-000001", "b", wire.Array, "normal", 1, 1),
+		half: spec("run-000002", "b", wire.Array, "normal", 2, 1),
+	}
+	r.submit(u.runs)
+	r.submit(u.half)
+	r.beats(3)
+	w.End("run-000002/0", wire.Done)
+	w.End("run-000002/1", wire.WhyError)
+	r.beats(1)
+	u.intact = slices.Clone(r.get(u.key).Value)
+	u.state.Put(u.key, "nonsense")
+	r.claim()
+	return u
+}
+
+// What runs by a record that can't be decoded is adopted where it is, what may have completed
+// is not started again, and new jobs go on once all machines have reported.
+func TestUnreadablePlacementsAreIsolated(t *testing.T) {
+	u := newUnreadableRig(t)
+	if len(u.part.Malformed()) != 1 {
+		t.Fatalf("told of %v", u.part.Malformed())
+	}
+	started := len(u.worker.Started)
+	other := u.machine("m2", "z1", false)
+	u.submit(spec("run-000003", "b", wire.Array, "normal", 1, 1))
+	u.beats(4, other)
+	if len(other.Started) != 0 {
+		t.Fatalf("started %v while a machine is silent", other.Started)
+	}
+	u.beats(4)
+	if u.on("run-000001/0") != "m1" {
+		t.Error("the running task was not adopted")
+	}
+	if u.on("run-000003/0") == "" {
+		t.Error("a new job does not start")
+	}
+	all := append(slices.Clone(u.worker.Started[started:]), other.Started...)
+	if !slices.Equal(all, []string{"run-000003/0#1"}) {
+		t.Errorf("started %v, want the new job alone", all)
+	}
+	u.worker.End("run-000001/0", wire.Done)
+	u.beats(3)
+	if u.jobState(u.runs.Ref) != wire.Done || u.jobState(u.half.Ref) != wire.Pending {
+		t.Errorf("the jobs are %q and %q, want done and pending", u.jobState(u.runs.Ref), u.jobState(u.half.Ref))
+	}
+	if string(u.get(u.key).Value) != `"nonsense"` {
+		t.Error("the damaged record was written")
+	}
+}
+
+// An adopted task is on record: the next owner finds it also while its machine is silent.
+func TestAdoptedPlacementIsRecorded(t *testing.T) {
+	u := newUnreadableRig(t)
+	u.beats(4)
+	u.claim()
+	if got := u.on("run-000001/0"); got != "m1" {
+		t.Fatalf("after another take-over the task is on %q", got)
+	}
+}
+
+// A cancellation is told only once nothing of the job can run unseen.
+func TestUnreadablePlacementsHoldCancellations(t *testing.T) {
+	u := newUnreadableRig(t)
+	other := u.machine("m2", "z1", false)
+	u.cancel(u.runs)()
+	u.cancel(u.half)()
+	u.beats(4, other)
+	for _, s := range []wire.Spec{u.runs, u.half} {
+		if u.get(record.JobKey(s.Ref)) != nil {
+			t.Fatalf("%s has ended while its machine is silent", s.Ref)
+		}
+	}
+	u.beats(6)
+	for _, s := range []wire.Spec{u.runs, u.half} {
+		if u.get(record.JobKey(s.Ref)) == nil {
+			t.Errorf("the end of %s is not recorded", s.Ref)
+		}
+	}
+	if len(u.worker.Report().Tasks) > 0 {
+		t.Error("the cancelled task still runs")
+	}
+}
+
+// What was recorded since counts before what a restored record tells: a task that has completed
+// meanwhile is not started again.
+func TestRestoredPlacementsCountLast(t *testing.T) {
+	u := newUnreadableRig(t)
+	u.state.Put(u.key, json.RawMessage(u.intact))
+	u.claim()
+	u.beats(6) // the second task of the other job runs again
+	if u.on("run-000002/1") != "m1" {
+		t.Fatal("not started")
+	}
+	u.intact = slices.Clone(u.get(u.key).Value)
+	u.state.Put(u.key, "nonsense")
+	u.claim()
+	u.beats(2)
+	u.worker.End("run-000002/1", wire.Done)
+	u.beats(6)
+	started := len(u.worker.Started)
+	u.state.Put(u.key, json.RawMessage(u.intact))
+	u.claim()
+	u.beats(6)
+	if again := u.worker.Started[started:]; len(again) > 0 {
+		t.Errorf("started %v again", again)
+	}
+	if u.jobState(u.half.Ref) != wire.Done {
+		t.Error("the job does not end")
+	}
+}
+
+// Once somebody has restored the record, or deleted it, the part is read again and all goes
+// on.
+func TestUnreadablePlacementsAreReadAgain(t *testing.T) {
+	mend := map[string]func(u *unreadableRig){
+		"restored": func(u *unreadableRig) { u.state.Put(u.key, json.RawMessage(u.intact)) },
+		"deleted": func(u *unreadableRig) {
+			remove := wire.Txn{Then: []wire.Op{{Delete: u.key}}}
+			if _, err := u.state.Txn(context.Background(), statestore.Urgent("test"), remove); err != nil {
+				u.t.Fatal(err)
+			}
+		},
+	}
+	for name, f := range mend {
+		t.Run(name, func(t *testing.T) {
+			u := newUnreadableRig(t)
+			u.beats(4)
+			f(u)
+			for range 20 {
+				u.beat()
+				if u.part.Lost() {
+					u.claim()
+				}
+			}
+			if u.on("run-000001/0") != "m1" {
+				t.Error("the running task is not where it was")
+			}
+			u.worker.End("run-000001/0", wire.Done)
+			u.worker.End("run-000002/0", wire.Done)
+			u.worker.End("run-000002/1", wire.Done)
+			u.beats(3)
+			if u.jobState(u.runs.Ref) != wire.Done || u.jobState(u.half.Ref) != wire.Done {
+				t.Error("the jobs do not end")
+			}
+		})
+	}
+}
