--- a/cmd/bramblespur/loopback_test.go
+++ b/cmd/bramblespur/loopback_test.go
@@ -4,11 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,14 +25,33 @@
 // loopback is real processes of controllers, which this test binary runs, on real sockets
 // among stand-ins of the state service, the cloud and the workers, in real time.
 type loopback struct {
-	t       *testing.T
+	t       testing.TB
 	world   *testkit.World
 	check   *testkit.Checker
 	dir     string
 	public  map[string]string
 	running map[string]*exec.Cmd
+	used    map[string]rusage // by processes that were killed
+	served  map[string]*atomic.Int64
 }
 
+// rusage is what a process used until it was killed.
+type rusage struct {
+	processor time.Duration
+	memoryMB  float64 // resident, at its peak
+}
+
+// loopbackSize is what the settings scale with.
+type loopbackSize struct {
+	report           time.Duration
+	rps, writeRPS    float64 // of the state service
+	operations       string
+	processorSeconds float64 // a second, for each controller
+}
+
+// smallLoopback is a few machines that report often.
+var smallLoopback = loopbackSize{report: 600 * time.Millisecond, rps: 300, writeRPS: 100, operations: loopbackOperations, processorSeconds: 1}
+
 const loopbackSettings = `
 label = %q
 zone = %q
@@ -48,21 +70,21 @@
 [[params.teams]]
 name = "other"
 [params.workers]
-report_s = 0.6
+report_s = %.1f
 lease_s = 10.0
 gang_wait_s = 20.0
 gang_peer_s = 2.0
 cancel_s = 30.0
 [params.state]
-rps = 300.0
-write_rps = 100.0
+rps = %.1f
+write_rps = %.1f
 value_kb = 16.0
 txn_ops = 16
 [params.cloud]
 rps = 10.0
 list_lag_s = 5.0
 [params.resources]
-cpu_share = 1.0
+cpu_share = %.1f
 memory_mb = 256.0
 max_sockets = 1000
 `
@@ -92,7 +114,7 @@
 )
 
 // freeAddr returns an address on which nothing listens.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -102,10 +124,16 @@
 	return ln.Addr().String()
 }
 
-func newLoopback(t *testing.T, seed uint64) *loopback {
+func newLoopback(t testing.TB, seed uint64) *loopback {
 	t.Helper()
-	l := &loopback{t: t, dir: t.TempDir(), public: map[string]string{}, running: map[string]*exec.Cmd{}}
-	timing := testkit.Timing{Report: 600 * time.Millisecond, Lease: 10 * time.Second, GangWait: 20 * time.Second,
+	return newLoopbackOf(t, seed, smallLoopback)
+}
+
+func newLoopbackOf(t testing.TB, seed uint64, size loopbackSize) *loopback {
+	t.Helper()
+	l := &loopback{t: t, dir: t.TempDir(), public: map[string]string{}, running: map[string]*exec.Cmd{},
+		used: map[string]rusage{}, served: map[string]*atomic.Int64{}}
+	timing := testkit.Timing{Report: size.report, Lease: 10 * time.Second, GangWait: 20 * time.Second,
 		GangPeer: 2 * time.Second, Cancel: 30 * time.Second}
 	types := []wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, CacheGB: 100, FetchGBps: 1, Price: 5, SpotPrice: 2, BootS: 2, Zones: []string{"a", "b"}}}
 	l.check = testkit.NewChecker(nil, timing.Cancel)
@@ -113,7 +141,7 @@
 	l.world.Boot(time.Second, false)
 	stopWorkers := l.world.ServeWorkers()
 	cloud := httptest.NewServer(l.world.CloudHTTP())
-	l.configure(cloud)
+	l.configure(cloud, size)
 	for _, label := range loopbackLabels {
 		l.start(label)
 	}
@@ -131,14 +159,20 @@
 
 // configure writes the settings of all controllers. Each reaches the state service by an
 // address of its own, so that it can be refused alone.
-func (l *loopback) configure(cloud *httptest.Server) {
+func (l *loopback) configure(cloud *httptest.Server, size loopbackSize) {
 	peers := map[string]string{}
 	zones := map[string]string{"c-0": "a", "c-1": "b", "c-2": "a"}
 	for _, label := range loopbackLabels {
 		l.public[label], peers[label] = freeAddr(l.t), freeAddr(l.t)
 	}
 	for _, label := range loopbackLabels {
-		state := httptest.NewServer(l.world.State.HTTP(label))
+		served := &atomic.Int64{}
+		l.served[label] = served
+		answer := l.world.State.HTTP(label)
+		state := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			served.Add(1)
+			answer.ServeHTTP(w, r)
+		}))
 		l.t.Cleanup(state.CloseClientConnections)
 		var seeds strings.Builder
 		for _, other := range loopbackLabels {
@@ -147,9 +181,10 @@
 			}
 		}
 		l.write(label+".toml", fmt.Sprintf(loopbackSettings, label, zones[label], l.public[label], peers[label], seeds.String(),
-			strings.TrimPrefix(cloud.URL, "http://"), strings.TrimPrefix(state.URL, "http://")))
+			strings.TrimPrefix(cloud.URL, "http://"), strings.TrimPrefix(state.URL, "http://"),
+			size.report.Seconds(), size.rps, size.writeRPS, size.processorSeconds))
 	}
-	l.write("operations.toml", loopbackOperations)
+	l.write("operations.toml", size.operations)
 }
 
 func (l *loopback) write(name, text string) {
@@ -179,11 +214,21 @@
 	if cmd := l.running[label]; cmd != nil {
 		cmd.Process.Kill()
 		cmd.Wait() // it was killed: its status says so
+		l.used[label] = rusageOf(cmd.ProcessState)
 		delete(l.running, label)
 		l.world.SetNode(label, nil)
 	}
 }
 
+// rusageOf reads what a process used.
+func rusageOf(p *os.ProcessState) rusage {
+	u := rusage{processor: p.UserTime() + p.SystemTime()}
+	if r, ok := p.SysUsage().(*syscall.Rusage); ok {
+		u.memoryMB = float64(r.Maxrss) / 1024 // in kB on Linux
+	}
+	return u
+}
+
 // giveUp is when a loopback test stops waiting; nothing is timed by it.
 const giveUp = 10 * time.Minute
 
--- a/cmd/bramblespurctl/restart.go
+++ b/cmd/bramblespurctl/restart.go
@@ -138,7 +138,7 @@
 	if e.Awaited+e.Unheard == 0 {
 		return "-"
 	}
-	return fmt.Sprintf("%d tasks, %d machines", e.Awaited, e.Unheard)
+	return fmt.Sprintf("%d tasks, until %d machines report, begin anew or are given back", e.Awaited, e.Unheard)
 }
 
 func writeRestart(out io.Writer, e *restartctl.Episode) {
