--- a/cmd/bramblespurctl/restart.go
+++ b/cmd/bramblespurctl/restart.go
@@ -138,12 +138,15 @@
 	if e.Awaited+e.Unheard == 0 {
 		return "-"
 	}
-	return fmt.Sprintf("%d tasks, until %d machines report, begin anew or are given back", e.Awaited, e.Unheard)
+	return fmt.Sprintf("%d tasks, %d machines", e.Awaited, e.Unheard)
 }
 
 func writeRestart(out io.Writer, e *restartctl.Episode) {
 	table(out, func(w io.Writer) {
 		fmt.Fprintf(w, "name\t%s\nstate\t%s\ncause\t%s\ntook\t%.1fs\nparts\t%v\nawaited\t%s\n", e.Name, e.State(), e.Cause, e.TookS, e.Parts, awaited(e))
+		if e.Unheard > 0 {
+			fmt.Fprintln(w, "why\ttheir work keeps its place until they report, begin a new session or are given back")
+		}
 		if len(e.Names) > 0 {
 			fmt.Fprintf(w, "not heard\t%s\n", strings.Join(e.Names, " "))
 		}
