--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -24,6 +24,7 @@
 	MemberPrefix  = "ctl/members/"
 	PartPrefix    = "ctl/parts/"
 	FormatPrefix  = "ctl/formats/"
+	ClusterKey    = "ctl/cluster" // tells this cluster from others
 	FleetPrefix   = "fleet/"
 	RentalPrefix  = "fleet/rent/"
 	OwnPrefix     = "fleet/own/"
@@ -34,6 +35,11 @@
 	SlotPrefix    = "runs/"
 )
 
+// Prefixes returns the prefixes of all records, none of which begins with another.
+func Prefixes() []string {
+	return []string{ClusterPrefix, FleetPrefix, JobPrefix, OpenPrefix, PipePrefix, SlotPrefix}
+}
+
 // PartKey names a part's record; the version of its last claim is the part's token.
 func PartKey(p int) string { return PartPrefix + strconv.Itoa(p) }
 
--- /dev/null
+++ b/internal/snapshot/directory.go
@@ -0,0 +1,128 @@
+package snapshot
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const lockName = ".lock"
+
+// lock keeps others from taking a snapshot in a directory at the same time, also if this
+// process ends without unlocking.
+func lock(directory string) (unlock func(), err error) {
+	file, err := os.OpenFile(filepath.Join(directory, lockName), os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err != nil {
+		file.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, ErrLocked
+		}
+		return nil, fmt.Errorf("lock %s: %w", directory, err)
+	}
+	return func() { file.Close() }, nil
+}
+
+// Listed is a snapshot in a directory.
+type Listed struct {
+	Name     string    `json:"name"`
+	Manifest *Manifest `json:"manifest,omitempty"`
+	// Invalid says why its manifest can't be used.
+	Invalid string `json:"invalid,omitempty"`
+}
+
+// List returns the snapshots in a directory, the oldest first.
+func List(directory string) ([]Listed, error) {
+	entries, err := os.ReadDir(directory)
+	if err != nil {
+		return nil, err
+	}
+	out := []Listed{}
+	for _, e := range entries {
+		if !e.IsDir() || strings.HasPrefix(e.Name(), ".") {
+			continue
+		}
+		l := Listed{Name: e.Name()}
+		if l.Manifest, err = ReadManifest(directory, e.Name()); err != nil {
+			l.Invalid = err.Error()
+		}
+		out = append(out, l)
+	}
+	return out, nil // ReadDir sorts by name, and names begin with their time
+}
+
+// Retention tells which snapshots are kept.
+type Retention struct {
+	// Latest is how many of the newest are kept.
+	Latest int
+	// Days is of how many days the last one of each is kept, too.
+	Days int
+}
+
+// Check refuses what would keep nothing.
+func (r Retention) Check() error {
+	if r.Latest < 1 {
+		return fmt.Errorf("keep is %d, want 1 at least", r.Latest)
+	}
+	if r.Days < 0 {
+		return fmt.Errorf("keep-days is %d, want 0 at least", r.Days)
+	}
+	return nil
+}
+
+// Expired returns the names of the snapshots that a rule does not keep. Those whose manifests
+// can't be used are left alone.
+func (r Retention) Expired(all []Listed, now time.Time) []string {
+	usable := slices.DeleteFunc(slices.Clone(all), func(l Listed) bool { return l.Manifest == nil })
+	keep := map[string]bool{}
+	for _, l := range usable[max(0, len(usable)-r.Latest):] {
+		keep[l.Name] = true
+	}
+	lastOfDay := map[string]string{}
+	for _, l := range usable {
+		if now.Sub(l.Manifest.Taken) < time.Duration(r.Days)*24*time.Hour {
+			lastOfDay[l.Manifest.Taken.UTC().Format(time.DateOnly)] = l.Name
+		}
+	}
+	for _, name := range lastOfDay {
+		keep[name] = true
+	}
+	var out []string
+	for _, l := range usable {
+		if !keep[l.Name] {
+			out = append(out, l.Name)
+		}
+	}
+	return out
+}
+
+// Prune deletes the snapshots that a rule does not keep, and returns their names.
+func Prune(directory string, r Retention, now time.Time) ([]string, error) {
+	if err := r.Check(); err != nil {
+		return nil, err
+	}
+	unlock, err := lock(directory)
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	all, err := List(directory)
+	if err != nil {
+		return nil, err
+	}
+	expired := r.Expired(all, now)
+	for i, name := range expired {
+		if err := os.RemoveAll(filepath.Join(directory, name)); err != nil {
+			return expired[:i], err
+		}
+	}
+	return expired, nil
+}
--- /dev/null
+++ b/internal/snapshot/spool.go
@@ -0,0 +1,168 @@
+package snapshot
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"bramblespur/internal/wire"
+)
+
+// partialName is the directory of a snapshot that is being taken. It lies beside the whole
+// ones, and whoever takes the next one goes on with it.
+const partialName = ".partial"
+
+// resumeWithin is how old a partial snapshot may be: the state service keeps its changes for
+// a while only, and those since then have to be read, too.
+const resumeWithin = time.Hour
+
+// spool is what was read so far: a file of pages for each section, one page a line.
+type spool struct {
+	dir   string
+	began time.Time
+}
+
+// spoolHeader tells whose partial snapshot a spool is.
+type spoolHeader struct {
+	Cluster string    `json:"cluster"`
+	Began   time.Time `json:"began"`
+}
+
+const spoolHeaderName = "begun.json"
+
+// openSpool goes on with the partial snapshot in a directory, if it is of the same cluster and
+// not too old, and else begins a new one.
+func openSpool(directory, cluster string, now time.Time) (*spool, error) {
+	s := &spool{dir: filepath.Join(directory, partialName)}
+	header := filepath.Join(s.dir, spoolHeaderName)
+	var h spoolHeader
+	if b, err := os.ReadFile(header); err == nil && json.Unmarshal(b, &h) == nil &&
+		h.Cluster == cluster && now.Sub(h.Began) < resumeWithin {
+		s.began = h.Began
+		return s, nil
+	}
+	if err := os.RemoveAll(s.dir); err != nil {
+		return nil, err
+	}
+	if err := os.Mkdir(s.dir, 0o750); err != nil {
+		return nil, err
+	}
+	s.began = now
+	b, err := json.Marshal(spoolHeader{cluster, now})
+	if err != nil {
+		return nil, err
+	}
+	return s, os.WriteFile(header, b, 0o640)
+}
+
+// remove deletes what was spooled.
+func (s *spool) remove() error { return os.RemoveAll(s.dir) }
+
+func (s *spool) path(prefix string) string { return filepath.Join(s.dir, sectionName(prefix)+".pages") }
+
+// sectionName is a prefix as a part of a file's name.
+func sectionName(prefix string) string {
+	return strings.ReplaceAll(strings.TrimSuffix(prefix, "/"), "/", "-")
+}
+
+// restart forgets the pages of a section.
+func (s *spool) restart(prefix string) error {
+	err := os.Remove(s.path(prefix))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
+// add appends a page of a section.
+func (s *spool) add(prefix string, p wire.EntryPage) error {
+	b, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	file, err := os.OpenFile(s.path(prefix), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o640)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(append(b, '\n'))
+	return errors.Join(err, file.Close())
+}
+
+// section is what was read of the records with one prefix.
+type section struct {
+	prefix   string
+	revision uint64 // of the first page
+	latest   uint64 // of the last page
+	last     string // the last key that was read
+	whole    bool   // all pages were read
+	entries  map[string]wire.Entry
+}
+
+// take adds a page.
+func (s *section) take(p wire.EntryPage) {
+	if s.revision == 0 {
+		s.revision = p.Revision
+	}
+	s.latest = max(s.latest, p.Revision)
+	for _, e := range p.Items {
+		s.entries[e.Key] = e
+		s.last = e.Key
+	}
+	s.whole = !p.More || len(p.Items) == 0
+}
+
+// change takes in a change that came after the section was begun. One that a later page has
+// told already is passed over.
+func (s *section) change(c wire.Change) {
+	key := c.Put + c.Delete
+	if held, ok := s.entries[key]; ok && held.Version >= c.Version {
+		return
+	}
+	if c.Delete != "" {
+		delete(s.entries, key)
+		return
+	}
+	s.entries[key] = wire.Entry{Key: key, Value: c.Value, Version: c.Version, Lease: s.entries[key].Lease}
+}
+
+// load reads the pages of a section. What was cut off while it was written is forgotten, and
+// if the file makes no sense the section begins anew.
+func (s *spool) load(prefix string) (*section, error) {
+	out := &section{prefix: prefix, entries: map[string]wire.Entry{}}
+	file, err := os.OpenFile(s.path(prefix), os.O_RDWR, 0)
+	if errors.Is(err, os.ErrNotExist) {
+		return out, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	in := bufio.NewReader(file)
+	var read int64
+	for {
+		line, err := in.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		var p wire.EntryPage
+		if err := json.Unmarshal(bytes.TrimSpace(line), &p); err != nil {
+			return &section{prefix: prefix, entries: map[string]wire.Entry{}}, s.restart(prefix)
+		}
+		out.take(p)
+		read += int64(len(line))
+	}
+	if err := file.Truncate(read); err != nil {
+		return nil, fmt.Errorf("cut off pages of %s: %w", prefix, err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/snapshot/take.go
@@ -0,0 +1,218 @@
+package snapshot
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// use is the purpose of a snapshot's requests: they leave room for what users wait for.
+var use = statestore.Routine("snapshot")
+
+// Source is the state service as far as snapshots need it.
+type Source interface {
+	Get(ctx context.Context, u statestore.Use, key string) (wire.Entry, error)
+	ListPage(ctx context.Context, u statestore.Use, prefix, after string, limit int) (wire.EntryPage, error)
+	Txn(ctx context.Context, u statestore.Use, t wire.Txn) (uint64, error)
+	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (wire.Changes, error)
+}
+
+// Taker takes snapshots.
+type Taker struct {
+	Source    Source
+	Directory string
+	// Patience is how long the state service may leave all requests without an answer.
+	Patience time.Duration
+	Now      func() time.Time
+	// Sleep waits, or returns an error if the context ends first.
+	Sleep func(ctx context.Context, d time.Duration) error
+
+	requests int
+	answered time.Time
+	writer   func(path string) (sectionFile, error) // opens a section's file; tests replace it
+}
+
+// Bounds of taking a snapshot.
+const (
+	// pageKeys is the most keys in a page.
+	pageKeys = 250
+	// retryPause is between two requests of which the first failed.
+	retryPause = 400 * time.Millisecond
+	// sectionTries is how often a section is read whose changes can't be followed any more.
+	sectionTries = 3
+)
+
+// Cluster tells one cluster from another.
+type Cluster struct {
+	ID string `json:"id"`
+}
+
+// Take takes a snapshot, or goes on with one that was cut off, and returns its manifest.
+func (t *Taker) Take(ctx context.Context) (*Manifest, error) {
+	unlock, err := lock(t.Directory)
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	t.requests, t.answered = 0, t.Now()
+	cluster, err := t.cluster(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s, err := openSpool(t.Directory, cluster, t.Now())
+	if err != nil {
+		return nil, err
+	}
+	m := &Manifest{Layout: Layout, Cluster: cluster, Began: s.began}
+	sections, err := t.readAll(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	if err := t.align(ctx, s, sections, m); err != nil {
+		return nil, err
+	}
+	m.Taken, m.Requests = t.Now(), t.requests
+	if err := t.write(m, sections); err != nil {
+		return nil, err
+	}
+	return m, s.remove()
+}
+
+// ask makes a request until it is answered, or until nothing was for too long.
+func ask[T any](ctx context.Context, t *Taker, request func() (T, error)) (T, error) {
+	for {
+		t.requests++
+		v, err := request()
+		final := err == nil || errors.Is(err, statestore.ErrNotFound) || errors.Is(err, statestore.ErrTooOld) ||
+			errors.Is(err, statestore.ErrInvalid) || errors.As(err, new(*statestore.ConflictError))
+		if final {
+			t.answered = t.Now()
+			return v, err
+		}
+		if t.Now().Sub(t.answered) > t.Patience {
+			return v, fmt.Errorf("no answer from the state service for %v: %w", t.Patience, err)
+		}
+		if err := t.Sleep(ctx, retryPause); err != nil {
+			return v, err
+		}
+	}
+}
+
+// cluster returns the cluster's id, and gives it one if it has none yet.
+func (t *Taker) cluster(ctx context.Context) (string, error) {
+	for {
+		e, err := ask(ctx, t, func() (wire.Entry, error) { return t.Source.Get(ctx, use, record.ClusterKey) })
+		if err == nil {
+			var c Cluster
+			if err := json.Unmarshal(e.Value, &c); err != nil || c.ID == "" {
+				return "", fmt.Errorf("record %s makes no sense: %s", record.ClusterKey, e.Value)
+			}
+			return c.ID, nil
+		}
+		if !errors.Is(err, statestore.ErrNotFound) {
+			return "", err
+		}
+		first := wire.Txn{If: []wire.Cond{{Key: record.ClusterKey}},
+			Then: []wire.Op{{Put: record.ClusterKey, Value: record.Encode(Cluster{rand.Text()})}}}
+		_, err = ask(ctx, t, func() (uint64, error) { return t.Source.Txn(ctx, use, first) })
+		if err != nil && !errors.As(err, new(*statestore.ConflictError)) {
+			return "", err
+		}
+	}
+}
+
+// readAll reads all sections, as far as the spool does not have them.
+func (t *Taker) readAll(ctx context.Context, s *spool) ([]*section, error) {
+	var out []*section
+	for _, prefix := range record.Prefixes() {
+		sec, err := t.read(ctx, s, prefix)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, sec)
+	}
+	return out, nil
+}
+
+// read reads what the spool lacks of a section.
+func (t *Taker) read(ctx context.Context, s *spool, prefix string) (*section, error) {
+	sec, err := s.load(prefix)
+	if err != nil {
+		return nil, err
+	}
+	for !sec.whole {
+		p, err := ask(ctx, t, func() (wire.EntryPage, error) {
+			return t.Source.ListPage(ctx, use, prefix, sec.last, pageKeys)
+		})
+		if err != nil {
+			return nil, err
+		}
+		if err := s.add(prefix, p); err != nil {
+			return nil, err
+		}
+		sec.take(p)
+	}
+	return sec, nil
+}
+
+// align brings all sections to one revision: that of the first answer to a watch after all
+// were read. Where changes since a section was begun are no longer kept, it is read again and
+// all are aligned anew; if they never are, the manifest says which revisions its records are
+// of.
+func (t *Taker) align(ctx context.Context, s *spool, sections []*section, m *Manifest) error {
+	for try := 1; ; try++ {
+		stale, err := t.follow(ctx, sections, m)
+		if err != nil || len(stale) == 0 {
+			return err
+		}
+		if try == sectionTries {
+			first := sections[stale[0]]
+			for _, sec := range sections {
+				m.Revision = max(m.Revision, sec.latest)
+			}
+			m.Span = &Span{From: first.revision, To: m.Revision, Reason: "changes of " + first.prefix + " come faster than they can be read"}
+			return nil
+		}
+		for _, i := range stale {
+			prefix := sections[i].prefix
+			if err := s.restart(prefix); err != nil {
+				return err
+			}
+			if sections[i], err = t.read(ctx, s, prefix); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// follow takes in the changes of all sections up to one revision, and returns those sections
+// whose changes are no longer kept.
+func (t *Taker) follow(ctx context.Context, sections []*section, m *Manifest) (stale []int, err error) {
+	m.Revision = 0
+	for i, sec := range sections {
+		changes, err := ask(ctx, t, func() (wire.Changes, error) { return t.Source.Watch(ctx, sec.prefix, sec.revision, 0) })
+		if errors.Is(err, statestore.ErrTooOld) {
+			stale = append(stale, i)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if m.Revision == 0 {
+			m.Revision = changes.Revision
+		}
+		for _, c := range changes.Events {
+			if c.Version <= m.Revision {
+				sec.change(c)
+			}
+		}
+	}
+	return stale, nil
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -48,6 +48,8 @@
 type Store interface {
 	Get(ctx context.Context, u Use, key string) (wire.Entry, error)
 	List(ctx context.Context, u Use, prefix string) ([]wire.Entry, uint64, error)
+	// ListPage reads up to so many keys with a prefix that come after one, none for the first.
+	ListPage(ctx context.Context, u Use, prefix, after string, limit int) (wire.EntryPage, error)
 	Txn(ctx context.Context, u Use, t wire.Txn) (uint64, error)
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64) error
@@ -219,24 +221,19 @@
 	return e, nil
 }
 
+// MaxPage is the most keys in a page.
+const MaxPage = 1000
+
 // List reads all keys with a prefix, and the revision of the first page.
 func (c *Client) List(ctx context.Context, u Use, prefix string) ([]wire.Entry, uint64, error) {
 	var all []wire.Entry
 	var rev uint64
-	since := ""
+	after := ""
 	for {
-		target := "/store?prefix=" + url.QueryEscape(prefix) + "&page=1000"
-		if since != "" {
-			target += "&since=" + url.QueryEscape(since)
-		}
-		var p wire.EntryPage
-		status, _, err := c.do(ctx, u, "GET", target, nil, &p)
+		p, err := c.ListPage(ctx, u, prefix, after, MaxPage)
 		if err != nil {
 			return nil, 0, err
 		}
-		if status != 200 {
-			return nil, 0, fmt.Errorf("%w: status %d", ErrInvalid, status)
-		}
 		if rev == 0 {
 			rev = p.Revision
 		}
@@ -244,8 +241,22 @@
 		if !p.More || len(p.Items) == 0 {
 			return all, rev, nil
 		}
-		since = p.Items[len(p.Items)-1].Key
+		after = p.Items[len(p.Items)-1].Key
+	}
+}
+
+// ListPage implements Store.
+func (c *Client) ListPage(ctx context.Context, u Use, prefix, after string, limit int) (wire.EntryPage, error) {
+	target := fmt.Sprintf("/store?prefix=%s&page=%d", url.QueryEscape(prefix), limit)
+	if after != "" {
+		target += "&since=" + url.QueryEscape(after)
+	}
+	var p wire.EntryPage
+	status, _, err := c.do(ctx, u, "GET", target, nil, &p)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("%w: status %d", ErrInvalid, status)
 	}
+	return p, err
 }
 
 // Txn applies a transaction and returns its revision.
--- a/internal/testkit/loopback.go
+++ b/internal/testkit/loopback.go
@@ -25,8 +25,12 @@
 		answer(w, e, err)
 	})
 	mux.HandleFunc("GET /store", func(w http.ResponseWriter, r *http.Request) {
-		items, rev, err := link.List(r.Context(), use, r.FormValue("prefix"))
-		answer(w, wire.EntryPage{Items: items, Revision: rev}, err)
+		limit, err := strconv.Atoi(r.FormValue("page"))
+		if err != nil {
+			limit = statestore.MaxPage
+		}
+		page, err := link.ListPage(r.Context(), use, r.FormValue("prefix"), r.FormValue("since"), limit)
+		answer(w, page, err)
 	})
 	mux.HandleFunc("POST /txn", func(w http.ResponseWriter, r *http.Request) {
 		var t wire.Txn
--- a/internal/testkit/service.go
+++ b/internal/testkit/service.go
@@ -241,6 +241,15 @@
 	return l.s.state.List(ctx, u, prefix)
 }
 
+// ListPage implements statestore.Store.
+func (l *Link) ListPage(ctx context.Context, u statestore.Use, prefix, after string, limit int) (wire.EntryPage, error) {
+	if err := l.begin(ctx); err != nil {
+		return wire.EntryPage{}, err
+	}
+	defer l.s.mu.Unlock()
+	return l.s.state.ListPage(ctx, u, prefix, after, limit)
+}
+
 // Txn implements statestore.Store.
 func (l *Link) Txn(ctx context.Context, _ statestore.Use, t wire.Txn) (uint64, error) {
 	if err := l.begin(ctx); err != nil {
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -41,6 +42,7 @@
 	log     []wire.Change
 	held    []wire.Txn
 
+	KeepChanges      int // so many of the latest changes are kept for watches; 0: all
 	MaxValue, MaxOps int // larger values and transactions are not taken; 0: no limit
 
 	Down        bool // every request is refused
@@ -91,6 +93,14 @@
 	return out, s.rev, nil
 }
 
+// ListPage implements statestore.Store.
+func (s *State) ListPage(ctx context.Context, u statestore.Use, prefix, after string, limit int) (wire.EntryPage, error) {
+	items, rev, err := s.List(ctx, u, prefix)
+	items = slices.DeleteFunc(items, func(e wire.Entry) bool { return e.Key <= after })
+	n := min(limit, len(items))
+	return wire.EntryPage{Items: items[:n], More: n < len(items), Revision: rev}, err
+}
+
 // Txn implements statestore.Store.
 func (s *State) Txn(_ context.Context, _ statestore.Use, t wire.Txn) (uint64, error) {
 	s.mu.Lock()
@@ -216,6 +226,9 @@
 	if s.Down {
 		return wire.Changes{}, statestore.ErrRefused
 	}
+	if n := len(s.log) - s.KeepChanges; s.KeepChanges > 0 && n > 0 && since < s.log[n-1].Version {
+		return wire.Changes{}, statestore.ErrTooOld
+	}
 	ch := wire.Changes{Revision: s.rev}
 	for _, e := range s.log {
 		if e.Version > since && strings.HasPrefix(e.Put+e.Delete, prefix) {
