Safe mode: controllers notice that the state service lost data, and do nothing

Need: with records gone, controllers would start work twice, stop what runs, and forget accepted jobs.

Change: signs that can't come about otherwise (a revision, token or version that falls; a record gone without its deletion or its job's end; tasks on several machines that no record explains) begin a safe mode that each controller holds by itself and that a record agrees on. Leases are renewed, nothing is ordered, returned or recorded, users are told to come back. The leader audits its views once a minute. Off without [recovery] in the operators' file.

Seen in tests: whatever prefix is lost without a word, or the state goes back, also as all restart: every controller is in safe mode, no order, no lost lease, no 404; and all goes on once it is restored. In all other tests of clusters it is on, and nobody ever believes in a loss.

--- a/internal/controller/bounds_test.go
+++ b/internal/controller/bounds_test.go
@@ -299,6 +299,7 @@
 		k.prepare = func(label string, c *Controller) {
 			n := &tally{did: map[string]int{}}
 			tallies[label] = n
+			c.safeMode.auditEvery = time.Minute
 			c.life, c.store = countingLife{c.life, n}, countingStore{c.store, n}
 			for l, p := range c.peers {
 				c.peers[l] = countingPeer{p, n}
@@ -373,4 +374,5 @@
 	"wait":  520, // of loops and for answers
 	"lease": 60,
 	"watch": 45,
+	"audit": 2 * 3, // three lists by the leader, once in half a minute to one and a half
 }
--- a/internal/controller/claim.go
+++ b/internal/controller/claim.go
@@ -157,6 +157,9 @@
 	id := p.ID()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.safeMode.holder.Active() {
+		return errors.New("claim: safe mode began meanwhile")
+	}
 	if cur := c.partRecs[id]; cur.version > p.Token() {
 		return fmt.Errorf("claim: part claimed by %s meanwhile", cur.rec.Owner)
 	}
@@ -214,6 +217,9 @@
 		return nil, err
 	}
 	p := sched.New(cfg, id, token)
+	if c.safeMode.on {
+		p.SetStrict()
+	}
 	c.mu.Lock()
 	open = slices.DeleteFunc(open, func(e wire.Entry) bool { return c.knownElsewhere(e, id) })
 	if c.upgraded() {
--- a/internal/controller/cloud_list.go
+++ b/internal/controller/cloud_list.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"bramblespur/internal/config"
@@ -51,13 +53,18 @@
 	}
 	renting := len(fl.Unfinished()) > 0
 	var unrecorded []string
+	addrs := map[string]string{}
+	for _, m := range list {
+		addrs[m.ID] = m.Addr
+	}
 	for id, seen := range unknown {
 		_, ok := fl.Machine(id)
 		if reconcile.Machine(reconcile.MachineEvidence{Recorded: ok, Listed: seen, Renting: renting}).Action == reconcile.GiveBack {
 			unrecorded = append(unrecorded, id)
 		}
 	}
-	if len(unrecorded) > 0 {
+	maps.DeleteFunc(addrs, func(id, _ string) bool { return !slices.Contains(unrecorded, id) })
+	if len(unrecorded) > 0 && !c.askStrangers(ctx, addrs) {
 		err := c.cloud.Return(ctx, unrecorded)
 		c.log.Info("unexpected machines returned", "machines", unrecorded, "err", err)
 	}
--- a/internal/controller/cluster_process_test.go
+++ b/internal/controller/cluster_process_test.go
@@ -11,6 +11,7 @@
 
 	"bramblespur/internal/config"
 	"bramblespur/internal/httpwire"
+	"bramblespur/internal/operations"
 	"bramblespur/internal/peer"
 	"bramblespur/internal/policy"
 	"bramblespur/internal/record"
@@ -139,6 +140,7 @@
 	k.procs[label] = p
 	k.mu.Unlock()
 	k.world.SetNode(label, p)
+	c.turnSafeModeOn(&operations.Recovery{AuditEvery: testAudit})
 	if k.prepare != nil {
 		k.prepare(label, c)
 	}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -34,6 +34,8 @@
 	ended time.Time // when all controllers first ended
 	// cancels says that jobs were cancelled: their stops are never held back.
 	cancels atomic.Bool
+	// loses says that the test's state service loses data: else nobody may ever believe so.
+	loses bool
 	// prepare is called with each new process before it starts, nil for nothing.
 	prepare func(label string, c *Controller)
 }
@@ -209,6 +211,11 @@
 // verdict fails the test for all that the checker found.
 func (k *cluster) verdict() {
 	k.t.Helper()
+	for _, label := range k.labels {
+		if p := k.process(label); p != nil && !k.loses && p.c.everLost() {
+			k.t.Errorf("%s believes that the state service has lost data", label)
+		}
+	}
 	for _, b := range k.check.Broken() {
 		k.t.Error(b)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,6 +84,7 @@
 	formats          map[string]record.Format // by controller, what it writes and reads
 	jobsAt           time.Time                // so was the view of open jobs
 	fleetAt          time.Time                // and that of the machines
+	viewRevisions    map[string]uint64        // of the views, by prefix
 	redirects        workerRedirects
 	peerLoads        map[string]peerLoad // what peers last told the leader
 	lastReportAt     time.Time           // of any worker, to this controller itself
@@ -100,6 +101,7 @@
 	renewals         renewals
 	drains           drains
 	restarts         restarts
+	safeMode         safeMode
 	held             map[string]*held
 	budgetAt         time.Time // when the leader last gave a budget
 	readiness        readiness
@@ -138,6 +140,7 @@
 	c.init()
 	c.drains.turnOn(ops.Drains, &p)
 	c.restarts.turnOn(ops.Restart)
+	c.turnSafeModeOn(ops.Recovery)
 	for _, q := range cfg.Peers {
 		c.peers[q.Label] = peer.NewClient(q.Addr)
 	}
@@ -180,6 +183,9 @@
 	if c.restarts.on {
 		go c.restartLoop(ctx)
 	}
+	if c.safeMode.on {
+		go c.auditLoop(ctx)
+	}
 }
 
 func (c *Controller) init() {
@@ -194,6 +200,7 @@
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.fleet = record.NewFleet()
 	c.open = map[string]openJob{}
+	c.viewRevisions = map[string]uint64{}
 	c.endWaiters = map[string]chan struct{}{}
 	c.needs = fragment.NewNeeds()
 	c.dependencyReads = map[string]time.Time{}
@@ -295,8 +302,10 @@
 			p.SetBacklog(backlog)
 			c.pump(p, now)
 		}
-		c.seekDependencies(ctx, now)
-		c.considerClaims(ctx, now)
+		if !c.safeMode.holder.Active() {
+			c.seekDependencies(ctx, now)
+			c.considerClaims(ctx, now)
+		}
 		c.checkBudget(now)
 		c.redirects.expire(now)
 		if !c.blind(now) {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -68,7 +68,8 @@
 	for sleep(ctx, syncEvery) {
 		now := time.Now()
 		c.mu.Lock()
-		leads, sure, types := c.leads(now), c.sure(now), c.types
+		safe := c.safeMode.holder.Active()
+		leads, sure, types := c.leads(now) && !safe, c.sure(now) && !safe, c.types
 		cur := c.leader
 		stand := !leads && sure && types != nil && now.After(c.quietUntil) && !c.viewAt.IsZero() &&
 			(cur.version == 0 || cur.rec.Label == c.cfg.Label)
--- a/internal/controller/parts.go
+++ b/internal/controller/parts.go
@@ -107,6 +107,9 @@
 	for _, q := range eff.Probes {
 		go c.probe(p, q)
 	}
+	for _, u := range eff.Unrecorded {
+		go c.seekRecords(p, u)
+	}
 	for _, id := range eff.Wake {
 		if c.held[id] != nil {
 			c.release(id, now)
@@ -221,11 +224,15 @@
 // reread reads one key again, until it succeeds, and tells the part.
 func (c *Controller) reread(p *sched.Part, key string, tell func(e *wire.Entry, now time.Time) error) {
 	var e *wire.Entry
+	intact := true
 	ok := c.again(p, func(ctx context.Context) (err error) {
-		e, err = c.getIfThere(ctx, key)
+		if e, err = c.getIfThere(ctx, key); err != nil {
+			return err
+		}
+		intact, err = c.readBack(ctx, p, key, e)
 		return err
 	})
-	if !ok {
+	if !ok || !intact {
 		return
 	}
 	c.locked(p, func(now time.Time) {
@@ -310,10 +317,16 @@
 				return
 			}
 			c.mu.Lock()
+			c.noticeOlder(record.PartKey(id), c.partRecs[id].version, e.Version, time.Now())
 			c.setPart(id, r, e.Version)
 			c.mu.Unlock()
 			return
 		}
+		if errors.Is(err, statestore.ErrNotFound) {
+			c.mu.Lock()
+			c.noticeOlder(record.PartKey(id), c.partRecs[id].version, 0, time.Now())
+			c.mu.Unlock()
+		}
 		sleep(ctx, jitter(400*time.Millisecond))
 	}
 }
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -15,20 +15,26 @@
 // poll that is refused would come again. Else the open record comes first, since a
 // job that has none any more is in the other by then.
 func (c *Controller) state(ctx context.Context, u statestore.Use, ref string) (string, error) {
-	if !c.isOpen(ref) {
+	known := c.knownOpen(ref)
+	if known.version == 0 {
 		if state, err := c.finalState(ctx, u, ref); !errors.Is(err, statestore.ErrNotFound) {
 			return state, err
 		}
 		u = statestore.Urgent(u.For) // a reading that has begun goes on
 	}
-	_, err := c.store.Get(ctx, u, record.OpenKey(ref))
+	e, err := c.store.Get(ctx, u, record.OpenKey(ref))
 	if err == nil {
-		return wire.Pending, nil // also of one that is being cancelled: see cancel
+		// Also of one that is being cancelled: see cancel.
+		return wire.Pending, c.believeOpen(ref, known, e.Version)
 	}
 	if !errors.Is(err, statestore.ErrNotFound) {
 		return "", err
 	}
-	return c.finalState(ctx, statestore.Urgent(u.For), ref)
+	state, err := c.finalState(ctx, statestore.Urgent(u.For), ref)
+	if errors.Is(err, statestore.ErrNotFound) {
+		err = c.believeUnknown(ref, known)
+	}
+	return state, err
 }
 
 // finalState reads the state of a job that is over.
--- /dev/null
+++ b/internal/controller/safe_mode.go
@@ -0,0 +1,215 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"bramblespur/internal/operations"
+	"bramblespur/internal/record"
+	"bramblespur/internal/recovery"
+	"bramblespur/internal/sched"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// safeModeEvery is how often a controller in safe mode compares what it holds with the record.
+const safeModeEvery = time.Second
+
+// safeMode is what a controller does about a state service that lost data. While it is active
+// nothing is started, stopped, returned or recorded; leases are renewed, and users are told to
+// come back. The controller's lock guards it, but for the guard, which guards itself.
+type safeMode struct {
+	on         bool
+	auditEvery time.Duration
+	guard      *statestore.Guard
+	holder     recovery.Holder
+	// frozen are the parts that were owned when it began: what they hold is evidence.
+	frozen map[int]*sched.Part
+	// reports are the newest ones of workers since it began.
+	reports    map[string]wire.Report
+	asking     bool // a machine without a record is being asked
+	confirming bool // a suspicion is being looked into
+	relists    int  // how often all views were to be read anew
+}
+
+// turnOn sets the operators' settings; nil leaves it off. The store that it returns is to be
+// used from then on.
+func (c *Controller) turnSafeModeOn(s *operations.Recovery) {
+	if s == nil {
+		return
+	}
+	m := &c.safeMode
+	m.on, m.auditEvery = true, s.AuditEvery
+	m.guard = statestore.NewGuard(c.store, []string{record.MemberPrefix, recovery.Prefix}, func(held, found uint64) {
+		go c.confirmLoss(recovery.Sign{Kind: recovery.RevisionFell, Held: held, Found: found})
+	})
+	c.store = m.guard
+}
+
+// inSafeMode reports whether nothing may be done.
+func (c *Controller) inSafeMode() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.safeMode.holder.Active()
+}
+
+// confirmLoss reads the state service's revision once more before a revision or a token that
+// is ahead of it counts as a sign of loss.
+func (c *Controller) confirmLoss(s recovery.Sign) {
+	c.mu.Lock()
+	m := &c.safeMode
+	begin := m.on && !m.confirming && !m.holder.Active()
+	m.confirming = m.confirming || begin
+	c.mu.Unlock()
+	if !begin {
+		return
+	}
+	ctx := c.life
+	for ctx.Err() == nil {
+		_, revision, err := m.guard.Store.List(ctx, statestore.Urgent("recovery"), recovery.Prefix)
+		if err != nil {
+			sleep(ctx, jitter(400*time.Millisecond))
+			continue
+		}
+		c.mu.Lock()
+		m.confirming = false
+		if revision < s.Held {
+			s.Found = revision
+			c.noticeLoss(s, time.Now())
+		}
+		c.mu.Unlock()
+		return
+	}
+}
+
+// noticeLoss begins the safe mode. Until every controller has given its word on its format,
+// one of the first version may be there, which would go on by itself. The lock is held.
+func (c *Controller) noticeLoss(s recovery.Sign, now time.Time) {
+	m := &c.safeMode
+	if !m.on || !c.upgraded() {
+		return
+	}
+	if m.holder.Notice(c.cfg.Label, s, m.guard.Highest(), now.UnixMilli()) {
+		c.enterSafeMode(now)
+	}
+}
+
+// noticeOlder begins the safe mode if a record is older than what was held of it, or gone. The
+// lock is held.
+func (c *Controller) noticeOlder(key string, held, found uint64, now time.Time) bool {
+	s, lost := recovery.Older(key, held, found)
+	if lost {
+		c.noticeLoss(s, now)
+	}
+	return lost && c.safeMode.holder.Active()
+}
+
+// enterSafeMode stops everything. The lock is held.
+func (c *Controller) enterSafeMode(now time.Time) {
+	m := &c.safeMode
+	mode := m.holder.Mode()
+	c.log.Error("the state service has lost data: safe mode", "sign", mode.Sign, "noticed_by", mode.By, "epoch", mode.Epoch)
+	m.guard.Close(true)
+	go c.safeModeLoop(c.life)
+	m.frozen, m.reports = c.parts, map[string]wire.Report{}
+	c.parts = map[int]*sched.Part{}
+	for machine := range c.held {
+		c.release(machine, now)
+	}
+}
+
+// leaveSafeMode begins anew with what is on record. The lock is held.
+func (c *Controller) leaveSafeMode() {
+	m := &c.safeMode
+	c.log.Info("safe mode is over", "epoch", m.holder.Mode().Epoch)
+	m.frozen, m.reports = nil, nil
+	m.guard.Reset()
+	m.guard.Close(false)
+	m.relists++
+	c.partRecs = map[int]versioned[record.Part]{}
+	c.fleet = record.NewFleet()
+	for ref := range c.open {
+		c.closeOpen(ref)
+	}
+	c.viewRevisions = map[string]uint64{}
+	c.viewAt, c.jobsAt, c.fleetAt = time.Time{}, time.Time{}, time.Time{}
+	c.begun = time.Now()
+}
+
+// safeModeLoop compares what is held with the record, and brings each up to the other, until
+// the safe mode is over.
+func (c *Controller) safeModeLoop(ctx context.Context) {
+	for c.inSafeMode() && sleep(ctx, safeModeEvery) {
+		if err := c.keepSafeMode(ctx); err != nil {
+			c.log.Debug("safe mode record", "err", err)
+		}
+	}
+}
+
+// keepSafeMode reads the record, without the guard: the store's revision may have fallen.
+func (c *Controller) keepSafeMode(ctx context.Context) error {
+	store := c.safeMode.guard.Store
+	use := statestore.Urgent("recovery")
+	e, err := store.Get(ctx, use, recovery.SafeModeKey)
+	var read *recovery.SafeMode
+	switch {
+	case err == nil:
+		read = new(recovery.SafeMode)
+		if err := json.Unmarshal(e.Value, read); err != nil {
+			return err
+		}
+	case !errors.Is(err, statestore.ErrNotFound):
+		return err
+	}
+	c.mu.Lock()
+	c.readSafeMode(read, time.Now())
+	t, behind := c.safeMode.holder.Write(read, e.Version)
+	c.mu.Unlock()
+	if !behind {
+		return nil
+	}
+	_, err = store.Txn(ctx, use, t)
+	return err
+}
+
+// readSafeMode takes in the record. The lock is held.
+func (c *Controller) readSafeMode(r *recovery.SafeMode, now time.Time) {
+	if !c.safeMode.on {
+		return
+	}
+	switch began, ended := c.safeMode.holder.Read(r); {
+	case began:
+		c.enterSafeMode(now)
+	case ended:
+		c.leaveSafeMode()
+	}
+}
+
+// renewInSafeMode answers a worker's report: its lease is renewed, under the token that it
+// knows, by whichever controller it asks, and it is told to do nothing. The lock is held.
+func (c *Controller) renewInSafeMode(r *wire.Report) reply {
+	m := &c.safeMode
+	m.holder.Raise(r.Token)
+	if old, ok := m.reports[r.Machine]; !ok || newer(r, &old) {
+		m.reports[r.Machine] = *r
+	}
+	if r.Token == 0 {
+		return reply{status: 503, retryAfter: retryLater} // it was never told to do anything
+	}
+	return reply{status: 200, body: wire.Orders{Token: r.Token, Commands: []wire.Command{}}}
+}
+
+// newer reports whether a report comes after another of the same worker.
+func newer(r, than *wire.Report) bool {
+	return r.Session > than.Session || (r.Session == than.Session && r.Seq > than.Seq)
+}
+
+// suspectToken looks into a worker's token that is ahead of all revisions seen: tokens are
+// revisions of the state service. The lock is held.
+func (c *Controller) suspectToken(r *wire.Report) {
+	if m := &c.safeMode; m.on && r.Token > m.guard.Highest() {
+		go c.confirmLoss(recovery.Sign{Kind: recovery.TokenAhead, Key: r.Machine, Held: r.Token})
+	}
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -34,6 +34,9 @@
 	if !no.zero() {
 		return no
 	}
+	if c.inSafeMode() {
+		return work()
+	}
 	if c.leaseOverdue() {
 		if r, ok := c.passOn(req); ok {
 			return r
@@ -142,8 +145,8 @@
 
 func later() reply { return reply{status: 503, retryAfter: retryLater} }
 
-// leaseLost reports whether the state service could not be reached for a while:
-// what needs it is refused at once then.
+// leaseLost reports whether the state service could not be reached for a while, or has lost
+// data: what needs it is refused at once then.
 func (c *Controller) leaseLost() bool {
-	return c.lease.current().lost(time.Now())
+	return c.lease.current().lost(time.Now()) || c.inSafeMode()
 }
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"bramblespur/internal/drain"
 	"bramblespur/internal/httpwire"
 	"bramblespur/internal/record"
+	"bramblespur/internal/recovery"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
 )
@@ -26,8 +28,10 @@
 			sleep(ctx, jitter(400*time.Millisecond))
 			continue
 		}
+		relists := c.relists()
 		reset(entries, rev, at)
-		for ctx.Err() == nil {
+		c.viewReached(prefix, rev, relists)
+		for ctx.Err() == nil && c.relists() == relists {
 			at := time.Now()
 			ch, err := c.store.Watch(ctx, prefix, rev, c.watchWait())
 			if errors.Is(err, statestore.ErrTooOld) || errors.Is(err, httpwire.ErrTooLarge) {
@@ -42,6 +46,7 @@
 			}
 			rev = max(rev, ch.Revision)
 			c.viewed(prefix, at)
+			c.viewReached(prefix, rev, relists)
 			if len(ch.Events) > 0 {
 				sleep(ctx, watchPause)
 			}
@@ -62,8 +67,18 @@
 	}
 }
 
+// viewReached takes in the revision that a view has come to, unless it is to be read anew.
+func (c *Controller) viewReached(prefix string, revision uint64, relists int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.safeMode.relists == relists {
+		c.viewRevisions[prefix] = revision
+	}
+}
+
 func (c *Controller) resetCluster(entries []wire.Entry, rev uint64, at time.Time) {
 	c.mu.Lock()
+	c.checkParts(entries, rev, at)
 	c.resetDrains(entries, rev)
 	c.partRecs = map[int]versioned[record.Part]{}
 	c.members = map[string]record.Member{}
@@ -76,7 +91,7 @@
 	c.viewed(record.ClusterPrefix, at)
 }
 
-func (c *Controller) changeCluster(e wire.Change, _ time.Time) {
+func (c *Controller) changeCluster(e wire.Change, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := e.Put + e.Delete
@@ -114,6 +129,13 @@
 				c.formats[record.Last(key)] = f
 			}
 		}
+	case key == recovery.SafeModeKey:
+		var m recovery.SafeMode
+		if !gone {
+			if err = json.Unmarshal(e.Value, &m); err == nil {
+				c.readSafeMode(&m, at)
+			}
+		}
 	case strings.HasPrefix(key, drain.Prefix):
 		err = c.drains.view.Change(e)
 	case strings.HasPrefix(key, record.PartPrefix):
@@ -161,16 +183,66 @@
 		changes = append(changes, wire.Change{Put: e.Key, Value: e.Value, Version: e.Version})
 	}
 	c.mu.Lock()
+	missing := map[string]uint64{}
 	for key, version := range c.fleet.Versions() {
 		if !keep[key] && version <= rev {
-			changes = append(changes, wire.Change{Delete: key, Version: rev})
+			missing[key] = version
 		}
 	}
+	if !c.safeMode.on {
+		changes = append(changes, deletions(missing, rev)...)
+	}
 	c.takeFleet(changes, time.Now())
 	c.mu.Unlock()
+	if c.safeMode.on {
+		c.dropMissing(missing, rev)
+	}
 	c.viewed(record.FleetPrefix, at)
 }
 
+// deletions are the changes that end records as of a revision.
+func deletions(keys map[string]uint64, rev uint64) []wire.Change {
+	var out []wire.Change
+	for key := range keys {
+		out = append(out, wire.Change{Delete: key, Version: rev})
+	}
+	return out
+}
+
+// dropMissing takes in that records of machines were missing from a list, unless it turns out
+// that they were lost.
+func (c *Controller) dropMissing(missing map[string]uint64, rev uint64) {
+	keys := maps.Clone(missing) // of which those that were not deleted are left
+	for len(missing) > 0 && c.life.Err() == nil {
+		if err := c.confirmMissing(c.life, record.FleetPrefix, missing); err == nil {
+			break
+		}
+		sleep(c.life, jitter(400*time.Millisecond))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(keys) > 0 && !c.safeMode.holder.Active() {
+		c.takeFleet(deletions(keys, rev), time.Now())
+	}
+}
+
+// checkParts compares the records of parts in a list with those held: they are never deleted.
+// The lock is held.
+func (c *Controller) checkParts(entries []wire.Entry, rev uint64, now time.Time) {
+	if !c.safeMode.on {
+		return
+	}
+	listed := map[string]uint64{}
+	for _, e := range entries {
+		listed[e.Key] = e.Version
+	}
+	for id, r := range c.partRecs {
+		if key := record.PartKey(id); r.version <= rev {
+			c.noticeOlder(key, r.version, listed[key], now)
+		}
+	}
+}
+
 func (c *Controller) changeFleet(e wire.Change, _ time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -222,13 +294,18 @@
 		keep[record.Last(e.Key)] = true
 		c.changeOpen(wire.Change{Put: e.Key, Value: e.Value, Version: e.Version}, at)
 	}
+	missing := map[string]uint64{}
 	c.mu.Lock()
 	for ref, j := range c.open {
 		if !keep[ref] && j.version <= rev {
+			missing[record.OpenKey(ref)] = j.version
 			c.closeOpen(ref)
 		}
 	}
 	c.mu.Unlock()
+	if c.safeMode.on {
+		go c.confirmMissing(c.life, record.OpenPrefix, missing)
+	}
 	c.viewed(record.OpenPrefix, at)
 }
 
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -27,10 +27,19 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.lastReportAt = now
+	if c.safeMode.holder.Active() {
+		return c.renewInSafeMode(&r), true
+	}
+	c.suspectToken(&r)
 	m, known := c.fleet.Machine(r.Machine)
 	if !known {
 		c.log.Debug("report of an unknown machine", "machine", r.Machine)
-		go c.answerForOwner(&r, 0, answer) // restarted while the state service is out of reach
+		c.suspectMachine(&r)
+		token := uint64(0) // restarted while the state service is out of reach
+		if c.safeMode.on {
+			token = r.Token // its record may be lost: its tasks live until that is known
+		}
+		go c.answerForOwner(&r, token, answer)
 		return reply{}, false
 	}
 	if p := c.parts[m.Part]; p != nil {
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -26,8 +27,24 @@
 type Settings struct {
 	Drains  *drain.Settings // nil: off
 	Restart *Restart        // nil: off
+	// Recovery is about a state service that loses data; nil: off.
+	Recovery *Recovery
 }
 
+// Recovery is what controllers do about a state service that loses data.
+type Recovery struct {
+	// AuditEvery is how often the leader compares its views with all records.
+	AuditEvery time.Duration
+}
+
+// Audits of the records.
+const (
+	defaultAuditEvery = time.Minute
+	// shortestAudit bounds what audits cost: each reads all records of machines and of
+	// unfinished jobs.
+	shortestAudit = 10 * time.Second
+)
+
 // Restart is how quietly controllers restart.
 type Restart struct{ pace.Settings }
 
@@ -40,6 +57,23 @@
 type file struct {
 	Drains  *drains  `toml:"drains"`
 	Restart *restart `toml:"restart"`
+	// Recovery holds what controllers do about lost data.
+	Recovery *recovery `toml:"recovery"`
+}
+
+type recovery struct {
+	AuditS float64 `toml:"audit_s"`
+}
+
+func (r *recovery) settings() (*Recovery, error) {
+	out := &Recovery{AuditEvery: config.Seconds(r.AuditS)}
+	if r.AuditS == 0 {
+		out.AuditEvery = defaultAuditEvery
+	}
+	if out.AuditEvery < shortestAudit {
+		return nil, fmt.Errorf("audit_s: %v is less than %v", out.AuditEvery, shortestAudit)
+	}
+	return out, nil
 }
 
 type restart struct {
@@ -99,6 +133,12 @@
 			return nil, fmt.Errorf("operations file: drains.%w", err)
 		}
 	}
+	if f.Recovery != nil {
+		var err error
+		if s.Recovery, err = f.Recovery.settings(); err != nil {
+			return nil, fmt.Errorf("operations file: recovery.%w", err)
+		}
+	}
 	if r := f.Restart; r != nil {
 		s.Restart = &Restart{pace.Settings{OrdersPerS: r.OrdersPerS, PerWorker: r.PerWorker, SettleWithin: config.Seconds(r.SettleWithinS)}}
 	}
--- a/internal/record/fleet.go
+++ b/internal/record/fleet.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// IDs returns the machines of a rental, by its record's key.
+func (f *Fleet) IDs(rentalKey string) []string {
+	return f.rentals[strings.TrimPrefix(rentalKey, RentalPrefix)].rec.IDs
+}
+
 // Machine returns a machine's view; there is none without a rental that names it.
 func (f *Fleet) Machine(id string) (View, bool) {
 	at, ok := f.rentalOf[id]
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -42,6 +42,7 @@
 		p.loadRun(l, now)
 	}
 	p.withhold()
+	p.awaitReports(slots, now)
 	p.beginSettling(now)
 	return nil
 }
@@ -87,7 +88,12 @@
 		}
 		m := p.machines[pl.Machine]
 		if m == nil {
-			continue // given back or empty when it moved: proven gone before
+			// Given back or empty when it moved: proven gone before. If its record was lost
+			// instead, its worker reports before this is over.
+			if p.strict {
+				j.hold = now.Add(reportsToBelieve * p.cfg.Report)
+			}
+			continue
 		}
 		t := p.put(key{j, i}, m, pl.Attempt, now)
 		t.recorded, t.inherited = true, true
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -36,7 +36,7 @@
 
 // place starts what can be started: team by team, in turn by shares.
 func (p *Part) place(now time.Time) {
-	if p.unreadable.unheard {
+	if p.unreadable.unheard || p.awaitsReports(now) {
 		return // what runs unrecorded uses room and quota
 	}
 	p.gathers, p.found = map[string]*Job{}, found{}
--- a/internal/sched/reconcile.go
+++ b/internal/sched/reconcile.go
@@ -28,6 +28,10 @@
 			placedHere[key{j, n}] = rt
 			continue
 		}
+		if p.doubtful(m, rt, j, n, now) {
+			kept++
+			continue
+		}
 		claim := reconcile.Claim{State: rt.State, Why: rt.Why, KnownJob: known}
 		if known {
 			t := &j.tasks[n]
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -272,6 +272,8 @@
 	// Interrupted are units of work that stopped without having ended, if these are
 	// watched for: see WatchInterruptions.
 	Interrupted []Interruption
+	// Unrecorded are reported tasks whose records are to be looked for: see SetStrict.
+	Unrecorded []Unrecorded
 }
 
 type usage struct{ cpus, gpus float64 }
@@ -321,6 +323,10 @@
 	drained            drained
 	settling           settling
 	unreadable         unreadable
+	reportsDue         time.Time           // until when starts may wait for reports
+	strict             bool                // what the records never knew is told
+	doubts             map[string]*doubt   // reported tasks that the records do not know
+	explained          map[string]struct{} // and those that turned out to be of jobs that are over
 	// Machines' worth that arrived, fading; what may use spot machines apart.
 	arrived, arrivedSpot float64
 	arriveAt             time.Time
--- /dev/null
+++ b/internal/sched/unrecorded.go
@@ -0,0 +1,135 @@
+package sched
+
+import (
+	"strconv"
+	"time"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// Starts are recorded before workers hear of them, and a job's record goes only with its final
+// one. So workers that have what the records never knew tell of records that were lost. A
+// strict part keeps such tasks as they are, starts nothing, and asks its shell to look for the
+// records. If several machines have tasks of which there is none, they were lost; if one alone
+// has, after a while that is its own error, and its tasks are strays.
+
+// doubt is a reported task that the records do not know.
+type doubt struct {
+	machine   string
+	since     time.Time
+	runs      bool // it was not reported as exited
+	confirmed bool // there is no record that explains it
+}
+
+// Unrecorded is a reported task whose records are to be looked for.
+type Unrecorded struct {
+	Task, Machine     string
+	Attempt, Recorded uint64 // the attempt on the machine, and the highest on record
+	KnownJob          bool   // the part holds its job
+}
+
+const (
+	// maxDoubts bounds the tasks that are remembered.
+	maxDoubts = 4096
+	// machinesToBelieve is how many machines must have unrecorded tasks for records to be lost.
+	machinesToBelieve = 2
+	// reportsToBelieve is for how many intervals of reports other machines may yet tell.
+	reportsToBelieve = 2
+)
+
+// SetStrict makes the part ask for what the records do not know.
+func (p *Part) SetStrict() {
+	p.strict, p.doubts, p.explained = true, map[string]*doubt{}, map[string]struct{}{}
+}
+
+// Explain takes in that records were found that explain a reported task: its job is over, or
+// another part's.
+func (p *Part) Explain(task string) {
+	if len(p.explained) >= maxDoubts {
+		clear(p.explained) // what is reported again is looked for again
+	}
+	p.explained[task] = struct{}{}
+	delete(p.doubts, task)
+	p.changed = true
+}
+
+// ConfirmUnrecorded takes in that no record explains a reported task, and reports whether so
+// many machines have such tasks that the records must be lost.
+func (p *Part) ConfirmUnrecorded(task string) bool {
+	if d := p.doubts[task]; d != nil {
+		d.confirmed = true
+	}
+	machines := map[string]bool{}
+	for _, d := range p.doubts {
+		if d.confirmed && d.runs {
+			machines[d.machine] = true
+		}
+	}
+	return len(machines) >= machinesToBelieve
+}
+
+// doubtful reports whether a reported task is one that the records should know and do not, so
+// that nothing may be done about it yet. The job is nil if the part does not hold it.
+func (p *Part) doubtful(m *Machine, rt *wire.ReportTask, j *Job, i int, now time.Time) bool {
+	if !p.strict || (j != nil && (j.withheld || i >= len(j.tasks))) {
+		return false
+	}
+	recorded := uint64(0)
+	if j != nil {
+		if c := j.chunkAt(i); c != nil {
+			recorded = c.attempt
+		}
+		if rt.Attempt <= recorded {
+			return false
+		}
+	}
+	if _, explained := p.explained[rt.Task]; explained {
+		return false
+	}
+	if d := p.doubts[rt.Task]; d != nil {
+		return d.open(now, p.cfg.Report)
+	}
+	if len(p.doubts) >= maxDoubts {
+		return true
+	}
+	p.doubts[rt.Task] = &doubt{machine: m.ID, since: now, runs: rt.State != wire.Exited}
+	p.out.Unrecorded = append(p.out.Unrecorded, Unrecorded{Task: rt.Task, Machine: m.ID, Attempt: rt.Attempt, Recorded: recorded, KnownJob: j != nil})
+	return true
+}
+
+// open reports whether a doubt is not decided yet: after a while it is a worker's own error.
+func (d *doubt) open(now time.Time, report time.Duration) bool {
+	return !d.confirmed || now.Sub(d.since) < reportsToBelieve*report
+}
+
+// awaitReports puts starts off after a take-over if records of placements seem to be missing:
+// there are none though the part has machines, or their numbers, which are given out in order,
+// have gaps. What runs by them is in the workers' first reports.
+func (p *Part) awaitReports(slots []wire.Entry, now time.Time) {
+	if !p.strict || len(p.machines) == 0 {
+		return
+	}
+	highest := -1
+	for _, e := range slots {
+		if n, err := strconv.Atoi(record.Last(e.Key)); err == nil {
+			highest = max(highest, n)
+		}
+	}
+	if len(slots) == 0 || highest >= len(slots) {
+		p.reportsDue = now.Add(reportsToBelieve * p.cfg.Report)
+	}
+}
+
+// awaitsReports reports whether starts are put off: records seem to be missing, or it is not
+// known yet why a worker has what they do not.
+func (p *Part) awaitsReports(now time.Time) bool {
+	waits := now.Before(p.reportsDue) && p.awaitsInherited()
+	for _, d := range p.doubts {
+		waits = waits || d.open(now, p.cfg.Report)
+	}
+	if waits {
+		p.alarm(now.Add(p.cfg.Report / 4))
+	}
+	return waits
+}
--- /dev/null
+++ b/internal/testkit/loss.go
@@ -0,0 +1,48 @@
+package testkit
+
+import (
+	"maps"
+	"slices"
+
+	"bramblespur/internal/wire"
+)
+
+// Image is all that a state service holds at one time.
+type Image struct {
+	Revision uint64
+	Entries  map[string]wire.Entry
+	log      []wire.Change
+}
+
+// Image returns what the service holds.
+func (s *Service) Image() Image {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return Image{s.state.rev, maps.Clone(s.state.entries), slices.Clone(s.state.log)}
+}
+
+// Revert makes the service hold what it held before, with its revision of then. Leases go on.
+func (s *Service) Revert(i Image) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.rev, s.state.entries, s.state.log = i.Revision, maps.Clone(i.Entries), slices.Clone(i.log)
+	s.wake()
+}
+
+// Lose makes the service forget records without a trace, and returns them.
+func (s *Service) Lose(match func(key string) bool) []wire.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	var lost []wire.Entry
+	for key, e := range s.state.entries {
+		if match(key) {
+			lost = append(lost, e)
+			delete(s.state.entries, key)
+		}
+	}
+	return lost
+}
