--- a/cmd/bramblespurctl/main.go
+++ b/cmd/bramblespurctl/main.go
@@ -95,7 +95,10 @@
 )
 
 // store returns the way to the state service, within a small share of its limits.
-func (t *tool) store() (statestore.Store, error) {
+func (t *tool) store() (statestore.Store, error) { return t.storeWithin(drain.DefaultStoreShare) }
+
+// storeWithin returns the way to the state service, within a share of its limits.
+func (t *tool) storeWithin(share float64) (statestore.Store, error) {
 	addr := t.stateAddr
 	rps, writeRPS := usualRPS, usualWriteRPS
 	switch {
@@ -110,7 +113,7 @@
 	case addr == "":
 		return nil, usageError{errors.New("--config or --state is missing")}
 	}
-	return statestore.New(addr, 1, rps*drain.DefaultStoreShare, writeRPS*drain.DefaultStoreShare, nil), nil
+	return statestore.New(addr, 1, rps*share, writeRPS*share, nil), nil
 }
 
 // drainClient returns what reads and changes drains.
--- a/cmd/bramblespurctl/recover.go
+++ b/cmd/bramblespurctl/recover.go
@@ -28,6 +28,9 @@
 	recoverTxnBytes = 48 << 10 // of a transaction, well below the protocol's bound
 	recoverCloudRPS = 1.0
 	recoverTimeout  = 10 * time.Minute
+	// recoverShare is the share of the state service's limits that recovery uses: while there
+	// is a safe mode, controllers need little.
+	recoverShare = 0.6
 )
 
 func (t *tool) recoverCommand() *cobra.Command {
@@ -46,7 +49,7 @@
 	if err != nil {
 		return nil, usageError{err}
 	}
-	store, err := t.store()
+	store, err := t.storeWithin(recoverShare)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/recovery/machines.go
+++ b/internal/recovery/machines.go
@@ -11,20 +11,20 @@
 	"bramblespur/internal/wire"
 )
 
-// machine restores a record of machines. A rental of which only the snapshot knows may be over:
-// it counts if the cloud still lists one of its machines.
+// machine restores a record of machines. One of which only the snapshot knows may have been
+// cleared since: it counts if the cloud still lists one of its machines.
 func (p *planner) machine(key string) {
 	e, from, _ := p.newest(key)
-	if from != FromSnapshot || !strings.HasPrefix(key, record.RentalPrefix) {
+	if from != FromSnapshot {
 		p.plain(key)
 		return
 	}
-	var r record.Rental
-	if err := json.Unmarshal(e.Value, &r); err != nil {
+	ids, err := machinesOf(e)
+	if err != nil {
 		p.item(key, Lost, from, "its value makes no sense")
 		return
 	}
-	for _, id := range r.IDs {
+	for _, id := range ids {
 		if _, listed := p.Listed[id]; listed {
 			p.restore(key, e.Value, from, "the cloud lists "+id)
 			return
@@ -33,6 +33,18 @@
 	p.item(key, Finished, from, "the cloud lists none of its machines")
 }
 
+// machinesOf returns the machines that a record is about.
+func machinesOf(e wire.Entry) ([]string, error) {
+	if strings.HasPrefix(e.Key, record.OwnPrefix) {
+		return []string{record.Last(e.Key)}, nil
+	}
+	var r struct { // a rental's and a batch's alike
+		IDs []string `json:"ids"`
+	}
+	err := json.Unmarshal(e.Value, &r)
+	return r.IDs, err
+}
+
 // fleet returns the machines by the records as they will be.
 func (p *planner) fleet() *record.Fleet {
 	f := record.NewFleet()
