Tests and readable code: a process is reachable once it is whole; files by subject; one report style

TestBadFiles failed now and then: the schema validator reuses the place of a name's error for what it visits next; the field comes from the schema's own place now.

Behaviour as it was.

--- a/internal/controller/cluster_process_test.go
+++ b/internal/controller/cluster_process_test.go
@@ -138,15 +138,15 @@
 	for _, q := range cfg.Peers {
 		c.peers[q.Label] = &peerLink{k, label, q.Label, life}
 	}
+	c.turnSafeModeOn(&operations.Recovery{AuditEvery: testAudit})
+	if k.prepare != nil {
+		k.prepare(label, c)
+	}
 	p := &process{c, life, end}
 	k.mu.Lock()
 	k.procs[label] = p
 	k.mu.Unlock()
 	k.world.SetNode(label, p)
-	c.turnSafeModeOn(&operations.Recovery{AuditEvery: testAudit})
-	if k.prepare != nil {
-		k.prepare(label, c)
-	}
 	c.start()
 }
 
--- /dev/null
+++ b/internal/controller/doubts.go
@@ -0,0 +1,178 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"bramblespur/internal/config"
+	"bramblespur/internal/record"
+	"bramblespur/internal/recovery"
+	"bramblespur/internal/sched"
+	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
+)
+
+// What the state service, workers and the cloud tell is compared here with what is known, before
+// it is believed.
+
+// errDoubtful says that what the state service tells of a job can't be believed for now.
+var errDoubtful = errors.New("the state service may have lost data")
+
+// knownOpen is what was known of a job before its records were read.
+type knownOpen struct {
+	version uint64 // of its open record, 0 if the view had none
+	as      uint64 // the revision that the view had come to
+}
+
+func (c *Controller) knownOpen(ref string) knownOpen {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return knownOpen{c.open[ref].version, c.viewRevisions[record.OpenPrefix]}
+}
+
+// believeOpen compares a job's open record with what was known before it was read. It must not
+// be older, nor be there again after the view has told its end.
+func (c *Controller) believeOpen(ref string, known knownOpen, found uint64) error {
+	held := known.version
+	if held == 0 && found <= known.as {
+		held = known.as + 1 // its end came after it
+	}
+	if !c.safeMode.on || found >= held {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noticeOlder(record.OpenKey(ref), held, found, time.Now())
+	return errDoubtful
+}
+
+// believeUnknown decides about a job without any record: one that was open before is lost. Who
+// has just begun can't know that of any, and so leaves the answer to later: workers' tokens
+// tell a store that went back.
+func (c *Controller) believeUnknown(ref string, known knownOpen) error {
+	if !c.safeMode.on {
+		return statestore.ErrNotFound
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case known.version > 0:
+		c.noticeOlder(record.OpenKey(ref), known.version, 0, now)
+		return errDoubtful
+	case now.Sub(c.begun) < reportsToBelieve*config.Seconds(c.cfg.Params.Workers.ReportS):
+		return errDoubtful
+	}
+	return statestore.ErrNotFound
+}
+
+// reportsToBelieve is for how many intervals of reports a controller that has begun says of no
+// job that it was never submitted.
+const reportsToBelieve = 2
+
+// seekRecords looks for records that explain why a worker has a task which its part does not
+// know. A job may be over, or another part's; and one that is over may come back into the view
+// for a moment, without its placements.
+func (c *Controller) seekRecords(p *sched.Part, u sched.Unrecorded) {
+	ref, _, _ := sched.SplitTask(u.Task)
+	keys := []string{record.JobKey(ref), recovery.LostKey(ref)}
+	if !u.KnownJob {
+		keys = append(keys, record.OpenKey(ref), record.JobKey(ref)) // it may end in between
+	}
+	explained := false
+	ok := c.again(p, func(ctx context.Context) error {
+		for _, key := range keys {
+			e, err := c.getIfThere(ctx, key)
+			if explained = e != nil; err != nil || explained {
+				return err
+			}
+		}
+		return nil
+	})
+	if !ok {
+		return
+	}
+	c.locked(p, func(now time.Time) {
+		if explained {
+			p.Explain(u.Task)
+			return
+		}
+		if p.ConfirmUnrecorded(u.Task) {
+			c.noticeLoss(recovery.Sign{Kind: recovery.RecordGone, Key: u.Task, Held: u.Attempt, Found: u.Recorded}, now)
+		}
+	})
+}
+
+// readBack compares a record that was read again with what its part holds of it. It reports
+// false if it is older than that, or gone though nothing ended it: then the part must not
+// hear of it.
+func (c *Controller) readBack(ctx context.Context, p *sched.Part, key string, e *wire.Entry) (bool, error) {
+	if !c.safeMode.on {
+		return true, nil
+	}
+	c.mu.Lock()
+	held := p.Version(key)
+	c.mu.Unlock()
+	found := uint64(0)
+	if e != nil {
+		found = e.Version
+	}
+	if e == nil && strings.HasPrefix(key, record.OpenPrefix) {
+		over, err := c.isOver(ctx, record.Last(key))
+		if err != nil || over {
+			return over, err
+		}
+	}
+	if e == nil && strings.HasPrefix(key, record.FleetPrefix) {
+		return true, nil // cleared, as the machine is gone
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.noticeOlder(key, held, found, time.Now()), nil
+}
+
+// askStrangers asks machines of which there is no record whether they were ever told to do
+// anything: then there was one.
+func (c *Controller) askStrangers(ctx context.Context, addrs map[string]string) (lost bool) {
+	if !c.safeMode.on {
+		return false
+	}
+	for id, addr := range addrs {
+		r, err := c.agents.Show(ctx, addr)
+		if err != nil || r.Check() != nil || r.Machine != id || r.Token == 0 {
+			continue
+		}
+		c.mu.Lock()
+		c.noticeLoss(recovery.Sign{Kind: recovery.RecordGone, Key: id, Held: r.Token}, time.Now())
+		lost = c.safeMode.holder.Active()
+		c.mu.Unlock()
+		if lost {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectMachine looks into a report of a machine of which there is no record, though it was
+// told to do something once. The lock is held.
+func (c *Controller) suspectMachine(r *wire.Report) {
+	m := &c.safeMode
+	if !m.on || r.Token == 0 || m.asking || m.holder.Active() {
+		return
+	}
+	m.asking = true
+	id, addr := r.Machine, r.Addr
+	go func() {
+		fl, err := c.readFleet(c.life, auditUse)
+		if err == nil {
+			if _, recorded := fl.Machine(id); !recorded {
+				c.askStrangers(c.life, map[string]string{id: addr})
+			}
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		m.asking = false
+	}()
+}
--- a/internal/drainreport/report.go
+++ b/internal/drainreport/report.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"cmp"
 	_ "embed"
-	"encoding/json"
 	"fmt"
 	"html/template"
 	"io"
@@ -15,6 +14,7 @@
 
 	"bramblespur/internal/drain"
 	"bramblespur/internal/drainctl"
+	"bramblespur/internal/reportpage"
 )
 
 // Report is all that a report tells.
@@ -75,18 +75,14 @@
 }
 
 // JSON writes a report for programs.
-func (r *Report) JSON(w io.Writer) error {
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	return e.Encode(r)
-}
+func (r *Report) JSON(w io.Writer) error { return reportpage.JSON(w, r) }
 
 //go:embed page.html
 var pageText string
 
-var page = template.Must(template.New("page").Funcs(template.FuncMap{
+var page = reportpage.Parse(pageText, template.FuncMap{
 	"hours": func(s float64) string { return (time.Duration(s) * time.Second).String() },
-}).Parse(pageText))
+})
 
 // HTML writes a report as one page that needs nothing else.
 func (r *Report) HTML(w io.Writer) error {
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -15,6 +15,7 @@
 
 	"github.com/BurntSushi/toml"
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 
@@ -217,9 +218,13 @@
 // fieldError tells the innermost cause of a violation in one line, with its field. Of a name
 // that is not allowed only what encloses it has a place in the file.
 func fieldError(e *jsonschema.ValidationError) error {
-	field := "file"
+	field, ofName := "file", false
 	for {
-		if len(e.InstanceLocation) > 0 {
+		if _, ok := e.ErrorKind.(*kind.PropertyNames); ok {
+			// The validator reuses the location of a name's error for what it visits next.
+			field, ofName = namesField(e.SchemaURL), true
+		}
+		if len(e.InstanceLocation) > 0 && !ofName {
 			field = strings.Join(e.InstanceLocation, ".")
 		}
 		if len(e.Causes) == 0 {
@@ -230,6 +235,14 @@
 	return fmt.Errorf("%s: %s", field, e.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
 }
 
+// namesField tells the field whose names are wrong by the place in the schema that says so.
+func namesField(schemaURL string) string {
+	_, pointer, _ := strings.Cut(schemaURL, "#/")
+	keywords := []string{"$defs", "properties", "propertyNames"}
+	fields := slices.DeleteFunc(strings.Split(pointer, "/"), func(s string) bool { return slices.Contains(keywords, s) })
+	return strings.Join(fields, ".")
+}
+
 func (d *drains) settings() *drain.Settings {
 	s := &drain.Settings{StoreShare: d.StoreShare, ZoneShare: d.ZoneShare, Wait: config.Seconds(d.WaitS),
 		Default: d.Budgets.Default.budget(), Teams: map[string]drain.Budget{}}
--- a/internal/recoverreport/report.go
+++ b/internal/recoverreport/report.go
@@ -3,19 +3,18 @@
 
 import (
 	_ "embed"
-	"encoding/json"
-	"html/template"
 	"io"
 	"strings"
 
 	"bramblespur/internal/record"
 	"bramblespur/internal/recovery"
+	"bramblespur/internal/reportpage"
 )
 
 //go:embed page.html
 var pageText string
 
-var page = template.Must(template.New("page").Parse(pageText))
+var page = reportpage.Parse(pageText, nil)
 
 // verdicts are the columns of the report's table.
 var verdicts = []recovery.Verdict{recovery.Intact, recovery.Recovered, recovery.Finished, recovery.Lost, recovery.Undecided}
@@ -27,11 +26,7 @@
 }
 
 // JSON writes a plan for programs.
-func JSON(w io.Writer, p *recovery.Plan) error {
-	enc := json.NewEncoder(w)
-	enc.SetIndent("", "  ")
-	return enc.Encode(p)
-}
+func JSON(w io.Writer, p *recovery.Plan) error { return reportpage.JSON(w, p) }
 
 // HTML writes the report as one page that needs nothing else.
 func HTML(w io.Writer, p *recovery.Plan) error {
--- a/internal/restartreport/report.go
+++ b/internal/restartreport/report.go
@@ -4,7 +4,6 @@
 
 import (
 	_ "embed"
-	"encoding/json"
 	"fmt"
 	"html/template"
 	"io"
@@ -13,20 +12,17 @@
 	"gonum.org/v1/plot/plotter"
 
 	"bramblespur/internal/plots"
+	"bramblespur/internal/reportpage"
 	"bramblespur/internal/restartctl"
 )
 
 //go:embed page.html
 var pageText string
 
-var page = template.Must(template.New("page").Parse(pageText))
+var page = reportpage.Parse(pageText, nil)
 
 // JSON writes a report for programs.
-func JSON(w io.Writer, e *restartctl.Episode) error {
-	enc := json.NewEncoder(w)
-	enc.SetIndent("", "  ")
-	return enc.Encode(e)
-}
+func JSON(w io.Writer, e *restartctl.Episode) error { return reportpage.JSON(w, e) }
 
 // HTML writes a report as one page that needs nothing else.
 func HTML(w io.Writer, e *restartctl.Episode) error {
