--- a/internal/controller/meetings_jobs_test.go
+++ b/internal/controller/meetings_jobs_test.go
@@ -108,7 +108,11 @@
 		k.running(ref(firstOwn+1), 3)
 		k.running(ref(firstOwn+2), 3)
 		for i := range 3 {
-			on := k.world.On(ref(firstOwn + i))
+			var on []*testkit.Agent // a gang has no machine for a moment after one of another job's died
+			k.await(time.Minute, "a machine of the job", func() bool {
+				on = k.world.On(ref(firstOwn + i))
+				return len(on) > 0
+			})
 			on[0].Die()
 			if i == 1 {
 				k.crash(k.ownerOf("other"))
