Readable code: recovery uses what was there, and the same things stand once

- Reports are ordered by reconcile.Order, in one type for evidence and for the safe mode, instead of two comparisons of session and sequence beside it.
- Controllers tell records as wire.Entry; recovery.Held was the same with other names.
- statestore.Answered says which errors are answers; the tool's two loops of retries each listed them.
- Listed versions, held versions and spans of completed tasks are computed in one place each.

--- a/cmd/bramblespurctl/recover.go
+++ b/cmd/bramblespurctl/recover.go
@@ -61,13 +61,22 @@
 		Limits: recovery.Limits{ValueBytes: s.Params.State.Bytes(), TxnOps: s.Params.State.TxnOps, TxnBytes: recoverTxnBytes}}, nil
 }
 
+// recordsClient returns what reads and writes recovery's own records, without the cluster.
+func (t *tool) recordsClient() (*recoverctl.Client, error) {
+	store, err := t.store()
+	if err != nil {
+		return nil, err
+	}
+	return &recoverctl.Client{Store: store, Now: t.now}, nil
+}
+
 func (t *tool) recoverStatusCommand() *cobra.Command {
 	status := func(ctx context.Context, _ []string) (*recovery.SafeMode, error) {
-		store, err := t.store()
+		c, err := t.recordsClient()
 		if err != nil {
 			return nil, err
 		}
-		mode, _, err := (&recoverctl.Client{Store: store, Now: t.now}).Mode(ctx)
+		mode, _, err := c.Mode(ctx)
 		if err == nil && mode == nil {
 			mode = &recovery.SafeMode{}
 		}
@@ -259,11 +268,11 @@
 			if !slices.Contains(all, choice) {
 				return usageError{fmt.Errorf("%q is none of the choices", choice)}
 			}
-			store, err := t.store()
+			c, err := t.recordsClient()
 			if err != nil {
 				return err
 			}
-			if err := (&recoverctl.Client{Store: store, Now: t.now}).Decide(cmd.Context(), key, choice); err != nil {
+			if err := c.Decide(cmd.Context(), key, choice); err != nil {
 				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: %s\n", key, choice)
--- a/internal/controller/audit.go
+++ b/internal/controller/audit.go
@@ -10,6 +10,7 @@
 	"bramblespur/internal/record"
 	"bramblespur/internal/recovery"
 	"bramblespur/internal/statestore"
+	"bramblespur/internal/wire"
 )
 
 // auditUse is the purpose of audits: they leave room for what users wait for.
@@ -70,10 +71,7 @@
 	if err != nil || !c.awaitView(ctx, prefix, revision) {
 		return err
 	}
-	listed := make(map[string]uint64, len(entries))
-	for _, e := range entries {
-		listed[e.Key] = e.Version
-	}
+	listed := versionsOf(entries)
 	now := time.Now()
 	missing := map[string]uint64{}
 	c.mu.Lock()
@@ -90,6 +88,15 @@
 	return c.confirmMissing(ctx, prefix, missing)
 }
 
+// versionsOf returns the versions of listed records by their keys.
+func versionsOf(entries []wire.Entry) map[string]uint64 {
+	out := make(map[string]uint64, len(entries))
+	for _, e := range entries {
+		out[e.Key] = e.Version
+	}
+	return out
+}
+
 // awaitView waits until a view has come to a revision, and reports false if it does not.
 func (c *Controller) awaitView(ctx context.Context, prefix string, revision uint64) bool {
 	for end := time.Now().Add(auditPatience * c.watchWait()); time.Now().Before(end); {
--- a/internal/controller/evidence.go
+++ b/internal/controller/evidence.go
@@ -37,7 +37,7 @@
 			r.Reports = append(r.Reports, m.reports[id])
 		}
 	}
-	from, _ := slices.BinarySearchFunc(m.held, a.After, func(h recovery.Held, key string) int { return cmp.Compare(h.Key, key) })
+	from, _ := slices.BinarySearchFunc(m.held, a.After, func(e wire.Entry, key string) int { return cmp.Compare(e.Key, key) })
 	if from < len(m.held) && m.held[from].Key == a.After {
 		from++
 	}
@@ -47,23 +47,15 @@
 }
 
 // heldRecords returns all records that are known here, by key. The lock is held.
-func (c *Controller) heldRecords() []recovery.Held {
-	var out []recovery.Held
-	add := func(e wire.Entry) {
-		out = append(out, recovery.Held{Key: e.Key, Value: e.Value, Version: e.Version})
-	}
+func (c *Controller) heldRecords() []wire.Entry {
+	out := c.fleet.Entries()
 	for _, p := range c.safeMode.frozen {
-		for _, e := range p.Records() {
-			add(e)
-		}
-	}
-	for _, e := range c.fleet.Entries() {
-		add(e)
+		out = append(out, p.Records()...)
 	}
 	for ref, j := range c.finals.all() {
-		add(wire.Entry{Key: record.JobKey(ref), Value: record.Encode(j)})
+		out = append(out, wire.Entry{Key: record.JobKey(ref), Value: record.Encode(j)})
 	}
-	slices.SortFunc(out, func(a, b recovery.Held) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b wire.Entry) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
 
--- a/internal/controller/safe_mode.go
+++ b/internal/controller/safe_mode.go
@@ -30,16 +30,16 @@
 	// openRevision is up to which revision all unfinished jobs were known then, and held the
 	// records that were, once somebody has asked for them.
 	openRevision uint64
-	held         []recovery.Held
+	held         []wire.Entry
 	// reports are the newest ones of workers since it began.
-	reports    map[string]wire.Report
+	reports    recovery.Reports
 	asking     bool // a machine without a record is being asked
 	confirming bool // a suspicion is being looked into
 	relists    int  // how often all views were to be read anew
 }
 
-// turnOn sets the operators' settings; nil leaves it off. The store that it returns is to be
-// used from then on.
+// turnSafeModeOn sets the operators' settings; nil leaves it off. The way to the state service
+// leads through a guard from then on.
 func (c *Controller) turnSafeModeOn(s *operations.Recovery) {
 	if s == nil {
 		return
@@ -117,7 +117,7 @@
 	c.log.Error("the state service has lost data: safe mode", "sign", mode.Sign, "noticed_by", mode.By, "epoch", mode.Epoch)
 	m.guard.Close(true)
 	go c.safeModeLoop(c.life)
-	m.frozen, m.reports = c.parts, map[string]wire.Report{}
+	m.frozen, m.reports = c.parts, recovery.Reports{}
 	m.openRevision, m.held = c.viewRevisions[record.OpenPrefix], nil
 	c.parts = map[int]*sched.Part{}
 	for machine := range c.held {
@@ -197,20 +197,13 @@
 func (c *Controller) renewInSafeMode(r *wire.Report) reply {
 	m := &c.safeMode
 	m.holder.Raise(r.Token)
-	if old, ok := m.reports[r.Machine]; !ok || newer(r, &old) {
-		m.reports[r.Machine] = *r
-	}
+	m.reports.Take(r)
 	if r.Token == 0 {
 		return reply{status: 503, retryAfter: retryLater} // it was never told to do anything
 	}
 	return reply{status: 200, body: wire.Orders{Token: r.Token, Commands: []wire.Command{}}}
 }
 
-// newer reports whether a report comes after another of the same worker.
-func newer(r, than *wire.Report) bool {
-	return r.Session > than.Session || (r.Session == than.Session && r.Seq > than.Seq)
-}
-
 // suspectToken looks into a worker's token that is ahead of all revisions seen: tokens are
 // revisions of the state service. The lock is held.
 func (c *Controller) suspectToken(r *wire.Report) {
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -232,13 +232,10 @@
 	if !c.safeMode.on {
 		return
 	}
-	listed := map[string]uint64{}
-	for _, e := range entries {
-		listed[e.Key] = e.Version
-	}
-	for id, r := range c.partRecs {
-		if key := record.PartKey(id); r.version <= rev {
-			c.noticeOlder(key, r.version, listed[key], now)
+	listed := versionsOf(entries)
+	for key, held := range c.heldVersions(record.ClusterPrefix) {
+		if held <= rev {
+			c.noticeOlder(key, held, listed[key], now)
 		}
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -89,7 +89,7 @@
 	Mode recovery.SafeMode // not active: the sender holds no safe mode
 	// View is what the sender knew of all unfinished jobs, with the first page.
 	View    recovery.View
-	Held    []recovery.Held
+	Held    []wire.Entry
 	More    bool
 	Reports []wire.Report // with the first page
 }
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -83,7 +83,7 @@
 					held = r
 				}
 			}
-			if (a.after(b) || a == b) && held != a {
+			if (a.After(b) || a == b) && held != a {
 				t.Errorf("of %v and %v, %v is held", a, b, held)
 			}
 		}
--- a/internal/reconcile/report.go
+++ b/internal/reconcile/report.go
@@ -1,5 +1,7 @@
 package reconcile
 
+import "bramblespur/internal/wire"
+
 // Freshness is what a report may be used for.
 type Freshness uint8
 
@@ -14,8 +16,11 @@
 // Order is where a report stands among all of its worker's.
 type Order struct{ Session, Seq uint64 }
 
-// after reports whether a report is newer than another.
-func (o Order) after(held Order) bool {
+// OrderOf returns where a report stands.
+func OrderOf(r *wire.Report) Order { return Order{Session: r.Session, Seq: r.Seq} }
+
+// After reports whether a report is newer than another.
+func (o Order) After(held Order) bool {
 	return o.Session > held.Session || (o.Session == held.Session && o.Seq > held.Seq)
 }
 
@@ -27,7 +32,7 @@
 	switch {
 	case token > ours:
 		return Deposed
-	case !report.after(held):
+	case !report.After(held):
 		return Late
 	case token < ours:
 		return Unfenced
--- a/internal/recoverctl/measure_test.go
+++ b/internal/recoverctl/measure_test.go
@@ -23,48 +23,11 @@
 	measuredJobs     = 10000
 )
 
-// listing is a cloud that lists machines.
-type listing struct {
-	testkit.Cloud
-	machines int
-}
-
-func (l *listing) list() map[string]wire.Listed {
+// fleetListed is the cloud's list of a fleet.
+func fleetListed(machines int) map[string]wire.Listed {
 	out := map[string]wire.Listed{}
-	for i := range l.machines {
-		id := fmt.Sprintf("i-%06d", i)
-		out[id] = wire.Listed{ID: id}
-	}
-	return out
-}
-
-// fleetRecords are the records of a fleet of which every machine runs two tasks, and of jobs
-// that are over.
-func fleetRecords(machines int) map[string]wire.Entry {
-	out := map[string]wire.Entry{}
-	put := func(key string, v any) {
-		out[key] = wire.Entry{Key: key, Version: uint64(len(out) + 1), Value: record.Encode(v)}
-	}
-	const batch, tasks = 50, 10
-	for n := 0; n < machines; n += batch {
-		r := record.Rental{Type: "g8", Zone: "a", Born: 1}
-		for i := n; i < min(n+batch, machines); i++ {
-			r.IDs, r.Parts = append(r.IDs, fmt.Sprintf("i-%06d", i)), append(r.Parts, 0)
-		}
-		put(record.RentalKey(fmt.Sprint("r-", n)), r)
-	}
-	open := 2 * machines / tasks
-	for n := range open {
-		ref := fmt.Sprintf("run-%06d", n)
-		put(record.OpenKey(ref), record.Open{At: 1, Spec: wire.Spec{Ref: ref, Class: "train", Team: "vision", Kind: wire.Array, Tasks: tasks, CPUs: 8, MemoryGB: 64}})
-		run := record.Run{Attempt: 1, On: map[int]record.Place{}, Tasks: tasks, Turn: 1}
-		for i := range tasks {
-			run.On[i] = record.Place{Machine: fmt.Sprintf("i-%06d", (n*tasks+i)/2), Attempt: 1}
-		}
-		put(record.SlotKey(0, n), record.Slot{Format: record.Stated, Runs: map[string]record.Run{record.RunName(ref, 0): run}})
-	}
-	for n := open; n < measuredJobs; n++ {
-		put(record.JobKey(fmt.Sprintf("run-%06d", n)), record.Job{State: wire.Done, Tasks: tasks, At: 1})
+	for i := range machines {
+		out[testkit.FleetMachine(i)] = wire.Listed{ID: testkit.FleetMachine(i)}
 	}
 	return out
 }
@@ -72,11 +35,11 @@
 // fleetReports are the reports of its workers.
 func fleetReports(e *recovery.Evidence, machines int) {
 	for i := range machines {
-		r := wire.Report{Machine: fmt.Sprintf("i-%06d", i), Session: 1, Seq: 1, Token: 5}
+		r := wire.Report{Machine: testkit.FleetMachine(i), Session: 1, Seq: 1, Token: 5}
 		for n := 2 * i; n < 2*i+2; n++ {
 			r.Tasks = append(r.Tasks, wire.ReportTask{Task: fmt.Sprintf("run-%06d/%d", n/10, n%10), Attempt: 1, State: wire.Running})
 		}
-		e.Report(r)
+		e.Reports.Take(&r)
 	}
 }
 
@@ -97,7 +60,7 @@
 
 func measureRecovery(b *testing.B, machines int, kept string) {
 	service := testkit.NewService()
-	records := fleetRecords(machines)
+	records := testkit.FleetRecords(machines, measuredJobs)
 	image := testkit.Image{Revision: uint64(len(records)), Entries: map[string]wire.Entry{}}
 	for key, e := range records {
 		if strings.HasPrefix(key, kept) {
@@ -111,15 +74,14 @@
 	server := httptest.NewServer(service.HTTP("operator"))
 	defer server.Close()
 	store := statestore.New(strings.TrimPrefix(server.URL, "http://"), 1, measuredRPS, measuredWriteRPS, nil)
-	fleet := &listing{machines: machines}
-	c := &Client{Store: store, Cloud: fleet, Now: time.Now, Limits: recovery.Limits{ValueBytes: 16 << 10, TxnOps: 16, TxnBytes: 48 << 10}}
+	c := &Client{Store: store, Cloud: &testkit.Cloud{}, Now: time.Now, Limits: recovery.Limits{ValueBytes: 16 << 10, TxnOps: 16, TxnBytes: 48 << 10}}
 	began := time.Now()
 	g, err := c.Gather(b.Context(), &snapshot.Contents{Manifest: &snapshot.Manifest{Revision: uint64(len(records))}, Records: records})
 	if err != nil {
 		b.Fatal(err)
 	}
 	fleetReports(&g.Evidence, machines)
-	g.Listed = fleet.list()
+	g.Listed = fleetListed(machines)
 	gathered := time.Since(began)
 	p := recovery.Make(g.Evidence, c.Limits)
 	planned := time.Since(began)
--- a/internal/recoverctl/recoverctl.go
+++ b/internal/recoverctl/recoverctl.go
@@ -47,9 +47,7 @@
 func again[T any](ctx context.Context, c *Client, request func() (T, error)) (T, error) {
 	for end := c.Now().Add(patience); ; {
 		v, err := request()
-		final := err == nil || errors.Is(err, statestore.ErrNotFound) || errors.Is(err, statestore.ErrInvalid) ||
-			errors.As(err, new(*statestore.ConflictError))
-		if final || c.Now().After(end) {
+		if statestore.Answered(err) || c.Now().After(end) {
 			return v, err
 		}
 		t := time.NewTimer(retryPause)
@@ -92,7 +90,7 @@
 	if mode == nil || !mode.Active {
 		return nil, recovery.ErrNotSafe
 	}
-	g := &Gathered{Evidence: recovery.Evidence{Mode: *mode}}
+	g := &Gathered{Evidence: recovery.Evidence{Mode: *mode, Reports: recovery.Reports{}}}
 	if err := c.gatherStore(ctx, g); err != nil {
 		return nil, err
 	}
@@ -159,7 +157,7 @@
 		}
 		g.Hold(r.Held)
 		for _, report := range r.Reports {
-			g.Report(report)
+			g.Reports.Take(&report)
 			g.Mode.Floor = max(g.Mode.Floor, report.Token)
 		}
 		if !r.More {
--- a/internal/recovery/evidence.go
+++ b/internal/recovery/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"bramblespur/internal/reconcile"
 	"bramblespur/internal/wire"
 )
 
@@ -18,11 +19,14 @@
 	FromOperator   Source = "operator"
 )
 
-// Held is a record as a controller holds it.
-type Held struct {
-	Key     string
-	Value   []byte
-	Version uint64 // 0: not known, of a record that never changes
+// Reports are the newest reports of workers, by machine.
+type Reports map[string]wire.Report
+
+// Take takes in a report; late and doubled ones come in any order.
+func (rs Reports) Take(r *wire.Report) {
+	if old, ok := rs[r.Machine]; !ok || reconcile.OrderOf(r).After(reconcile.OrderOf(&old)) {
+		rs[r.Machine] = *r
+	}
 }
 
 // OpenJob is what a controller knows of an unfinished job.
@@ -48,34 +52,24 @@
 	// Snapshot is empty if there is none.
 	Snapshot         map[string]wire.Entry
 	SnapshotRevision uint64
-	Reports          map[string]wire.Report // the newest of each worker
+	Reports          Reports
 	Listed           map[string]wire.Listed // the cloud's machines
 	Decisions        map[string]Choice      // by key
 }
 
-// Hold takes in what a controller holds.
-func (e *Evidence) Hold(all []Held) {
+// Hold takes in the records that a controller holds; version 0 is not known, of one that never
+// changes.
+func (e *Evidence) Hold(all []wire.Entry) {
 	if e.Held == nil {
 		e.Held = map[string]wire.Entry{}
 	}
 	for _, h := range all {
 		if old, ok := e.Held[h.Key]; !ok || h.Version > old.Version {
-			e.Held[h.Key] = wire.Entry{Key: h.Key, Value: h.Value, Version: h.Version}
+			e.Held[h.Key] = h
 		}
 	}
 }
 
-// Report takes in a worker's report, late and doubled ones in any order.
-func (e *Evidence) Report(r wire.Report) {
-	if e.Reports == nil {
-		e.Reports = map[string]wire.Report{}
-	}
-	old, ok := e.Reports[r.Machine]
-	if !ok || r.Session > old.Session || (r.Session == old.Session && r.Seq > old.Seq) {
-		e.Reports[r.Machine] = r
-	}
-}
-
 // newest returns the newest of what is known of a record, and where that is from. The store
 // goes first, then the controllers: they saw what a snapshot may be too old for.
 func (e *Evidence) newest(key string) (wire.Entry, Source, bool) {
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -179,11 +179,7 @@
 				if !task.durable {
 					t.dones = append(t.dones, k)
 				}
-				if l := len(run.Done); l > 0 && run.Done[l-1][1] == i-1 {
-					run.Done[l-1][1] = i
-				} else {
-					run.Done = append(run.Done, [2]int{i, i})
-				}
+				run.Done = withDone(run.Done, i)
 			}
 		}
 		t.chunks = append(t.chunks, c)
@@ -192,6 +188,15 @@
 	return rec, left
 }
 
+// withDone adds a task to spans of completed ones, which all come before it.
+func withDone(spans [][2]int, i int) [][2]int {
+	if l := len(spans); l > 0 && spans[l-1][1] == i-1 {
+		spans[l-1][1] = i
+		return spans
+	}
+	return append(spans, [2]int{i, i})
+}
+
 // condition adds conditions to those of a transaction if there is room for all.
 func condition(conds map[string]uint64, room int, add map[string]uint64) bool {
 	n := len(conds)
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -53,7 +53,7 @@
 			}
 			run.On[i] = record.Place{Machine: t.machine.ID, Attempt: t.attempt}
 		case t.state == done:
-			run.Done = append(run.Done, [2]int{i, i})
+			run.Done = withDone(run.Done, i)
 		}
 	}
 	return run
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -25,7 +25,7 @@
 		return wire.Orders{}, NotMine
 	}
 	token := m.token(p)
-	freshness := reconcile.Fresh(reconcile.Order{Session: r.Session, Seq: r.Seq},
+	freshness := reconcile.Fresh(reconcile.OrderOf(r),
 		reconcile.Order{Session: m.session, Seq: m.seq}, r.Token, token)
 	if freshness == reconcile.Deposed {
 		return wire.Orders{}, Deposed
--- a/internal/snapshot/take.go
+++ b/internal/snapshot/take.go
@@ -90,9 +90,7 @@
 	for {
 		t.requests++
 		v, err := request()
-		final := err == nil || errors.Is(err, statestore.ErrNotFound) || errors.Is(err, statestore.ErrTooOld) ||
-			errors.Is(err, statestore.ErrInvalid) || errors.As(err, new(*statestore.ConflictError))
-		if final {
+		if statestore.Answered(err) {
 			t.answered = t.Now()
 			return v, err
 		}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -27,6 +27,13 @@
 	ErrInvalid  = errors.New("statestore: request refused as malformed")
 )
 
+// Answered reports whether a call's outcome is known and would be no other if it were made
+// again at once: it succeeded, or was answered with what is wrong about it.
+func Answered(err error) bool {
+	var conflict *ConflictError
+	return err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrTooOld) || errors.Is(err, ErrInvalid) || errors.As(err, &conflict)
+}
+
 // ConflictError tells which conditions of a transaction failed.
 type ConflictError struct{ Keys []string }
 
--- /dev/null
+++ b/internal/testkit/fleet_records.go
@@ -0,0 +1,50 @@
+package testkit
+
+import (
+	"fmt"
+
+	"bramblespur/internal/record"
+	"bramblespur/internal/wire"
+)
+
+// Shape of the fleets of FleetRecords.
+const (
+	fleetRental = 50 // machines of a rental
+	fleetTasks  = 10 // of a job
+	fleetBorn   = 1767600000000
+)
+
+// FleetMachine names a machine of FleetRecords.
+func FleetMachine(n int) string { return fmt.Sprintf("i-%06d", n) }
+
+// FleetRecords are the records of a fleet of which every machine runs two tasks of unfinished
+// jobs, and of jobs that are over, so many jobs together.
+func FleetRecords(machines, jobs int) map[string]wire.Entry {
+	out := map[string]wire.Entry{}
+	put := func(key string, v any) {
+		out[key] = wire.Entry{Key: key, Version: uint64(len(out) + 1), Value: record.Encode(v)}
+	}
+	for n := 0; n < machines; n += fleetRental {
+		r := record.Rental{Type: "g8", Zone: "a", Born: fleetBorn}
+		for i := n; i < min(n+fleetRental, machines); i++ {
+			r.IDs, r.Parts = append(r.IDs, FleetMachine(i)), append(r.Parts, 0)
+			r.Addrs = append(r.Addrs, fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250))
+		}
+		put(record.RentalKey(fmt.Sprint("r-", n)), r)
+	}
+	open := 2 * machines / fleetTasks
+	for n := range open {
+		ref := fmt.Sprintf("run-%06d", n)
+		put(record.OpenKey(ref), record.Open{At: fleetBorn, Spec: wire.Spec{Ref: ref, Class: "train", Team: "vision", Kind: wire.Array,
+			Priority: "normal", Tasks: fleetTasks, CPUs: 8, GPUs: 1, MemoryGB: 64, Image: "img-07", ImageGB: 6.2, EstimateS: 240}})
+		run := record.Run{Attempt: 1, On: map[int]record.Place{}, Tasks: fleetTasks, Turn: 1}
+		for i := range fleetTasks {
+			run.On[i] = record.Place{Machine: FleetMachine((n*fleetTasks + i) / 2), Attempt: 1}
+		}
+		put(record.SlotKey(0, n), record.Slot{Format: record.Stated, Runs: map[string]record.Run{record.RunName(ref, 0): run}})
+	}
+	for n := open; n < jobs; n++ {
+		put(record.JobKey(fmt.Sprintf("run-%06d", n)), record.Job{State: wire.Done, Tasks: fleetTasks, At: fleetBorn})
+	}
+	return out
+}
