Test: a provision's name comes back after a gap in the leader's lease

TestProvisionNamesAreNotReusedAfterLeaseGap fails: fleet/rent/c-0-2-1 is used twice, and the cloud answers the second request with the first one's machine.

--- a/internal/controller/leader/harness_test.go
+++ b/internal/controller/leader/harness_test.go
@@ -26,6 +26,8 @@
 	store    statestore.Store
 	cloud    listingCloud
 	machines *clusterview.Machines
+	// leadership is the version of the leader's record.
+	leadership uint64
 }
 
 var _ Host = (*fakeHost)(nil)
@@ -52,7 +54,7 @@
 	}
 	cfg := &config.Settings{Label: "c-0", Params: config.Params{Count: 1, Zones: []string{"z"},
 		State: config.State{ValueKB: 16, TxnOps: 16}}}
-	host := &fakeHost{t: t, store: store, machines: clusterview.NewMachines()}
+	host := &fakeHost{t: t, store: store, machines: clusterview.NewMachines(), leadership: 1}
 	return host, New(host, cfg, pol, slog.New(slog.DiscardHandler))
 }
 
@@ -82,7 +84,7 @@
 func (h *fakeHost) IsLeaderLocked(time.Time) bool                          { return true }
 func (h *fakeHost) SafeModeLocked() bool                                   { return false }
 func (h *fakeHost) CandidacyLocked(time.Time) func(context.Context)        { return nil }
-func (h *fakeHost) LeaderLocked() (string, uint64)                         { return "c-0", 1 }
+func (h *fakeHost) LeaderLocked() (string, uint64)                         { return "c-0", h.leadership }
 func (h *fakeHost) ClusterLocked(now time.Time) Cluster                    { return Cluster{Self: "c-0", Now: now} }
 func (h *fakeHost) StepDown(context.Context)                               {}
 func (h *fakeHost) SummariesLocked(time.Time) []fleet.Summary              { return nil }
--- a/internal/controller/leader/provision_test.go
+++ b/internal/controller/leader/provision_test.go
@@ -129,3 +129,57 @@
 		t.Fatalf("record %s, %v", e.Value, err)
 	}
 }
+
+// The cloud answers a request that it has seen before with the machines of then. A leader that was
+// not certain of its lease for a moment, as in an outage of the state service, goes on under the
+// same leadership; it numbered its provisions from one again, so that names came back whose
+// records had been cleared: nothing was rented, and the planner waited for machines that were gone
+// until each counted as never booted. What showed it: "machines provisioned name=c-2-12-7" twice in
+// one log, two minutes apart, each later "machine released why=never came up", while "job waits
+// reason=machines" named as many machines as not_up.
+func TestProvisionNamesAreNotReusedAfterLeaseGap(t *testing.T) {
+	ctx := context.Background()
+	state := testkit.NewState()
+	host, l := newTestLeader(t, state)
+	host.leadership = state.Put(record.LeaderKey, record.Leader{Label: "c-0"}).Version
+	first := provisionOne(ctx, host, l)
+	// Its machine is lost, released, and all records of it are cleared.
+	provision, err := state.Get(ctx, statestore.Urgent("test"), first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cleared := wire.Txn{If: []wire.Condition{{Key: first, Version: provision.Version}}, Then: []wire.Op{{Delete: first}}}
+	if _, err := state.Txn(ctx, statestore.Urgent("test"), cleared); err != nil {
+		t.Fatal(err)
+	}
+	host.Lock()
+	host.AppliedLocked(cleared, provision.Version+1, time.Now())
+	l.EndTermLocked() // its lease is not certain
+	host.Unlock()
+	if second := provisionOne(ctx, host, l); second == first {
+		t.Errorf("%s is used twice, the cloud answered with %v", first, host.cloud.Rentals)
+	}
+	if len(host.cloud.Rentals) != 2 {
+		t.Errorf("provisioned %v, want two machines", host.cloud.Rentals)
+	}
+}
+
+// provisionOne has a leader provision one machine, and returns the record's key.
+func provisionOne(ctx context.Context, host *fakeHost, l *Leader) (key string) {
+	term := l.ensureTerm(time.Now())
+	host.Lock()
+	l.startProvisionLocked(ctx, term, fleet.ProvisionRequest{Type: "big", Zone: "z", Shards: []int{0}})
+	for name := range term.provisions.underWay {
+		key = record.ProvisionKey(name)
+	}
+	host.Unlock()
+	for { // it is carried out by another goroutine
+		host.Lock()
+		left := len(term.provisions.underWay)
+		host.Unlock()
+		if left == 0 {
+			return key
+		}
+		runtime.Gosched()
+	}
+}
