leader: number provisions for the life of the process

Symptom: a job waits 90 s and more beside room elsewhere, as the machines rented for it never come up. Cause: the number in a provision's name was kept with the leader's term, which ends whenever the lease is not certain, as in an outage of the state service; the next term of the same leadership began at one again. Names whose records were cleared came back, and the cloud answers a repeated name with the machines of then, which were gone. Now the number lives as long as the process. The version of the leader's record in the name tells processes apart.

--- a/internal/controller/leader/leader.go
+++ b/internal/controller/leader/leader.go
@@ -56,6 +56,9 @@
 	// The shards' lock guards these.
 	term       *term // nil while another controller leads
 	standalone standalone
+	// provisionSequence numbers the provisions of this process. It outlives terms: one ends
+	// whenever the lease is not certain, and the next may be under the same leadership.
+	provisionSequence int
 }
 
 // New returns the duties of a controller.
--- a/internal/controller/leader/provision.go
+++ b/internal/controller/leader/provision.go
@@ -28,7 +28,6 @@
 // provisions is the provisions that a leader carries out. The shards' lock guards it.
 type provisions struct {
 	underWay map[string]record.Provision // by name
-	sequence int                         // numbers them within the term
 	// addresses are those of machines, as their owners tell them.
 	addresses map[string]string
 	// recordingAddresses are the provisions whose addresses are being recorded.
@@ -50,11 +49,12 @@
 }
 
 // startProvisionLocked begins a provision. Its record comes first, under the leadership it
-// was decided under: a name is never used again, and whoever leads next repeats the request.
+// was decided under, and whoever leads next repeats the request. A name is never used again: the
+// cloud would answer it with the machines of the first request, which may be gone.
 func (l *Leader) startProvisionLocked(ctx context.Context, t *term, r fleet.ProvisionRequest) {
 	_, leadership := l.host.LeaderLocked()
-	t.provisions.sequence++
-	name := fmt.Sprintf("%s-%d-%d", l.cfg.Label, leadership, t.provisions.sequence)
+	l.provisionSequence++
+	name := fmt.Sprintf("%s-%d-%d", l.cfg.Label, leadership, l.provisionSequence)
 	rec := record.Provision{Type: r.Type, Zone: r.Zone, Spot: r.Spot, Shards: r.Shards}
 	t.provisions.underWay[name] = rec
 	go func() {
