--- a/internal/controller/shardhost/step.go
+++ b/internal/controller/shardhost/step.go
@@ -86,6 +86,10 @@
 		h.log.Info("machine released", "machine", m.Machine, "shard", shard.ID(), "why", m.Why,
 			"tasks", m.Tasks, "silent", m.Silent.Round(time.Millisecond))
 	}
+	for _, u := range effects.Unrecorded {
+		h.log.Info("task not in the records", "task", u.Task, "machine", u.Machine, "shard", shard.ID(), "token", shard.Token(),
+			"attempt", u.Attempt, "recorded", u.Recorded, "job_known", u.KnownJob)
+	}
 	for _, j := range effects.Ended {
 		h.log.Debug("job terminal", "job", j.Ref, "class", j.Class, "state", j.State,
 			"took", j.Took.Round(time.Millisecond), "estimate", j.Estimate,
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -42,16 +42,23 @@
 		if j.faults.machines[m.ID] && !j.atFault() {
 			return
 		}
-		if m.reservedForOther(j, now) {
-			if o := s.jobs[m.reservation.job]; o != nil && o.progress.pending > 0 && s.protection.yieldsReservation(j, o, now) {
-				return
-			}
+		if s.yieldsMachine(j, m, now) {
+			return
 		}
 		cands = append(cands, m)
 	})
 	return cands
 }
 
+// yieldsMachine reports whether a machine is reserved for a job that goes before j.
+func (s *Shard) yieldsMachine(j *Job, m *Machine, now time.Time) bool {
+	if !m.reservedForOther(j, now) {
+		return false
+	}
+	other := s.jobs[m.reservation.job]
+	return other != nil && other.progress.pending > 0 && s.protection.yieldsReservation(j, other, now)
+}
+
 // requiredZone is the zone where the placed tasks of a job of one zone are; empty: any.
 func (j *Job) requiredZone() string {
 	zone := ""
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -4,14 +4,12 @@
 	"sort"
 	"time"
 
-	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
 // usable reports whether new work may be placed on a machine.
 func (c *Config) usable(m *Machine, now time.Time) bool {
-	return m.contact.up && m.Phase == record.InUse && !m.draining && m.cordon == NotCordoned && m.transferTo < 0 && m.record.txn == nil && !m.record.versionUnknown &&
-		m.contact.unreachableSince.IsZero() && (m.contact.fenced || !m.inherited) && m.reclaimedAt.IsZero() && now.Sub(m.contact.heartbeatAt) < c.suspectAfter()
+	return c.unusable(m, now) == NotRefused
 }
 
 // suspectAfter is when a silent machine gets no new work.
