testkit: a completion that was lost with its machine has to be run again

The checker took a dependency for done once its tasks had completed, though their machine died before any heartbeat that told so was answered. Nobody can know of such a completion until the task is started again, and that may wait for the limit of the job's team; what depends on the job then waits rightly. In turn the checker is stricter where it looked away: a task whose completion was lost has to be placed again beside room, as any other. Both are tested, and so is that the wait counts as soon as the completion is known.

--- a/internal/testkit/agent.go
+++ b/internal/testkit/agent.go
@@ -107,6 +107,7 @@
 				node, pause = (node+1)%len(a.w.labels), time.Second
 			}
 		default:
+			a.noteTold(&r)
 			if !a.hung && r.Session == a.session && orders.Token >= a.token {
 				a.leaseFrom = sent
 				a.see(orders.Token)
--- a/internal/testkit/agent_tasks.go
+++ b/internal/testkit/agent_tasks.go
@@ -19,6 +19,7 @@
 	stopped bool
 	saveEnd time.Time
 	alone   time.Time // since when a gang's mate is missing
+	told    bool      // a heartbeat with its completion was answered
 	// injected says that a test put it there.
 	injected bool
 }
@@ -116,8 +117,12 @@
 // drop ends all tasks without a word. The lock is held.
 func (a *Agent) drop() {
 	for name, t := range a.tasks {
-		if t.on() && !t.injected {
+		switch {
+		case t.injected:
+		case t.on():
 			a.w.check.Off(name, a.Place)
+		case t.why == wire.Done && !t.told:
+			a.w.check.CompletionLost(t.ref, t.i)
 		}
 	}
 	a.tasks = map[string]*agentTask{}
@@ -172,6 +177,16 @@
 	}
 }
 
+// noteTold notes which completions an answered heartbeat has told. The lock is held.
+func (a *Agent) noteTold(r *wire.Heartbeat) {
+	for _, reported := range r.Tasks {
+		t := a.tasks[reported.Task]
+		if t != nil && t.attempt == reported.Attempt && reported.State == wire.Exited {
+			t.told = true
+		}
+	}
+}
+
 // Inject puts a task on the machine that nobody ordered there, running or exited. The checker
 // does not count it: it is the test that breaks a rule by it.
 func (a *Agent) Inject(ref string, i int, attempt uint64, state, why string) {
--- a/internal/testkit/checker.go
+++ b/internal/testkit/checker.go
@@ -61,6 +61,7 @@
 	cancelled  time.Time // when its user was told so
 	doneTold   time.Time
 	done       map[int]bool
+	untold     map[int]bool // done, but gone with their machine before a controller was told
 	lastAnswer time.Time
 	waits      time.Time // since when it waits beside room
 }
@@ -90,7 +91,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.jobs[spec.Ref] == nil {
-		c.jobs[spec.Ref] = &watched{spec: spec, done: map[int]bool{}}
+		c.jobs[spec.Ref] = &watched{spec: spec, done: map[int]bool{}, untold: map[int]bool{}}
 	}
 }
 
@@ -262,9 +263,42 @@
 	defer c.mu.Unlock()
 	if j := c.jobs[ref]; j != nil {
 		j.done[task] = true
+		delete(j.untold, task)
 	}
 }
 
+// CompletionLost takes in that a completed task is gone with its machine before any heartbeat that
+// told of it was answered. Nobody can know of the completion until the task is started once more.
+func (c *Checker) CompletionLost(ref string, task int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[ref]; j != nil {
+		j.untold[task] = true
+	}
+}
+
+// mayBeKnownDone reports whether a controller may know that all tasks of a job are done. Of a gang
+// one completion tells all.
+func (j *watched) mayBeKnownDone() bool {
+	switch {
+	case !j.doneTold.IsZero():
+		return true
+	case len(j.done) < j.spec.Tasks:
+		return false
+	case j.spec.Kind == wire.Gang:
+		return len(j.untold) < j.spec.Tasks
+	}
+	return len(j.untold) == 0
+}
+
+// mustRun reports whether a task has to be started for its job to end.
+func (j *watched) mustRun(task int) bool {
+	if j.spec.Kind == wire.Gang && j.mayBeKnownDone() {
+		return false
+	}
+	return !j.done[task] || j.untold[task]
+}
+
 // Calm takes in that all troubles are over, or that they begin.
 func (c *Checker) Calm(calm bool) {
 	c.mu.Lock()
@@ -335,7 +369,7 @@
 	zones := map[string]int{}
 	for i := range spec.Tasks {
 		places := c.on[fmt.Sprintf("%s/%d", spec.Ref, i)]
-		if !j.done[i] && len(places) == 0 {
+		if j.mustRun(i) && len(places) == 0 {
 			missing++
 		}
 		for p := range places {
@@ -346,7 +380,7 @@
 		return !(spec.OneZone && len(zones) > 0 && zones[zone] == 0) && !(spec.Spread && zones[zone] >= (spec.Tasks+1)/2)
 	}
 	for _, root := range spec.DependsOn {
-		if r := c.jobs[root]; r == nil || len(r.done) < r.spec.Tasks {
+		if r := c.jobs[root]; r == nil || !r.mayBeKnownDone() {
 			return false
 		}
 	}
--- a/internal/testkit/checker_test.go
+++ b/internal/testkit/checker_test.go
@@ -30,6 +30,14 @@
 	}
 	room := func(_ *wire.Spec, may func(string) bool) bool { return may("a") }
 	none := func(*wire.Spec, func(string) bool) bool { return false }
+	waits := func(c *Checker, ref string) {
+		c.Calm(true)
+		for range waitLimit / (10 * time.Second) {
+			told(c, Poll, ref, 200, wire.Pending)
+			c.Look(room)
+			time.Sleep(10 * time.Second)
+		}
+	}
 	for name, x := range map[string]struct {
 		rule  string
 		ready func(c *Checker)
@@ -91,12 +99,22 @@
 		}, func(c *Checker) { time.Sleep(2 * time.Second); told(c, Poll, "r2", 200, wire.Pending) }},
 		"waits beside room": {Waited, func(c *Checker) {
 			job(c, "r1", nil)
-			c.Calm(true)
-			for range waitLimit / (10 * time.Second) {
-				told(c, Poll, "r1", 200, wire.Pending)
-				c.Look(room)
-				time.Sleep(10 * time.Second)
-			}
+			waits(c, "r1")
+		}, func(c *Checker) { c.Look(room) }},
+		"waits beside room to run again": {Waited, func(c *Checker) {
+			job(c, "r1", nil)
+			c.Done("r1", 0)
+			c.Done("r1", 1)
+			c.CompletionLost("r1", 1)
+			waits(c, "r1")
+		}, func(c *Checker) { c.Look(room) }},
+		"waits beside room after its dependency": {Waited, func(c *Checker) {
+			job(c, "r1", nil)
+			job(c, "r2", func(spec *wire.Spec) { spec.DependsOn = []string{"r1"} })
+			c.Done("r1", 0)
+			c.Done("r1", 1)
+			told(c, Poll, "r1", 200, wire.Done)
+			waits(c, "r2")
 		}, func(c *Checker) { c.Look(room) }},
 		"bad input accepted": {BadAnswer, func(c *Checker) { c.BadInput("no team", 400, 400) }, func(c *Checker) { c.BadInput("no team", 201, 400) }},
 	} {
@@ -142,3 +160,40 @@
 		}
 	})
 }
+
+// A task that completed on a machine which was gone before it could tell so has to be started
+// again, and what depends on its job waits for that: here for the limit of the first job's team.
+// Chance schedules showed it (near-823): both tasks of run-000011 reported "done" only in
+// heartbeats without an answer, their machine died, "job waits job=run-000011 reason=team_limit"
+// and "job waits job=run-000013 reason=dependencies" stood side by side.
+func TestCheckerLetsWaitForLostCompletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewChecker(map[string]float64{"tight": 1}, time.Minute)
+		c.Submit(wire.Spec{Ref: "r1", Team: "tight", Kind: wire.Array, Tasks: 2, GPUs: 1})
+		c.Submit(wire.Spec{Ref: "r2", Team: "wide", Kind: wire.Array, Tasks: 1, GPUs: 1, DependsOn: []string{"r1"}})
+		c.Submit(wire.Spec{Ref: "r3", Team: "tight", Kind: wire.Array, Tasks: 1, GPUs: 1})
+		c.Done("r1", 0)
+		c.Done("r1", 1)
+		c.CompletionLost("r1", 1)
+		c.On("r3/0", Place{ID: "m1", Zone: "a"})
+		look := func() {
+			for range 30 {
+				for _, ref := range []string{"r1", "r2", "r3"} {
+					c.Answer(Poll, ref, time.Now(), time.Now(), 200, wire.Pending)
+				}
+				c.Look(func(*wire.Spec, func(string) bool) bool { return true })
+				time.Sleep(5 * time.Second)
+			}
+		}
+		c.Calm(true)
+		look()
+		if b := c.Broken(); len(b) > 0 {
+			t.Errorf("found %q", b)
+		}
+		c.Done("r1", 1) // again
+		look()
+		if b := c.Broken(); len(b) != 1 || !strings.HasPrefix(b[0], Waited+": r2") {
+			t.Errorf("found %q once r1 is known to be done, want that r2 waits", b)
+		}
+	})
+}
