Tests: a record of failing chance schedules, and seeds to choose

CLUSTER_RECORD=<directory> writes, for each failing schedule, the troubles with their ends, all controllers' log lines, every transaction with its conditions and outcome and every heartbeat with its answer, from a bounded buffer. Without it nothing is kept. CHANCE_SEEDS=<first>-<last> plays other seeds than the twelve of each layout; a malformed range stops the test.

--- a/internal/controller/cluster_process_test.go
+++ b/internal/controller/cluster_process_test.go
@@ -151,8 +151,12 @@
 	c.start()
 }
 
-// logger writes to standard error where CLUSTER_LOG names a level.
+// logger writes to the schedule's record if there is one, else to standard error where
+// CLUSTER_LOG names a level.
 func (k *cluster) logger(label string) *slog.Logger {
+	if k.rec != nil {
+		return k.rec.log.With("at", label)
+	}
 	var level slog.Level
 	if level.UnmarshalText([]byte(os.Getenv("CLUSTER_LOG"))) != nil {
 		return slog.New(slog.NewTextHandler(io.Discard, nil))
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -31,6 +31,7 @@
 	procs map[string]*process
 	refs  []string
 	said  []string  // what a script did, told if it fails
+	rec   *recorder // nil unless one is asked for
 	ended time.Time // when all controllers first ended
 	// cancels says that jobs were cancelled: their stops are never held back.
 	cancels atomic.Bool
@@ -105,6 +106,8 @@
 	}
 	k.check = testkit.NewChecker(limits, l.timing.Cancel)
 	k.world = testkit.NewWorld(k.labels, types, l.timing, k.check, l.seed)
+	k.rec = newRecorder()
+	k.world.Observe(k.rec.observer())
 	return k
 }
 
@@ -222,6 +225,7 @@
 	if k.t.Failed() && len(k.said) > 0 {
 		k.t.Log(strings.Join(k.said, "; "))
 	}
+	k.rec.save(k.t)
 }
 
 // meet plays a script on both layouts with a fixed list of seeds.
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -132,19 +132,17 @@
 // Troubles of every kind meet as chance has it, several at a time, while jobs of
 // every kind come and a third of them is cancelled. What is not listed is met here.
 func TestTroublesByChance(t *testing.T) {
+	seeds := seedsToPlay(t)
 	for name, l := range layouts {
-		for seed := range uint64(chanceSeeds) {
-			t.Run(fmt.Sprintf("%s-%d", name, seed+1), func(t *testing.T) {
+		for seed := seeds.first; seed <= seeds.last; seed++ {
+			t.Run(fmt.Sprintf("%s-%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				play(t, l(seed+1), func(k *cluster) { k.byChance(rand.New(rand.NewPCG(seed, 7)), name == "far") })
+				play(t, l(seed), func(k *cluster) { k.byChance(rand.New(rand.NewPCG(seed-1, 7)), name == "far") })
 			})
 		}
 	}
 }
 
-// chanceSeeds is how many seeds are played on each layout.
-const chanceSeeds = 12
-
 // byChance plays two minutes of troubles.
 func (k *cluster) byChance(r *rand.Rand, far bool) {
 	k.load()
@@ -157,12 +155,14 @@
 	for end := time.Now().Add(2 * time.Minute); time.Now().Before(end); {
 		x := troubles[r.IntN(len(troubles))]
 		said = append(said, fmt.Sprintf("%s %s", time.Now().Format("04:05"), x.name))
+		k.rec.note("trouble begins", "name", x.name)
 		over := x.begin(k, r)
 		d := time.Duration(r.Int64N(int64(2 * pause)))
 		if over != nil {
 			k.world.Go(func() {
 				k.world.Sleep(d)
 				over()
+				k.rec.note("trouble ends", "name", x.name)
 			})
 		}
 		for range r.IntN(3) {
--- a/internal/testkit/service.go
+++ b/internal/testkit/service.go
@@ -32,6 +32,23 @@
 	slow    time.Duration
 	fate    func(from string, t wire.Txn) Fate
 	writes  []Write
+	observe Observer
+}
+
+// Observer is told what happens among scripted peers, with keys and values as a logger.
+type Observer func(event string, args ...any)
+
+func (o Observer) tell(event string, args ...any) {
+	if o != nil {
+		o(event, args...)
+	}
+}
+
+// Observe tells of every transaction: its sender, what became of it, and with which conditions.
+func (s *Service) Observe(o Observer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe = o
 }
 
 // Write is a transaction that was carried out.
@@ -140,6 +157,7 @@
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	rev, err := s.state.apply(t)
+	s.observe.tell("transaction", "from", from, "revision", rev, "err", err, "if", t.If, "then", t.Then)
 	if err == nil && len(t.Then) > 0 {
 		s.writes = append(s.writes, Write{from, time.Now(), t})
 		s.wake()
@@ -259,6 +277,9 @@
 	if l.s.fate != nil {
 		f = l.s.fate(l.label, t)
 	}
+	if f != (Fate{}) {
+		l.s.observe.tell("fate of the next transaction", "from", l.label, "fate", f, "then", t.Then)
+	}
 	switch {
 	case f.Refused:
 		l.s.mu.Unlock()
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -48,6 +48,7 @@
 	mute     map[int]func(string) bool
 	mutes    int
 	orders   Orders
+	observe  Observer
 	listen   func(*Agent) string // gives a machine an address; nil: one of the scripted network
 }
 
@@ -227,8 +228,26 @@
 	w.onEnd = f
 }
 
+// Observe tells of every heartbeat that is delivered, with its answer, and of every transaction.
+func (w *World) Observe(o Observer) {
+	w.State.Observe(o)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.observe = o
+}
+
+func (w *World) observer() Observer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.observe
+}
+
 // deliver brings a worker's report to a controller.
 func (w *World) deliver(from, to string, r wire.Heartbeat) (status int, redirect string, o wire.Orders, err error) {
+	sent := time.Now()
+	defer func() {
+		w.observer().tell("heartbeat", "from", from, "to", to, "sent", sent.Format(time.TimeOnly), "heartbeat", r, "status", status, "redirect", redirect, "orders", o, "err", err)
+	}()
 	body, _ := json.Marshal(r)
 	type answer struct {
 		status int
