Test: a deposed owner takes its successor's token of a machine

TestDeposedOwnerTakesNoRaisedToken and TestDeposedOwnerTakesNoTransferredMachine fail: told of a machine's new record version before it hears that the shard has a new owner, the old one answers the worker's heartbeats under that version and stops what the successor started.

--- a/internal/scheduler/deposed_test.go
+++ b/internal/scheduler/deposed_test.go
@@ -235,3 +235,71 @@
 		t.Error("the machine still counts as the old part's")
 	}
 }
+
+// A machine's token is raised by rewriting its record. The watch of machines' records may come
+// before that of ownership records: then an owner that has a successor sees the machine's new
+// version first. It took that for its own token, believed the machine's heartbeats, ended what its
+// successor had started there, and with the detection of data loss on believed in a loss, as the
+// attempts were above those that it knew. Without its lease it could have started nothing.
+//
+// Chance schedules showed it (far-115, "refused alone" for 40 s and then served again):
+// "task not in the records task=run-000001/3 machine=i-000015 shard=2 token=155 attempt=12
+// recorded=10", while the heartbeat had token 236, which c-0 had given the machine as the owner of
+// the shard under token 175.
+func TestDeposedOwnerTakesNoRaisedToken(t *testing.T) {
+	r, w := newHarnessWithMachine(t)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	d := depose(r)
+	r.heartbeats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started by the successor")
+	}
+	raised := r.state.Put(record.OverrideKey("m1"), record.Machine{Type: "big", Zone: "z1", Shard: r.id})
+	r.sync(raised)
+	r.heartbeats(2)
+	if w.Token != raised.Version {
+		t.Fatalf("the worker has token %d, want %d", w.Token, raised.Version)
+	}
+	view, _ := r.fleet.Machine("m1")
+	if err := d.old.SetMachine("m1", view, r.clock.Now()); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		r.clock.Advance(r.cfg.HeartbeatInterval)
+		d.reportToOld(w)
+	}
+	if r.on("run-000001/0") != "m1" {
+		t.Error("an owner that has a successor stopped the successor's task")
+	}
+	report := w.Report()
+	if _, verdict := d.old.Heartbeat(&report, false, r.clock.Now()); verdict != Deposed {
+		t.Errorf("a heartbeat under the successor's token: verdict %d, want %d", verdict, Deposed)
+	}
+}
+
+// The same for a machine that was transferred to the shard after it had a new owner.
+func TestDeposedOwnerTakesNoTransferredMachine(t *testing.T) {
+	r := newHarness(t)
+	r.submit(spec("run-000001", "b", wire.Array, "normal", 1, 1))
+	d := depose(r)
+	r.sync(r.state.Put(record.ProvisionKey("m1"), record.Provision{Type: "big", Zone: "z1", Shards: []int{r.id + 1}, IDs: []string{"m1"}}))
+	arrives := r.state.Put(record.OverrideKey("m1"), record.Machine{Type: "big", Zone: "z1", Shard: r.id})
+	w := testkit.NewWorker("m1", "big", "z1", false)
+	r.workers["m1"] = w
+	r.sync(arrives)
+	r.heartbeats(3)
+	if r.on("run-000001/0") != "m1" {
+		t.Fatal("not started by the successor")
+	}
+	view, _ := r.fleet.Machine("m1")
+	if err := d.old.SetMachine("m1", view, r.clock.Now()); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		r.clock.Advance(r.cfg.HeartbeatInterval)
+		d.reportToOld(w)
+	}
+	if r.on("run-000001/0") != "m1" {
+		t.Error("an owner that has a successor stopped the successor's task")
+	}
+}
