scheduler: a machine's version is its token only while the shard is ours

Symptom: a belief in lost data ("record gone", a task's attempt above the recorded one), and without the detection tasks stopped that a successor had started. Cause: the override record of a machine is its fencing token once it is written, and a shard took each version from the watch for its own token. The watch of machines may be ahead of that of ownership records; an owner that was followed without its knowledge then held its successor's token, took heartbeats under it for current and answered them with stops that the worker obeyed. Now such a version counts only once the shard is known to have been owned at that revision: by a write of its own that was applied, or by reading the ownership record, once for each new version, when another's is found the shard is dropped. Until then the token of before holds.

--- a/internal/controller/shardhost/reread.go
+++ b/internal/controller/shardhost/reread.go
@@ -119,14 +119,35 @@
 			return
 		}
 		if errors.Is(err, statestore.ErrNotFound) {
-			h.mu.Lock()
-			h.noticeOlderOwnershipLocked(id, 0)
-			h.mu.Unlock()
+			h.noticeMissingOwnership(id)
 		}
 		retry.Sleep(ctx, retry.Jitter(readRetry))
 	}
 }
 
+// confirmOwnership reads the ownership record of a shard after something was seen of a revision,
+// and tells the shard that it was still owned then. If it was not, the shard is dropped.
+func (h *Host) confirmOwnership(shard *scheduler.Shard, revision uint64) {
+	var entry wire.Entry
+	read := h.RetryWhileServed(shard, func(ctx context.Context) (err error) {
+		entry, err = h.env.Store().Get(ctx, statestore.Urgent("read back"), record.ShardKey(shard.ID()))
+		if errors.Is(err, statestore.ErrNotFound) {
+			return nil
+		}
+		return err
+	})
+	switch {
+	case !read:
+	case entry.Version == 0:
+		h.noticeMissingOwnership(shard.ID())
+	case entry.Version == shard.Token():
+		h.Update(shard, func(time.Time) { shard.OwnershipConfirmed(revision) })
+	default:
+		h.log.Info("shard found to be another's", "shard", shard.ID(), "token", shard.Token(), "found", entry.Version)
+		h.applyOwnership(shard.ID(), entry)
+	}
+}
+
 // applyOwnership applies an ownership record that was read.
 func (h *Host) applyOwnership(id int, entry wire.Entry) {
 	var rec record.Shard
@@ -140,6 +161,12 @@
 	h.env.SetOwnershipLocked(id, rec, entry.Version)
 }
 
+func (h *Host) noticeMissingOwnership(id int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noticeOlderOwnershipLocked(id, 0)
+}
+
 func (h *Host) noticeOlderOwnershipLocked(id int, found uint64) {
 	held, _ := h.env.OwnershipLocked(id)
 	h.env.NoticeOlderLocked(record.ShardKey(id), held.Version, found, time.Now())
--- a/internal/controller/shardhost/step.go
+++ b/internal/controller/shardhost/step.go
@@ -25,6 +25,9 @@
 	for _, txn := range effects.Txns {
 		go h.commit(shard, txn)
 	}
+	if effects.ConfirmOwnershipAt > 0 {
+		go h.confirmOwnership(shard, effects.ConfirmOwnershipAt)
+	}
 	h.reread(shard, &effects)
 	h.callWorkers(shard, &effects)
 	h.sendStartsLocked(shard, effects.StartsReady, now)
--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -42,10 +42,13 @@
 	RereadPipelines  []string
 	DirectCommands   []DirectCommand
 	Probes           []Probe
-	StartsReady      []string         // machines for which a start is ready
-	Started          []TaskStart      // tasks seen to run for the first time
-	Ended            []JobEnd         // jobs that are over
-	Released         []MachineRelease // machines to be released
+	// ConfirmOwnershipAt is a revision for which the ownership record is to be read, 0 for none:
+	// see OwnershipConfirmed.
+	ConfirmOwnershipAt uint64
+	StartsReady        []string         // machines for which a start is ready
+	Started            []TaskStart      // tasks seen to run for the first time
+	Ended              []JobEnd         // jobs that are over
+	Released           []MachineRelease // machines to be released
 	// Contradictions are claims of workers that disagree with what is known.
 	Contradictions []Contradiction
 	// Interrupted are units of work that stopped without having ended, if these are
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -168,9 +168,12 @@
 			}
 		}
 		r.probe(eff)
-		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadPlacements)+len(eff.RereadMachines)+len(eff.RereadPipelines)+len(eff.DirectCommands) == 0 {
+		if len(eff.Txns)+len(eff.RereadJobs)+len(eff.RereadPlacements)+len(eff.RereadMachines)+len(eff.RereadPipelines)+len(eff.DirectCommands) == 0 && eff.ConfirmOwnershipAt == 0 {
 			return
 		}
+		if e := r.get(record.ShardKey(r.id)); eff.ConfirmOwnershipAt > 0 && e != nil && e.Version == r.shard.token {
+			r.shard.OwnershipConfirmed(eff.ConfirmOwnershipAt)
+		}
 		for _, t := range eff.Txns {
 			rev, err := r.state.Txn(ctx, statestore.Urgent("test"), t.Body)
 			if r.afterTxn != nil {
--- /dev/null
+++ b/internal/scheduler/ownership.go
@@ -0,0 +1,57 @@
+package scheduler
+
+// A machine's fencing token is the version of its override record once that is above the shard's
+// own token: the machine was transferred here or given a higher token. Such a version proves that
+// the shard's owner wrote the record, but not that this controller still was that owner: another
+// may have acquired the shard since, and the watch that tells so may come later than that of the
+// machines. So a version serves as token only once the shard is known to have been ours at that
+// revision, by a write of ours that was applied or by its ownership record read afterwards.
+
+// ownership is as of when the shard is known to be ours.
+type ownership struct {
+	confirmedAt uint64     // the highest such revision
+	requestedAt uint64     // the highest that a confirmation was asked for
+	unconfirmed machineSet // machines whose record is of a later version
+}
+
+// setRecordVersion takes in the version of a machine's override record.
+func (s *Shard) setRecordVersion(m *Machine, version uint64) {
+	m.record.version = version
+	if version > s.ownership.confirmedAt {
+		s.ownership.unconfirmed[m] = struct{}{}
+		return
+	}
+	s.adoptToken(m)
+}
+
+// adoptToken makes the version of a machine's record its fencing token, which it has to report
+// before what is on it counts as known.
+func (s *Shard) adoptToken(m *Machine) {
+	delete(s.ownership.unconfirmed, m)
+	m.contact.fenced = false
+	m.record.token = m.record.version
+}
+
+// OwnershipConfirmed takes in that the shard was ours at a revision.
+func (s *Shard) OwnershipConfirmed(revision uint64) {
+	if revision <= s.ownership.confirmedAt {
+		return
+	}
+	s.ownership.confirmedAt = revision
+	for m := range s.ownership.unconfirmed {
+		if m.record.version <= revision {
+			s.adoptToken(m)
+			s.placementDue = true
+		}
+	}
+}
+
+// requestConfirmation asks once for each new version that is not confirmed.
+func (s *Shard) requestConfirmation() {
+	for m := range s.ownership.unconfirmed {
+		if m.record.version > s.ownership.requestedAt {
+			s.ownership.requestedAt = m.record.version
+			s.effects.ConfirmOwnershipAt = m.record.version
+		}
+	}
+}
--- a/internal/scheduler/rereads.go
+++ b/internal/scheduler/rereads.go
@@ -149,8 +149,7 @@
 		return nil
 	}
 	if e.Version != m.record.version {
-		m.record.version = e.Version
-		m.contact.fenced = false
+		s.setRecordVersion(m, e.Version)
 	}
 	return nil
 }
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -12,6 +12,7 @@
 	cfg            *Config
 	id             int
 	token          uint64
+	ownership      ownership
 	ownershipLost  bool
 	inventory      inventory
 	jobs           map[string]*Job
@@ -61,6 +62,7 @@
 		ledger:        newPlacementLedger(cfg, token),
 		quotas:        quotas{cfg: cfg, used: map[string]*usage{}},
 		protection:    protectedJobs{jobs: map[*Job]bool{}},
+		ownership:     ownership{confirmedAt: token, unconfirmed: machineSet{}},
 		probes:        probes{zoneAnsweredAt: map[string]time.Time{}},
 		delayedStarts: map[*Machine]time.Time{},
 		placementDue:  true,
--- a/internal/scheduler/task_ledger.go
+++ b/internal/scheduler/task_ledger.go
@@ -210,8 +210,7 @@
 		s.ledger.longestMachineID = max(s.ledger.longestMachineID, len(id))
 	}
 	if v.Version > m.record.version {
-		m.record.version = v.Version
-		m.contact.fenced = false
+		s.setRecordVersion(m, v.Version)
 	}
 	if v.Addr != "" {
 		m.record.hasAddress = true
@@ -242,6 +241,7 @@
 	}
 	delete(s.inventory.byID, m.ID)
 	delete(s.delayedStarts, m)
+	delete(s.ownership.unconfirmed, m)
 	s.inventory.drop(m)
 	s.placementDue = true
 }
--- a/internal/scheduler/write_outcomes.go
+++ b/internal/scheduler/write_outcomes.go
@@ -11,11 +11,12 @@
 
 // Applied takes in that a transaction succeeded.
 func (s *Shard) Applied(t *Txn, revision uint64, now time.Time) {
+	s.OwnershipConfirmed(revision) // its condition held
 	switch {
 	case t.machine != nil:
 		t.machine.record.txn = nil
 		if t.raisesToken {
-			t.machine.record.version, t.machine.contact.fenced = revision, false
+			s.setRecordVersion(t.machine, revision)
 			s.placementDue = true
 			break
 		}
