testkit: a completion that reached a controller unanswered may be known

A task must run again only if no report of its end ever reached a controller; a dependency counts as done only once one was answered. What lies between is not judged.

--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -262,6 +262,7 @@
 		if n == nil {
 			return answer{}, ErrRefused
 		}
+		w.noteReached(&r)
 		status, body, err := n.Handle("POST", wire.HeartbeatPath, body)
 		return answer{status, body}, err
 	})
@@ -279,6 +280,21 @@
 	return a.status, redirect, o, err
 }
 
+// noteReached notes that a report, perhaps a late copy, is brought to a controller.
+func (w *World) noteReached(r *wire.Heartbeat) {
+	w.mu.Lock()
+	a := w.agents[r.Machine]
+	w.mu.Unlock()
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Session == a.session {
+		a.noteReached(r, false)
+	}
+}
+
 // Mute keeps machines from opening connections to controllers, while direct commands
 // reach them, until heal is called.
 func (w *World) Mute(ids func(string) bool) (heal func()) {
