--- a/internal/controller/leader/harness_test.go
+++ b/internal/controller/leader/harness_test.go
@@ -33,13 +33,16 @@
 var _ Host = (*fakeHost)(nil)
 
 // listingCloud lists all machines that it ever provisioned.
-type listingCloud struct{ testkit.Cloud }
+type listingCloud struct {
+	testkit.Cloud
+	addresses map[string]string // of listed machines
+}
 
 func (c *listingCloud) List(context.Context) ([]wire.ListedMachine, error) {
 	var list []wire.ListedMachine
 	for _, ids := range c.Rentals {
 		for _, id := range ids {
-			list = append(list, wire.ListedMachine{ID: id})
+			list = append(list, wire.ListedMachine{ID: id, Addr: c.addresses[id]})
 		}
 	}
 	return list, nil
--- a/internal/controller/leader/provision_test.go
+++ b/internal/controller/leader/provision_test.go
@@ -183,3 +183,42 @@
 		runtime.Gosched()
 	}
 }
+
+// A machine whose address is on no record can't be asked by an owner that never heard it: if it is
+// dead it counts as alive for several leases longer, and again after each change of the owner,
+// while its tasks hold their team's quota. An address was learned from its owner alone and was
+// lost with the leader. The cloud's list tells it, too. Chance schedules showed it (far-1999):
+// "job waits job=run-000004 reason=team_limit team_gpus=4" while i-000003, silent since 00:21 and
+// without an address, had two of the four; "machine released machine=i-000003 why=silent" came at
+// 03:53 after two failovers.
+func TestAddressesAreLearnedFromCloudList(t *testing.T) {
+	state := testkit.NewState()
+	host, l := newTestLeader(t, state)
+	put := host.put(state)
+	put(record.ProvisionKey("r"), record.Provision{Type: "big", Zone: "z", Shards: []int{0, 0}, IDs: []string{"a", "b"}})
+	host.cloud.Rentals = map[string][]string{"r": {"a", "b"}}
+	host.cloud.addresses = map[string]string{"a": "a:1", "b": "b:1"}
+	term := l.ensureTerm(time.Now())
+	l.compareCloudList(t.Context(), term)
+	host.Lock()
+	l.recordAddressesLocked(t.Context(), term, []fleet.Summary{{Machines: []fleet.Machine{{ID: "a", Addr: "a:2"}}}})
+	writing := len(term.provisions.recordingAddresses)
+	host.Unlock()
+	if writing != 1 {
+		t.Fatal("the addresses are not recorded, though the cloud's list told what owners did not")
+	}
+	for { // the write is another goroutine's
+		host.Lock()
+		a, _ := host.machines.Machine("a")
+		b, _ := host.machines.Machine("b")
+		host.Unlock()
+		if b.Addr == "" {
+			runtime.Gosched()
+			continue
+		}
+		if a.Addr != "a:2" || b.Addr != "b:1" {
+			t.Errorf("recorded %q and %q, want a:2 as the owner tells and b:1 as the list does", a.Addr, b.Addr)
+		}
+		return
+	}
+}
