leader: learn machines' addresses from the cloud's list, too

Cause: an address was recorded only once a leader heard it from the machine's owner. The list is read anyway, at once by a new leader; what it tells is recorded with the addresses that owners tell, which go first.

--- a/internal/controller/leader/addresses.go
+++ b/internal/controller/leader/addresses.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// learnListedAddresses keeps the addresses that the cloud's list tells of machines of which neither
+// a record nor an owner does: one that is silent by now could not be asked whether it is alive.
+func (p *provisions) learnListedAddresses(list []wire.ListedMachine, machines *clusterview.Machines) {
+	for _, m := range list {
+		if v, recorded := machines.Machine(m.ID); recorded && v.Addr == "" && p.addresses[m.ID] == "" && m.Addr != "" {
+			p.addresses[m.ID] = m.Addr
+		}
+	}
+}
+
 // addressesOf returns the addresses of machines, empty for those that never came up. It
 // returns false as long as one may yet come up, or if none did.
 func (p *provisions) addressesOf(machines *clusterview.Machines, ids []string) ([]string, bool) {
--- a/internal/controller/leader/inventory.go
+++ b/internal/controller/leader/inventory.go
@@ -96,8 +96,8 @@
 	return config.Seconds(max(byLag, byCalls))
 }
 
-// compareCloudList reads the cloud's list for machines that nobody recorded,
-// as a request executed late leaves them, and releases them.
+// compareCloudList reads the cloud's list for addresses that are not recorded, and for machines
+// that nobody recorded, as a request executed late leaves them, which it releases.
 func (l *Leader) compareCloudList(ctx context.Context, t *term) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -107,6 +107,7 @@
 		return
 	}
 	l.host.Lock()
+	t.provisions.learnListedAddresses(list, l.host.FleetLocked())
 	suspects := t.inventory.suspects(list, l.host.FleetLocked(), len(t.provisions.underWay) > 0)
 	l.host.Unlock()
 	if len(suspects) == 0 {
