drain: count the machines of a zone that take work, not those on record

Symptom: a zone without a machine that takes work, while others of it boot. Cause: the share of a zone that may be cordoned was taken of the machines in service by their records, which name booting, silent and dead ones too. Owners alone know which work, so each records how many of its shard's do, by zone, while something is drained; a cordon is conditioned on the records of all shards, so that of two controllers that decide at once one fails. What another owner counted, or one before the newest drain, is unknown and counts as none. The last machine that works is never cordoned unless its zone has but one on record, as before; the drain shows "too few of its zone take work" and goes on once one is up. The pass over the whole fleet on each shard's turn is gone: counts on record are kept by change.

--- a/internal/controller/clusterview/clusterview_test.go
+++ b/internal/controller/clusterview/clusterview_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -280,3 +283,42 @@
 		}
 	}
 }
+
+// The counts by zone are what a look at all machines gives, after whatever change.
+func TestInUseByZone(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 7))
+	machines := NewMachines()
+	for version := uint64(1); version <= 2000; version++ {
+		n := random.IntN(40)
+		id := fmt.Sprint("m", n)
+		change := wire.Change{Version: version}
+		switch random.IntN(5) {
+		case 0:
+			change.Delete = record.ProvisionKey(id)
+		case 1:
+			change.Put, change.Value = record.ReleaseKey(0, 1, n), record.Encode(record.Release{IDs: []string{id}, Done: random.IntN(2) == 0})
+		case 2:
+			change.Put, change.Value = record.OverrideKey(id), record.Encode(record.Machine{Zone: "b", Shard: 1})
+		case 3:
+			change.Delete = record.ReleaseKey(0, 1, n)
+		default:
+			change.Put, change.Value = record.ProvisionKey(id), record.Encode(record.Provision{Zone: "a", Shards: []int{0}, IDs: []string{id}})
+		}
+		if _, errs := machines.Apply([]wire.Change{change}); len(errs) > 0 {
+			t.Fatal(errs)
+		}
+		want := map[string]int{}
+		machines.ForEach(func(_ string, v record.MachineView) {
+			if v.Phase == record.InUse {
+				want[v.Zone]++
+			}
+		})
+		if got := machines.InUseByZone(); !maps.Equal(got, want) {
+			t.Fatalf("after %+v: %v, want %v", change, got, want)
+		}
+	}
+	machines.Forget()
+	if got := machines.InUseByZone(); len(got) != 0 {
+		t.Errorf("forgotten, and yet %v", got)
+	}
+}
--- a/internal/controller/clusterview/machines.go
+++ b/internal/controller/clusterview/machines.go
@@ -1,6 +1,7 @@
 package clusterview
 
 import (
+	"maps"
 	"strings"
 	"sync"
 
@@ -15,6 +16,29 @@
 
 	mu    sync.Mutex // a leaf: see the package's lock order
 	fleet *record.Fleet
+	inUse zoneCounts
+}
+
+// zoneCounts counts the machines in service by zone, machine by machine as their records change.
+type zoneCounts struct {
+	zoneOf map[string]string // of the machines that are counted
+	counts map[string]int
+}
+
+func newZoneCounts() zoneCounts { return zoneCounts{map[string]string{}, map[string]int{}} }
+
+// update takes in a machine as its records tell it, if they are known.
+func (z *zoneCounts) update(id string, v record.MachineView, known bool) {
+	if zone, counted := z.zoneOf[id]; counted {
+		delete(z.zoneOf, id)
+		if z.counts[zone]--; z.counts[zone] == 0 {
+			delete(z.counts, zone)
+		}
+	}
+	if known && v.Phase == record.InUse {
+		z.zoneOf[id] = v.Zone
+		z.counts[v.Zone]++
+	}
 }
 
 // MachineChange is a machine of which some record changed.
@@ -29,14 +53,14 @@
 }
 
 // NewMachines returns a view without records.
-func NewMachines() *Machines { return &Machines{fleet: record.NewFleet()} }
+func NewMachines() *Machines { return &Machines{fleet: record.NewFleet(), inUse: newZoneCounts()} }
 
 // Forget drops all records. The view is to be listed anew.
 func (v *Machines) Forget() {
 	v.forget()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.fleet = record.NewFleet()
+	v.fleet, v.inUse = record.NewFleet(), newZoneCounts()
 }
 
 // Apply takes changed and deleted records into the view, all of them before it
@@ -62,6 +86,7 @@
 	changed := make([]MachineChange, 0, len(released))
 	for id, gone := range released {
 		view, known := v.fleet.Machine(id)
+		v.inUse.update(id, view, known)
 		changed = append(changed, MachineChange{ID: id, View: view, Known: known, Released: gone})
 	}
 	return changed, errs
@@ -101,6 +126,13 @@
 	v.fleet.ForEach(fn)
 }
 
+// InUseByZone counts the machines that are in service by their records, whether they are up or not.
+func (v *Machines) InUseByZone() map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.inUse.counts)
+}
+
 // Len returns the number of machines, those gone but not yet cleared away included.
 func (v *Machines) Len() int {
 	v.mu.Lock()
--- a/internal/controller/drainer/shard_turn.go
+++ b/internal/controller/drainer/shard_turn.go
@@ -103,7 +103,8 @@
 	var steps drain.Steps
 	if d.readyLocked() {
 		builder.Machines = shard.DrainMachines(d.view.MayCordonMore(), now)
-		builder.Zones = d.machinesByZone()
+		builder.Tokens, builder.Serving = d.ownerTokensLocked(), shard.Serving(now)
+		builder.Zones = builder.KnownZones(d.machines.InUseByZone())
 		steps = drain.PlanSteps(&builder.Input, ledgers)
 	}
 	shard.SetReplacements(steps.NeedCapacity)
@@ -126,15 +127,17 @@
 	return ledgers
 }
 
-// machinesByZone counts the machines in service.
-func (d *Drainer) machinesByZone() map[string]int {
-	zones := map[string]int{}
-	d.machines.ForEach(func(_ string, v record.MachineView) {
-		if v.Phase == record.InUse {
-			zones[v.Zone]++
+// ownerTokensLocked returns the fencing tokens of all shards' owners, 0 for a shard without one.
+func (d *Drainer) ownerTokensLocked() map[int]uint64 {
+	tokens := map[int]uint64{}
+	for shard := range d.cfg.Params.Count {
+		ownership, _ := d.cluster.Shard(shard)
+		tokens[shard] = 0
+		if ownership.Rec.Owner != "" {
+			tokens[shard] = ownership.Version
 		}
-	})
-	return zones
+	}
+	return tokens
 }
 
 // addHoldTimesLocked adds how long machines were held up since the last turn, and returns what a
--- a/internal/drain/measure_test.go
+++ b/internal/drain/measure_test.go
@@ -153,7 +153,7 @@
 	now := start
 	for ; len(s.machines) > 0; now = now.Add(simStep) {
 		s.at(now, v)
-		in := &Input{Now: now, Settings: settings, View: v, Machines: s.machines, Zones: s.zones, Bytes: 1 << 20}
+		in := &Input{Now: now, Settings: settings, View: v, Machines: s.machines, Zones: allServing(s.zones), Bytes: 1 << 20}
 		ledgers := NewLedgers(v)
 		ledgers.CloseRecovered(0, func(d Disruption) Outcome {
 			if now.Before(byID[d.UnitID].back) {
@@ -181,6 +181,15 @@
 	return o
 }
 
+// allServing is zones of which all machines take work.
+func allServing(machines map[string]int) map[string]Zone {
+	out := map[string]Zone{}
+	for zone, n := range machines {
+		out[zone] = Zone{Recorded: n, Serving: n}
+	}
+	return out
+}
+
 // empty takes out units that ended or were evicted, and machines that are empty.
 func (s *simulation) empty(now time.Time, v *View, byID map[UnitID]*simUnit) {
 	var left []*Machine
--- a/internal/drain/progress.go
+++ b/internal/drain/progress.go
@@ -19,6 +19,7 @@
 	HoldUnreachable     HoldReason = "machine does not answer"
 	HoldStopping        HoldReason = "is being stopped"
 	HoldPaused          HoldReason = "paused"
+	HoldZone            HoldReason = "too few of its zone take work"
 )
 
 // BudgetUse is what a team had of its budget at a moment.
--- a/internal/drain/selection.go
+++ b/internal/drain/selection.go
@@ -162,12 +162,13 @@
 }
 
 // Batches returns the order in which the machines of a drain would go if each step had to
-// end before the next, as a dry run shows it. zones are all machines in service.
+// end before the next, as a dry run shows it. Of the machines in service, by zone, all are taken
+// to do work.
 func Batches(machines []*Machine, atOnce int, zones map[string]int, s *Settings) [][]string {
 	left := slices.Clone(machines)
 	var out [][]string
 	for len(left) > 0 {
-		step := Choose(left, atOnce, func(zone string) int { return s.zoneLimit(zones[zone]) })
+		step := Choose(left, atOnce, func(zone string) int { return s.zoneLimit(Zone{zones[zone], zones[zone]}) })
 		if len(step) == 0 {
 			break
 		}
--- a/internal/drain/settings.go
+++ b/internal/drain/settings.go
@@ -1,7 +1,6 @@
 package drain
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -15,7 +14,7 @@
 	// StoreShare is the part of the state service's limits that drains may use.
 	StoreShare float64
 	// ZoneShare is the part of a zone's machines that may be cordoned at a time by all
-	// drains together; one machine always may.
+	// drains together; one of several may if another takes work.
 	ZoneShare float64
 	// MaxWait bounds how long a drain waits for one machine's work to end by itself.
 	MaxWait time.Duration
@@ -124,9 +123,3 @@
 	}
 	return longest
 }
-
-// zoneLimit is how many of a zone's machines may be cordoned at a time.
-func (s *Settings) zoneLimit(machines int) int {
-	share := cmp.Or(s.ZoneShare, DefaultZoneShare)
-	return max(1, int(share*float64(machines)))
-}
--- a/internal/drain/steps.go
+++ b/internal/drain/steps.go
@@ -42,8 +42,8 @@
 	Settings *Settings
 	View     *View
 	Shard    int
-	Machines []*Machine     // of the shard
-	Zones    map[string]int // machines in service, of all shards, by zone
+	Machines []*Machine      // of the shard
+	Zones    map[string]Zone // the machines of all shards, by zone
 	// Bytes is the largest record that may be written.
 	Bytes int
 }
@@ -266,5 +266,10 @@
 			s.Cordon, s.Drain = chosen, p.Rec.Name
 			return
 		}
+		for _, m := range selected {
+			if zones[m.Zone] == 0 && room(m.Zone) <= 0 {
+				s.Held = append(s.Held, HeldMachine{p.Rec.Name, m.ID, HoldZone})
+			}
+		}
 	}
 }
--- a/internal/drain/txn_builder.go
+++ b/internal/drain/txn_builder.go
@@ -18,6 +18,10 @@
 	Owner wire.Condition // the shard's record
 	// MachineGone tells whether a machine was released or is lost.
 	MachineGone func(machine string) bool
+	// Tokens are the fencing tokens of all shards' owners, none while not all controllers take part
+	// in drains. Serving counts this shard's machines that take work, by zone.
+	Tokens  map[int]uint64
+	Serving map[string]int
 	// HoldTimes is how long machines were held since the last write, by drain and reason.
 	HoldTimes map[string]map[HoldReason]time.Duration
 }
@@ -35,6 +39,9 @@
 // Writes returns the transactions that bring the records up to the steps.
 func (b *TxnBuilder) Writes(steps Steps, ledgers *Ledgers) []Write {
 	var out []Write
+	if w, ok := b.servingWrite(); ok {
+		out = append(out, w)
+	}
 	for _, team := range slices.Sorted(maps.Keys(ledgers.changed)) {
 		if w, ok := b.ledgerWrite(team, steps, ledgers); ok {
 			out = append(out, w)
@@ -75,6 +82,44 @@
 	return w, true
 }
 
+// servingWrite records how many machines take work, unless the record tells that already.
+func (b *TxnBuilder) servingWrite() (Write, bool) {
+	newest := b.View.NewestActivePlan()
+	if len(b.Tokens) == 0 || newest == 0 {
+		return Write{}, false
+	}
+	held := b.View.Serving(b.Shard)
+	next, changed := held.Rec.Update(b.Owner.Version, newest, b.Serving)
+	if !changed {
+		return Write{}, false
+	}
+	w := Write{Txn: wire.Txn{If: []wire.Condition{b.Owner}}}
+	b.putIfVersion(&w, ServingKey(b.Shard), held.Version, next)
+	return w, true
+}
+
+// KnownZones returns what is known of the zones by the machines that records tell in each. What
+// this shard is yet to record itself is not known.
+func (b *TxnBuilder) KnownZones(recorded map[string]int) map[string]Zone {
+	tokens := maps.Clone(b.Tokens)
+	if _, outdated := b.servingWrite(); outdated {
+		delete(tokens, b.Shard)
+	}
+	serving := b.View.ServingByZone(tokens)
+	out := map[string]Zone{}
+	for zone, n := range recorded {
+		out[zone] = Zone{Recorded: n, Serving: serving[zone]}
+	}
+	return out
+}
+
+// requireServing makes a write fail if any shard's count of machines that take work has changed.
+func (b *TxnBuilder) requireServing(w *Write) {
+	for _, shard := range slices.Sorted(maps.Keys(b.Tokens)) {
+		w.Txn.If = append(w.Txn.If, wire.Condition{Key: ServingKey(shard), Version: b.View.Serving(shard).Version})
+	}
+}
+
 // cordonWrite writes which machines are cordoned: without those that are gone or whose
 // drain is over, and with those that are next, for one drain at a time.
 func (b *TxnBuilder) cordonWrite(steps Steps, ledgers *Ledgers) (Write, bool) {
@@ -94,6 +139,9 @@
 	w := Write{Txn: wire.Txn{If: []wire.Condition{b.Owner}}}
 	b.putIfVersion(&w, CordonsKey, held.Version, next)
 	b.requireUnchanged(&w, name)
+	if added > 0 {
+		b.requireServing(&w)
+	}
 	b.putProgress(&w, name, ledgers, func(c *Progress) {
 		c.Cordoned += added
 		c.Returned += gone
--- a/internal/drain/view.go
+++ b/internal/drain/view.go
@@ -94,8 +94,9 @@
 	progress     map[string]Versioned[Progress] // by key
 	participants map[string]Participant
 	cordons      Versioned[Cordons]
-	versions     map[string]uint64 // of the last change of each key
-	invalid      map[string]error  // records that make no sense, by key
+	serving      map[int]Versioned[Serving] // by shard
+	versions     map[string]uint64          // of the last change of each key
+	invalid      map[string]error           // records that make no sense, by key
 	generation   uint64
 }
 
@@ -103,7 +104,7 @@
 func NewView() *View {
 	return &View{
 		plans: map[string]Versioned[Plan]{}, ledgers: map[string]Versioned[Ledger]{}, progress: map[string]Versioned[Progress]{},
-		participants: map[string]Participant{}, versions: map[string]uint64{}, invalid: map[string]error{},
+		participants: map[string]Participant{}, serving: map[int]Versioned[Serving]{}, versions: map[string]uint64{}, invalid: map[string]error{},
 	}
 }
 
@@ -163,6 +164,10 @@
 		delete(v.participants, key[len(ParticipantPrefix):])
 	case strings.HasPrefix(key, ProgressPrefix):
 		delete(v.progress, key)
+	case strings.HasPrefix(key, ServingPrefix):
+		if shard, err := servingShard(key); err == nil {
+			delete(v.serving, shard)
+		}
 	}
 }
 
@@ -177,6 +182,12 @@
 		return decodeIntoMap(v.ledgers, key[len(LedgerPrefix):], e)
 	case strings.HasPrefix(key, ProgressPrefix):
 		return decodeIntoMap(v.progress, key, e)
+	case strings.HasPrefix(key, ServingPrefix):
+		shard, err := servingShard(key)
+		if err != nil {
+			return err
+		}
+		return decodeIntoMap(v.serving, shard, e)
 	case strings.HasPrefix(key, ParticipantPrefix):
 		var a Participant
 		if err := json.Unmarshal(e.Value, &a); err != nil {
@@ -212,7 +223,7 @@
 	return nil
 }
 
-func decodeIntoMap[T any](m map[string]Versioned[T], name string, e wire.Change) error {
+func decodeIntoMap[K comparable, T any](m map[K]Versioned[T], name K, e wire.Change) error {
 	var held Versioned[T]
 	if err := decodeInto(e, &held); err != nil {
 		return err
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -83,6 +83,17 @@
 	return out
 }
 
+// Serving counts the machines that take work now, or would but for a cordon, by zone.
+func (s *Shard) Serving(now time.Time) map[string]int {
+	out := map[string]int{}
+	for _, m := range s.inventory.byID {
+		if s.cfg.outOfService(m, now) == NotRefused {
+			out[m.Zone]++
+		}
+	}
+	return out
+}
+
 // responsive reports whether a machine is heard and reached, so that it can carry out a stop.
 func (c *Config) responsive(m *Machine, now time.Time) bool {
 	return m.contact.up && m.contact.fenced && m.contact.unreachableSince.IsZero() && now.Sub(m.contact.heartbeatAt) < c.suspectAfter()
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -32,17 +32,25 @@
 
 // unusable says why no new work at all may be placed on a machine.
 func (c *Config) unusable(m *Machine, now time.Time) Refusal {
+	switch {
+	case m.cordon != NotCordoned:
+		return RefusedCordoned
+	case m.record.txn != nil || m.record.versionUnknown:
+		return RefusedRecord
+	}
+	return c.outOfService(m, now)
+}
+
+// outOfService says why a machine takes no work, but for its cordon and for what lasts only until
+// its record is written or read.
+func (c *Config) outOfService(m *Machine, now time.Time) Refusal {
 	switch {
 	case !m.contact.up:
 		return RefusedNotUp
 	case m.Phase != record.InUse || m.draining || !m.reclaimedAt.IsZero():
 		return RefusedLeaving
-	case m.cordon != NotCordoned:
-		return RefusedCordoned
 	case m.transferTo >= 0:
 		return RefusedTransfer
-	case m.record.txn != nil || m.record.versionUnknown:
-		return RefusedRecord
 	case !m.contact.unreachableSince.IsZero():
 		return RefusedNotReached
 	case m.inherited && !m.contact.fenced:
