testkit: a lost completion is known if it is on record

Stricter than before for what is lost and on no record but was never heard of, and tested both ways.

--- a/internal/record/placement.go
+++ b/internal/record/placement.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -41,6 +42,11 @@
 	Generation int `json:"g,omitempty"`
 }
 
+// HasCompleted reports whether the range tells that a task has completed.
+func (r TaskRange) HasCompleted(task int) bool {
+	return slices.ContainsFunc(r.Completed, func(span [2]int) bool { return span[0] <= task && task <= span[1] })
+}
+
 // Placements holds the placements of several jobs of one shard, so that one write serves all that
 // changed among them.
 //
--- a/internal/testkit/agent.go
+++ b/internal/testkit/agent.go
@@ -107,7 +107,6 @@
 				node, pause = (node+1)%len(a.w.labels), time.Second
 			}
 		default:
-			a.noteReached(&r, true)
 			if !a.hung && r.Session == a.session && orders.Token >= a.token {
 				a.leaseFrom = sent
 				a.see(orders.Token)
@@ -203,7 +202,7 @@
 		a.obey(o.Commands)
 	}
 	r := a.report()
-	a.noteReached(&r, false)
+	a.noteReached(&r)
 	return r, ok
 }
 
@@ -217,7 +216,7 @@
 	}
 	defer a.mu.Unlock()
 	r := a.report()
-	a.noteReached(&r, false)
+	a.noteReached(&r)
 	return r, nil
 }
 
--- a/internal/testkit/agent_tasks.go
+++ b/internal/testkit/agent_tasks.go
@@ -20,7 +20,6 @@
 	saveEnd time.Time
 	alone   time.Time // since when a gang's mate is missing
 	reached bool      // a report with its end has reached a controller
-	told    bool      // and one was answered
 	// injected says that a test put it there.
 	injected bool
 }
@@ -122,7 +121,7 @@
 		case t.injected:
 		case t.on():
 			a.w.check.Off(name, a.Place)
-		case t.why == wire.Done && !t.told:
+		case t.why == wire.Done:
 			a.w.check.CompletionLost(t.ref, t.i, t.reached)
 		}
 	}
@@ -178,13 +177,12 @@
 	}
 }
 
-// noteReached notes which ends a report has brought to a controller, and whether it was answered.
-// The lock is held.
-func (a *Agent) noteReached(r *wire.Heartbeat, answered bool) {
+// noteReached notes which ends a report brings to a controller. The lock is held.
+func (a *Agent) noteReached(r *wire.Heartbeat) {
 	for _, reported := range r.Tasks {
 		t := a.tasks[reported.Task]
 		if t != nil && t.attempt == reported.Attempt && reported.State == wire.Exited {
-			t.reached, t.told = true, t.told || answered
+			t.reached = true
 		}
 	}
 }
--- a/internal/testkit/checker.go
+++ b/internal/testkit/checker.go
@@ -50,7 +50,9 @@
 	on      map[string]map[Place]int // task names by where they are, with a count of attempts
 	broken  []string
 	seen    map[string]bool
-	calm    time.Time // when the last trouble ended, zero while there are some
+	// recorded tells whether a task's completion is on record; nil: none is.
+	recorded func(ref string, task int) bool
+	calm     time.Time // when the last trouble ended, zero while there are some
 }
 
 // watched is what the checker knows of a job.
@@ -61,8 +63,8 @@
 	cancelled  time.Time // when its user was told so
 	doneTold   time.Time
 	done       map[int]bool
-	untold     map[int]bool // done, but gone with their machine before that was answered
-	unknown    map[int]bool // those of them of which no controller ever heard
+	lost       map[int]bool // done, but gone with their machine
+	unheard    map[int]bool // those of them of which no controller ever heard
 	lastAnswer time.Time
 	waits      time.Time // since when it waits beside room
 }
@@ -92,7 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.jobs[spec.Ref] == nil {
-		c.jobs[spec.Ref] = &watched{spec: spec, done: map[int]bool{}, untold: map[int]bool{}, unknown: map[int]bool{}}
+		c.jobs[spec.Ref] = &watched{spec: spec, done: map[int]bool{}, lost: map[int]bool{}, unheard: map[int]bool{}}
 	}
 }
 
@@ -264,45 +266,56 @@
 	defer c.mu.Unlock()
 	if j := c.jobs[ref]; j != nil {
 		j.done[task] = true
-		delete(j.untold, task)
-		delete(j.unknown, task)
+		delete(j.lost, task)
+		delete(j.unheard, task)
 	}
 }
 
-// CompletionLost takes in that a completed task is gone with its machine before any heartbeat that
-// told of it was answered. Unless a report reached a controller all the same, nobody can know of
-// the completion until the task is started once more.
+// CompletionLost takes in that a completed task is gone with its machine. If no report of it ever
+// reached a controller, or no controller has recorded it, nobody knows of the completion until the
+// task is started once more.
 func (c *Checker) CompletionLost(ref string, task int, reached bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if j := c.jobs[ref]; j != nil {
-		j.untold[task] = true
+		j.lost[task] = true
 		if !reached {
-			j.unknown[task] = true
+			j.unheard[task] = true
 		}
 	}
 }
 
-// knownDone reports whether a controller was told that all tasks of a job are done. Of a gang one
-// completion tells all.
-func (j *watched) knownDone() bool {
-	switch {
-	case !j.doneTold.IsZero():
+// RecordedBy sets how the checker learns whether the state service holds a task's completion.
+func (c *Checker) RecordedBy(recorded func(ref string, task int) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recorded = recorded
+}
+
+// knownDone reports whether the controllers must know that all tasks of a job are done: their
+// machines still tell so, or it is on record. Of a gang one completion tells all.
+func (c *Checker) knownDone(j *watched) bool {
+	if !j.doneTold.IsZero() {
 		return true
-	case len(j.done) < j.spec.Tasks:
+	}
+	if len(j.done) < j.spec.Tasks {
 		return false
-	case j.spec.Kind == wire.Gang:
-		return len(j.untold) < j.spec.Tasks
 	}
-	return len(j.untold) == 0
+	unknown := 0
+	for task := range j.lost {
+		if c.recorded == nil || !c.recorded(j.spec.Ref, task) {
+			unknown++
+		}
+	}
+	return unknown == 0 || (j.spec.Kind == wire.Gang && unknown < j.spec.Tasks)
 }
 
 // mustRun reports whether a task certainly has to be started for its job to end.
 func (j *watched) mustRun(task int) bool {
-	if j.spec.Kind == wire.Gang && len(j.unknown) < j.spec.Tasks && len(j.done) == j.spec.Tasks {
+	if j.spec.Kind == wire.Gang && len(j.done) == j.spec.Tasks && len(j.unheard) < j.spec.Tasks {
 		return false
 	}
-	return !j.done[task] || j.unknown[task]
+	return !j.done[task] || j.unheard[task]
 }
 
 // Calm takes in that all troubles are over, or that they begin.
@@ -386,7 +399,7 @@
 		return !(spec.OneZone && len(zones) > 0 && zones[zone] == 0) && !(spec.Spread && zones[zone] >= (spec.Tasks+1)/2)
 	}
 	for _, root := range spec.DependsOn {
-		if r := c.jobs[root]; r == nil || !r.knownDone() {
+		if r := c.jobs[root]; r == nil || !c.knownDone(r) {
 			return false
 		}
 	}
--- a/internal/testkit/checker_test.go
+++ b/internal/testkit/checker_test.go
@@ -197,3 +197,31 @@
 		}
 	})
 }
+
+// What is on record counts though the machine that told it is gone: a dependent job must start.
+func TestCheckerCountsRecordedCompletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewChecker(map[string]float64{"tight": 1}, time.Minute)
+		recorded := false
+		c.RecordedBy(func(ref string, task int) bool { return recorded && ref == "r1" && task == 0 })
+		c.Submit(wire.Spec{Ref: "r1", Team: "tight", Kind: wire.Array, Tasks: 1, GPUs: 1})
+		c.Submit(wire.Spec{Ref: "r2", Team: "wide", Kind: wire.Array, Tasks: 1, GPUs: 1, DependsOn: []string{"r1"}})
+		c.Submit(wire.Spec{Ref: "r3", Team: "tight", Kind: wire.Array, Tasks: 1, GPUs: 1})
+		c.On("r3/0", Place{ID: "m1", Zone: "a"})
+		c.Done("r1", 0)
+		c.CompletionLost("r1", 0, true)
+		c.Calm(true)
+		for _, recorded = range []bool{false, true} {
+			for range 30 {
+				for _, ref := range []string{"r1", "r2", "r3"} {
+					c.Answer(Poll, ref, time.Now(), time.Now(), 200, wire.Pending)
+				}
+				c.Look(func(*wire.Spec, func(string) bool) bool { return true })
+				time.Sleep(5 * time.Second)
+			}
+			if b := c.Broken(); (len(b) > 0) != recorded {
+				t.Errorf("recorded %t: found %q", recorded, b)
+			}
+		}
+	})
+}
--- a/internal/testkit/service.go
+++ b/internal/testkit/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -134,6 +135,19 @@
 	return e, ok
 }
 
+// Entries returns all records of a prefix.
+func (s *Service) Entries(prefix string) []wire.Entry {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	var out []wire.Entry
+	for key, e := range s.state.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Writes returns all that was carried out so far.
 func (s *Service) Writes() []Write {
 	s.mu.Lock()
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"bramblespur/internal/record"
 	"bramblespur/internal/wire"
 )
 
@@ -78,10 +79,30 @@
 		specs: map[string]wire.Spec{}, lengths: map[string]Length{}, rentals: map[string][]string{}, boot: usualBoot,
 		finished: map[string]bool{}, told: map[string]string{}, mute: map[int]func(string) bool{},
 	}
+	check.RecordedBy(w.completionRecorded)
 	w.running.Go(w.tick)
 	return w
 }
 
+// completionRecorded reports whether a record tells that a task has completed.
+func (w *World) completionRecorded(ref string, task int) bool {
+	if _, ended := w.State.Entry(record.FinishedJobKey(ref)); ended {
+		return true
+	}
+	for _, e := range w.State.Entries(record.PlacementsPrefix) {
+		var placements record.Placements
+		if json.Unmarshal(e.Value, &placements) != nil {
+			continue
+		}
+		for name, r := range placements.Ranges {
+			if job, _, ok := record.SplitRangeName(name); ok && job == ref && r.HasCompleted(task) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // lockedSource is a source for several goroutines.
 type lockedSource struct {
 	mu  sync.Mutex
@@ -291,7 +312,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if r.Session == a.session {
-		a.noteReached(r, false)
+		a.noteReached(r)
 	}
 }
 
