--- a/internal/controller/clusterview/machines.go
+++ b/internal/controller/clusterview/machines.go
@@ -16,7 +16,7 @@
 
 	mu    sync.Mutex // a leaf: see the package's lock order
 	fleet *record.Fleet
-	inUse zoneCounts
+	inUse *zoneCounts // nil until somebody asks for them
 }
 
 // zoneCounts counts the machines in service by zone, machine by machine as their records change.
@@ -25,7 +25,11 @@
 	counts map[string]int
 }
 
-func newZoneCounts() zoneCounts { return zoneCounts{map[string]string{}, map[string]int{}} }
+func newZoneCounts(machines *record.Fleet) *zoneCounts {
+	z := &zoneCounts{map[string]string{}, map[string]int{}}
+	machines.ForEach(func(id string, v record.MachineView) { z.update(id, v, true) })
+	return z
+}
 
 // update takes in a machine as its records tell it, if they are known.
 func (z *zoneCounts) update(id string, v record.MachineView, known bool) {
@@ -53,14 +57,14 @@
 }
 
 // NewMachines returns a view without records.
-func NewMachines() *Machines { return &Machines{fleet: record.NewFleet(), inUse: newZoneCounts()} }
+func NewMachines() *Machines { return &Machines{fleet: record.NewFleet()} }
 
 // Forget drops all records. The view is to be listed anew.
 func (v *Machines) Forget() {
 	v.forget()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.fleet, v.inUse = record.NewFleet(), newZoneCounts()
+	v.fleet, v.inUse = record.NewFleet(), nil
 }
 
 // Apply takes changed and deleted records into the view, all of them before it
@@ -86,7 +90,9 @@
 	changed := make([]MachineChange, 0, len(released))
 	for id, gone := range released {
 		view, known := v.fleet.Machine(id)
-		v.inUse.update(id, view, known)
+		if v.inUse != nil {
+			v.inUse.update(id, view, known)
+		}
 		changed = append(changed, MachineChange{ID: id, View: view, Known: known, Released: gone})
 	}
 	return changed, errs
@@ -130,6 +136,9 @@
 func (v *Machines) InUseByZone() map[string]int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.inUse == nil {
+		v.inUse = newZoneCounts(v.fleet)
+	}
 	return maps.Clone(v.inUse.counts)
 }
 
--- a/internal/controller/drains_bench_test.go
+++ b/internal/controller/drains_bench_test.go
@@ -27,6 +27,7 @@
 			for _, label := range c.cfg.Labels() {
 				put(drain.ParticipantKey(label), drain.Participant{Budgets: budgets})
 			}
+			shard := c.shards.GetLocked(0)
 			if atOnce > 0 {
 				plan := drain.Plan{Name: "all", MaxConcurrent: atOnce, State: drain.Active, Created: now.Add(time.Hour).UnixMilli()}
 				cordons := drain.Cordons{Machines: map[string]drain.Cordon{}}
@@ -37,9 +38,11 @@
 					}
 				}
 				put(drain.PlanKey("all"), plan)
+				owned, _ := c.cluster.Shard(0)
+				serving, _ := drain.Serving{}.Update(owned.Version, version, shard.Serving(now))
+				put(drain.ServingKey(0), serving)
 				put(drain.CordonsKey, cordons)
 			}
-			shard := c.shards.GetLocked(0)
 			b.ReportAllocs()
 			for b.Loop() {
 				c.mu.Lock()
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -41,7 +41,6 @@
 // machineRecord is what is known of a machine's override record in the state service.
 type machineRecord struct {
 	version        uint64 // 0 without one
-	token          uint64 // the version that serves as the machine's fencing token
 	txn            *Txn   // its transfer or a higher token, under way
 	versionUnknown bool   // a reread is under way
 	retryAt        time.Time
@@ -76,9 +75,6 @@
 	tasksByRank [highestRank + 1]int
 }
 
-// fencingToken returns the token under which a machine gets its commands: see ownership.
-func (m *Machine) fencingToken(shard *Shard) uint64 { return max(shard.token, m.record.token) }
-
 func (m *Machine) hasImage(name string) bool {
 	return slices.ContainsFunc(m.images, func(i record.Image) bool { return i.Name == name })
 }
--- a/internal/scheduler/ownership.go
+++ b/internal/scheduler/ownership.go
@@ -9,19 +9,21 @@
 
 // ownership is as of when the shard is known to be ours.
 type ownership struct {
-	confirmedAt uint64     // the highest such revision
-	requestedAt uint64     // the highest that a confirmation was asked for
-	unconfirmed machineSet // machines whose record is of a later version
+	confirmedAt uint64 // the highest such revision
+	requestedAt uint64 // the highest that a confirmation was asked for
+	// unconfirmed are the machines whose record is of a later version, with the version before.
+	unconfirmed map[*Machine]uint64
 }
 
 // setRecordVersion takes in the version of a machine's override record.
 func (s *Shard) setRecordVersion(m *Machine, version uint64) {
+	before := m.record.version
 	m.record.version = version
-	if version > s.ownership.confirmedAt {
-		s.ownership.unconfirmed[m] = struct{}{}
-		return
+	if version <= s.ownership.confirmedAt {
+		s.adoptToken(m)
+	} else if _, waits := s.ownership.unconfirmed[m]; !waits {
+		s.ownership.unconfirmed[m] = before
 	}
-	s.adoptToken(m)
 }
 
 // adoptToken makes the version of a machine's record its fencing token, which it has to report
@@ -29,7 +31,14 @@
 func (s *Shard) adoptToken(m *Machine) {
 	delete(s.ownership.unconfirmed, m)
 	m.contact.fenced = false
-	m.record.token = m.record.version
+}
+
+// fencingToken returns the token under which a machine gets its commands.
+func (m *Machine) fencingToken(s *Shard) uint64 {
+	if before, waits := s.ownership.unconfirmed[m]; waits {
+		return max(s.token, before)
+	}
+	return max(s.token, m.record.version)
 }
 
 // OwnershipConfirmed takes in that the shard was ours at a revision.
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -62,7 +62,7 @@
 		ledger:        newPlacementLedger(cfg, token),
 		quotas:        quotas{cfg: cfg, used: map[string]*usage{}},
 		protection:    protectedJobs{jobs: map[*Job]bool{}},
-		ownership:     ownership{confirmedAt: token, unconfirmed: machineSet{}},
+		ownership:     ownership{confirmedAt: token, unconfirmed: map[*Machine]uint64{}},
 		probes:        probes{zoneAnsweredAt: map[string]time.Time{}},
 		delayedStarts: map[*Machine]time.Time{},
 		placementDue:  true,
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -12,7 +12,7 @@
 // Refusal says why a machine takes no task of a job.
 type Refusal string
 
-// Refusals, in the order in which they are looked for.
+// Refusals. Where several hold, the first that is looked for is told: see refusal.
 const (
 	NotRefused        Refusal = ""
 	RefusedKind       Refusal = "kind"             // the job does not allow its type, its zone or spot
