--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -111,8 +111,9 @@
 	return k
 }
 
-// stop ends everything, so that the bubble can end.
+// stop saves the record of a schedule that failed, and ends everything, so that the bubble can end.
 func (k *cluster) stop() {
+	k.rec.save(k.t)
 	for _, label := range k.labels {
 		k.crash(label)
 	}
@@ -225,7 +226,6 @@
 	if k.t.Failed() && len(k.said) > 0 {
 		k.t.Log(strings.Join(k.said, "; "))
 	}
-	k.rec.save(k.t)
 }
 
 // meet plays a script on both layouts with a fixed list of seeds.
--- a/internal/controller/drainer/shard_turn.go
+++ b/internal/controller/drainer/shard_turn.go
@@ -127,15 +127,13 @@
 	return ledgers
 }
 
-// ownerTokensLocked returns the fencing tokens of all shards' owners, 0 for a shard without one.
+// ownerTokensLocked returns the fencing tokens of all shards' owners. No owner ever had what is
+// returned for a shard without one.
 func (d *Drainer) ownerTokensLocked() map[int]uint64 {
 	tokens := map[int]uint64{}
 	for shard := range d.cfg.Params.Count {
 		ownership, _ := d.cluster.Shard(shard)
-		tokens[shard] = 0
-		if ownership.Rec.Owner != "" {
-			tokens[shard] = ownership.Version
-		}
+		tokens[shard] = ownership.Version
 	}
 	return tokens
 }
--- a/internal/controller/leader/addresses.go
+++ b/internal/controller/leader/addresses.go
@@ -54,12 +54,17 @@
 	}
 }
 
-// learnListedAddresses keeps the addresses that the cloud's list tells of machines of which neither
-// a record nor an owner does: one that is silent by now could not be asked whether it is alive.
+// learnListedAddresses keeps the addresses that the cloud's list tells and no owner does, for
+// provisions that are recorded without: a machine that is silent by now could not be asked whether
+// it is alive.
 func (p *provisions) learnListedAddresses(list []wire.ListedMachine, machines *clusterview.Machines) {
-	for _, m := range list {
-		if v, recorded := machines.Machine(m.ID); recorded && v.Addr == "" && p.addresses[m.ID] == "" && m.Addr != "" {
-			p.addresses[m.ID] = m.Addr
+	var ids []string
+	for _, r := range machines.ProvisionsWithoutAddresses() {
+		ids = append(ids, r.Rec.IDs...)
+	}
+	for id, address := range addressesOf(list, ids) {
+		if p.addresses[id] == "" && address != "" {
+			p.addresses[id] = address
 		}
 	}
 }
--- a/internal/controller/recorder_test.go
+++ b/internal/controller/recorder_test.go
@@ -93,7 +93,7 @@
 	defer file.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	oldest := r.next % len(r.lines)
+	oldest := r.next % max(1, len(r.lines))
 	for i := range r.lines {
 		fmt.Fprintf(file, "%s", r.lines[(oldest+i)%len(r.lines)])
 	}
--- a/internal/controller/shardhost/reread.go
+++ b/internal/controller/shardhost/reread.go
@@ -128,23 +128,20 @@
 // confirmOwnership reads the ownership record of a shard after something was seen of a revision,
 // and tells the shard that it was still owned then. If it was not, the shard is dropped.
 func (h *Host) confirmOwnership(shard *scheduler.Shard, revision uint64) {
-	var entry wire.Entry
+	var entry *wire.Entry
 	read := h.RetryWhileServed(shard, func(ctx context.Context) (err error) {
-		entry, err = h.env.Store().Get(ctx, statestore.Urgent("read back"), record.ShardKey(shard.ID()))
-		if errors.Is(err, statestore.ErrNotFound) {
-			return nil
-		}
+		entry, err = h.GetIfPresent(ctx, record.ShardKey(shard.ID()))
 		return err
 	})
 	switch {
 	case !read:
-	case entry.Version == 0:
+	case entry == nil:
 		h.noticeMissingOwnership(shard.ID())
 	case entry.Version == shard.Token():
 		h.Update(shard, func(time.Time) { shard.OwnershipConfirmed(revision) })
 	default:
 		h.log.Info("shard found to be another's", "shard", shard.ID(), "token", shard.Token(), "found", entry.Version)
-		h.applyOwnership(shard.ID(), entry)
+		h.applyOwnership(shard.ID(), *entry)
 	}
 }
 
--- /dev/null
+++ b/internal/controller/wait_log.go
@@ -0,0 +1,36 @@
+package controller
+
+import (
+	"time"
+
+	"bramblespur/internal/scheduler"
+)
+
+const (
+	// loggedWait is how long a job waits for a place before the log tells why.
+	loggedWait = time.Minute
+	// maxLoggedWaits bounds the jobs of one shard of which the log tells at a time: each takes a
+	// look at all of the shard's machines.
+	maxLoggedWaits = 2
+)
+
+// logWaitingJobs logs, for each shard served here, why the jobs that have waited longest have
+// tasks without a place.
+func (c *Controller) logWaitingJobs() {
+	for id, waits := range c.longestWaits(time.Now()) {
+		for _, w := range waits {
+			c.log.Info("job waits", "job", w.Job, "shard", id, "team", w.Team, "waited", w.Waited.Round(time.Second), "pending", w.Pending,
+				"reason", w.Reason, "team_cpus", w.TeamCPUs, "team_gpus", w.TeamGPUs, "machines", w.Machines)
+		}
+	}
+}
+
+func (c *Controller) longestWaits(now time.Time) map[int][]scheduler.WaitingJob {
+	out := map[int][]scheduler.WaitingJob{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, shard := range c.shards.AllLocked() {
+		out[id] = shard.LongestWaits(loggedWait, maxLoggedWaits, now)
+	}
+	return out
+}
--- a/internal/drain/txn_builder.go
+++ b/internal/drain/txn_builder.go
@@ -82,19 +82,24 @@
 	return w, true
 }
 
-// servingWrite records how many machines take work, unless the record tells that already.
-func (b *TxnBuilder) servingWrite() (Write, bool) {
+// servingUpdate returns the record of how many machines take work as it should be, and whether it
+// is outdated.
+func (b *TxnBuilder) servingUpdate() (next Serving, outdated bool) {
 	newest := b.View.NewestActivePlan()
 	if len(b.Tokens) == 0 || newest == 0 {
-		return Write{}, false
+		return Serving{}, false
 	}
-	held := b.View.Serving(b.Shard)
-	next, changed := held.Rec.Update(b.Owner.Version, newest, b.Serving)
-	if !changed {
+	return b.View.Serving(b.Shard).Rec.Update(b.Owner.Version, newest, b.Serving)
+}
+
+// servingWrite records how many machines take work, unless the record tells that already.
+func (b *TxnBuilder) servingWrite() (Write, bool) {
+	next, outdated := b.servingUpdate()
+	if !outdated {
 		return Write{}, false
 	}
 	w := Write{Txn: wire.Txn{If: []wire.Condition{b.Owner}}}
-	b.putIfVersion(&w, ServingKey(b.Shard), held.Version, next)
+	b.putIfVersion(&w, ServingKey(b.Shard), b.View.Serving(b.Shard).Version, next)
 	return w, true
 }
 
@@ -102,7 +107,7 @@
 // this shard is yet to record itself is not known.
 func (b *TxnBuilder) KnownZones(recorded map[string]int) map[string]Zone {
 	tokens := maps.Clone(b.Tokens)
-	if _, outdated := b.servingWrite(); outdated {
+	if _, outdated := b.servingUpdate(); outdated {
 		delete(tokens, b.Shard)
 	}
 	serving := b.View.ServingByZone(tokens)
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -39,13 +39,9 @@
 func (s *Shard) filterMachines(j *Job, now time.Time) []*Machine {
 	var cands []*Machine
 	s.inventory.eachFeasibleMachine(j.spec, now, func(m *Machine) {
-		if j.faults.machines[m.ID] && !j.atFault() {
-			return
+		if !j.avoids(m) && !s.yieldsMachine(j, m, now) {
+			cands = append(cands, m)
 		}
-		if s.yieldsMachine(j, m, now) {
-			return
-		}
-		cands = append(cands, m)
 	})
 	return cands
 }
--- a/internal/scheduler/data_loss.go
+++ b/internal/scheduler/data_loss.go
@@ -161,10 +161,6 @@
 // awaitsHeartbeats reports whether starts are put off: records seem to be missing, or it is not
 // known yet why a worker has what they do not.
 func (s *Shard) awaitsHeartbeats(now time.Time) bool {
-	waits := (now.Before(s.dataLoss.heartbeatsAwaitedUntil) && s.inventory.awaitsInheritedMachines()) ||
+	return (now.Before(s.dataLoss.heartbeatsAwaitedUntil) && s.inventory.awaitsInheritedMachines()) ||
 		s.dataLoss.undecided(now, s.cfg.HeartbeatInterval)
-	if waits {
-		s.wakeAt(now.Add(s.cfg.HeartbeatInterval / 4))
-	}
-	return waits
 }
--- a/internal/scheduler/deposed_test.go
+++ b/internal/scheduler/deposed_test.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// showToOld shows the old owner a machine as it is on record now, and has its worker report there.
+func (d *deposed) showToOld(w *testkit.Worker) {
+	d.t.Helper()
+	view, _ := d.fleet.Machine(w.ID)
+	if err := d.old.SetMachine(w.ID, view, d.clock.Now()); err != nil {
+		d.t.Fatal(err)
+	}
+	for range 3 {
+		d.clock.Advance(d.cfg.HeartbeatInterval)
+		d.reportToOld(w)
+	}
+}
+
 // A start that the old owner records after its successor has read the records would
 // run beside the one that the successor decides on.
 func TestDeposedOwnerRecordsNoStart(t *testing.T) {
@@ -260,14 +273,7 @@
 	if w.Token != raised.Version {
 		t.Fatalf("the worker has token %d, want %d", w.Token, raised.Version)
 	}
-	view, _ := r.fleet.Machine("m1")
-	if err := d.old.SetMachine("m1", view, r.clock.Now()); err != nil {
-		t.Fatal(err)
-	}
-	for range 3 {
-		r.clock.Advance(r.cfg.HeartbeatInterval)
-		d.reportToOld(w)
-	}
+	d.showToOld(w)
 	if r.on("run-000001/0") != "m1" {
 		t.Error("an owner that has a successor stopped the successor's task")
 	}
@@ -291,14 +297,7 @@
 	if r.on("run-000001/0") != "m1" {
 		t.Fatal("not started by the successor")
 	}
-	view, _ := r.fleet.Machine("m1")
-	if err := d.old.SetMachine("m1", view, r.clock.Now()); err != nil {
-		t.Fatal(err)
-	}
-	for range 3 {
-		r.clock.Advance(r.cfg.HeartbeatInterval)
-		d.reportToOld(w)
-	}
+	d.showToOld(w)
 	if r.on("run-000001/0") != "m1" {
 		t.Error("an owner that has a successor stopped the successor's task")
 	}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -198,6 +198,9 @@
 	}
 }
 
+// avoids reports whether a job keeps off a machine where a task of it failed.
+func (j *Job) avoids(m *Machine) bool { return j.faults.machines[m.ID] && !j.atFault() }
+
 func (j *Job) atFault() bool { return len(j.faults.machines) >= badJobMachines }
 
 const (
--- a/internal/scheduler/machine_health.go
+++ b/internal/scheduler/machine_health.go
@@ -20,7 +20,6 @@
 		s.writeRecords(now)
 		s.notifyDelayedStarts(now)
 		s.sendStops(now)
-		s.requestConfirmation()
 	}
 	out := s.effects
 	s.effects = Effects{}
--- a/internal/scheduler/ownership.go
+++ b/internal/scheduler/ownership.go
@@ -10,20 +10,23 @@
 // ownership is as of when the shard is known to be ours.
 type ownership struct {
 	confirmedAt uint64 // the highest such revision
-	requestedAt uint64 // the highest that a confirmation was asked for
 	// unconfirmed are the machines whose record is of a later version, with the version before.
 	unconfirmed map[*Machine]uint64
 }
 
-// setRecordVersion takes in the version of a machine's override record.
+// setRecordVersion takes in the version of a machine's override record, and asks for a confirmation
+// that the shard was ours then unless that is known.
 func (s *Shard) setRecordVersion(m *Machine, version uint64) {
 	before := m.record.version
 	m.record.version = version
 	if version <= s.ownership.confirmedAt {
 		s.adoptToken(m)
-	} else if _, waits := s.ownership.unconfirmed[m]; !waits {
+		return
+	}
+	if _, waits := s.ownership.unconfirmed[m]; !waits {
 		s.ownership.unconfirmed[m] = before
 	}
+	s.effects.ConfirmOwnershipAt = max(s.effects.ConfirmOwnershipAt, version)
 }
 
 // adoptToken makes the version of a machine's record its fencing token, which it has to report
@@ -54,13 +57,3 @@
 		}
 	}
 }
-
-// requestConfirmation asks once for each new version that is not confirmed.
-func (s *Shard) requestConfirmation() {
-	for m := range s.ownership.unconfirmed {
-		if m.record.version > s.ownership.requestedAt {
-			s.ownership.requestedAt = m.record.version
-			s.effects.ConfirmOwnershipAt = m.record.version
-		}
-	}
-}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -23,20 +23,18 @@
 }
 
 func (s *Shard) placeable(j *Job, now time.Time) bool {
-	if j.awaitsDependencies || j.withheld || j.cancelled || j.progress.pending == 0 || j.record.versionUnknown {
-		return false
-	}
-	if j.spec.Kind == wire.Gang && !j.assembling() {
-		return false // the old attempt must be gone, all of it
-	}
-	return true
+	return !j.cancelled && j.progress.pending > 0 && j.heldBack() == NotHeldBack
 }
 
 // placeJobs starts what can be started: team by team, in turn by shares.
 func (s *Shard) placeJobs(now time.Time) {
-	if s.unreadable.awaitsMachines || s.awaitsHeartbeats(now) {
+	if s.unreadable.awaitsMachines {
 		return // what runs unrecorded uses room and quota
 	}
+	if s.awaitsHeartbeats(now) {
+		s.wakeAt(now.Add(s.cfg.HeartbeatInterval / 4))
+		return
+	}
 	s.pass = placementPass{gangByZone: map[string]*Job{}}
 	s.protection.weigh(s.inventory.cpus)
 	queues := map[string][]*Job{} // made here, so that it needs no allocation
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -76,7 +76,7 @@
 	switch {
 	case !j.allowsZone(m.Zone):
 		return RefusedZone
-	case j.faults.machines[m.ID] && !j.atFault():
+	case j.avoids(m):
 		return RefusedFault
 	case s.yieldsMachine(j, m, now):
 		return RefusedReserved
@@ -89,6 +89,7 @@
 
 // Reasons, in the order in which they are looked for.
 const (
+	NotHeldBack       WaitReason = ""
 	WaitsUnreadable   WaitReason = "unreadable_records" // machines are to report what such records may tell
 	WaitsHeartbeats   WaitReason = "heartbeats"         // records seem to be missing: workers' heartbeats tell
 	WaitsDependencies WaitReason = "dependencies"
@@ -146,12 +147,9 @@
 	return out
 }
 
-func (s *Shard) waitReason(j *Job, now time.Time) WaitReason {
+// heldBack says why none of a job's tasks may be placed, whatever room there is.
+func (j *Job) heldBack() WaitReason {
 	switch {
-	case s.unreadable.awaitsMachines:
-		return WaitsUnreadable
-	case s.awaitsHeartbeats(now):
-		return WaitsHeartbeats
 	case j.awaitsDependencies:
 		return WaitsDependencies
 	case j.withheld:
@@ -159,7 +157,19 @@
 	case j.record.versionUnknown:
 		return WaitsRecord
 	case j.spec.Kind == wire.Gang && !j.assembling():
-		return WaitsGang
+		return WaitsGang // the old attempt must be gone, all of it
+	}
+	return NotHeldBack
+}
+
+func (s *Shard) waitReason(j *Job, now time.Time) WaitReason {
+	switch {
+	case s.unreadable.awaitsMachines:
+		return WaitsUnreadable
+	case s.awaitsHeartbeats(now):
+		return WaitsHeartbeats
+	case j.heldBack() != NotHeldBack:
+		return j.heldBack()
 	case now.Before(j.notBefore):
 		return WaitsBackoff
 	case !s.quotas.withinLimit(j, j.unitSize()):
--- a/internal/testkit/checker_test.go
+++ b/internal/testkit/checker_test.go
@@ -134,6 +134,21 @@
 	}
 }
 
+// everywhere is room for any task.
+func everywhere(*wire.Spec, func(string) bool) bool { return true }
+
+// watchPending lets the checker look for longer than a job may wait, while users are told that their
+// jobs are pending.
+func watchPending(c *Checker, room Room, refs ...string) {
+	for range 30 {
+		for _, ref := range refs {
+			c.Answer(Poll, ref, time.Now(), time.Now(), 200, wire.Pending)
+		}
+		c.Look(room)
+		time.Sleep(5 * time.Second)
+	}
+}
+
 // What waits for a limit, for a dependency or for a machine waits rightly.
 func TestCheckerLetsWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -148,13 +163,8 @@
 		c.On("r1/0", Place{ID: "m1"})
 		c.On("r1/1", Place{ID: "m2"})
 		c.Calm(true)
-		for range 30 {
-			for _, ref := range []string{"r1", "r2", "r3", "r4", "r5"} {
-				c.Answer(Poll, ref, time.Now(), time.Now(), 200, wire.Pending)
-			}
-			c.Look(func(spec *wire.Spec, may func(string) bool) bool { return spec.Kind != wire.Gang && may("a") })
-			time.Sleep(5 * time.Second)
-		}
+		noGangs := func(spec *wire.Spec, may func(string) bool) bool { return spec.Kind != wire.Gang && may("a") }
+		watchPending(c, noGangs, "r1", "r2", "r3", "r4", "r5")
 		if b := c.Broken(); len(b) > 0 {
 			t.Errorf("found %q", b)
 		}
@@ -176,15 +186,7 @@
 		c.Done("r1", 1)
 		c.CompletionLost("r1", 1, false)
 		c.On("r3/0", Place{ID: "m1", Zone: "a"})
-		look := func() {
-			for range 30 {
-				for _, ref := range []string{"r1", "r2", "r3"} {
-					c.Answer(Poll, ref, time.Now(), time.Now(), 200, wire.Pending)
-				}
-				c.Look(func(*wire.Spec, func(string) bool) bool { return true })
-				time.Sleep(5 * time.Second)
-			}
-		}
+		look := func() { watchPending(c, everywhere, "r1", "r2", "r3") }
 		c.Calm(true)
 		look()
 		if b := c.Broken(); len(b) > 0 {
@@ -212,13 +214,7 @@
 		c.CompletionLost("r1", 0, true)
 		c.Calm(true)
 		for _, recorded = range []bool{false, true} {
-			for range 30 {
-				for _, ref := range []string{"r1", "r2", "r3"} {
-					c.Answer(Poll, ref, time.Now(), time.Now(), 200, wire.Pending)
-				}
-				c.Look(func(*wire.Spec, func(string) bool) bool { return true })
-				time.Sleep(5 * time.Second)
-			}
+			watchPending(c, everywhere, "r1", "r2", "r3")
 			if b := c.Broken(); (len(b) > 0) != recorded {
 				t.Errorf("recorded %t: found %q", recorded, b)
 			}
--- a/internal/testkit/service.go
+++ b/internal/testkit/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -39,12 +38,6 @@
 // Observer is told what happens among scripted peers, with keys and values as a logger.
 type Observer func(event string, args ...any)
 
-func (o Observer) tell(event string, args ...any) {
-	if o != nil {
-		o(event, args...)
-	}
-}
-
 // Observe tells of every transaction: its sender, what became of it, and with which conditions.
 func (s *Service) Observe(o Observer) {
 	s.mu.Lock()
@@ -137,15 +130,11 @@
 
 // Entries returns all records of a prefix.
 func (s *Service) Entries(prefix string) []wire.Entry {
-	s.state.mu.Lock()
-	defer s.state.mu.Unlock()
-	var out []wire.Entry
-	for key, e := range s.state.entries {
-		if strings.HasPrefix(key, prefix) {
-			out = append(out, e)
-		}
+	entries, _, err := s.state.List(context.Background(), statestore.Urgent(TestEnd), prefix)
+	if err != nil {
+		panic(err) // in memory, and never down
 	}
-	return out
+	return entries
 }
 
 // Writes returns all that was carried out so far.
@@ -171,7 +160,9 @@
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	rev, err := s.state.apply(t)
-	s.observe.tell("transaction", "from", from, "revision", rev, "err", err, "if", t.If, "then", t.Then)
+	if s.observe != nil {
+		s.observe("transaction", "from", from, "revision", rev, "err", err, "if", t.If, "then", t.Then)
+	}
 	if err == nil && len(t.Then) > 0 {
 		s.writes = append(s.writes, Write{from, time.Now(), t})
 		s.wake()
@@ -291,8 +282,8 @@
 	if l.s.fate != nil {
 		f = l.s.fate(l.label, t)
 	}
-	if f != (Fate{}) {
-		l.s.observe.tell("fate of the next transaction", "from", l.label, "fate", f, "then", t.Then)
+	if l.s.observe != nil && f != (Fate{}) {
+		l.s.observe("fate of the next transaction", "from", l.label, "fate", f, "then", t.Then)
 	}
 	switch {
 	case f.Refused:
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -265,10 +265,12 @@
 
 // deliver brings a worker's report to a controller.
 func (w *World) deliver(from, to string, r wire.Heartbeat) (status int, redirect string, o wire.Orders, err error) {
-	sent := time.Now()
-	defer func() {
-		w.observer().tell("heartbeat", "from", from, "to", to, "sent", sent.Format(time.TimeOnly), "heartbeat", r, "status", status, "redirect", redirect, "orders", o, "err", err)
-	}()
+	if observe := w.observer(); observe != nil {
+		sent := time.Now().Format(time.TimeOnly)
+		defer func() {
+			observe("heartbeat", "from", from, "to", to, "sent", sent, "heartbeat", r, "status", status, "redirect", redirect, "orders", o, "err", err)
+		}()
+	}
 	body, _ := json.Marshal(r)
 	type answer struct {
 		status int
