--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 	echo "target/bramblespur or target/review-stand is missing: run the build of deploy/service.toml and review/build.sh" >&2
 	exit 2
 fi
-exec target/review-stand -case pending -dir review/3
+exec target/review-stand -case orphaned -dir review/3
--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -25,35 +25,34 @@
 // labels are the labels of the controllers.
 var labels = []string{"sprig-0", "sprig-1", "sprig-2"}
 
-// zones are the zones of the controllers, in the order of labels.
-var zones = []string{"gent-haven", "leuven-hal", "gent-haven"}
+// site is what the settings and the stand-ins take from a deployment's page.
+type site struct {
+	zones     []string // of the controllers, in the order of labels
+	teams     string   // of the settings
+	heartbeat time.Duration
+	lease     time.Duration
+	gangWait  time.Duration
+	gangPeer  time.Duration
+	cancel    time.Duration
+	restart   time.Duration // how long after its end a process is back
+	limits    string        // of the state service, the cloud and the processes, in the settings
+	typ       wire.MachineType
+}
 
-// settings is the settings file of one controller, with the figures of the Compressa deployment.
-const settings = `
-label = %q
-zone = %q
-public_addr = %q
-cluster_listen = %q
-%s
-[outside]
-cloud = %q
-state = %q
-[params]
-count = 3
-zones = ["gent-haven", "leuven-hal"]
-clock_error_ms = 25.0
+// compressa is the Compressa deployment, in Gent.
+var compressa = site{
+	zones: []string{"gent-haven", "leuven-hal", "gent-haven"},
+	teams: `
 [[params.teams]]
 name = "sizing-desk"
 [[params.teams]]
 name = "bench-lab"
 [[params.teams]]
 name = "cert-office"
-[params.workers]
-report_s = %.1f
-lease_s = 12.0
-gang_wait_s = 30.0
-gang_peer_s = 8.0
-cancel_s = 32.0
+`,
+	heartbeat: 1500 * time.Millisecond, lease: 12 * time.Second, gangWait: 30 * time.Second, gangPeer: 8 * time.Second,
+	cancel: 32 * time.Second, restart: 4 * time.Second,
+	limits: `
 [params.state]
 rps = 100.0
 write_rps = 40.0
@@ -66,17 +65,34 @@
 cpu_share = 0.12
 memory_mb = 70.0
 max_sockets = 900
-`
-
-const (
-	lease     = 12 * time.Second
-	cancelS   = 32 * time.Second
-	heartbeat = 1500 * time.Millisecond
-)
+`,
+	typ: wire.MachineType{Name: "schroef-gpu16", CPUs: 16, GPUs: 2, MemoryGB: 64, CacheGB: 90, FetchGBps: 0.4,
+		Price: 5.2, SpotPrice: 1.38, BootS: 25, Zones: []string{"gent-haven", "leuven-hal"}},
+}
 
-// machineType is the only machine type of the deployment.
-var machineType = wire.MachineType{Name: "schroef-gpu16", CPUs: 16, GPUs: 2, MemoryGB: 64, CacheGB: 90, FetchGBps: 0.4,
-	Price: 5.2, SpotPrice: 1.38, BootS: 25, Zones: []string{"gent-haven", "leuven-hal"}}
+// settings is the settings file of one controller.
+const settings = `
+label = %q
+zone = %q
+public_addr = %q
+cluster_listen = %q
+%s
+[outside]
+cloud = %q
+state = %q
+[params]
+count = 3
+zones = [%s]
+clock_error_ms = 25.0
+%s
+[params.workers]
+report_s = %.1f
+lease_s = %.1f
+gang_wait_s = %.1f
+gang_peer_s = %.1f
+cancel_s = %.1f
+%s
+`
 
 // recorder writes what happens to record.txt. It is safe for concurrent use.
 type recorder struct {
@@ -116,13 +132,16 @@
 
 // cluster is three controllers, as real processes, and the stand-ins around them.
 type cluster struct {
-	rec     *recorder
-	world   *testkit.World
-	checker *testkit.Checker
-	dir     string
-	addrs   map[string]string // public addresses, by label
-	public  map[string]string // addresses by which users and workers reach a controller
-	run     []string          // the run line of the deploy file
+	rec   *recorder
+	world *testkit.World
+	site  site
+	dir   string
+	addrs map[string]string // where users and workers reach a controller, by label
+
+	peerAddrs, stateAddrs map[string]string // by label
+	cloudAddr             string
+
+	run     []string // the run line of the deploy file
 	mu      sync.Mutex
 	procs   map[string]*exec.Cmd
 	closers []func()
@@ -160,14 +179,13 @@
 
 // options are what a case changes of the stand-ins.
 type options struct {
-	state     func(label string, next http.Handler) http.Handler // around the state service
-	cloud     func(next http.Handler) http.Handler               // around the cloud
-	boot      time.Duration
-	heartbeat time.Duration
+	state func(label string, next http.Handler) http.Handler // around the state service
+	cloud func(next http.Handler) http.Handler               // around the cloud
+	boot  time.Duration
 }
 
 // newCluster starts the stand-ins and the controllers.
-func newCluster(rec *recorder, o options) (*cluster, error) {
+func newCluster(rec *recorder, at site, o options) (*cluster, error) {
 	run, err := runLine()
 	if err != nil {
 		return nil, err
@@ -179,13 +197,9 @@
 	if o.boot == 0 {
 		o.boot = 2 * time.Second
 	}
-	if o.heartbeat == 0 {
-		o.heartbeat = heartbeat
-	}
-	c := &cluster{rec: rec, dir: dir, addrs: map[string]string{}, public: map[string]string{}, run: run, procs: map[string]*exec.Cmd{}}
-	timing := testkit.Timing{Report: o.heartbeat, Lease: lease, GangWait: 30 * time.Second, GangPeer: 8 * time.Second, Cancel: cancelS}
-	c.checker = testkit.NewChecker(nil, cancelS)
-	c.world = testkit.NewWorld(labels, []wire.MachineType{machineType}, timing, c.checker, 1)
+	c := &cluster{rec: rec, site: at, dir: dir, addrs: map[string]string{}, peerAddrs: map[string]string{}, stateAddrs: map[string]string{}, run: run, procs: map[string]*exec.Cmd{}}
+	timing := testkit.Timing{Report: at.heartbeat, Lease: at.lease, GangWait: at.gangWait, GangPeer: at.gangPeer, Cancel: at.cancel}
+	c.world = testkit.NewWorld(labels, []wire.MachineType{at.typ}, timing, testkit.NewChecker(nil, at.cancel), 1)
 	c.world.SetBoot(o.boot, false)
 	c.closers = append(c.closers, c.world.ServeWorkers())
 	c.world.Observe(c.observe)
@@ -195,28 +209,19 @@
 	}
 	cloud := httptest.NewServer(cloudHandler)
 	c.closers = append(c.closers, func() { cloud.CloseClientConnections(); cloud.Close() })
-	peers := map[string]string{}
 	for _, label := range labels {
-		c.addrs[label], peers[label] = freeAddr(), freeAddr()
-		c.public[label] = c.addrs[label]
+		c.addrs[label], c.peerAddrs[label] = freeAddr(), freeAddr()
 	}
-	for i, label := range labels {
+	c.cloudAddr = strings.TrimPrefix(cloud.URL, "http://")
+	for _, label := range labels {
 		handler := c.world.State.HTTP(label)
 		if o.state != nil {
 			handler = o.state(label, handler)
 		}
 		state := httptest.NewServer(handler)
-		c.closers = append(c.closers, func() { state.CloseClientConnections() })
-		var seeds strings.Builder
-		for k, other := range labels {
-			if other == label {
-				continue
-			}
-			fmt.Fprintf(&seeds, "[[seeds]]\nlabel = %q\nzone = %q\npeer_addr = %q\n", other, zones[k], peers[other])
-		}
-		text := fmt.Sprintf(settings, label, zones[i], c.addrs[label], peers[label], seeds.String(),
-			strings.TrimPrefix(cloud.URL, "http://"), strings.TrimPrefix(state.URL, "http://"), o.heartbeat.Seconds())
-		if err := os.WriteFile(filepath.Join(dir, label+".toml"), []byte(text), 0o600); err != nil {
+		c.closers = append(c.closers, state.CloseClientConnections)
+		c.stateAddrs[label] = strings.TrimPrefix(state.URL, "http://")
+		if err := c.configure(label, at.teams); err != nil {
 			return nil, err
 		}
 	}
@@ -229,6 +234,26 @@
 	return c, nil
 }
 
+// configure writes a controller's settings file with the given teams.
+func (c *cluster) configure(label, teams string) error {
+	var seeds, zones strings.Builder
+	zone := ""
+	for i, other := range labels {
+		if other == label {
+			zone = c.site.zones[i]
+			continue
+		}
+		fmt.Fprintf(&seeds, "[[seeds]]\nlabel = %q\nzone = %q\npeer_addr = %q\n", other, c.site.zones[i], c.peerAddrs[other])
+	}
+	for _, z := range c.site.typ.Zones {
+		fmt.Fprintf(&zones, "%q, ", z)
+	}
+	text := fmt.Sprintf(settings, label, zone, c.addrs[label], c.peerAddrs[label], seeds.String(), c.cloudAddr, c.stateAddrs[label],
+		zones.String(), teams, c.site.heartbeat.Seconds(), c.site.lease.Seconds(), c.site.gangWait.Seconds(), c.site.gangPeer.Seconds(),
+		c.site.cancel.Seconds(), c.site.limits)
+	return os.WriteFile(filepath.Join(c.dir, label+".toml"), []byte(text), 0o600)
+}
+
 // observe notes the transactions that were applied, and the answers to workers that carry commands or
 // send the worker away.
 func (c *cluster) observe(event string, args ...any) {
@@ -289,7 +314,7 @@
 	c.mu.Lock()
 	c.procs[label] = cmd
 	c.mu.Unlock()
-	c.world.SetNode(label, testkit.RemoteNode{Addr: c.public[label]})
+	c.world.SetNode(label, testkit.RemoteNode{Addr: c.addrs[label]})
 	c.rec.note("controller %s started", label)
 	return nil
 }
@@ -340,7 +365,7 @@
 // ask sends a user's request to a controller. The status is 0 if there is no answer in time.
 func (c *cluster) ask(label, method, path, body string, timeout time.Duration) (status int, state string, retryAfter string) {
 	client := &http.Client{Transport: user.Transport, Timeout: timeout}
-	req, err := http.NewRequest(method, "http://"+c.public[label]+path, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+c.addrs[label]+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", ""
 	}
--- a/review/stand/orphaned.go
+++ b/review/stand/orphaned.go
@@ -17,7 +17,7 @@
 // orphaned cancels a job that others name. Right after its user was told, the state service is out for
 // longer than cancel_s. Users then ask for the dependents.
 func orphaned(rec *recorder, trouble bool) int {
-	c, err := newCluster(rec, options{})
+	c, err := newCluster(rec, compressa, options{})
 	if err != nil {
 		rec.say("not started: %v", err)
 		return invalid
@@ -68,7 +68,7 @@
 		c.world.State.Outage(true)
 		rec.say("outage of the state service begins; %d active records", len(c.world.State.Entries("open/")))
 	}
-	outage := cancelS + 8*time.Second
+	outage := compressa.cancel + 8*time.Second
 
 	var mu sync.Mutex
 	wrong, answered := 0, 0
@@ -79,7 +79,7 @@
 			for n := i; time.Now().Before(end); n++ {
 				asked := time.Now()
 				status, state := c.poll(labels[n%3], ref)
-				late := asked.Sub(told) > cancelS
+				late := asked.Sub(told) > compressa.cancel
 				if status == 200 && state == wire.Cancelled {
 					mu.Lock()
 					answered++
--- a/review/stand/stages.go
+++ b/review/stand/stages.go
@@ -21,7 +21,6 @@
 	stageJobs  = 10 // jobs in each stage of the pipeline
 	stageCount = 16 // stages
 	memoryMB   = 70 // of each controller, by the settings
-	restartS   = 4 * time.Second
 	// forgottenAfter is how long no question about a job may stay without an answer.
 	forgottenAfter = 75 * time.Second
 )
@@ -50,7 +49,7 @@
 // stages submits a pipeline of stages, in which each job names all jobs of the stage before. The deadline
 // stands on the last job. The trouble is that the estimates are wrong by up to half.
 func stages(rec *recorder, trouble bool) int {
-	c, err := newCluster(rec, options{})
+	c, err := newCluster(rec, compressa, options{})
 	if err != nil {
 		rec.say("not started: %v", err)
 		return invalid
@@ -182,7 +181,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(restartS):
+		case <-time.After(c.site.restart):
 		}
 		c.start(label)
 	}
