testkit: an injected attempt replaces no active one

Cause: TestRestartFindsStrayTasks injected an exited attempt of a service's task on a machine where that task may run. Agent.Inject dropped the running one without telling the checker, which then saw ran_twice. The fault is the test's; no check of the product changes. Change: Inject panics if it would replace an active attempt, and the test takes a machine without the service for that attempt. What it injects is the same.

--- a/internal/controller/restarts_test.go
+++ b/internal/controller/restarts_test.go
@@ -263,6 +263,9 @@
 		on := k.world.MachinesOf(ref(arrayJob))
 		others := slices.DeleteFunc(k.world.Machines(), func(m *testkit.Agent) bool { return slices.Contains(on, m) })
 		k.requireOccurred(len(others) > 2, "there are machines without the job")
+		if service := ref(serviceJob) + "/0"; slices.Contains(others[2].Tasks(), service) {
+			others[0], others[2] = others[2], others[0] // an injected attempt must not replace the one that runs
+		}
 		others[0].Inject("run-999999", 0, 1, wire.Running, "")               // not in the records
 		others[0].Inject(ref(arrayJob), 0, 77, wire.Running, "")             // another attempt
 		others[1].Inject(ref(arrayJob), 1, 1, wire.Running, "")              // the same job, on another machine
--- a/internal/testkit/agent_tasks.go
+++ b/internal/testkit/agent_tasks.go
@@ -191,11 +191,15 @@
 }
 
 // Inject puts a task on the machine without a command, running or exited. The checker does
-// not count it, since it is the test that breaks a rule.
+// not count it, since it is the test that breaks a rule. The machine must not have an active attempt
+// of the task, which would vanish without the checker's knowledge.
 func (a *Agent) Inject(ref string, i int, attempt uint64, state, why string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := &agentTask{ref: ref, index: i, attempt: attempt, state: state, why: why, since: time.Now(), injected: true}
+	if old := a.tasks[t.name()]; old != nil && old.active() {
+		panic(fmt.Sprintf("testkit: %s is active on %s already", t.name(), a.ID))
+	}
 	a.tasks[t.name()] = t
 	a.markChanged()
 }
