testkit: the checker takes no lock of agents

Cause: the checker, locked, asked the world for machines with room and so for the locks of agents; an agent, locked, reports a start to the checker. Either could wait for the other, and any test of whole controllers could hang (TestAllEndAndReturn/50s hung once). Change: the world notes what its machines have left before it calls the checker; the room that it hands over takes no lock. The order of locks stands on Checker.

--- a/internal/testkit/checker.go
+++ b/internal/testkit/checker.go
@@ -41,7 +41,8 @@
 }
 
 // Checker verifies the protocol's rules. It is given each event on machines and each answer to a
-// user, and collects the violations. Its methods are safe for concurrent use.
+// user, and collects the violations. Its methods are safe for concurrent use. Its lock comes after those
+// of agents and of the world.
 type Checker struct {
 	mu          sync.Mutex
 	teamLimits  map[string]float64       // limits in GPUs, 0: none
@@ -331,7 +332,8 @@
 }
 
 // Room reports whether a task, or a whole gang, fits on the present machines of the zones that are
-// allowed.
+// allowed. It is called under the checker's lock and must take none that is held while a method of the
+// checker is called.
 type Room func(s *wire.Spec, may func(zone string) bool) bool
 
 // CheckDurations verifies limits of time: of cancelled tasks on machines, of unanswered polls, and of
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -225,7 +225,7 @@
 			a.mu.Unlock()
 		}
 		w.stepGangs(all, now)
-		w.check.CheckDurations(w.hasRoom)
+		w.check.CheckDurations(w.room())
 	}
 }
 
