fragment: a change of urgency examines each job once

Cause: Dependencies.update passed a deadline on depth first, once for each path of the graph, under the shards' lock. With estimates that differ the number of paths tried grows exponentially. Change: a topological order, in which a change is passed on, dependents first; a list of jobs is applied with dependents first; nothing recursive is left. Why it works: a job that is examined has its final urgency, so it passes it on once at most.

--- a/internal/controller/active_job_records.go
+++ b/internal/controller/active_job_records.go
@@ -13,7 +13,7 @@
 // lock.
 func (c *Controller) resetActiveJobs(entries []wire.Entry, rev uint64, at time.Time) {
 	listed := map[string]bool{}
-	for _, e := range entries {
+	for _, e := range clusterview.DependentsFirst(entries) {
 		listed[record.LastElement(e.Key)] = true
 		c.applyActiveJobChange(e.Change(), at)
 	}
--- a/internal/controller/clusterview/activejobs.go
+++ b/internal/controller/clusterview/activejobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -51,8 +50,8 @@
 	}
 }
 
-// Apply applies a changed or deleted record to the view and describes the change.
-// It reports false, and changes nothing, for a record that is not newer than the
+// Apply applies a changed or deleted record to the view and describes the change. Each of many records
+// costs least in the order of DependentsFirst. It reports false, and changes nothing, for a record that is not newer than the
 // one held: the watch delivers once more what this controller has written itself.
 // A record that cannot be decoded is a *RecordError and changes nothing.
 func (v *ActiveJobs) Apply(change wire.Change) (JobChange, bool, error) {
@@ -194,14 +193,14 @@
 func (v *ActiveJobs) HasDependents(ref string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return len(v.dependencies.Dependents(ref)) > 0
+	return v.dependencies.HasDependents(ref)
 }
 
 // Dependents returns the active jobs that depend directly on a job, active or not.
 func (v *ActiveJobs) Dependents(ref string) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return slices.Collect(maps.Keys(v.dependencies.Dependents(ref)))
+	return v.dependencies.Dependents(ref)
 }
 
 // EndedDependencies returns the refs of the jobs on which active jobs depend
@@ -210,7 +209,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var refs []string
-	v.dependencies.EachDependency(func(ref string, _ map[string]struct{}) {
+	v.dependencies.EachDependency(func(ref string) {
 		if _, active := v.jobs[ref]; !active {
 			refs = append(refs, ref)
 		}
--- a/internal/fragment/dependencies.go
+++ b/internal/fragment/dependencies.go
@@ -1,6 +1,9 @@
 package fragment
 
-import "time"
+import (
+	"container/heap"
+	"time"
+)
 
 // The paper's algorithm considers neither the priorities of jobs nor how long they take. So an
 // early job of a pipeline may wait behind less important work and delay the last one.
@@ -15,6 +18,11 @@
 	HasDependents bool
 }
 
+// equal reports whether two urgencies are the same.
+func (u Urgency) equal(other Urgency) bool {
+	return u.Rank == other.Rank && u.Deadline.Equal(other.Deadline) && u.HasDependents == other.HasDependents
+}
+
 // Job is an active job with the urgency that was requested for the job itself.
 type Job struct {
 	Urgency
@@ -23,92 +31,174 @@
 }
 
 // Dependencies holds the active jobs and their dependencies. Jobs are identified by their refs.
+//
+// A change is passed on from dependents to dependencies in topological order, so that each job is
+// examined once at most for a change, and each dependency between two jobs twice. The number of
+// paths between jobs, which grows exponentially with the depth of a graph, has no influence.
+//
 // It is not safe for concurrent use.
 type Dependencies struct {
-	jobs       map[string]Job
-	urgencies  map[string]Urgency             // with what the jobs inherit
-	dependents map[string]map[string]struct{} // by job, active or not: the active jobs that depend directly on it
+	nodes  map[string]*node // the active jobs, and others on which active jobs depend directly
+	lowest int              // no node has a lower order
+	next   int              // every node has a lower order
+	// examined counts the jobs and dependencies examined so far, for tests of the cost.
+	examined int
 }
 
-// NewDependencies returns a Dependencies without jobs.
-func NewDependencies() *Dependencies {
-	return &Dependencies{jobs: map[string]Job{}, urgencies: map[string]Urgency{}, dependents: map[string]map[string]struct{}{}}
+// node is a job in the graph. There is no cycle, since a job can only name jobs that were accepted
+// before it.
+type node struct {
+	ref          string
+	active       bool // if not, the fields job, urgency and dependencies are zero
+	job          Job
+	urgency      Urgency // with what the job inherits
+	dependencies []*node
+	dependents   map[*node]struct{} // the active jobs that depend directly on it
+	order        int                // topological: lower than the order of every dependent
+
+	pending pendingChange
 }
 
-// Set adds an active job or replaces it, and returns the jobs whose urgency changed. The
-// DependsOn of a job must not change.
+// NewDependencies returns a Dependencies without jobs.
+func NewDependencies() *Dependencies { return &Dependencies{nodes: map[string]*node{}} }
+
+// Set adds an active job or replaces it, and returns the jobs whose urgency changed, each once. The
+// DependsOn of a job must not change. Jobs may be added in any order; to add many, an order in which
+// dependents come before their dependencies costs least, as nothing has to be passed on.
 func (d *Dependencies) Set(ref string, job Job) []string {
-	if _, exists := d.jobs[ref]; !exists {
-		for _, r := range job.DependsOn {
-			if d.dependents[r] == nil {
-				d.dependents[r] = map[string]struct{}{}
-			}
-			d.dependents[r][ref] = struct{}{}
-		}
+	n := d.node(ref)
+	changes := newPropagation(d)
+	changes.add(n)
+	n.job = job
+	if !n.active {
+		n.active = true
+		d.link(n)
 	}
-	d.jobs[ref] = job
-	return d.update(ref)
+	changes.recompute(n, nil)
+	return changes.run()
 }
 
-// Remove removes a job that is no longer active and returns the jobs whose urgency changed.
+// Remove removes a job that is no longer active and returns the jobs whose urgency changed, each
+// once.
 func (d *Dependencies) Remove(ref string) []string {
-	job, exists := d.jobs[ref]
-	if !exists {
+	n := d.nodes[ref]
+	if n == nil || !n.active {
 		return nil
 	}
-	delete(d.jobs, ref)
-	delete(d.urgencies, ref)
-	for _, r := range job.DependsOn {
-		if delete(d.dependents[r], ref); len(d.dependents[r]) == 0 {
-			delete(d.dependents, r)
-		}
+	changes := newPropagation(d)
+	before := n.inheritance()
+	dependencies := n.dependencies
+	n.active, n.job, n.urgency, n.dependencies = false, Job{}, Urgency{}, nil
+	for _, dependency := range dependencies {
+		delete(dependency.dependents, n)
+		changes.removeDependent(dependency, before)
+		d.dropUnused(dependency)
 	}
-	var changed []string
-	for _, r := range job.DependsOn {
-		changed = append(changed, d.update(r)...)
-	}
-	return changed
+	d.dropUnused(n)
+	return changes.run()
 }
 
 // Urgency returns the urgency of an active job, including what it inherits from its dependents.
-func (d *Dependencies) Urgency(ref string) Urgency { return d.urgencies[ref] }
+func (d *Dependencies) Urgency(ref string) Urgency {
+	if n := d.nodes[ref]; n != nil {
+		return n.urgency
+	}
+	return Urgency{}
+}
+
+// HasDependents reports whether active jobs depend directly on a job, which need not be active.
+func (d *Dependencies) HasDependents(ref string) bool {
+	n := d.nodes[ref]
+	return n != nil && len(n.dependents) > 0
+}
 
 // Dependents returns the active jobs that depend directly on a job, which need not be active.
-func (d *Dependencies) Dependents(ref string) map[string]struct{} { return d.dependents[ref] }
+func (d *Dependencies) Dependents(ref string) []string {
+	n := d.nodes[ref]
+	if n == nil {
+		return nil
+	}
+	refs := make([]string, 0, len(n.dependents))
+	for dependent := range n.dependents {
+		refs = append(refs, dependent.ref)
+	}
+	return refs
+}
 
 // EachDependency calls f for each job, active or not, on which active jobs depend directly.
-func (d *Dependencies) EachDependency(f func(ref string, dependents map[string]struct{})) {
-	for ref, dependents := range d.dependents {
-		f(ref, dependents)
+func (d *Dependencies) EachDependency(f func(ref string)) {
+	for ref, n := range d.nodes {
+		if len(n.dependents) > 0 {
+			f(ref)
+		}
 	}
 }
 
-// update recomputes the urgency of an active job and, if it changed, those of the jobs on which
-// it depends. It returns the jobs whose urgency changed. The urgency has the highest priority of
-// the job and its dependents, and as its deadline the earliest of the job's own and the times by
-// which its dependents must start. There is no cycle, since a job can only name jobs that were
-// accepted before it.
-func (d *Dependencies) update(ref string) []string {
-	job, active := d.jobs[ref]
-	if !active {
-		return nil
+// node returns the node of a job. A new one gets the highest order, as it has no dependents.
+func (d *Dependencies) node(ref string) *node {
+	n := d.nodes[ref]
+	if n == nil {
+		n = &node{ref: ref, order: d.next}
+		d.next++
+		d.nodes[ref] = n
+	}
+	return n
+}
+
+// dropUnused removes the node of a job that is not active and on which no active job depends.
+func (d *Dependencies) dropUnused(n *node) {
+	if !n.active && len(n.dependents) == 0 {
+		delete(d.nodes, n.ref)
 	}
-	urgency := job.Urgency
-	urgency.HasDependents = len(d.dependents[ref]) > 0
-	for r := range d.dependents[ref] {
-		dependent := d.urgencies[r]
-		urgency.Rank = max(urgency.Rank, dependent.Rank)
-		if start := dependent.Deadline.Add(-d.jobs[r].Estimate); !dependent.Deadline.IsZero() && (urgency.Deadline.IsZero() || start.Before(urgency.Deadline)) {
-			urgency.Deadline = start
+}
+
+// link makes an active job a dependent of the jobs that it names, and restores the topological order.
+func (d *Dependencies) link(n *node) {
+	ordered := true
+	n.dependencies = make([]*node, 0, len(n.job.DependsOn))
+	for _, ref := range n.job.DependsOn {
+		dependency := d.node(ref)
+		if _, linked := dependency.dependents[n]; linked {
+			continue
 		}
+		if dependency.dependents == nil {
+			dependency.dependents = map[*node]struct{}{}
+		}
+		dependency.dependents[n] = struct{}{}
+		n.dependencies = append(n.dependencies, dependency)
+		d.examined++
+		if dependency.order < n.order {
+			continue
+		}
+		if dependency.active {
+			ordered = false
+			continue
+		}
+		d.lowest-- // it has no dependencies, so it may come before all others
+		dependency.order = d.lowest
 	}
-	if old, exists := d.urgencies[ref]; exists && old.Rank == urgency.Rank && old.Deadline.Equal(urgency.Deadline) && old.HasDependents == urgency.HasDependents {
-		return nil
+	if !ordered {
+		d.moveLast(n)
 	}
-	d.urgencies[ref] = urgency
-	changed := []string{ref}
-	for _, r := range job.DependsOn {
-		changed = append(changed, d.update(r)...)
+}
+
+// moveLast moves a job and all its dependents, direct and indirect, behind all other jobs in the
+// topological order.
+func (d *Dependencies) moveLast(first *node) {
+	queue := &nodeQueue{less: dependenciesFirst}
+	seen := map[*node]bool{first: true}
+	heap.Push(queue, first)
+	for queue.Len() > 0 {
+		n := heap.Pop(queue).(*node)
+		d.examined++
+		n.order = d.next
+		d.next++
+		for dependent := range n.dependents {
+			d.examined++
+			if !seen[dependent] {
+				seen[dependent] = true
+				heap.Push(queue, dependent)
+			}
+		}
 	}
-	return changed
 }
--- a/internal/fragment/dependencies_test.go
+++ b/internal/fragment/dependencies_test.go
@@ -53,6 +53,9 @@
 						}
 					}
 				}
+				if rnd.IntN(4) == 0 {
+					job.Estimate = time.Duration(rnd.IntN(60)) * time.Second
+				}
 				job.Urgency = Urgency{Rank: rnd.IntN(4)}
 				if rnd.IntN(3) == 0 {
 					job.Deadline = start.Add(time.Duration(rnd.IntN(600)) * time.Second)
@@ -63,6 +66,7 @@
 			for _, r := range changed {
 				urgencies[r] = dependencies.Urgency(r)
 			}
+			checkOrder(t, dependencies)
 			for ref := range active {
 				if want := wantUrgency(active, ref); urgencies[ref] != want {
 					t.Fatalf("seed %d: last returned urgency of %s is %+v, want %+v", seed, ref, urgencies[ref], want)
@@ -72,8 +76,36 @@
 		for ref := range active {
 			dependencies.Remove(ref)
 		}
-		if len(dependencies.jobs)+len(dependencies.urgencies)+len(dependencies.dependents) > 0 {
+		if len(dependencies.nodes) > 0 {
 			t.Errorf("seed %d: entries are left after all jobs were removed", seed)
 		}
 	}
 }
+
+// checkOrder verifies that every job comes before its dependents in the topological order.
+func checkOrder(t *testing.T, d *Dependencies) {
+	t.Helper()
+	for ref, n := range d.nodes {
+		for dependent := range n.dependents {
+			if n.order >= dependent.order {
+				t.Fatalf("%s has order %d, its dependent %s %d", ref, n.order, dependent.ref, dependent.order)
+			}
+		}
+	}
+}
+
+// A cycle, which only damaged records have, must not keep a change going round for ever.
+func TestCycleEnds(t *testing.T) {
+	d := NewDependencies()
+	urgent := Urgency{Rank: 2, Deadline: time.Unix(1e9, 0)}
+	d.Set("a", Job{Urgency: urgent, Estimate: time.Second, DependsOn: []string{"b", "a"}})
+	d.Set("b", Job{Estimate: time.Second, DependsOn: []string{"c"}})
+	d.Set("c", Job{Estimate: time.Second, DependsOn: []string{"a"}})
+	d.Set("a", Job{Estimate: time.Second, DependsOn: []string{"b", "a"}})
+	for _, ref := range []string{"a", "b", "c"} {
+		d.Remove(ref)
+	}
+	if len(d.nodes) > 0 {
+		t.Errorf("%d entries are left after all jobs were removed", len(d.nodes))
+	}
+}
--- a/internal/scheduler/pipeline.go
+++ b/internal/scheduler/pipeline.go
@@ -80,14 +80,21 @@
 	if j.hasDependents = urgency.HasDependents; j.rank == urgency.Rank && j.deadlineAt.Equal(urgency.Deadline) {
 		return
 	}
+	if j.rank != urgency.Rank {
+		s.recountTasks(j, urgency.Rank)
+	}
+	j.rank, j.deadlineAt = urgency.Rank, urgency.Deadline
+	s.placementDue = true
+}
+
+// recountTasks counts the tasks of a job on machines by the rank that the job is about to have.
+func (s *Shard) recountTasks(j *Job, rank int) {
 	for i := range j.tasks {
-		if m := j.tasks[i].machine; m != nil && j.rank != urgency.Rank {
+		if m := j.tasks[i].machine; m != nil {
 			s.inventory.countTask(m, j.rank, -1)
-			s.inventory.countTask(m, urgency.Rank, 1)
+			s.inventory.countTask(m, rank, 1)
 		}
 	}
-	j.rank, j.deadlineAt = urgency.Rank, urgency.Deadline
-	s.placementDue = true
 }
 
 // deadline returns when a job has to be done, in seconds since it was accepted or released; nil
