--- a/cmd/bramblespur/main.go
+++ b/cmd/bramblespur/main.go
@@ -96,16 +96,6 @@
 // megabytes, and each collection costs a part of the processor share.
 const gcPercent = 400
 
-// heapShare is the fraction of the Go runtime's memory that its limit allows. The limit is a soft one: a
-// burst of requests exceeds it before a collection ends.
-const heapShare = 0.85
-
-// memoryLimit returns the Go runtime's memory limit in bytes. The process's other memory is subtracted
-// first, as it is the same on small machines as on large ones.
-func memoryLimit(r config.Resources) int64 {
-	return int64((r.MemoryMB - config.NonRuntimeMB) * heapShare * (1 << 20))
-}
-
 // processors returns the number of threads that may run Go code at a time. On a fraction of a core, a
 // second thread only makes the two wake each other.
 func processors(r config.Resources) int { return max(1, int(math.Ceil(r.CPUShare))) }
@@ -118,7 +108,7 @@
 	r := c.settings.Params.Resources
 	runtime.GOMAXPROCS(processors(r))
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit(r))
+	debug.SetMemoryLimit(r.HeapBytes())
 	return controller.Run(c.settings, c.policy, c.operations, logger(os.Getenv("LOG_LEVEL")))
 }
 
--- a/cmd/bramblespur/main_test.go
+++ b/cmd/bramblespur/main_test.go
@@ -17,7 +17,7 @@
 		if got := processors(r); got != x.procs {
 			t.Errorf("share %g: %d processors, want %d", x.cpu, got, x.procs)
 		}
-		limit := float64(memoryLimit(r)) / (1 << 20)
+		limit := float64(r.HeapBytes()) / (1 << 20)
 		if limit < x.memory/3 || limit+config.NonRuntimeMB > x.memory*0.97 {
 			t.Errorf("%g MB: a runtime limit of %.1f MB", x.memory, limit)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,6 +135,16 @@
 // program and the C library, 11 MB, and the stacks of the threads.
 const NonRuntimeMB = 14.0
 
+// heapShare is the fraction of the Go runtime's memory that HeapBytes allows: a burst of requests
+// exceeds it before a collection ends.
+const heapShare = 0.85
+
+// HeapBytes returns the limit of the Go runtime's memory, in bytes. The process's other memory is
+// subtracted first, as it is the same on small machines as on large ones.
+func (r Resources) HeapBytes() int64 {
+	return int64((r.MemoryMB - NonRuntimeMB) * heapShare * (1 << 20))
+}
+
 // Seconds converts seconds to a duration. It does not check for overflow: use it for checked settings.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
--- a/internal/controller/clusterview/activejobs.go
+++ b/internal/controller/clusterview/activejobs.go
@@ -19,7 +19,10 @@
 	mu           sync.Mutex           // a leaf: see the package's lock order
 	jobs         map[string]ActiveJob // by ref
 	dependencies *fragment.Dependencies
+	bytes        int                      // upper bound of the memory that all jobs take
 	endWaits     map[string]chan struct{} // by the ref of a job whose end is awaited; closed when the job ends
+
+	placementsPerRecord int // immutable
 }
 
 // ActiveJob is the part of an active job's record that the view keeps.
@@ -28,6 +31,7 @@
 	Shard     int    // the shard to which the job belongs
 	Cancelled bool   // the job's cancellation is recorded, its end is not
 	Service   bool   // the job is a service
+	Bytes     int    // upper bound of the memory that the job takes, as of scheduler.JobBytes
 }
 
 // JobChange describes a job whose record changed.
@@ -41,9 +45,12 @@
 	UrgencyChanged []string
 }
 
-// NewActiveJobs returns a view without records.
-func NewActiveJobs() *ActiveJobs {
+// NewActiveJobs returns a view without records, for a cluster whose placement records hold so many
+// placements.
+func NewActiveJobs(placementsPerRecord int) *ActiveJobs {
 	return &ActiveJobs{
+		placementsPerRecord: placementsPerRecord,
+
 		jobs:         map[string]ActiveJob{},
 		dependencies: fragment.NewDependencies(),
 		endWaits:     map[string]chan struct{}{},
@@ -69,7 +76,9 @@
 	if err != nil {
 		return JobChange{}, false, err
 	}
-	v.jobs[ref] = ActiveJob{Version: change.Version, Shard: r.Shard, Cancelled: r.Cancelled, Service: r.Spec.Kind == wire.Service}
+	bytes := scheduler.JobBytes(&r.Spec, len(change.Value), v.placementsPerRecord)
+	v.bytes += bytes - v.jobs[ref].Bytes
+	v.jobs[ref] = ActiveJob{Version: change.Version, Shard: r.Shard, Cancelled: r.Cancelled, Service: r.Spec.Kind == wire.Service, Bytes: bytes}
 	urgencyChanged := v.dependencies.Set(ref, dependencyJob(&r))
 	return JobChange{Ref: ref, Record: r, Version: change.Version, UrgencyChanged: urgencyChanged}, true, nil
 }
@@ -100,6 +109,7 @@
 
 func (v *ActiveJobs) remove(ref string) (urgencyChanged []string) {
 	urgencyChanged = v.dependencies.Remove(ref)
+	v.bytes -= v.jobs[ref].Bytes
 	delete(v.jobs, ref)
 	if ended := v.endWaits[ref]; ended != nil {
 		close(ended)
@@ -127,6 +137,14 @@
 	return maps.Clone(v.jobs)
 }
 
+// Usage returns how many jobs are active, and an upper bound of the memory that they take in a
+// controller, in bytes, apart from their tasks on machines.
+func (v *ActiveJobs) Usage() (jobs, bytes int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.jobs), v.bytes
+}
+
 // OfShard returns the refs of a shard's active jobs, in no particular order.
 func (v *ActiveJobs) OfShard(id int) []string {
 	v.mu.Lock()
--- a/internal/controller/clusterview/clusterview_test.go
+++ b/internal/controller/clusterview/clusterview_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bramblespur/internal/record"
+	"bramblespur/internal/scheduler"
 	"bramblespur/internal/wire"
 )
 
@@ -97,7 +98,7 @@
 	if m, _ := v.Member("c-1"); m.Incarnation != 2 || v.Owner(0) != "c-1" || v.Format("c-1") != 0 {
 		t.Error("a record that cannot be decoded changed the view")
 	}
-	jobs := NewActiveJobs()
+	jobs := NewActiveJobs(scheduler.PlacementsPerRecord(16))
 	if _, applied, err := jobs.Apply(put(record.ActiveJobKey("run-000001"), "text", 2)); applied || err == nil {
 		t.Errorf("job: applied %t, %v", applied, err)
 	}
@@ -162,7 +163,7 @@
 	if got := machines.Missing(map[string]bool{record.ProvisionKey("p"): true}, 5); len(got) != 0 {
 		t.Errorf("machines: %v is missing although it is listed", got)
 	}
-	jobs := NewActiveJobs()
+	jobs := NewActiveJobs(scheduler.PlacementsPerRecord(16))
 	applyJob(t, jobs, "run-000001", record.ActiveJob{}, 3)
 	applyJob(t, jobs, "run-000002", record.ActiveJob{}, 6)
 	if got := jobs.Missing(nil, 5); len(got) != 1 || got["run-000001"] != 3 {
@@ -182,7 +183,7 @@
 // A record that the view has already, as this controller wrote it itself, or an older one is ignored
 // when the watch delivers it.
 func TestKnownJobRecordsAreIgnored(t *testing.T) {
-	v := NewActiveJobs()
+	v := NewActiveJobs(scheduler.PlacementsPerRecord(16))
 	applyJob(t, v, "run-000001", record.ActiveJob{Shard: 2, Cancelled: true}, 5)
 	for _, version := range []uint64{4, 5} {
 		if _, applied, err := v.Apply(put(record.ActiveJobKey("run-000001"), record.ActiveJob{}, version)); applied || err != nil {
@@ -202,7 +203,7 @@
 
 // The end of a job wakes all waiters. There is no channel to wait on for a job that is not active.
 func TestEndOfJobWakesAllWaiters(t *testing.T) {
-	v := NewActiveJobs()
+	v := NewActiveJobs(scheduler.PlacementsPerRecord(16))
 	if v.Ended("run-000001") != nil {
 		t.Error("got a channel for a job that is not active, want nil")
 	}
@@ -223,7 +224,7 @@
 // The view has the dependencies of active jobs while these are active. A job inherits the priority
 // of a dependent until the dependent ends or is cancelled.
 func TestDependenciesOfActiveJobs(t *testing.T) {
-	v := NewActiveJobs()
+	v := NewActiveJobs(scheduler.PlacementsPerRecord(16))
 	spec := func(priority string, on ...string) record.ActiveJob {
 		return record.ActiveJob{Spec: wire.Spec{Priority: priority, DependsOn: on}}
 	}
@@ -253,7 +254,7 @@
 
 // A view that was forgotten is not loaded and has no revision, as if it had never been listed.
 func TestForgottenViewIsNotLoaded(t *testing.T) {
-	cluster, machines, jobs := NewCluster(), NewMachines(), NewActiveJobs()
+	cluster, machines, jobs := NewCluster(), NewMachines(), NewActiveJobs(scheduler.PlacementsPerRecord(16))
 	for name, v := range map[string]struct {
 		*freshness
 		forget func()
--- a/internal/controller/clusterview/dependents_first_test.go
+++ b/internal/controller/clusterview/dependents_first_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"bramblespur/internal/record"
+	"bramblespur/internal/scheduler"
 	"bramblespur/internal/wire"
 )
 
@@ -33,7 +34,7 @@
 		if len(sorted) != len(entries) {
 			t.Fatalf("seed %d: %d of %d entries", seed, len(sorted), len(entries))
 		}
-		v := NewActiveJobs()
+		v := NewActiveJobs(scheduler.PlacementsPerRecord(16))
 		for _, e := range sorted {
 			ref := record.LastElement(e.Key)
 			change, _, err := v.Apply(e.Change())
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -177,7 +177,7 @@
 	c.mu = c.shards
 	c.cluster = clusterview.NewCluster()
 	c.machines = clusterview.NewMachines()
-	c.activeJobs = clusterview.NewActiveJobs()
+	c.activeJobs = clusterview.NewActiveJobs(c.placementsPerRecord())
 	c.dependencyReads = dependency.NewSchedule()
 	c.startedAt = time.Now()
 	c.terminalStates = terminal.NewCache()
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -28,8 +28,9 @@
 	t.Helper()
 	cfg := &config.Settings{Label: "c-0", Params: config.Params{
 		Count: 1, Zones: []string{"z"}, Teams: []config.Team{{Name: "a", GPUsMax: 4}},
-		Workers: config.Workers{HeartbeatS: 2, LeaseS: 20, CancelS: 40},
-		State:   config.State{ValueKB: 16, TxnOps: 16},
+		Workers:   config.Workers{HeartbeatS: 2, LeaseS: 20, CancelS: 40},
+		State:     config.State{ValueKB: 16, TxnOps: 16},
+		Resources: config.Resources{MemoryMB: 200},
 	}}
 	pol, err := policy.Load("")
 	if err != nil {
--- a/internal/controller/leader/planning.go
+++ b/internal/controller/leader/planning.go
@@ -40,6 +40,7 @@
 		},
 		RefusalPause: refusalPause,
 		MaxProvision: MaxProvision(l.writeLimits().MaxValueBytes()),
+		MaxRequests:  concurrentProvisions,
 	}
 }
 
--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -3,6 +3,7 @@
 import (
 	"bramblespur/internal/config"
 	"bramblespur/internal/record"
+	"bramblespur/internal/scheduler"
 )
 
 // The state service may lower its limits at any time after an upgrade, without notice. New records
@@ -13,6 +14,11 @@
 // writeLimits returns the limits on the size of records and transactions that writes keep to.
 func (c *Controller) writeLimits() config.State { return c.cfg.Params.State.LowestLimits() }
 
+// placementsPerRecord returns how many placements a placement record holds at most.
+func (c *Controller) placementsPerRecord() int {
+	return scheduler.PlacementsPerRecord(c.cfg.Params.State.ValueKB)
+}
+
 // clusterRates returns the limits whose rates of requests and changes per second all controllers
 // together may use: the present ones as long as the first version shares them out as well, and then
 // the tighter ones, whether or not they are in force yet. Nothing needs the difference,
--- a/internal/controller/usage_log.go
+++ b/internal/controller/usage_log.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime"
 
+	"bramblespur/internal/controller/admission"
 	"bramblespur/internal/controller/overload"
 	"bramblespur/internal/retry"
 )
@@ -19,7 +20,9 @@
 		}
 		c.log.Info("state service used", args...)
 		m := overload.ReadMemory()
-		c.log.Info("memory used", "held", m.Held, "live", m.Live, "goroutines", runtime.NumGoroutine())
+		jobs, jobBytes := c.activeJobs.Usage()
+		c.log.Info("memory used", "held", m.Held, "live", m.Live, "goroutines", runtime.NumGoroutine(),
+			"jobs", jobs, "job_bytes", jobBytes, "max_job_bytes", admission.MaxJobBytes(c.cfg.Params.Resources))
 		r, wasShort := c.cfg.Params.Resources, memoryShort
 		if memoryShort = m.Short(r); memoryShort && !wasShort {
 			c.log.Info("memory is short: params.resources.memory_mb is too small", "memory_mb", r.MemoryMB, "held", m.Held)
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"bramblespur/internal/config"
+	"bramblespur/internal/controller/admission"
 	"bramblespur/internal/controller/dataloss"
 	"bramblespur/internal/controller/messagecheck"
 	"bramblespur/internal/controller/userapi"
 	"bramblespur/internal/peer"
+	"bramblespur/internal/scheduler"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
 )
@@ -47,6 +49,15 @@
 	return u.c.shards.MachineTypesLocked()
 }
 
+// HasRoomForJobs implements userapi.Cluster.
+func (u userCluster) HasRoomForJobs(jobs ...userapi.NewJob) bool {
+	_, bytes := u.c.activeJobs.Usage()
+	for _, job := range jobs {
+		bytes += scheduler.JobBytes(job.Spec, job.RecordBytes, u.c.placementsPerRecord())
+	}
+	return bytes <= admission.MaxJobBytes(u.c.cfg.Params.Resources)
+}
+
 // ActiveJob implements userapi.Cluster.
 func (u userCluster) ActiveJob(ref string) (userapi.ActiveJob, bool) {
 	u.c.mu.Lock()
--- a/internal/controller/userapi/api.go
+++ b/internal/controller/userapi/api.go
@@ -53,6 +53,12 @@
 	Service   bool   // the job is a service
 }
 
+// NewJob is a job that is about to be accepted.
+type NewJob struct {
+	Spec        *wire.Spec
+	RecordBytes int // size of its encoded record
+}
+
 // Cluster is what the API needs of the controller. Every method takes the shards' lock
 // itself if it needs it.
 type Cluster interface {
@@ -60,6 +66,9 @@
 	StateServiceHealth
 	StaleReadDetector
 
+	// HasRoomForJobs reports whether the controllers' memory has room for new jobs with these
+	// encoded records besides all active ones.
+	HasRoomForJobs(jobs ...NewJob) bool
 	// MachineTypes returns the machine types; nil: they are not known yet.
 	MachineTypes() []wire.MachineType
 	// ActiveJob returns what the view holds of a job. It reports false if the job is not
--- a/internal/controller/userapi/pipelines.go
+++ b/internal/controller/userapi/pipelines.go
@@ -28,7 +28,8 @@
 // SubmitPipeline accepts a pipeline once, with all its jobs, or refuses it. When it returns no
 // error, the records of the pipeline and its jobs are in the state service. It returns an
 // error of package jobspec, ErrReferenceInUse or ErrRecordTooLarge for a pipeline that it
-// refuses, and ErrUnavailable if that cannot be decided now.
+// refuses, ErrFull if there are too many active jobs, and ErrUnavailable if that cannot be decided
+// now.
 func (a *API) SubmitPipeline(body []byte) (Acceptance, error) {
 	pipeline, err := jobspec.ParsePipeline(body)
 	if err != nil {
@@ -55,6 +56,9 @@
 	if err != nil {
 		return Acceptance{}, err
 	}
+	if !a.cluster.HasRoomForJobs(newJobs(pipeline, t)...) {
+		return Acceptance{}, ErrFull
+	}
 	return a.recordPipeline(ctx, pipeline, t)
 }
 
@@ -113,6 +117,16 @@
 	return t, nil
 }
 
+// newJobs returns the jobs of a pipeline with the sizes of their records, which t writes after that
+// of the pipeline.
+func newJobs(pipeline *jobspec.Pipeline, t wire.Txn) []NewJob {
+	jobs := make([]NewJob, 0, len(pipeline.Jobs))
+	for i, spec := range pipeline.Jobs {
+		jobs = append(jobs, NewJob{spec, len(t.Then[1+i].Value)})
+	}
+	return jobs
+}
+
 // dependentJobs returns the jobs that links release after others.
 func dependentJobs(links []wire.Link) map[string]bool {
 	dependent := map[string]bool{}
--- a/internal/controller/userapi/response.go
+++ b/internal/controller/userapi/response.go
@@ -19,6 +19,9 @@
 	// ErrUnavailable says that the request cannot be decided now and that the user should
 	// repeat it.
 	ErrUnavailable = errors.New("temporarily unavailable")
+	// ErrFull says that the active jobs leave no room for another one in the controllers' memory.
+	// Every controller would give this answer.
+	ErrFull = errors.New("too many active jobs")
 	// ErrNotTerminal says that a cancellation is recorded, but that not all tasks are proven
 	// gone yet. Every controller would give this answer.
 	ErrNotTerminal = errors.New("cancelled, but not terminal yet")
@@ -47,7 +50,7 @@
 		return transport.Response{Status: status, Body: body}
 	case errors.Is(err, ErrUnavailable):
 		return RetryLater()
-	case errors.Is(err, ErrNotTerminal):
+	case errors.Is(err, ErrNotTerminal), errors.Is(err, ErrFull):
 		response := RetryLater()
 		response.Authoritative = true
 		return response
--- a/internal/controller/userapi/submissions.go
+++ b/internal/controller/userapi/submissions.go
@@ -29,7 +29,8 @@
 
 // SubmitJob accepts a job once. When it returns no error, the job's record is in the state
 // service. It returns an error of package jobspec, a *DependencyError or ErrRecordTooLarge
-// for a job that it refuses, and ErrUnavailable if that cannot be decided now.
+// for a job that it refuses, ErrFull if there are too many active jobs, and ErrUnavailable if that
+// cannot be decided now.
 func (a *API) SubmitJob(body []byte) (Acceptance, error) {
 	spec, err := jobspec.ParseJob(body)
 	if err != nil {
@@ -66,6 +67,9 @@
 	if err != nil {
 		return Acceptance{}, err
 	}
+	if !a.cluster.HasRoomForJobs(NewJob{spec, len(value)}) {
+		return Acceptance{}, ErrFull
+	}
 	return a.recordJob(ctx, spec.Ref, job.Shard, value)
 }
 
--- a/internal/fleet/planner.go
+++ b/internal/fleet/planner.go
@@ -26,6 +26,9 @@
 	Headroom func(arriving float64, boot time.Duration, spot bool) float64
 	// MaxProvision is the highest number of machines in one request and its record.
 	MaxProvision int
+	// MaxRequests is the highest number of requests that are made after a plan. A plan holds no more
+	// machines of a pool than these requests have room for, however many tasks wait.
+	MaxRequests int
 	// RefusalPause is the first pause after the cloud had no capacity in a pool.
 	RefusalPause time.Duration
 }
--- a/internal/fleet/planner_test.go
+++ b/internal/fleet/planner_test.go
@@ -10,7 +10,7 @@
 var testTypes = []wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, Price: 5, SpotPrice: 1, BootS: 20, Zones: []string{"z1", "z2"}}}
 
 func newTestPlanner() *Planner {
-	return NewPlanner(Config{Types: testTypes, Zones: []string{"z1", "z2"}, BalanceInterval: 30 * time.Second, PreemptAfter: 3 * time.Second, MaxProvision: 50,
+	return NewPlanner(Config{Types: testTypes, Zones: []string{"z1", "z2"}, BalanceInterval: 30 * time.Second, PreemptAfter: 3 * time.Second, MaxProvision: 50, MaxRequests: 3,
 		IdleTimeout: func(wire.MachineType, bool) time.Duration { return 30 * time.Second },
 		Headroom:    func(arriving float64, boot time.Duration, _ bool) float64 { return arriving * boot.Seconds() / 2 }, RefusalPause: 10 * time.Second})
 }
--- a/internal/fleet/planning.go
+++ b/internal/fleet/planning.go
@@ -24,8 +24,9 @@
 	emptied        []*bin         // the result of emptiedMachines, computed on first use
 	machinesInZone map[string]int
 
-	toProvision    []*bin
-	toProvisionFor map[int][]*bin // the bins of toProvision by shard
+	toProvision     []*bin
+	toProvisionFor  map[int][]*bin // the bins of toProvision by shard
+	toProvisionFrom map[pool]int   // the number of bins of toProvision by pool
 }
 
 // demand is a need in the plan. Its Count is the number of tasks without a machine so far.
@@ -42,7 +43,7 @@
 
 func newPlanning(p *Planner, summaries []Summary, now time.Time) *planning {
 	plan := &planning{Planner: p, now: now, summaries: summaries, unmet: map[shardPool]int{},
-		withRoom: map[int][]*bin{}, machinesInZone: map[string]int{}, toProvisionFor: map[int][]*bin{}}
+		withRoom: map[int][]*bin{}, machinesInZone: map[string]int{}, toProvisionFor: map[int][]*bin{}, toProvisionFrom: map[pool]int{}}
 	plan.loadDemands()
 	plan.loadMachines()
 	return plan
--- a/internal/fleet/scale_out.go
+++ b/internal/fleet/scale_out.go
@@ -54,34 +54,67 @@
 	b.shard = shard
 	p.toProvision = append(p.toProvision, b)
 	p.toProvisionFor[shard] = append(p.toProvisionFor[shard], b)
+	p.toProvisionFrom[o.pool]++
 	p.machinesInZone[o.zone]++
 	return b
 }
 
 // provision adds new machines for the remaining tasks of a demand, cheapest pool first. Tasks stay
-// pending if no zone with capacity may have them.
+// pending if no zone with capacity may have them, or if the requests of this plan have no room for
+// more machines: a later plan provisions those. A gang uses the machines that the shard has as well.
 func (p *planning) provision(d *demand) {
 	added := p.toProvisionFor[d.shard]
 	if p.placeOn(d, added) {
 		return
 	}
 	offers := p.offers(&d.Need)
-	if d.Gang && d.OneZone {
+	switch {
+	case d.Gang && d.OneZone:
 		offers = p.chooseGangZone(d, offers, added)
+	case d.Gang && len(offers) > 0:
+		p.assign(d, p.findBins(withoutGang(d), append(slices.Clone(p.withRoom[d.shard]), added...)))
 	}
 	for i := 0; d.Count > 0; i++ {
 		offers = slices.DeleteFunc(offers, func(o offer) bool { return !d.allowsZone(o.zone) })
-		if len(offers) == 0 {
+		next, ok := p.nextOffer(d, offers, i)
+		if !ok {
 			return
 		}
-		next := offers[0]
-		if !d.OneZone {
-			next = offers[i%countCheapest(offers)] // spread over the zones
-		}
 		p.fill(p.addMachine(next, d.shard), d)
 	}
 }
 
+// withoutGang returns a copy of a demand whose tasks may be placed one by one.
+func withoutGang(d *demand) *demand {
+	single := &demand{d.Need, d.shard}
+	single.Gang = false
+	return single
+}
+
+// nextOffer returns the offer from which a demand's i-th new machine comes: the cheapest, or if the
+// tasks may be in several zones one of the cheapest in turn. It returns false if there is none, or if
+// the plan has as many machines of these as can be requested. A dearer offer is no replacement then,
+// since a later plan gets the cheaper machines.
+func (p *planning) nextOffer(d *demand, offers []offer, i int) (offer, bool) {
+	if len(offers) == 0 {
+		return offer{}, false
+	}
+	cheapest := 1
+	if !d.OneZone {
+		cheapest = countCheapest(offers)
+	}
+	for k := range cheapest {
+		next := offers[(i+k)%cheapest]
+		if p.toProvisionFrom[next.pool] < p.maxToProvision() {
+			return next, true
+		}
+	}
+	return offer{}, false
+}
+
+// maxToProvision returns how many machines of a pool can be requested after a plan.
+func (p *planning) maxToProvision() int { return p.cfg.MaxRequests * p.cfg.MaxProvision }
+
 // countCheapest returns the number of offers, from the first on, that are as cheap as the first.
 func countCheapest(offers []offer) int {
 	n := 1
@@ -107,8 +140,8 @@
 	var most []*bin
 	zone := ""
 	for _, o := range offers { // the cheapest first
-		inZone := &demand{d.Need, d.shard}
-		inZone.Gang, inZone.Zone = false, o.zone
+		inZone := withoutGang(d)
+		inZone.Zone = o.zone
 		found := p.findBins(inZone, append(slices.Clone(p.withRoom[d.shard]), added...))
 		if zone == "" || len(found) > len(most) {
 			zone, most = o.zone, found
@@ -157,7 +190,7 @@
 		missing[shard]--
 		offers := p.offers(&Need{Spot: spot})
 		i := slices.IndexFunc(offers, func(o offer) bool { return o.spot == spot })
-		if i < 0 {
+		if i < 0 || p.toProvisionFrom[offers[i].pool] >= p.maxToProvision() {
 			return
 		}
 		p.addMachine(offers[i], shard)
--- a/internal/scheduler/allocations_test.go
+++ b/internal/scheduler/allocations_test.go
@@ -161,7 +161,7 @@
 				r.shard.Applied(txn, uint64(2000+n), now)
 				writes++
 			}
-			if j := r.shard.jobs[s.Ref]; j == nil || !j.tasks[0].recorded {
+			if j := r.shard.jobs[s.Ref]; j == nil || !j.tasks.at(0).recorded {
 				t.Fatal("the job's start was not recorded")
 			}
 		})
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -97,9 +97,9 @@
 // zoneLimit returns how many of a job's tasks may be placed in one zone.
 func (j *Job) zoneLimit() int {
 	if j.spec.Spread {
-		return (len(j.tasks) + 1) / 2
+		return (j.tasks.len() + 1) / 2
 	}
-	return len(j.tasks)
+	return j.tasks.len()
 }
 
 // allowsZone reports whether one more of a job's tasks may be placed in a zone, given where
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -76,7 +76,7 @@
 // gang was sent, the other starts are urgent, because the tasks wait for each other only for a
 // limited time.
 func (s *Shard) commandPriority(k taskKey) ratelimit.Priority {
-	t := &k.job.tasks[k.index]
+	t := k.job.tasks.at(k.index)
 	switch {
 	case t.stopping && k.job.cancelled:
 		return ratelimit.Exempt
@@ -88,7 +88,12 @@
 
 // anyStartSent reports whether the start of one of a job's placed tasks was sent.
 func (j *Job) anyStartSent() bool {
-	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.state == placed && t.sent })
+	for _, t := range j.tasks.placedTasks() {
+		if t.sent {
+			return true
+		}
+	}
+	return false
 }
 
 // delayStarts schedules another look at a machine for its delayed starts, at until or earlier.
--- a/internal/scheduler/data_loss.go
+++ b/internal/scheduler/data_loss.go
@@ -92,7 +92,7 @@
 // undecided, so that no command may be sent for it yet. The job is nil if the shard does not hold
 // it.
 func (s *Shard) suspectDataLoss(m *Machine, rt *wire.HeartbeatTask, j *Job, i int, now time.Time) bool {
-	if !s.dataLoss.enabled || (j != nil && (j.withheld || i >= len(j.tasks))) {
+	if !s.dataLoss.enabled || (j != nil && (j.withheld || i >= j.tasks.len())) {
 		return false
 	}
 	recorded := uint64(0)
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -112,13 +112,13 @@
 // tasksOf returns the tasks of a unit.
 func (j *Job) tasksOf(u drain.UnitID) []taskKey {
 	if u.Task != drain.WholeGang {
-		if u.Task < 0 || u.Task >= len(j.tasks) {
+		if u.Task < 0 || u.Task >= j.tasks.len() {
 			return nil
 		}
 		return []taskKey{{j, u.Task}}
 	}
 	var out []taskKey
-	for i := range j.tasks {
+	for i := range j.tasks.len() {
 		out = append(out, taskKey{j, i})
 	}
 	return out
@@ -127,22 +127,22 @@
 // drainUnit describes the unit of a placed task.
 func (s *Shard) drainUnit(k taskKey, now time.Time) *drain.Unit {
 	j, spec := k.job, k.job.spec
-	t := &j.tasks[k.index]
+	t := j.tasks.at(k.index)
 	u := &drain.Unit{
 		UnitID: unitOf(k), Team: spec.Team, Class: spec.Class, Attempt: t.attempt, Service: spec.Kind == wire.Service, Tasks: 1,
 		Estimate: wire.Seconds(spec.EstimateS), CheckpointInterval: wire.Seconds(spec.CheckpointS), SaveTime: wire.Seconds(spec.SaveS),
-		Running: t.phase == wire.Running, Stopping: t.stopping || j.cancelled, OtherReplicasUp: j.progress.running >= len(j.tasks)-1,
+		Running: t.phase == wire.Running, Stopping: t.stopping || j.cancelled, OtherReplicasUp: j.progress.running >= j.tasks.len()-1,
 	}
 	if u.Running {
 		u.RunTime = now.Sub(t.runningSince)
 	}
 	if u.Task == drain.WholeGang {
-		u.Tasks = len(j.tasks)
-		u.Running = j.progress.running == len(j.tasks)
+		u.Tasks = j.tasks.len()
+		u.Running = j.progress.running == j.tasks.len()
 	}
 	u.LostWork = workLost(spec, u)
 	for _, o := range j.tasksOf(u.UnitID) {
-		if m := j.tasks[o.index].machine; j.tasks[o.index].state == placed && m.cordon != NotCordoned {
+		if m := j.tasks.at(o.index).machine; j.tasks.at(o.index).state == placed && m.cordon != NotCordoned {
 			u.TasksOnCordoned++
 		}
 	}
@@ -212,8 +212,8 @@
 	if inZone == nil {
 		return
 	}
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == placed && t.machine.cordon != NotCordoned {
+	for _, t := range j.tasks.placedTasks() {
+		if t.machine.cordon != NotCordoned {
 			inZone[t.machine.Zone]--
 		}
 	}
@@ -228,7 +228,7 @@
 		return
 	}
 	for _, k := range j.tasksOf(d.UnitID) {
-		t := &j.tasks[k.index]
+		t := j.tasks.at(k.index)
 		if t.state != placed || t.attempt != d.Attempt || t.stopping || !t.recorded {
 			continue
 		}
@@ -277,7 +277,7 @@
 
 // outcomeOfDisruption returns the outcome of a disruption for a task that was running under attempt.
 func (k taskKey) outcomeOfDisruption(attempt uint64) drain.Outcome {
-	t := &k.job.tasks[k.index]
+	t := k.job.tasks.at(k.index)
 	switch {
 	case t.state == completed:
 		return drain.Recovered
@@ -295,7 +295,7 @@
 // completed. It does so only if interruptions are watched, the task was running or saving a
 // checkpoint, and its job was not cancelled.
 func (s *Shard) recordInterruption(k taskKey) {
-	t := &k.job.tasks[k.index]
+	t := k.job.tasks.at(k.index)
 	if !s.drains.watchInterruptions || k.job.cancelled || (t.phase != wire.Running && t.phase != wire.Checkpointing) {
 		return
 	}
--- a/internal/scheduler/gang_start_delay.go
+++ b/internal/scheduler/gang_start_delay.go
@@ -27,8 +27,7 @@
 		return time.Time{}
 	}
 	var latest time.Time
-	for i := range k.job.tasks {
-		peer := &k.job.tasks[i]
+	for _, peer := range k.job.tasks.placedTasks() {
 		if !peer.fetching() {
 			continue
 		}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -143,7 +143,7 @@
 		return
 	}
 	// A gang's tasks complete together: once one is done, all are.
-	for i := range k.job.tasks {
+	for i := range k.job.tasks.len() {
 		s.markCompleted(taskKey{k.job, i}, now)
 	}
 }
@@ -233,8 +233,11 @@
 	if j.spec.Kind != wire.Gang {
 		return true
 	}
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == pending || (t.state == placed && !t.recorded) {
+	if j.progress.pending > 0 {
+		return false
+	}
+	for _, t := range j.tasks.placedTasks() {
+		if !t.recorded {
 			return false
 		}
 	}
--- a/internal/scheduler/invariants_test.go
+++ b/internal/scheduler/invariants_test.go
@@ -10,6 +10,9 @@
 // checkInvariants compares the shard's counts and indexes with the tasks, machines and records from
 // which they derive. The random tests call it after each step.
 func checkInvariants(s *Shard) error {
+	if err := checkSharedTasks(); err != nil {
+		return err
+	}
 	for _, j := range s.jobs {
 		if err := checkJob(s, j); err != nil {
 			return fmt.Errorf("job %s: %w", j.ref, err)
@@ -38,8 +41,8 @@
 func checkJob(s *Shard, j *Job) error {
 	var pendingCount, placedCount, completedCount, running int
 	byZone := map[string]int{}
-	for i := range j.tasks {
-		t := &j.tasks[i]
+	for i := range j.tasks.len() {
+		t := j.tasks.at(i)
 		switch t.state {
 		case pending:
 			pendingCount++
@@ -82,8 +85,8 @@
 func checkRanges(j *Job) error {
 	end := 0
 	for _, c := range j.ranges {
-		if c.first < end || c.end <= c.first || c.end > len(j.tasks) {
-			return fmt.Errorf("range [%d, %d) after one that ends at %d, of %d tasks: want it in order, not empty and within the tasks", c.first, c.end, end, len(j.tasks))
+		if c.first < end || c.end <= c.first || c.end > j.tasks.len() {
+			return fmt.Errorf("range [%d, %d) after one that ends at %d, of %d tasks: want it in order, not empty and within the tasks", c.first, c.end, end, j.tasks.len())
 		}
 		end = c.end
 		if !contains(c.record.ranges, c) {
@@ -99,7 +102,7 @@
 	var used resources
 	var byRank [highestRank + 1]int
 	for k, t := range m.tasks {
-		if t.state != placed || t.machine != m || &k.job.tasks[k.index] != t {
+		if t.state != placed || t.machine != m || k.job.tasks.at(k.index) != t {
 			return fmt.Errorf("has task %s, which is not placed on it", k.name())
 		}
 		used = used.plus(k.job.spec)
@@ -158,8 +161,8 @@
 func checkQuotas(s *Shard) error {
 	used := map[string]resources{}
 	for _, j := range s.jobs {
-		for i := range j.tasks {
-			if j.tasks[i].state == placed {
+		for i := range j.tasks.len() {
+			if j.tasks.at(i).state == placed {
 				used[j.spec.Team] = used[j.spec.Team].plus(j.spec)
 			}
 		}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -19,7 +19,7 @@
 	unneeded            bool      // cancelled because its pipeline or a cancelled dependency leaves no use for it
 	cancelled           bool
 	withheld            bool // a placement record that cannot be decoded may hold its tasks
-	tasks               []task
+	tasks               taskTable
 	progress            jobProgress
 	ranges              []*taskRange // in order, without overlaps
 	notBefore           time.Time    // earliest time of the next placement, after failures
--- a/internal/scheduler/load_records.go
+++ b/internal/scheduler/load_records.go
@@ -63,15 +63,15 @@
 		return slices.ContainsFunc(fresh, func(within [2]int) bool { return within[0] <= i && i < within[1] })
 	}
 	for _, span := range l.recorded.Completed {
-		for i := max(0, span[0]); i <= span[1] && i < len(j.tasks); i++ {
+		for i := max(0, span[0]); i <= span[1] && i < j.tasks.len(); i++ {
 			if isFresh(i) {
 				s.markCompleted(taskKey{j, i}, now)
-				j.tasks[i].completionRecorded = true
+				j.tasks.recordCompletion(i)
 			}
 		}
 	}
 	for i, placement := range l.recorded.Placed {
-		if isFresh(i) && j.tasks[i].state == pending {
+		if isFresh(i) && j.tasks.at(i).state == pending {
 			s.loadPlacement(taskKey{j, i}, placement, now)
 		}
 	}
--- a/internal/scheduler/pipeline.go
+++ b/internal/scheduler/pipeline.go
@@ -89,11 +89,9 @@
 
 // recountTasks counts the tasks of a job on machines by the rank that the job is about to have.
 func (s *Shard) recountTasks(j *Job, rank int) {
-	for i := range j.tasks {
-		if m := j.tasks[i].machine; m != nil {
-			s.inventory.countTask(m, j.rank, -1)
-			s.inventory.countTask(m, rank, 1)
-		}
+	for _, t := range j.tasks.placedTasks() {
+		s.inventory.countTask(t.machine, j.rank, -1)
+		s.inventory.countTask(t.machine, rank, 1)
 	}
 }
 
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -236,7 +236,7 @@
 
 // nextPending returns the index of a job's first pending task; there must be one.
 func (j *Job) nextPending() int {
-	for j.tasks[j.progress.firstPending].state != pending {
+	for j.tasks.at(j.progress.firstPending).state != pending {
 		j.progress.firstPending++
 	}
 	return j.progress.firstPending
--- a/internal/scheduler/placement_records.go
+++ b/internal/scheduler/placement_records.go
@@ -88,6 +88,8 @@
 	cfg     *Config
 	token   uint64
 	records map[int]*placementRecord
+	// searchFrom is by the size of a range in bytes: no record with a lower number has room for it.
+	searchFrom map[int]int
 	// txnOps and valueBytes are the limits that writes keep to: those of Config, or lower ones
 	// after the state service has rejected a transaction as too large.
 	txnOps, valueBytes int
@@ -98,7 +100,7 @@
 }
 
 func newPlacementLedger(cfg *Config, token uint64) placementLedger {
-	return placementLedger{cfg: cfg, token: token, records: map[int]*placementRecord{}, txnOps: cfg.TxnOps, valueBytes: cfg.ValueBytes}
+	return placementLedger{cfg: cfg, token: token, records: map[int]*placementRecord{}, searchFrom: map[int]int{}, txnOps: cfg.TxnOps, valueBytes: cfg.ValueBytes}
 }
 
 // AllowSizedRanges allows ranges that state their size where they are needed. The caller must know
@@ -110,6 +112,7 @@
 func (s *Shard) UseSizedRanges() {
 	if !s.ledger.sized {
 		s.ledger.sized, s.placementDue = true, true
+		clear(s.ledger.searchFrom)
 	}
 }
 
@@ -181,7 +184,7 @@
 		size = l.sizedRangeTasks()
 	}
 	first := i / size * size
-	for _, span := range j.uncovered(first, min(first+size, len(j.tasks)), size) {
+	for _, span := range j.uncovered(first, min(first+size, j.tasks.len()), size) {
 		if span[0] <= i && i < span[1] {
 			return l.assign(&taskRange{job: j, first: span[0], end: span[1]}, nil)
 		}
@@ -216,11 +219,31 @@
 	if l.sized {
 		limit -= recordOverhead
 	}
-	for n := 0; ; n++ {
+	for n := l.searchFrom[bytes]; ; n++ {
 		rec := l.record(n)
-		if rec != source && !rec.unreadable && rec.sized == l.sized && len(rec.movedOut) == 0 && (len(rec.ranges) == 0 || rec.usedBytes+bytes <= limit) {
-			return rec
+		if rec == source || !l.mayHold(rec, bytes, limit) {
+			continue
+		}
+		if source == nil {
+			l.searchFrom[bytes] = n
 		}
+		return rec
+	}
+}
+
+// mayHold reports whether a range of so many bytes may be entered in a record, whose ranges may take
+// limit bytes.
+func (l *placementLedger) mayHold(rec *placementRecord, bytes, limit int) bool {
+	if rec.unreadable || rec.sized != l.sized || len(rec.movedOut) > 0 {
+		return false
+	}
+	return len(rec.ranges) == 0 || rec.usedBytes+bytes <= limit
+}
+
+// roomFreed lets later searches for room begin at a record again, since it may have more room.
+func (l *placementLedger) roomFreed(rec *placementRecord) {
+	for bytes, n := range l.searchFrom {
+		l.searchFrom[bytes] = min(n, rec.number)
 	}
 }
 
@@ -234,6 +257,12 @@
 	return rec
 }
 
+// remove removes a record that holds no ranges.
+func (l *placementLedger) remove(rec *placementRecord) {
+	delete(l.records, rec.number)
+	l.roomFreed(rec)
+}
+
 // rangeName returns the name of a range in its record: the job's ref with the index of the first
 // task if the record is sized, else with the number of the range.
 func (l *placementLedger) rangeName(r *taskRange) string {
@@ -247,6 +276,7 @@
 func (l *placementLedger) detach(r *taskRange) {
 	r.record.usedBytes -= r.bytes
 	delete(r.record.ranges, l.rangeName(r))
+	l.roomFreed(r.record)
 	r.job.ranges = slices.DeleteFunc(r.job.ranges, func(o *taskRange) bool { return o == r })
 }
 
@@ -255,6 +285,7 @@
 func (l *placementLedger) confirmWritten(r *taskRange) {
 	if r.previousRecord != nil {
 		delete(r.previousRecord.movedOut, r)
+		l.roomFreed(r.previousRecord)
 		r.previousRecord = nil
 	}
 }
@@ -278,7 +309,7 @@
 			piece.previousRecord = nil // no record in the state service holds it
 		}
 		for i := piece.first; i < piece.end; i++ {
-			if t := &r.job.tasks[i]; (t.state == placed && !t.recorded) || (t.state == completed && !t.completionRecorded) {
+			if t := r.job.tasks.at(i); (t.state == placed && !t.recorded) || (t.state == completed && !t.completionRecorded) {
 				piece.record.urgent = piece.record.urgent || t.state == placed
 				piece.record.dirty = true
 			}
@@ -292,7 +323,7 @@
 // retireUnsized moves the ranges of unsized records to sized records, and queues the unsized
 // records that are no longer needed for deletion.
 func (l *placementLedger) retireUnsized() {
-	for n, rec := range l.records {
+	for _, rec := range l.records {
 		if rec.sized || rec.unreadable || rec.txn != nil || rec.versionUnknown {
 			continue
 		}
@@ -301,7 +332,7 @@
 		}
 		if len(rec.movedOut) == 0 {
 			if rec.version == 0 {
-				delete(l.records, n)
+				l.remove(rec)
 				continue
 			}
 			l.obsolete = append(l.obsolete, rec)
@@ -379,7 +410,7 @@
 				size := s.cfg.unsizedRangeTasks()
 				l.first, l.end = n*size, (n+1)*size
 			}
-			if l.end = min(l.end, len(j.tasks)); l.first < l.end {
+			if l.end = min(l.end, j.tasks.len()); l.first < l.end {
 				out = append(out, l)
 			}
 		}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -220,7 +220,7 @@
 // come at intervals of the task's progress, so the time since the last one is known well
 // enough to choose.
 func (k taskKey) preemptionCost(now time.Time) (loss float64, grace time.Duration) {
-	t := &k.job.tasks[k.index]
+	t := k.job.tasks.at(k.index)
 	spec := k.job.spec
 	if t.phase == wire.Running {
 		ran := now.Sub(t.runningSince).Seconds()
@@ -237,7 +237,7 @@
 	}
 	loss += 1 + spec.ImageGB/2
 	if spec.Kind == wire.Gang {
-		loss *= float64(len(k.job.tasks))
+		loss *= float64(k.job.tasks.len())
 	}
 	return loss, grace
 }
--- a/internal/scheduler/quotas.go
+++ b/internal/scheduler/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 
 	"bramblespur/internal/wire"
 )
@@ -93,6 +94,11 @@
 		(t.MaxGPUs <= 0 || u.gpus+f*j.spec.GPUs <= t.MaxGPUs+slack)
 }
 
+// mostWithinLimit returns how many more tasks of j, n at most, keep its team within its limit.
+func (q *quotas) mostWithinLimit(j *Job, n int) int {
+	return sort.Search(n, func(less int) bool { return !q.withinLimit(j, less+1) })
+}
+
 // withinGuarantee reports whether j's team stays within its guarantee with n more tasks of j.
 // It is false for a team without a guarantee.
 func (q *quotas) withinGuarantee(j *Job, n int) bool {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -23,8 +23,8 @@
 		rt := &r.Tasks[i]
 		ref, n, ok := SplitTask(rt.Task)
 		j := s.jobs[ref]
-		known := ok && j != nil && n < len(j.tasks)
-		if known && (j.tasks[n].isPlacedOn(m, rt.Attempt) || s.adoptWithheldTask(taskKey{j, n}, m, rt, now)) {
+		known := ok && j != nil && n < j.tasks.len()
+		if known && (j.tasks.at(n).isPlacedOn(m, rt.Attempt) || s.adoptWithheldTask(taskKey{j, n}, m, rt, now)) {
 			placedHere[taskKey{j, n}] = rt
 			continue
 		}
@@ -34,7 +34,7 @@
 		}
 		claim := reconcile.ReportedTask{State: rt.State, Why: rt.Why, JobKnown: known}
 		if known {
-			t := &j.tasks[n]
+			t := j.tasks.at(n)
 			claim.PlacedElsewhere = t.state == placed && t.attempt == rt.Attempt
 			claim.Completed, claim.CompletionRecorded = t.state == completed, t.completionRecorded
 		} else {
@@ -47,7 +47,7 @@
 		s.recordOrphanOutcome(m, rt, result.Outcome)
 		switch result.Action {
 		case reconcile.RecordCompletion:
-			if j.tasks[n].state == pending {
+			if j.tasks.at(n).state == pending {
 				s.completeTask(taskKey{j, n}, now) // under whichever attempt: the result counts
 			}
 		case reconcile.Stop:
--- a/internal/scheduler/reconciliation_progress.go
+++ b/internal/scheduler/reconciliation_progress.go
@@ -103,10 +103,10 @@
 func (s *Shard) describeTask(name string) string {
 	ref, n, ok := SplitTask(name)
 	j := s.jobs[ref]
-	if !ok || j == nil || n >= len(j.tasks) {
+	if !ok || j == nil || n >= j.tasks.len() {
 		return "no such task"
 	}
-	switch t := &j.tasks[n]; t.state {
+	switch t := j.tasks.at(n); t.state {
 	case placed:
 		return "placed on " + t.machine.ID
 	case completed:
--- a/internal/scheduler/record_writes.go
+++ b/internal/scheduler/record_writes.go
@@ -87,7 +87,7 @@
 // without an active record.
 func (s *Shard) recordJobEnd(j *Job, now time.Time) {
 	activeKey := record.ActiveJobKey(j.ref)
-	rec := record.FinishedJob{State: wire.Done, Tasks: len(j.tasks), FinishedAt: now.UnixMilli()}
+	rec := record.FinishedJob{State: wire.Done, Tasks: j.tasks.len(), FinishedAt: now.UnixMilli()}
 	if j.cancelled {
 		rec.State, rec.Tasks = wire.Cancelled, 0
 	}
@@ -139,7 +139,7 @@
 	}
 	t.Body.Then = []wire.Op{{Put: key, Value: value}}
 	for _, k := range t.starts {
-		k.job.tasks[k.index].recording = true
+		k.job.tasks.at(k.index).recording = true
 	}
 	placements.txn = t
 	s.effects.Txns = append(s.effects.Txns, t)
@@ -169,7 +169,7 @@
 	built = r.header()
 	for i := r.first; i < r.end; i++ {
 		k := taskKey{j, i}
-		task := &j.tasks[i]
+		task := j.tasks.at(i)
 		switch task.state {
 		case placed:
 			if !task.recorded && !addConditions(conditions, room, map[string]uint64{
@@ -289,7 +289,7 @@
 
 // reportJobEnd adds a job's end to the effects, for the log.
 func (s *Shard) reportJobEnd(j *Job, now time.Time) {
-	e := JobEnd{Ref: j.ref, Class: j.spec.Class, State: wire.Done, Took: now.Sub(j.accepted), Tasks: len(j.tasks),
+	e := JobEnd{Ref: j.ref, Class: j.spec.Class, State: wire.Done, Took: now.Sub(j.accepted), Tasks: j.tasks.len(),
 		Estimate: wire.Seconds(j.spec.EstimateS)}
 	if j.cancelled {
 		e.State = wire.Cancelled
@@ -302,10 +302,8 @@
 
 // removeJob removes a job whose end is recorded.
 func (s *Shard) removeJob(j *Job, now time.Time) {
-	for i := range j.tasks {
-		if j.tasks[i].state == placed {
-			s.unplaceTask(taskKey{j, i}, now)
-		}
+	for i := range j.tasks.placedTasks() {
+		s.unplaceTask(taskKey{j, i}, now)
 	}
 	for _, r := range slices.Clone(j.ranges) {
 		s.ledger.detach(r)
--- a/internal/scheduler/recorded_state.go
+++ b/internal/scheduler/recorded_state.go
@@ -43,7 +43,7 @@
 func (r *taskRange) asRecorded() record.TaskRange {
 	out := r.header()
 	for i := r.first; i < r.end; i++ {
-		switch t := &r.job.tasks[i]; {
+		switch t := r.job.tasks.at(i); {
 		case t.state == placed && t.recorded:
 			addPlacement(&out, i, t)
 		case t.state == completed:
--- a/internal/scheduler/rereads.go
+++ b/internal/scheduler/rereads.go
@@ -110,7 +110,7 @@
 		}
 	}
 	for _, k := range t.starts {
-		task := &k.job.tasks[k.index]
+		task := k.job.tasks.at(k.index)
 		if task.state == placed && task.recording && changed && s.ledger.hasPlacement(t.placements, rec, k) {
 			task.recorded, task.recording = true, false
 			s.effects.StartsReady = append(s.effects.StartsReady, task.machine.ID)
@@ -126,7 +126,7 @@
 		return false
 	}
 	placement, ok := rec.Ranges[l.rangeName(r)].Placed[k.index]
-	task := &k.job.tasks[k.index]
+	task := k.job.tasks.at(k.index)
 	return ok && task.machine != nil && placement.Attempt == task.attempt && placement.Machine == task.machine.ID
 }
 
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -56,9 +56,7 @@
 		}
 		return n
 	}
-	for n > 0 && !s.quotas.withinLimit(j, n) {
-		n--
-	}
+	n = s.quotas.mostWithinLimit(j, n)
 	for m := range s.inventory.reserved[j.ref] {
 		n = max(0, n-m.reservedFor(j, now))
 	}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -16,8 +16,8 @@
 	completed                  // final
 )
 
-// task is a task of a job. Its fields are valid only while it is placed, except for state and
-// completionRecorded.
+// task is a task of a job, in the taskTable of that. Its fields are valid only while it is placed,
+// except for state and completionRecorded.
 type task struct {
 	state              taskState
 	recorded           bool      // the placement is in the state service
--- a/internal/scheduler/task_ledger.go
+++ b/internal/scheduler/task_ledger.go
@@ -12,8 +12,7 @@
 // placeTask enters the placement of the pending task k on machine m in the ledger.
 func (s *Shard) placeTask(k taskKey, m *Machine, attempt uint64, now time.Time) *task {
 	j := k.job
-	t := &j.tasks[k.index]
-	*t = task{state: placed, attempt: attempt, machine: m}
+	t := j.tasks.place(k.index, m, attempt)
 	j.progress.pending--
 	j.progress.placed++
 	j.progress.placedByZone[m.Zone]++
@@ -38,7 +37,7 @@
 // never recorded.
 func (s *Shard) unplaceTask(k taskKey, now time.Time) {
 	j := k.job
-	t := &j.tasks[k.index]
+	t := j.tasks.at(k.index)
 	m := t.machine
 	spec := j.spec
 	delete(m.tasks, k)
@@ -56,7 +55,7 @@
 	}
 	t.setPhase(j, "")
 	s.quotas.refund(spec)
-	*t = task{state: pending}
+	j.tasks.unplace(k.index)
 	j.progress.placed--
 	j.progress.pending++
 	if j.progress.placedByZone[m.Zone]--; j.progress.placedByZone[m.Zone] == 0 {
@@ -72,7 +71,7 @@
 // markCompleted makes a pending or placed task completed.
 func (s *Shard) markCompleted(k taskKey, now time.Time) {
 	j := k.job
-	t := &j.tasks[k.index]
+	t := j.tasks.at(k.index)
 	if t.state == completed {
 		return
 	}
@@ -80,7 +79,7 @@
 		s.reconciliation.recordOutcome(t, reconcile.Finished)
 		s.unplaceTask(k, now)
 	}
-	*t = task{state: completed}
+	j.tasks.complete(k.index)
 	j.progress.pending--
 	j.progress.completed++
 	s.inventory.updatePending(j)
@@ -99,7 +98,7 @@
 
 // terminal reports whether no task of a job is left to run or to be proven gone.
 func (j *Job) terminal() bool {
-	return (j.cancelled && j.progress.placed == 0 && !j.withheld) || (!j.cancelled && j.progress.completed == len(j.tasks))
+	return (j.cancelled && j.progress.placed == 0 && !j.withheld) || (!j.cancelled && j.progress.completed == j.tasks.len())
 }
 
 // markDirty marks the placement record of a task's range as changed and returns the range.
@@ -134,7 +133,7 @@
 	if j == nil {
 		spec := o.Spec
 		j = &Job{
-			ref: ref, spec: &spec, accepted: time.UnixMilli(o.AcceptedAt), tasks: make([]task, spec.Tasks),
+			ref: ref, spec: &spec, accepted: time.UnixMilli(o.AcceptedAt), tasks: newTaskTable(spec.Tasks),
 			progress: jobProgress{pending: spec.Tasks, placedByZone: map[string]int{}}, rank: Rank(spec.Priority), awaitsDependencies: true,
 		}
 		s.jobs[ref] = j
@@ -180,9 +179,9 @@
 		return
 	}
 	j.cancelled = true
-	for i := range j.tasks {
+	for i, t := range j.tasks.placedTasks() {
 		k := taskKey{j, i}
-		if t := &j.tasks[i]; t.state == placed && !t.recorded && !t.recording {
+		if !t.recorded && !t.recording {
 			s.unplaceTask(k, now) // never recorded, so never sent
 		} else {
 			s.stopTask(k, 0, now)
@@ -295,7 +294,7 @@
 // stopTask stops a placed task, which has the grace period to save. The stop is never revoked for
 // that attempt.
 func (s *Shard) stopTask(k taskKey, grace time.Duration, now time.Time) {
-	t := &k.job.tasks[k.index]
+	t := k.job.tasks.at(k.index)
 	if t.state != placed {
 		return
 	}
@@ -308,7 +307,7 @@
 
 // stopJob stops every placed task of a job.
 func (s *Shard) stopJob(j *Job, grace time.Duration, now time.Time) {
-	for i := range j.tasks {
+	for i := range j.tasks.placedTasks() {
 		s.stopTask(taskKey{j, i}, grace, now)
 	}
 }
@@ -318,7 +317,7 @@
 // completes the gang. If its gang runs, unsaved work is lost already and the other tasks only
 // occupy machines, so they are stopped.
 func (s *Shard) taskLost(k taskKey, now time.Time) {
-	s.reconciliation.recordOutcome(&k.job.tasks[k.index], reconcile.Missing)
+	s.reconciliation.recordOutcome(k.job.tasks.at(k.index), reconcile.Missing)
 	s.recordInterruption(k)
 	s.unplaceTask(k, now)
 	if k.job.spec.Kind == wire.Gang && !k.job.assembling() {
@@ -328,9 +327,8 @@
 
 // stopAttempt stops the placed tasks of a job without grace, except for those being stopped.
 func (s *Shard) stopAttempt(j *Job, now time.Time) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.state == placed && !t.stopping {
+	for i, t := range j.tasks.placedTasks() {
+		if !t.stopping {
 			s.stopTask(taskKey{j, i}, 0, now)
 		}
 	}
@@ -339,11 +337,7 @@
 // assembling reports whether, by the heartbeats received, all placed tasks of a gang still wait
 // for the others of their attempt.
 func (j *Job) assembling() bool {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.state != placed {
-			continue
-		}
+	for _, t := range j.tasks.placedTasks() {
 		waiting := t.phase == wire.Fetching || t.phase == wire.AwaitingGang || (t.phase == "" && !t.inherited)
 		if t.stopping || !waiting {
 			return false
@@ -354,10 +348,8 @@
 
 // gangAttempt returns the attempt of a gang's placed tasks, 0 if there are none.
 func (j *Job) gangAttempt() uint64 {
-	for i := range j.tasks {
-		if j.tasks[i].state == placed {
-			return j.tasks[i].attempt
-		}
+	for _, t := range j.tasks.placedTasks() {
+		return t.attempt
 	}
 	return 0
 }
--- a/internal/scheduler/unreadable_records.go
+++ b/internal/scheduler/unreadable_records.go
@@ -134,7 +134,7 @@
 	if !j.withheld || rt.State == wire.Exited {
 		return false
 	}
-	switch t := &j.tasks[k.index]; {
+	switch t := j.tasks.at(k.index); {
 	case t.state == pending:
 	case t.state == placed && t.inherited && !t.reported && rt.Attempt > t.attempt:
 		s.reconciliation.recordOutcome(t, reconcile.Missing)
--- a/internal/scheduler/upgrade_test.go
+++ b/internal/scheduler/upgrade_test.go
@@ -93,8 +93,8 @@
 func recordedInLedger(shard *Shard) recordedTasks {
 	f := recordedTasks{placements: map[string]record.TaskPlacement{}, completed: map[string]bool{}}
 	for _, j := range shard.jobs {
-		for i := range j.tasks {
-			switch t := &j.tasks[i]; {
+		for i := range j.tasks.len() {
+			switch t := j.tasks.at(i); {
 			case t.state == placed && t.recorded:
 				f.placements[taskKey{j, i}.name()] = record.TaskPlacement{Machine: t.machine.ID, Attempt: t.attempt}
 			case t.state == completed && t.completionRecorded:
--- a/internal/scheduler/write_outcomes.go
+++ b/internal/scheduler/write_outcomes.go
@@ -38,13 +38,13 @@
 	t.placements.txn = nil
 	t.placements.version = revision
 	if t.deletesRecord {
-		delete(s.ledger.records, t.placements.number)
+		s.ledger.remove(t.placements)
 	}
 	for _, r := range t.ranges {
 		s.ledger.confirmWritten(r)
 	}
 	for _, k := range t.starts {
-		task := &k.job.tasks[k.index]
+		task := k.job.tasks.at(k.index)
 		if task.state == placed && task.recording {
 			task.recorded, task.recording = true, false
 			task.traceStep(func(st *startTrace) { st.recorded = now })
@@ -52,7 +52,7 @@
 		}
 	}
 	for _, k := range t.completions {
-		k.job.tasks[k.index].completionRecorded = true
+		k.job.tasks.recordCompletion(k.index)
 	}
 }
 
@@ -100,7 +100,7 @@
 		}
 	}
 	s.revertWrite(t, now, func(k taskKey) bool {
-		m := k.job.tasks[k.index].machine
+		m := k.job.tasks.at(k.index).machine
 		return failedKeys[record.ActiveJobKey(k.job.ref)] || (m != nil && failedKeys[record.OverrideKey(m.ID)])
 	})
 	if failedKeys[record.PlacementsKey(s.id, rec.number)] {
@@ -169,7 +169,7 @@
 func (s *Shard) revertWrite(t *Txn, now time.Time, cancel func(taskKey) bool) {
 	gangs := map[*Job]bool{}
 	for _, k := range t.starts {
-		task := &k.job.tasks[k.index]
+		task := k.job.tasks.at(k.index)
 		if task.state != placed || !task.recording {
 			continue
 		}
@@ -185,8 +185,8 @@
 		if !gang {
 			continue
 		}
-		for i := range j.tasks {
-			if t := &j.tasks[i]; t.state == placed && !t.sent && !t.inherited && !t.recording {
+		for i, t := range j.tasks.placedTasks() {
+			if !t.sent && !t.inherited && !t.recording {
 				s.unplaceTask(taskKey{j, i}, now)
 			}
 		}
