userapi: a dependent of a cancelled job is not called pending

Cause: a status query answered from the job's own record, and the ends of dependents need two changes each, which an outage holds up. Change: before a poll or a repeated submission calls a dependent pending, the controller settles the dependencies that are no longer active, and records the job's end itself if one was cancelled. Why it works: pending is answered only when each job before was active or done in a view younger than cancel_s; aborted is still answered only once recorded. The checker follows indirect dependencies too. TestDependentSubmissions removes the end that a repeat now records, and checks it.

--- a/internal/controller/clusterview/activejobs.go
+++ b/internal/controller/clusterview/activejobs.go
@@ -31,6 +31,7 @@
 	Shard     int    // the shard to which the job belongs
 	Cancelled bool   // the job's cancellation is recorded, its end is not
 	Service   bool   // the job is a service
+	Dependent bool   // the job names dependencies
 	Bytes     int    // upper bound of the memory that the job takes, as of scheduler.JobBytes
 }
 
@@ -78,7 +79,8 @@
 	}
 	bytes := scheduler.JobBytes(&r.Spec, len(change.Value), v.placementsPerRecord)
 	v.bytes += bytes - v.jobs[ref].Bytes
-	v.jobs[ref] = ActiveJob{Version: change.Version, Shard: r.Shard, Cancelled: r.Cancelled, Service: r.Spec.Kind == wire.Service, Bytes: bytes}
+	v.jobs[ref] = ActiveJob{Version: change.Version, Shard: r.Shard, Cancelled: r.Cancelled, Service: r.Spec.Kind == wire.Service,
+		Dependent: len(r.Spec.DependsOn) > 0, Bytes: bytes}
 	urgencyChanged := v.dependencies.Set(ref, dependencyJob(&r))
 	return JobChange{Ref: ref, Record: r, Version: change.Version, UrgencyChanged: urgencyChanged}, true, nil
 }
@@ -221,6 +223,21 @@
 	return v.dependencies.Dependents(ref)
 }
 
+// SetDone notes that a job which is no longer active is done.
+func (v *ActiveJobs) SetDone(ref string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.dependencies.SetDone(ref)
+}
+
+// UnsettledDependencies returns the jobs that are neither active nor known to be done, on which a job
+// depends directly or through active jobs. They may have been cancelled.
+func (v *ActiveJobs) UnsettledDependencies(ref string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.dependencies.Unsettled(ref)
+}
+
 // EndedDependencies returns the refs of the jobs on which active jobs depend
 // directly and which are not active themselves.
 func (v *ActiveJobs) EndedDependencies() []string {
--- a/internal/controller/dependency_tracking.go
+++ b/internal/controller/dependency_tracking.go
@@ -25,6 +25,9 @@
 	if !c.activeJobs.HasDependents(ref) {
 		return
 	}
+	if finished.State == wire.Done {
+		c.activeJobs.SetDone(ref)
+	}
 	for _, shard := range c.shards.AllLocked() {
 		shard.DependencyEnded(ref, finished, now)
 		c.shards.StepLocked(shard, now)
@@ -130,7 +133,9 @@
 		return
 	}
 	for _, dependent := range elsewhere {
-		c.cancelDependent(ctx, dependent)
+		if err := c.cancelDependent(ctx, dependent); err != nil {
+			c.log.Debug("dependent not cancelled", "job", dependent, "err", err) // the next tick tries again, unless the owner has cancelled it by then
+		}
 	}
 }
 
@@ -154,12 +159,12 @@
 // cancelDependent records a job as cancelled because a job that it depends on was cancelled. The
 // dependent has never run, so its owner need not take part: the write only requires that the job's
 // record has not changed. It takes the shards' lock.
-func (c *Controller) cancelDependent(ctx context.Context, ref string) {
+func (c *Controller) cancelDependent(ctx context.Context, ref string) error {
 	c.mu.Lock()
 	job, active := c.activeJobs.Job(ref)
 	c.mu.Unlock()
 	if !active {
-		return
+		return nil
 	}
 	key := record.ActiveJobKey(ref)
 	t := wire.Txn{
@@ -171,10 +176,10 @@
 	}
 	rev, err := c.store.Txn(ctx, statestore.Urgent("cascade"), t)
 	if err != nil {
-		c.log.Debug("dependent not cancelled", "job", ref, "err", err) // the next tick tries again, unless the owner has cancelled it by then
-		return
+		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.applyOwnWritesLocked(t, rev, time.Now())
+	return nil
 }
--- a/internal/controller/dependency_tracking_test.go
+++ b/internal/controller/dependency_tracking_test.go
@@ -97,7 +97,13 @@
 			if got := c.submit(dependentBody(t, "run-000500", x.roots)); got.Status != 200 {
 				t.Errorf("%s: repeat under tighter limits: status %d, want 200", name, got.Status)
 			}
-			if _, err := state.Txn(context.Background(), statestore.Urgent("test"), wire.Txn{Then: []wire.Op{{Delete: e.Key}}}); err != nil {
+			// The repeat has ended the job whose dependency was cancelled.
+			_, err = state.Get(context.Background(), statestore.Urgent("test"), record.FinishedJobKey("run-000500"))
+			if ended := err == nil; ended != (name == "cancelled") {
+				t.Errorf("%s: ended is %t", name, ended)
+			}
+			remove := wire.Txn{Then: []wire.Op{{Delete: e.Key}, {Delete: record.FinishedJobKey("run-000500")}}}
+			if _, err := state.Txn(context.Background(), statestore.Urgent("test"), remove); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -10,6 +10,7 @@
 	"bramblespur/internal/controller/messagecheck"
 	"bramblespur/internal/controller/userapi"
 	"bramblespur/internal/peer"
+	"bramblespur/internal/record"
 	"bramblespur/internal/scheduler"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
@@ -63,7 +64,29 @@
 	u.c.mu.Lock()
 	defer u.c.mu.Unlock()
 	job, active := u.c.activeJobs.Job(ref)
-	return userapi.ActiveJob{Version: job.Version, Cancelled: job.Cancelled, Service: job.Service}, active
+	return userapi.ActiveJob{Version: job.Version, Cancelled: job.Cancelled, Service: job.Service, Dependent: job.Dependent}, active
+}
+
+// UnsettledDependencies implements userapi.Cluster.
+func (u userCluster) UnsettledDependencies(ref string) ([]string, bool) {
+	u.c.mu.Lock()
+	defer u.c.mu.Unlock()
+	if u.c.activeJobsStaleLocked(time.Now()) {
+		return nil, false
+	}
+	return u.c.activeJobs.UnsettledDependencies(ref), true
+}
+
+// ApplyDependency implements userapi.Cluster.
+func (u userCluster) ApplyDependency(ref string, finished record.FinishedJob) {
+	u.c.mu.Lock()
+	defer u.c.mu.Unlock()
+	u.c.applyTerminalRecordLocked(ref, finished, time.Now())
+}
+
+// CancelDependent implements userapi.Cluster.
+func (u userCluster) CancelDependent(ctx context.Context, ref string) error {
+	return u.c.cancelDependent(ctx, ref)
 }
 
 // CancellationPending implements userapi.Cluster.
--- a/internal/controller/userapi/api.go
+++ b/internal/controller/userapi/api.go
@@ -24,6 +24,7 @@
 	"bramblespur/internal/controller/dataloss"
 	"bramblespur/internal/controller/linearizable"
 	"bramblespur/internal/controller/terminal"
+	"bramblespur/internal/record"
 	"bramblespur/internal/statestore"
 	"bramblespur/internal/wire"
 )
@@ -51,6 +52,7 @@
 	Version   uint64 // of the job's active record
 	Cancelled bool   // the job's cancellation is recorded
 	Service   bool   // the job is a service
+	Dependent bool   // the job names dependencies
 }
 
 // NewJob is a job that is about to be accepted.
@@ -74,6 +76,15 @@
 	// ActiveJob returns what the view holds of a job. It reports false if the job is not
 	// active in the view.
 	ActiveJob(ref string) (ActiveJob, bool)
+	// UnsettledDependencies returns the jobs that are neither active in the view nor known to be
+	// done, on which a job depends directly or through others. It reports false if the view may
+	// lack the ends of some.
+	UnsettledDependencies(ref string) ([]string, bool)
+	// ApplyDependency applies the terminal record of a dependency.
+	ApplyDependency(ref string, finished record.FinishedJob)
+	// CancelDependent records the end of a job of which a dependency was cancelled. Its owner
+	// does the same; an error says that neither is known to have succeeded.
+	CancelDependent(ctx context.Context, ref string) error
 	// CancellationPending reports whether the view is fresh and holds a job as cancelled and
 	// still active.
 	CancellationPending(ref string) bool
--- a/internal/controller/userapi/status_queries.go
+++ b/internal/controller/userapi/status_queries.go
@@ -25,8 +25,10 @@
 	}
 	ctx, cancel := a.requestContext()
 	defer cancel()
+	var err error
 	if !a.confirmActive(ctx, ref) {
-		state, err := a.jobState(ctx, statestore.Routine(queryPurpose), ref)
+		var state string
+		state, err = a.jobState(ctx, statestore.Routine(queryPurpose), ref)
 		if err != nil {
 			return wire.Status{}, err
 		}
@@ -38,10 +40,14 @@
 		}
 	}
 	// The counts of tasks are for display only, so the owner's memory is good enough for them.
-	if status, ok := a.cluster.OwnerStatus(ref); ok {
-		return status, nil
+	status, ok := a.cluster.OwnerStatus(ref)
+	if !ok {
+		status = wire.Status{Ref: ref, State: wire.Pending}
 	}
-	return wire.Status{Ref: ref, State: wire.Pending}, nil
+	if status.State == wire.Pending {
+		status.State, err = a.stateOfPending(ctx, ref)
+	}
+	return status, err
 }
 
 func terminalStatus(ref string, finished record.FinishedJob) wire.Status {
--- a/internal/controller/userapi/submissions.go
+++ b/internal/controller/userapi/submissions.go
@@ -129,6 +129,9 @@
 // acceptedBefore returns the state of an accepted job, ErrNotFound if there is none.
 func (a *API) acceptedBefore(ctx context.Context, ref string) (Acceptance, error) {
 	state, err := a.jobState(ctx, statestore.Urgent(acceptPurpose), ref)
+	if err == nil && state == wire.Pending {
+		state, err = a.stateOfPending(ctx, ref)
+	}
 	if err != nil {
 		return Acceptance{}, err
 	}
--- a/internal/fragment/dependencies.go
+++ b/internal/fragment/dependencies.go
@@ -41,6 +41,9 @@
 	nodes  map[string]*node // the active jobs, and others on which active jobs depend directly
 	lowest int              // no node has a lower order
 	next   int              // every node has a lower order
+	// unsettled holds the jobs that are not active and not known to be done, on which active jobs
+	// depend directly.
+	unsettled map[*node]struct{}
 	// examined counts the jobs and dependencies examined so far, for tests of the cost.
 	examined int
 }
@@ -56,11 +59,14 @@
 	dependents   map[*node]struct{} // the active jobs that depend directly on it
 	order        int                // topological: lower than the order of every dependent
 
+	done    bool // not active, since it is done
 	pending pendingChange
 }
 
 // NewDependencies returns a Dependencies without jobs.
-func NewDependencies() *Dependencies { return &Dependencies{nodes: map[string]*node{}} }
+func NewDependencies() *Dependencies {
+	return &Dependencies{nodes: map[string]*node{}, unsettled: map[*node]struct{}{}}
+}
 
 // Set adds an active job or replaces it, and returns the jobs whose urgency changed, each once. The
 // DependsOn of a job must not change. Jobs may be added in any order; to add many, an order in which
@@ -73,6 +79,7 @@
 	if !n.active {
 		n.active = true
 		d.link(n)
+		d.settle(n)
 	}
 	changes.recompute(n, nil)
 	return changes.run()
@@ -94,6 +101,7 @@
 		changes.removeDependent(dependency, before)
 		d.dropUnused(dependency)
 	}
+	d.settle(n)
 	d.dropUnused(n)
 	return changes.run()
 }
@@ -134,6 +142,51 @@
 	}
 }
 
+// SetDone notes that a job which is not active is done.
+func (d *Dependencies) SetDone(ref string) {
+	if n := d.nodes[ref]; n != nil && !n.active {
+		n.done = true
+		d.settle(n)
+	}
+}
+
+// Unsettled returns the jobs that are not active and not known to be done, on which a job depends
+// directly or through active jobs. They may have been cancelled.
+func (d *Dependencies) Unsettled(ref string) []string {
+	first := d.nodes[ref]
+	if first == nil || len(d.unsettled) == 0 {
+		return nil
+	}
+	var refs []string
+	seen := map[*node]bool{first: true}
+	for queue := []*node{first}; len(queue) > 0; queue = queue[1:] {
+		for _, dependency := range queue[0].dependencies {
+			if seen[dependency] || dependency.done {
+				continue
+			}
+			seen[dependency] = true
+			if dependency.active {
+				queue = append(queue, dependency)
+			} else {
+				refs = append(refs, dependency.ref)
+			}
+		}
+	}
+	return refs
+}
+
+// settle updates the set of unsettled jobs after a change of a job.
+func (d *Dependencies) settle(n *node) {
+	if n.active {
+		n.done = false
+	}
+	if !n.active && !n.done && len(n.dependents) > 0 {
+		d.unsettled[n] = struct{}{}
+	} else {
+		delete(d.unsettled, n)
+	}
+}
+
 // node returns the node of a job. A new one gets the highest order, as it has no dependents.
 func (d *Dependencies) node(ref string) *node {
 	n := d.nodes[ref]
@@ -149,6 +202,7 @@
 func (d *Dependencies) dropUnused(n *node) {
 	if !n.active && len(n.dependents) == 0 {
 		delete(d.nodes, n.ref)
+		delete(d.unsettled, n)
 	}
 }
 
@@ -165,6 +219,7 @@
 			dependency.dependents = map[*node]struct{}{}
 		}
 		dependency.dependents[n] = struct{}{}
+		d.settle(dependency)
 		n.dependencies = append(n.dependencies, dependency)
 		d.examined++
 		if dependency.order < n.order {
--- a/internal/fragment/dependencies_test.go
+++ b/internal/fragment/dependencies_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -109,3 +110,39 @@
 		t.Errorf("%d entries are left after all jobs were removed", len(d.nodes))
 	}
 }
+
+// Unsettled returns what a job depends on, directly or through active jobs, that is neither active nor
+// known to be done.
+func TestUnsettled(t *testing.T) {
+	d := NewDependencies()
+	d.Set("c", Job{DependsOn: []string{"b", "done"}})
+	d.Set("b", Job{DependsOn: []string{"a", "other"}})
+	check := func(ref string, want ...string) {
+		t.Helper()
+		got := d.Unsettled(ref)
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			t.Errorf("%s has unsettled dependencies %v, want %v", ref, got, want)
+		}
+	}
+	check("c", "a", "done", "other")
+	d.SetDone("done")
+	check("c", "a", "other")
+	d.Set("a", Job{})
+	check("c", "other")
+	d.SetDone("a") // ignored: it is active
+	d.Remove("a")
+	check("b", "a", "other")
+	d.Set("a", Job{}) // a job that is active is not done
+	d.SetDone("other")
+	check("c")
+	d.Remove("b")
+	check("c", "b")
+	check("unknown")
+	for _, ref := range []string{"a", "c"} {
+		d.Remove(ref)
+	}
+	if len(d.nodes)+len(d.unsettled) > 0 {
+		t.Errorf("%d entries and %d unsettled jobs are left", len(d.nodes), len(d.unsettled))
+	}
+}
--- a/internal/testkit/checker.go
+++ b/internal/testkit/checker.go
@@ -161,12 +161,7 @@
 		c.report(NotDone, "%s is reported done with %d of %d tasks completed", ref, len(j.done), j.spec.Tasks)
 	}
 	if state == wire.Pending || state == wire.Running {
-		for _, root := range j.spec.DependsOn {
-			// The limit of a job accepted after the cancellation counts from its acceptance.
-			if r := c.jobs[root]; r != nil && !r.cancelled.IsZero() && asked.Sub(later(r.cancelled, j.accepted)) > c.cancelLimit {
-				c.report(Orphaned, "%s is still %s after its dependency %s was cancelled", ref, state, root)
-			}
-		}
+		c.checkOrphaned(j, j, asked, state, map[string]bool{})
 	}
 	if state == wire.Done && j.doneAnswered.IsZero() {
 		j.doneAnswered = got
@@ -176,6 +171,24 @@
 	}
 }
 
+// checkOrphaned verifies that none of the dependencies of a job of, that is j or a job on which j
+// depends directly or not, was cancelled too long before j is answered as active. The lock is held; seen
+// holds the jobs visited.
+func (c *Checker) checkOrphaned(j, of *jobHistory, asked time.Time, state string, seen map[string]bool) {
+	for _, root := range of.spec.DependsOn {
+		r := c.jobs[root]
+		if r == nil || seen[root] {
+			continue
+		}
+		seen[root] = true
+		// The limit of a job accepted after the cancellation counts from its acceptance.
+		if !r.cancelled.IsZero() && asked.Sub(later(r.cancelled, j.accepted)) > c.cancelLimit {
+			c.report(Orphaned, "%s is still %s after its dependency %s was cancelled", j.spec.Ref, state, root)
+		}
+		c.checkOrphaned(j, r, asked, state, seen)
+	}
+}
+
 // mayBeCancelled reports whether the cancellation of a job, or of one that it depends on, directly or
 // not, was requested. The lock is held; seen holds the jobs visited.
 func (c *Checker) mayBeCancelled(j *jobHistory, seen map[string]bool) bool {
--- a/internal/testkit/checker_test.go
+++ b/internal/testkit/checker_test.go
@@ -121,6 +121,15 @@
 			time.Sleep(cancelAfter - time.Second)
 			answer(c, Poll, "r2", 200, wire.Pending)
 		}, func(c *Checker) { time.Sleep(2 * time.Second); answer(c, Poll, "r2", 200, wire.Pending) }},
+		"after the end of an indirect dependency": {Orphaned, func(c *Checker) {
+			job(c, "r1", nil)
+			job(c, "r2", func(spec *wire.Spec) { spec.DependsOn = []string{"r1"} })
+			job(c, "r3", func(spec *wire.Spec) { spec.DependsOn = []string{"r2"} })
+			c.CancellationRequested("r1")
+			answer(c, Cancellation, "r1", 200, wire.Cancelled)
+			time.Sleep(cancelAfter - time.Second)
+			answer(c, Poll, "r3", 200, wire.Pending)
+		}, func(c *Checker) { time.Sleep(2 * time.Second); answer(c, Poll, "r3", 200, wire.Pending) }},
 		"waits beside room": {Waited, func(c *Checker) {
 			job(c, "r1", nil)
 			waits(c, "r1")
