Dependents: joins are counted, and a job that ends meanwhile is read again

The owner kept a net of some 730 bytes for each dependency that a job names, 80 KB for 100, beyond what JobBytes said. Change: fragment.Join counts a job's dependencies; the net is the model in its test. The view keeps dependencies once, and knows the ended ones without a look at all jobs. The look at the dependencies says whether the job itself is still active; if not, its state is read.

--- a/internal/controller/clusterview/activejobs.go
+++ b/internal/controller/clusterview/activejobs.go
@@ -231,11 +231,13 @@
 }
 
 // UnsettledDependencies returns the jobs that are neither active nor known to be done, on which a job
-// depends directly or through active jobs. They may have been cancelled.
-func (v *ActiveJobs) UnsettledDependencies(ref string) []string {
+// depends directly or through active jobs, and whether the job itself is active. They may have been
+// cancelled.
+func (v *ActiveJobs) UnsettledDependencies(ref string) (unsettled []string, active bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.dependencies.Unsettled(ref)
+	_, active = v.jobs[ref]
+	return v.dependencies.Unsettled(ref), active
 }
 
 // EndedDependencies returns the refs of the jobs on which active jobs depend
@@ -243,11 +245,5 @@
 func (v *ActiveJobs) EndedDependencies() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var refs []string
-	v.dependencies.EachDependency(func(ref string) {
-		if _, active := v.jobs[ref]; !active {
-			refs = append(refs, ref)
-		}
-	})
-	return refs
+	return v.dependencies.Ended()
 }
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -67,14 +67,12 @@
 	return userapi.ActiveJob{Version: job.Version, Cancelled: job.Cancelled, Service: job.Service, Dependent: job.Dependent}, active
 }
 
-// UnsettledDependencies implements userapi.Cluster.
-func (u userCluster) UnsettledDependencies(ref string) ([]string, bool) {
+// DependenciesOf implements userapi.Cluster.
+func (u userCluster) DependenciesOf(ref string) userapi.Dependencies {
 	u.c.mu.Lock()
 	defer u.c.mu.Unlock()
-	if u.c.activeJobsStaleLocked(time.Now()) {
-		return nil, false
-	}
-	return u.c.activeJobs.UnsettledDependencies(ref), true
+	unsettled, active := u.c.activeJobs.UnsettledDependencies(ref)
+	return userapi.Dependencies{Fresh: !u.c.activeJobsStaleLocked(time.Now()), Active: active, Unsettled: unsettled}
 }
 
 // ApplyDependency implements userapi.Cluster.
--- a/internal/controller/userapi/api.go
+++ b/internal/controller/userapi/api.go
@@ -55,6 +55,15 @@
 	Dependent bool   // the job names dependencies
 }
 
+// Dependencies is what the view holds of the jobs on which a job depends.
+type Dependencies struct {
+	Fresh  bool // the view is so recent that it lacks no end of long ago
+	Active bool // the job itself is active in the view
+	// Unsettled are the jobs that are neither active in the view nor known to be done, on which the
+	// job depends directly or through active jobs.
+	Unsettled []string
+}
+
 // NewJob is a job that is about to be accepted.
 type NewJob struct {
 	Spec        *wire.Spec
@@ -76,10 +85,8 @@
 	// ActiveJob returns what the view holds of a job. It reports false if the job is not
 	// active in the view.
 	ActiveJob(ref string) (ActiveJob, bool)
-	// UnsettledDependencies returns the jobs that are neither active in the view nor known to be
-	// done, on which a job depends directly or through others. It reports false if the view may
-	// lack the ends of some.
-	UnsettledDependencies(ref string) ([]string, bool)
+	// DependenciesOf returns what the view holds of a job's dependencies.
+	DependenciesOf(ref string) Dependencies
 	// ApplyDependency applies the terminal record of a dependency.
 	ApplyDependency(ref string, finished record.FinishedJob)
 	// CancelDependent records the end of a job of which a dependency was cancelled. Its owner
--- a/internal/controller/userapi/dependents.go
+++ b/internal/controller/userapi/dependents.go
@@ -24,11 +24,15 @@
 	if job, active := a.cluster.ActiveJob(ref); active && !job.Dependent {
 		return wire.Pending, nil
 	}
-	unsettled, fresh := a.cluster.UnsettledDependencies(ref)
-	if !fresh {
+	dependencies := a.cluster.DependenciesOf(ref)
+	if !dependencies.Fresh {
 		return "", ErrUnavailable
 	}
-	for _, dependency := range unsettled {
+	if !dependencies.Active {
+		// It has ended meanwhile, or was accepted so recently that the view is about to show it.
+		return a.jobState(ctx, statestore.Urgent(dependenciesPurpose), ref)
+	}
+	for _, dependency := range dependencies.Unsettled {
 		finished, err := a.readDependency(ctx, dependency)
 		if errors.Is(err, statestore.ErrNotFound) {
 			continue // it is active, and the view is about to show it
--- a/internal/fragment/dependencies.go
+++ b/internal/fragment/dependencies.go
@@ -41,9 +41,9 @@
 	nodes  map[string]*node // the active jobs, and others on which active jobs depend directly
 	lowest int              // no node has a lower order
 	next   int              // every node has a lower order
-	// unsettled holds the jobs that are not active and not known to be done, on which active jobs
-	// depend directly.
-	unsettled map[*node]struct{}
+	// ended holds the jobs that are not active, on which active jobs depend directly; unsettled
+	// holds those of them that are not known to be done.
+	ended, unsettled map[*node]struct{}
 	// examined counts the jobs and dependencies examined so far, for tests of the cost.
 	examined int
 }
@@ -65,7 +65,7 @@
 
 // NewDependencies returns a Dependencies without jobs.
 func NewDependencies() *Dependencies {
-	return &Dependencies{nodes: map[string]*node{}, unsettled: map[*node]struct{}{}}
+	return &Dependencies{nodes: map[string]*node{}, ended: map[*node]struct{}{}, unsettled: map[*node]struct{}{}}
 }
 
 // Set adds an active job or replaces it, and returns the jobs whose urgency changed, each once. The
@@ -76,9 +76,10 @@
 	changes := newPropagation(d)
 	changes.add(n)
 	n.job = job
+	n.job.DependsOn = nil // the node has them
 	if !n.active {
 		n.active = true
-		d.link(n)
+		d.link(n, job.DependsOn)
 		d.settle(n)
 	}
 	changes.recompute(n, nil)
@@ -133,13 +134,13 @@
 	return refs
 }
 
-// EachDependency calls f for each job, active or not, on which active jobs depend directly.
-func (d *Dependencies) EachDependency(f func(ref string)) {
-	for ref, n := range d.nodes {
-		if len(n.dependents) > 0 {
-			f(ref)
-		}
+// Ended returns the jobs that are not active, on which active jobs depend directly.
+func (d *Dependencies) Ended() []string {
+	refs := make([]string, 0, len(d.ended))
+	for n := range d.ended {
+		refs = append(refs, n.ref)
 	}
+	return refs
 }
 
 // SetDone notes that a job which is not active is done.
@@ -175,15 +176,20 @@
 	return refs
 }
 
-// settle updates the set of unsettled jobs after a change of a job.
+// settle updates the sets of ended and unsettled jobs after a change of a job.
 func (d *Dependencies) settle(n *node) {
+	delete(d.ended, n)
+	delete(d.unsettled, n)
 	if n.active {
 		n.done = false
+		return
 	}
-	if !n.active && !n.done && len(n.dependents) > 0 {
+	if len(n.dependents) == 0 {
+		return
+	}
+	d.ended[n] = struct{}{}
+	if !n.done {
 		d.unsettled[n] = struct{}{}
-	} else {
-		delete(d.unsettled, n)
 	}
 }
 
@@ -202,15 +208,15 @@
 func (d *Dependencies) dropUnused(n *node) {
 	if !n.active && len(n.dependents) == 0 {
 		delete(d.nodes, n.ref)
-		delete(d.unsettled, n)
+		d.settle(n)
 	}
 }
 
-// link makes an active job a dependent of the jobs that it names, and restores the topological order.
-func (d *Dependencies) link(n *node) {
+// link makes an active job a dependent of others, and restores the topological order.
+func (d *Dependencies) link(n *node, dependsOn []string) {
 	ordered := true
-	n.dependencies = make([]*node, 0, len(n.job.DependsOn))
-	for _, ref := range n.job.DependsOn {
+	n.dependencies = make([]*node, 0, len(dependsOn))
+	for _, ref := range dependsOn {
 		dependency := d.node(ref)
 		if _, linked := dependency.dependents[n]; linked {
 			continue
--- a/internal/fragment/dependencies_test.go
+++ b/internal/fragment/dependencies_test.go
@@ -142,7 +142,7 @@
 	for _, ref := range []string{"a", "c"} {
 		d.Remove(ref)
 	}
-	if len(d.nodes)+len(d.unsettled) > 0 {
-		t.Errorf("%d entries and %d unsettled jobs are left", len(d.nodes), len(d.unsettled))
+	if len(d.nodes)+len(d.ended)+len(d.unsettled) > 0 {
+		t.Errorf("%d entries are left, with %d ended and %d unsettled jobs", len(d.nodes), len(d.ended), len(d.unsettled))
 	}
 }
--- a/internal/fragment/fragment.go
+++ b/internal/fragment/fragment.go
@@ -54,24 +54,6 @@
 	return n, nil
 }
 
-// BeginAfter returns the pipeline of a job that depends on others, which were submitted before it
-// and may have started or finished: a split into the dependencies, and the job as their join. Like
-// any join, the job is part of one fragment. The split is finished already.
-func BeginAfter(job string, dependencies []string) *Pipeline {
-	const split = "" // not the ref of a job
-	places := []Place{{Out: []string{split}}, {In: []string{job}}}
-	for _, d := range dependencies {
-		places = append(places, Place{In: []string{split}, Out: []string{d}}, Place{In: []string{d}, Out: []string{job}})
-	}
-	n, err := NewNet(places)
-	if err != nil {
-		panic(err) // a net of one split and one join is always valid
-	}
-	p := Begin(n)
-	p.Finish(split, "")
-	return p
-}
-
 // Fragment is a part of a net. Source is the one of its jobs that runs first.
 type Fragment struct {
 	Source string
--- a/internal/fragment/fragment_test.go
+++ b/internal/fragment/fragment_test.go
@@ -147,7 +147,7 @@
 func TestBeginAfter(t *testing.T) {
 	dependencies := []string{"a", "b", "c"}
 	for _, order := range [][]string{{"a", "b", "c"}, {"c", "a", "b"}, {"b", "c", "a"}} {
-		p := BeginAfter("job", dependencies)
+		p := beginAfter("job", dependencies)
 		for i, r := range order {
 			if slices.Contains(p.Ready(), "job") {
 				t.Fatalf("the job is ready after %v only", order[:i])
@@ -172,7 +172,7 @@
 			t.Error("not done after the job")
 		}
 	}
-	p := BeginAfter("job", dependencies)
+	p := beginAfter("job", dependencies)
 	p.Finish("a", "")
 	p.Abort("b")
 	p.Finish("c", "")
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramblespur/internal/fragment"
 	"bramblespur/internal/wire"
 )
 
@@ -13,10 +14,11 @@
 	spec                *wire.Spec
 	accepted            time.Time // when it was accepted, or released by its dependencies: its wait counts from then
 	record              jobRecord
-	pipeline            *pipeline // singleJob unless it was submitted in a pipeline or has dependencies
-	awaitsDependencies  bool      // not yet released by its pipeline or its dependencies
-	dependenciesEndedAt time.Time // when the latest of its finished dependencies ended
-	unneeded            bool      // cancelled because its pipeline or a cancelled dependency leaves no use for it
+	pipeline            *pipeline     // singleJob if it was submitted by itself, or dependentJob if it then has dependencies
+	join                fragment.Join // of its dependencies
+	awaitsDependencies  bool          // not yet released by its pipeline or its dependencies
+	dependenciesEndedAt time.Time     // when the latest of its finished dependencies ended
+	unneeded            bool          // cancelled because its pipeline or a cancelled dependency leaves no use for it
 	cancelled           bool
 	withheld            bool // a placement record that cannot be decoded may hold its tasks
 	tasks               taskTable
--- a/internal/scheduler/job_memory.go
+++ b/internal/scheduler/job_memory.go
@@ -10,7 +10,7 @@
 	// recordCopies is how often what the job's record holds is kept: in the view and by the owner.
 	recordCopies = 2
 	// dependencyBytes is for each job that it depends on.
-	dependencyBytes = 512
+	dependencyBytes = 128
 	// tasksPerByte is how many tasks take a byte in the taskTable.
 	tasksPerByte = 4
 	// rangeMemoryBytes is for each range of tasks of which one has been placed, with a record of its
--- a/internal/scheduler/pipeline.go
+++ b/internal/scheduler/pipeline.go
@@ -30,11 +30,15 @@
 // pipeline without state.
 var singleJob = &pipeline{}
 
+// dependentJob is the pipeline of every job that was submitted by itself with dependencies. Its
+// Job.join tells when it may run.
+var dependentJob = &pipeline{}
+
 // awaitDependencies makes a job wait for the jobs that its spec names as dependencies. Its
 // record is not changed when they have ended: their final records never change, so every
 // owner comes to the same result.
 func (s *Shard) awaitDependencies(j *Job) {
-	j.pipeline = &pipeline{run: fragment.BeginAfter(j.ref, j.spec.DependsOn)}
+	j.pipeline, j.join = dependentJob, fragment.NewJoin(j.spec.DependsOn)
 	for _, r := range j.spec.DependsOn {
 		if s.dependencies.dependents[r] == nil {
 			s.dependencies.dependents[r] = map[*Job]struct{}{}
@@ -53,17 +57,17 @@
 		if end.State != wire.Done {
 			// All dependents of a cancelled job are cancelled with it. None of their
 			// tasks has run, so their ends can be recorded at once.
-			j.pipeline.run.Abort(ref)
+			j.join.Abort()
 			j.unneeded = true
 			s.cancelJob(j, now)
 			continue
 		}
-		j.pipeline.run.Finish(ref, "")
+		j.join.Finish()
 		at := now
 		if end.FinishedAt > 0 && end.FinishedAt < now.UnixMilli() {
 			at = time.UnixMilli(end.FinishedAt)
 		}
-		if j.dependenciesEndedAt = later(j.dependenciesEndedAt, at); slices.Contains(j.pipeline.run.Ready(), j.ref) {
+		if j.dependenciesEndedAt = later(j.dependenciesEndedAt, at); j.join.Ready() {
 			s.releaseJob(j, j.dependenciesEndedAt, now)
 		}
 	}
