--- a/review/stand-2/late_answer.go
+++ b/review/stand-2/late_answer.go
@@ -22,7 +22,7 @@
 	return rec.Owner
 }
 
-// lateAnswer lets the state service answer some changes 600 ms late: the submissions of short jobs, some of which are
+// lateAnswer lets the state service answer some changes 700 ms late: the submissions of short jobs, some of which are
 // done before that, and a cancellation. Jobs that name the short ones as their roots must run all the same, and the
 // user must get an answer to the cancellation.
 func lateAnswer(record string, trouble bool) {
@@ -38,7 +38,7 @@
 	if trouble {
 		w.state.answerLate = func(_ string, t *txnRequest) time.Duration {
 			if len(t.Then) == 1 && (strings.HasPrefix(t.Then[0].Put, "open/run-0001") || strings.Contains(string(t.Then[0].V), `"cancelled":true`)) {
-				return 600 * time.Millisecond
+				return 700 * time.Millisecond
 			}
 			return 0
 		}
@@ -59,7 +59,7 @@
 	for i := range teams {
 		w.await("the services run", 45*time.Second, func() bool { return w.runsOn(fmt.Sprintf("run-%06d/0", i)) != nil })
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(time.Second)
 	first, second := teams[0], ""
 	for _, team := range teams {
 		if owners[team] != owners[first] {
@@ -89,11 +89,11 @@
 			time.Sleep(time.Second)
 		}
 	}()
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Second)
 
 	// Short jobs come four a second, by way of one controller. Their users ask another one until they are done.
 	var wg sync.WaitGroup
-	after := make([]*job, 12)
+	after := make([]*job, 14)
 	root := func(i int) string { return fmt.Sprintf("run-%06d", 100+i) }
 	for i := range after {
 		wg.Go(func() {
@@ -119,7 +119,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	begin := time.Now()
-	for waiting := 1; waiting > 0 && time.Since(begin) < 91*time.Second; time.Sleep(2 * time.Second) {
+	for waiting := 1; (waiting > 0 || !answered.Load()) && time.Since(begin) < 91*time.Second; time.Sleep(2 * time.Second) {
 		waiting = 0
 		for _, j := range after {
 			if !j.isDone(0) {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 func main() {
@@ -18,6 +19,7 @@
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(2)
 	}
+	time.AfterFunc(118*time.Second, func() { unable("the case takes too long") })
 	run(os.Args[2], os.Getenv("TROUBLE") != "0")
 }
 
