--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -114,6 +114,7 @@
 	label, zone, public, peer, state string
 	settings                         string
 	cmd                              *exec.Cmd
+	release                          func() // of the addresses, before the process starts
 	workerClient, userClient         *http.Client
 }
 
@@ -151,13 +152,13 @@
 		typ:   machineType{Label: "kiboko-gpu16", Cores: 16, Cards: 2, RAM: 64, Cache: 90, PullRate: 4, Rate: 6.78, SpotPrice: 2.23, Ready: 25, Patches: zones}}
 }
 
-func freeAddr() string {
+// reserve returns a free address, which nobody else gets until release is called.
+func reserve() (addr string, release func()) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		unable("listen: %v", err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return l.Addr().String(), func() { l.Close() }
 }
 
 func client(timeout time.Duration) *http.Client {
@@ -178,9 +179,12 @@
 	w.cloud = &cloud{typ: o.typ, capacity: o.capacity, boot: time.Second, machines: map[string]*worker{}, answers: map[string][]string{}, w: w}
 	cloudAddr := serve(w.cloud.handler())
 	for i := range 3 {
-		n := &node{label: fmt.Sprintf("sprig-%d", i), zone: o.zones[i%len(o.zones)], public: freeAddr(), peer: freeAddr(),
-			workerClient: client(4 * time.Second), userClient: client(5 * time.Second)}
+		n := &node{label: fmt.Sprintf("sprig-%d", i), zone: o.zones[i%len(o.zones)], workerClient: client(4 * time.Second), userClient: client(5 * time.Second)}
 		n.state = serve(w.state.handler(n.label))
+		var releasePublic, releasePeer func()
+		n.public, releasePublic = reserve()
+		n.peer, releasePeer = reserve()
+		n.release = func() { releasePublic(); releasePeer() }
 		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
@@ -223,6 +227,7 @@
 // start starts a controller.
 func (w *world) start(n *node) {
 	args := append(w.runArgs[1:len(w.runArgs):len(w.runArgs)], n.settings)
+	n.release()
 	n.cmd = exec.Command(w.runArgs[0], args...)
 	if log := os.Getenv("REVIEW_LOG"); log != "" {
 		f, err := os.OpenFile(filepath.Join(log, n.label+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
