--- a/review/stand-2/late_answer.go
+++ b/review/stand-2/late_answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,8 +22,9 @@
 	return rec.Owner
 }
 
-// lateAnswer lets the state service answer some submissions 600 ms late. The jobs are short: some are done before that.
-// Jobs that name them as their roots must run all the same.
+// lateAnswer lets the state service answer some changes 600 ms late: the submissions of short jobs, some of which are
+// done before that, and a cancellation. Jobs that name the short ones as their roots must run all the same, and the
+// user must get an answer to the cancellation.
 func lateAnswer(record string, trouble bool) {
 	o := smallDeployment()
 	o.capacity = 6
@@ -35,7 +37,7 @@
 	w := newWorld(o, record)
 	if trouble {
 		w.state.answerLate = func(_ string, t *txnRequest) time.Duration {
-			if len(t.Then) == 1 && strings.HasPrefix(t.Then[0].Put, "open/run-0001") {
+			if len(t.Then) == 1 && (strings.HasPrefix(t.Then[0].Put, "open/run-0001") || strings.Contains(string(t.Then[0].V), `"cancelled":true`)) {
 				return 600 * time.Millisecond
 			}
 			return 0
@@ -70,6 +72,25 @@
 	w.rec.note("owners: %v; roots are of %s, the jobs after them of %s", owners, first, second)
 	acceptor, other := w.nodes[w.nodeIndex(owners[second])], w.nodes[w.nodeIndex(owners[first])]
 
+	// A user cancels a service and repeats the request at the same controller, which does not own the service.
+	service := ""
+	for i, team := range teams {
+		if team != first && owners[team] == owners[first] {
+			service = fmt.Sprintf("run-%06d", i)
+		}
+	}
+	var answered atomic.Bool
+	cancelled := time.Now()
+	go func() {
+		for !answered.Load() {
+			if w.ask(acceptor, "POST", "/work/"+service+"/withdraw", nil).status == 200 {
+				answered.Store(true)
+			}
+			time.Sleep(time.Second)
+		}
+	}()
+	time.Sleep(2 * time.Second)
+
 	// Short jobs come four a second, by way of one controller. Their users ask another one until they are done.
 	var wg sync.WaitGroup
 	after := make([]*job, 12)
@@ -95,10 +116,10 @@
 		b := base
 		b.Ref, b.Keeper, b.Habit, b.Roots = fmt.Sprintf("run-%06d", 200+i), second, "batch", []string{root(i)}
 		after[i] = w.submitTo(other, b, 50*time.Millisecond)
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 	}
 	begin := time.Now()
-	for waiting := 1; waiting > 0 && time.Since(begin) < 91*time.Second; time.Sleep(5 * time.Second) {
+	for waiting := 1; waiting > 0 && time.Since(begin) < 91*time.Second; time.Sleep(2 * time.Second) {
 		waiting = 0
 		for _, j := range after {
 			if !j.isDone(0) {
@@ -112,6 +133,9 @@
 			w.breakRule("%s has waited for %.0f s since its root was done, although machines have room for it", j.spec.Ref, time.Since(begin).Seconds())
 		}
 	}
+	if !answered.Load() && w.ask(other, "POST", "/work/"+service+"/withdraw", nil).status == 200 {
+		w.breakRule("the cancellation of %s has not been answered for %.0f s, although another controller answers it", service, time.Since(cancelled).Seconds())
+	}
 	w.finish()
 }
 
--- a/review/stand-2/many_tasks.go
+++ b/review/stand-2/many_tasks.go
@@ -20,18 +20,18 @@
 	m := w.runsOn("run-000001/0")
 	time.Sleep(2 * time.Second)
 	tiny := service
-	tiny.Ref, tiny.Thicket, tiny.Habit, tiny.Rank, tiny.Cores, tiny.RAM, tiny.Ripen = "run-000002", "roster-ingest", "batch", "low", 0.005, 0.02, 3
+	tiny.Ref, tiny.Thicket, tiny.Habit, tiny.Rank, tiny.Cores, tiny.RAM, tiny.Ripen = "run-000002", "roster-ingest", "batch", "low", 0.005, 0.02, 45
 	tiny.Berries = 300
 	if trouble {
 		tiny.Berries = 1500
 	}
 	runs := make([]time.Duration, tiny.Berries)
 	for i := range runs {
-		runs[i] = 3 * time.Second
+		runs[i] = 45 * time.Second
 	}
 	j := w.submit(tiny, runs...)
 	done := false
-	for end := time.Now().Add(95 * time.Second); !done && time.Now().Before(end); time.Sleep(5 * time.Second) {
+	for end := time.Now().Add(85 * time.Second); !done && time.Now().Before(end); time.Sleep(5 * time.Second) {
 		done = w.status(w.nodes[0], j.spec.Ref).bloom == "done"
 	}
 	m.mu.Lock()
@@ -41,7 +41,7 @@
 		w.breakRule("the service on %s was killed: no report of the machine was answered for longer than its lease", m.id)
 	}
 	if !done {
-		w.breakRule("%s is not done after 95 s", j.spec.Ref)
+		w.breakRule("%s is not done after 85 s", j.spec.Ref)
 	}
 	w.finish()
 }
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -185,12 +185,14 @@
 	client := m.w.nodes[m.node].workerClient
 	resp, err := client.Post("http://"+m.w.nodes[m.node].public+"/agent/beat", "application/json", bytes.NewReader(body))
 	if err != nil {
+		m.w.rec.note("machine %s: report of %d bytes to %s not answered", m.id, len(body), m.w.nodes[m.node].label)
 		m.node = (m.node + 1) % len(m.w.nodes)
 		return time.Second
 	}
 	raw, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
 	if err != nil || resp.StatusCode != 200 {
+		m.w.rec.note("machine %s: report of %d bytes to %s answered %d %s", m.id, len(body), m.w.nodes[m.node].label, resp.StatusCode, raw)
 		if to := m.w.nodeIndex(trellis(raw)); resp.StatusCode == 421 && to >= 0 && to != m.node {
 			m.node = to
 			return time.Duration(rand.IntN(500)) * time.Millisecond
@@ -297,7 +299,9 @@
 func (m *worker) execute(calls []call, how string) {
 	for _, c := range calls {
 		t := m.find(c.Berry, c.Sprout)
-		m.w.rec.note("machine %s: %s %s attempt %d (%s)", m.id, c.Call, c.Berry, c.Sprout, how)
+		if (c.Call == "run") == (t == nil) {
+			m.w.rec.note("machine %s: %s %s attempt %d (%s)", m.id, c.Call, c.Berry, c.Sprout, how)
+		}
 		switch {
 		case c.Call == "run" && t == nil:
 			m.start(c)
